--- /dev/null
+++ b/burdockdock/__init__.py
@@ -0,0 +1,3 @@
+"""Configuration distribution system for a service mesh."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/burdockdock/cli/exception.py
@@ -0,0 +1,125 @@
+"""Commands for exceptions to the fleet-wide defaults."""
+
+import click
+
+from burdockdock.cli.config import change_config, read_current
+from burdockdock.cli.output import (
+    EXIT_REFUSED,
+    author_option,
+    fail,
+    node_option,
+    output_option,
+    platform_option,
+    run_async,
+    show,
+)
+from burdockdock.configuration.model import Sections
+
+_PREFIX = "exception "
+
+
+@click.group()
+def exception() -> None:
+    """Add, list and remove exceptions, each with a written reason."""
+
+
+@exception.command()
+@click.argument("name")
+@click.option("--scope", required=True, help="zone:, service:, route: or node:NAME.")
+@click.option("--setting", required=True, help="The setting that differs.")
+@click.option("--value", required=True, help="Its value in the scope.")
+@click.option("--reason", required=True, help="The written reason.")
+@click.option("--expires", help="When it ends, such as 2026-12-31T18:00:00Z.")
+@author_option
+@platform_option
+@node_option
+@output_option
+def add(
+    name: str,
+    scope: str,
+    setting: str,
+    value: str,
+    reason: str,
+    expires: str | None,
+    author: str,
+    platform_url: str,
+    node_url: str | None,
+    output: str,
+) -> None:
+    """Add an exception."""
+    pairs = {"scope": scope, "setting": setting, "value": value, "reason": reason}
+    if expires:
+        pairs["expires"] = expires
+
+    def change(current: Sections) -> Sections:
+        if _PREFIX + name in current:
+            fail(
+                EXIT_REFUSED,
+                f"not accepted: exception {name} exists; remove it first",
+                output=output,
+            )
+        return {**current, _PREFIX + name: pairs}
+
+    run_async(
+        change_config(
+            change,
+            reason=f"exception {name}: {reason}",
+            author=author,
+            platform_url=platform_url,
+            node_url=node_url,
+            output=output,
+        )
+    )
+
+
+@exception.command()
+@click.argument("name")
+@click.option("--reason", required=True, help="Why it is no longer needed.")
+@author_option
+@platform_option
+@node_option
+@output_option
+def remove(
+    name: str,
+    reason: str,
+    author: str,
+    platform_url: str,
+    node_url: str | None,
+    output: str,
+) -> None:
+    """Remove an exception."""
+
+    def change(current: Sections) -> Sections:
+        if _PREFIX + name not in current:
+            fail(EXIT_REFUSED, f"there is no exception {name}", output=output)
+        return {key: v for key, v in current.items() if key != _PREFIX + name}
+
+    run_async(
+        change_config(
+            change,
+            reason=f"exception {name} removed: {reason}",
+            author=author,
+            platform_url=platform_url,
+            node_url=node_url,
+            output=output,
+        )
+    )
+
+
+@exception.command("list")
+@platform_option
+@output_option
+def list_exceptions(platform_url: str, output: str) -> None:
+    """List the exceptions with their reasons."""
+    version, sections = run_async(read_current(platform_url, output))
+    found = {
+        name.removeprefix(_PREFIX): pairs
+        for name, pairs in sections.items()
+        if name.startswith(_PREFIX)
+    }
+    lines = [
+        f"{name}: {p['setting']} = {p['value']} for {p['scope']}"
+        f"{' until ' + p['expires'] if 'expires' in p else ''}: {p['reason']}"
+        for name, p in found.items()
+    ]
+    show(output, {"version": version, "exceptions": found}, *lines)
--- /dev/null
+++ b/burdockdock/cli/move.py
@@ -0,0 +1,232 @@
+"""Commands for moves of traffic to a new version."""
+
+import asyncio
+import re
+import time
+from datetime import UTC, datetime, timedelta
+
+import click
+
+from burdockdock.cli.output import (
+    EXIT_REFUSED,
+    EXIT_UNAVAILABLE,
+    EXIT_UNDECIDED,
+    author_option,
+    end_progress,
+    fail,
+    node_option,
+    output_option,
+    platform_option,
+    run_async,
+    show,
+    show_progress,
+)
+from burdockdock.clock import SystemClock
+from burdockdock.coordination.verdict import Failure
+from burdockdock.node.operator_client import call_node
+from burdockdock.platform_api import PlatformClient
+from burdockdock.rollout.model import ROLLOUT_PREFIX, Phase, Rollout, rollout_from
+from burdockdock.rollout.start import (
+    NotStarted,
+    cancel_rollout,
+    read_rollout,
+    start_rollout,
+)
+
+_POLL_INTERVAL_S = 0.5
+_WORDS = {Phase.ROLLED_BACK: "taken back"}
+_RELATIVE_TIME = re.compile(r"\+(\d+)([smh])")
+_UNIT_S = {"s": 1, "m": 60, "h": 3600}
+
+
+@click.group()
+def move() -> None:
+    """Start, follow and cancel moves from one version to another."""
+
+
+@move.command()
+@click.argument("service")
+@click.option("--from", "from_version", required=True, help="Version to leave.")
+@click.option("--to", "to_version", required=True, help="Version to move to.")
+@click.option(
+    "--finish-by", required=True, help="A time with its zone, or +30s, +10m, +2h."
+)
+@click.option("--reason", required=True, help="Why.")
+@author_option
+@platform_option
+@node_option
+@output_option
+def start(
+    service: str,
+    from_version: str,
+    to_version: str,
+    finish_by: str,
+    reason: str,
+    author: str,
+    platform_url: str,
+    node_url: str | None,
+    output: str,
+) -> None:
+    """Move a service's traffic to another version by a time."""
+    deadline = _parse_time(finish_by)
+
+    async def run() -> Rollout | NotStarted:
+        started = await start_rollout(
+            _open_platform(platform_url),
+            service=service,
+            from_version=from_version,
+            to_version=to_version,
+            deadline=deadline,
+            author=author,
+            reason=reason,
+            clock=SystemClock(),
+        )
+        if started and node_url:
+            await call_node(node_url, "/refresh", method="POST")
+        return started
+
+    rollout = _rollout_or_exit(run_async(run()), "not started", output)
+    show(output, rollout.to_value(), f"started: {_describe(rollout)}")
+
+
+@move.command("list")
+@platform_option
+@output_option
+def list_moves(platform_url: str, output: str) -> None:
+    """List the newest move of every service."""
+    found = run_async(_open_platform(platform_url).list(ROLLOUT_PREFIX))
+    if isinstance(found, Failure):
+        fail(EXIT_UNAVAILABLE, f"the platform: {found.detail}", output=output)
+    rollouts = [rollout_from(item.value) for item in found.objects]
+    rows = [rollout.to_value() for rollout in rollouts]
+    show(output, {"moves": rows}, *map(_describe, rollouts))
+
+
+@move.command("show")
+@click.argument("service")
+@platform_option
+@output_option
+def show_move(service: str, platform_url: str, output: str) -> None:
+    """Show a service's newest move with its history."""
+    rollout = run_async(_read_or_exit(platform_url, service, output))
+    lines = [f"  {c.at} {_word(c.phase)}: {c.reason}" for c in rollout.history]
+    show(output, rollout.to_value(), _describe(rollout), *lines)
+
+
+@move.command()
+@click.argument("service")
+@click.option("--reason", required=True, help="Why.")
+@author_option
+@platform_option
+@node_option
+@output_option
+def cancel(
+    service: str,
+    reason: str,
+    author: str,
+    platform_url: str,
+    node_url: str | None,
+    output: str,
+) -> None:
+    """Take a move back."""
+
+    async def run() -> Rollout | NotStarted:
+        cancelled = await cancel_rollout(
+            _open_platform(platform_url),
+            service=service,
+            author=author,
+            reason=reason,
+            clock=SystemClock(),
+        )
+        if cancelled and node_url:
+            await call_node(node_url, "/refresh", method="POST")
+        return cancelled
+
+    rollout = _rollout_or_exit(run_async(run()), "not cancelled", output)
+    show(output, rollout.to_value(), f"cancelled: {_describe(rollout)}")
+
+
+@move.command()
+@click.argument("service")
+@click.option("--timeout-s", type=float, default=86_400.0, show_default=True)
+@platform_option
+@output_option
+def wait(service: str, timeout_s: float, platform_url: str, output: str) -> None:
+    """Wait for a move's end; exit 0 when done, 1 when taken back."""
+    rollout = run_async(_wait(platform_url, service, timeout_s, output))
+    show(output, rollout.to_value(), _describe(rollout))
+    if rollout.phase is Phase.ROLLED_BACK:
+        raise SystemExit(EXIT_REFUSED)
+    if rollout.phase is not Phase.DONE:
+        raise SystemExit(EXIT_UNDECIDED)
+
+
+async def _wait(
+    platform_url: str, service: str, timeout_s: float, output: str
+) -> Rollout:
+    """Poll until the end; an outage of the platform only delays the answer."""
+    platform = _open_platform(platform_url)
+    give_up_at_s = time.monotonic() + timeout_s
+    shown = ""
+    rollout = await _read_or_exit(platform_url, service, output)
+    while not rollout.phase.final and time.monotonic() < give_up_at_s:
+        line = _describe(rollout)
+        if line != shown:
+            show_progress(line)
+        shown = line
+        await asyncio.sleep(_POLL_INTERVAL_S)
+        found = await read_rollout(platform, service)
+        if not isinstance(found, Failure) and found[0] is not None:
+            rollout = found[0]
+    end_progress()
+    return rollout
+
+
+async def _read_or_exit(platform_url: str, service: str, output: str) -> Rollout:
+    found = await read_rollout(_open_platform(platform_url), service)
+    if isinstance(found, Failure):
+        fail(EXIT_UNAVAILABLE, f"the platform: {found.detail}", output=output)
+    if found[0] is None:
+        fail(EXIT_REFUSED, f"no move of {service} was ever started", output=output)
+    return found[0]
+
+
+def _rollout_or_exit(result: Rollout | NotStarted, prefix: str, output: str) -> Rollout:
+    if isinstance(result, NotStarted):
+        status = EXIT_UNDECIDED if result.undecided else EXIT_REFUSED
+        fail(status, f"{prefix}: {result.message}", output=output)
+    return result
+
+
+def _describe(rollout: Rollout) -> str:
+    reason = rollout.history[-1].reason if rollout.history else rollout.reason
+    return (
+        f"{rollout.service} {rollout.from_version} to {rollout.to_version}: "
+        f"{_word(rollout.phase.value)}, share {rollout.share:.0%}, finish by "
+        f"{rollout.deadline.isoformat(timespec='seconds')} ({reason})"
+    )
+
+
+def _word(phase: str) -> str:
+    return _WORDS.get(Phase(phase), phase)
+
+
+def _parse_time(text: str) -> datetime:
+    relative = _RELATIVE_TIME.fullmatch(text)
+    if relative:
+        seconds_s = int(relative[1]) * _UNIT_S[relative[2]]
+        return datetime.now(UTC) + timedelta(seconds=seconds_s)
+    try:
+        time_given = datetime.fromisoformat(text)
+    except ValueError:
+        time_given = None
+    if time_given is None or time_given.tzinfo is None:
+        raise click.BadParameter(
+            f"{text!r} is no time; give +10m or 2026-12-31T18:00:00Z",
+            param_hint="--finish-by",
+        )
+    return time_given
+
+
+def _open_platform(url: str) -> PlatformClient:
+    return PlatformClient(url, name="cli", clock=SystemClock())
--- /dev/null
+++ b/burdockdock/cli/node.py
@@ -0,0 +1,67 @@
+"""Commands that run a node and check its settings."""
+
+import asyncio
+import gc
+from importlib import resources
+from pathlib import Path
+
+import click
+
+from burdockdock.cli.output import EXIT_USAGE
+from burdockdock.logs import start_logging
+from burdockdock.node.settings import NodeSettings, read_settings
+
+_SETTINGS_OPTION = click.option(
+    "--settings",
+    "path",
+    type=click.Path(path_type=Path),
+    required=True,
+    help="The node's settings, an INI file.",
+)
+
+
+@click.command()
+@_SETTINGS_OPTION
+def node(path: Path) -> None:
+    """Run one node beside a backend server."""
+    settings = _read_or_exit(path)
+    start_logging(node=settings.name)
+    asyncio.run(_run(settings))
+
+
+@click.group()
+def settings() -> None:
+    """Check a node's settings, or print a sample."""
+
+
+@settings.command()
+@_SETTINGS_OPTION
+def check(path: Path) -> None:
+    """Check a settings file whole."""
+    _read_or_exit(path)
+    click.echo(f"{path}: good")
+
+
+@settings.command()
+def sample() -> None:
+    """Print a sample with every key explained."""
+    text = resources.files("burdockdock.node").joinpath("sample.ini").read_text()
+    click.echo(text, nl=False)
+
+
+async def _run(settings: NodeSettings) -> None:
+    from burdockdock.node.node import Node
+
+    running = Node(settings)
+    # What the imports made stays for good; the collector need not look at it.
+    gc.freeze()
+    await running.run()
+
+
+def _read_or_exit(path: Path) -> NodeSettings:
+    settings = read_settings(path)
+    if isinstance(settings, NodeSettings):
+        return settings
+    for problem in settings:
+        click.echo(f"{path}: {problem}", err=True)
+    raise SystemExit(EXIT_USAGE)
--- /dev/null
+++ b/burdockdock/configuration/model.py
@@ -0,0 +1,105 @@
+"""The data of a configuration version."""
+
+from datetime import datetime
+from typing import NamedTuple
+
+Sections = dict[str, dict[str, str]]
+
+
+class Problem(NamedTuple):
+    """One thing that is wrong with a configuration or a settings file.
+
+    :param section: name of the section, empty for the whole file.
+    :param key: the key, empty for the whole section.
+    :param message: what to change.
+    """
+
+    section: str
+    key: str
+    message: str
+
+    def __str__(self) -> str:
+        place = f"[{self.section}]" if self.section else "file"
+        return (
+            f"{place} {self.key}: {self.message}"
+            if self.key
+            else (f"{place}: {self.message}")
+        )
+
+
+class Policy(NamedTuple):
+    """How calls are handled.
+
+    :param timeout_ms: longest time of a call.
+    :param retries: further attempts after the first.
+    :param queue_length: calls that may wait at one backend server.
+    """
+
+    timeout_ms: int = 2000
+    retries: int = 1
+    queue_length: int = 32
+
+
+class Service(NamedTuple):
+    """A service that routes may name, with the policy keys that it sets.
+
+    :param initial_version: version that takes the calls before any rollout, empty
+        for all alike.
+    """
+
+    name: str
+    policy_keys: dict[str, int]
+    initial_version: str = ""
+
+
+class Route(NamedTuple):
+    """A rule that sends calls to a service.
+
+    :param host: host name that the call must carry, empty for any.
+    :param path: prefix of the path, whole segments only.
+    :param traffic_class: label of the calls in metrics and queues.
+    :param priority: lower is served first when calls wait.
+    """
+
+    name: str
+    path: str
+    service: str
+    host: str = ""
+    traffic_class: str = "default"
+    priority: int = 0
+    policy_keys: dict[str, int] = {}
+
+
+class Override(NamedTuple):
+    """An operator's exception to the policy, with its written reason.
+
+    :param scope_kind: one of ``zone``, ``service``, ``route``, ``node``.
+    :param expires: when it ends, None for never.
+    """
+
+    name: str
+    scope_kind: str
+    scope_name: str
+    setting: str
+    value: int
+    reason: str
+    expires: datetime | None = None
+
+
+class Snapshot(NamedTuple):
+    """One whole configuration version.
+
+    :param version: assigned by the platform, 0 before the first.
+    :param digest: of the sections.
+    """
+
+    version: int
+    digest: str
+    defaults: Policy
+    services: dict[str, Service]
+    routes: tuple[Route, ...]
+    overrides: tuple[Override, ...]
+    sections: Sections
+
+
+EMPTY_SNAPSHOT = Snapshot(0, "", Policy(), {}, (), (), {})
--- /dev/null
+++ b/burdockdock/coordination/limiter.py
@@ -0,0 +1,150 @@
+"""Admission to a fixed number of slots with a short queue by deadline."""
+
+import asyncio
+import heapq
+import itertools
+from typing import NamedTuple
+
+from burdockdock.clock import Clock
+from burdockdock.coordination.verdict import Failure, Verdict
+
+
+class _Waiter(NamedTuple):
+    """A queued request; ordered by class, tenant's use, then deadline."""
+
+    priority: int
+    tenant_load: int
+    deadline_s: float
+    sequence: int
+    tenant: str
+    future: "asyncio.Future[None]"
+
+
+class SlotLimiter:
+    """Hands out a number of slots, first to the tenant that holds the fewest.
+
+    :param slots: requests that may run at a time.
+    :param queue_length: requests that may wait at a time.
+    """
+
+    def __init__(self, *, slots: int, queue_length: int, clock: Clock) -> None:
+        self._slots = slots
+        self._queue_length = queue_length
+        self._clock = clock
+        self._in_use = 0
+        self._waiters: list[_Waiter] = []
+        self._sequence = itertools.count()
+        self._tenant_in_use: dict[str, int] = {}
+        self._tenant_waiting: dict[str, int] = {}
+
+    @property
+    def slots(self) -> int:
+        """Requests that may run at a time."""
+        return self._slots
+
+    @property
+    def in_use(self) -> int:
+        """Requests that hold a slot."""
+        return self._in_use
+
+    @property
+    def queued(self) -> int:
+        """Requests that wait for a slot."""
+        return len(self._waiters)
+
+    def resize(self, slots: int) -> None:
+        """Change the number of slots; those in use are never taken away."""
+        self._slots = max(1, slots)
+        self._hand_out()
+
+    async def acquire(
+        self, *, tenant: str, deadline_s: float, priority: int = 0
+    ) -> Failure | None:
+        """Wait for a slot until the deadline.
+
+        :param priority: lower goes first.
+        :param deadline_s: monotonic seconds.
+        :returns: None with a slot held, else the refusal.
+        """
+        if self._in_use < self._slots and not self._waiters:
+            self._take(tenant)
+            return None
+        refusal = self._refuse_queueing(tenant)
+        if refusal is not None:
+            return refusal
+        return await self._wait(tenant, deadline_s, priority)
+
+    def release(self, tenant: str) -> None:
+        """Give a slot back."""
+        self._in_use -= 1
+        left = self._tenant_in_use.get(tenant, 0) - 1
+        if left > 0:
+            self._tenant_in_use[tenant] = left
+        else:
+            self._tenant_in_use.pop(tenant, None)
+        self._hand_out()
+
+    def _refuse_queueing(self, tenant: str) -> Failure | None:
+        """Refuse when the queue is full or the tenant has its share of it."""
+        if len(self._waiters) >= self._queue_length:
+            return Failure(Verdict.NOT_RUN, "queue_full")
+        waiting = self._tenant_waiting.get(tenant, 0)
+        others = len(self._tenant_waiting) - (tenant in self._tenant_waiting)
+        if waiting * (others + 1) >= self._queue_length:
+            return Failure(Verdict.NOT_RUN, "tenant_queue_full")
+        return None
+
+    async def _wait(
+        self, tenant: str, deadline_s: float, priority: int
+    ) -> Failure | None:
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        load = self._tenant_in_use.get(tenant, 0) + self._tenant_waiting.get(tenant, 0)
+        waiter = _Waiter(
+            priority, load, deadline_s, next(self._sequence), tenant, future
+        )
+        heapq.heappush(self._waiters, waiter)
+        self._tenant_waiting[tenant] = self._tenant_waiting.get(tenant, 0) + 1
+        try:
+            async with asyncio.timeout(deadline_s - self._clock.monotonic()):
+                await future
+        except TimeoutError:
+            if not _was_granted(future):
+                self._forget(waiter)
+                return Failure(Verdict.NOT_RUN, "queue_timeout")
+        except asyncio.CancelledError:
+            if _was_granted(future):
+                self.release(tenant)
+            else:
+                self._forget(waiter)
+            raise
+        return None
+
+    def _forget(self, waiter: _Waiter) -> None:
+        if waiter in self._waiters:
+            self._waiters.remove(waiter)
+            heapq.heapify(self._waiters)
+            self._leave_queue(waiter.tenant)
+
+    def _hand_out(self) -> None:
+        while self._waiters and self._in_use < self._slots:
+            waiter = heapq.heappop(self._waiters)
+            self._leave_queue(waiter.tenant)
+            if waiter.future.done():
+                continue
+            self._take(waiter.tenant)
+            waiter.future.set_result(None)
+
+    def _take(self, tenant: str) -> None:
+        self._in_use += 1
+        self._tenant_in_use[tenant] = self._tenant_in_use.get(tenant, 0) + 1
+
+    def _leave_queue(self, tenant: str) -> None:
+        left = self._tenant_waiting.get(tenant, 0) - 1
+        if left > 0:
+            self._tenant_waiting[tenant] = left
+        else:
+            self._tenant_waiting.pop(tenant, None)
+
+
+def _was_granted(future: "asyncio.Future[None]") -> bool:
+    return future.done() and not future.cancelled()
--- /dev/null
+++ b/burdockdock/gate/curl_client.py
@@ -0,0 +1,325 @@
+"""HTTP client for backend servers: streams both ways and never sends twice."""
+
+import asyncio
+from collections import deque
+from typing import NamedTuple
+
+import pycurl
+
+from burdockdock.coordination.verdict import Failure, Verdict
+
+_PAUSE_ABOVE_BYTES = 256 * 1024
+_CONNECT_TIMEOUT_MS = 1000
+_STOP_POLLING = pycurl.POLL_REMOVE
+# Errors of which libcurl knows that no byte of the request was sent.
+_NOT_SENT_ERRORS = {
+    pycurl.E_COULDNT_CONNECT: "connection_refused",
+    pycurl.E_COULDNT_RESOLVE_HOST: "bad_address",
+    pycurl.E_UNSUPPORTED_PROTOCOL: "bad_address",
+    pycurl.E_URL_MALFORMAT: "bad_address",
+}
+
+
+class BackendRequest(NamedTuple):
+    """A request to a backend server.
+
+    :param url: address with the target.
+    :param body_length: bytes of the body, -1 when not known, 0 without a body.
+    :param fresh_connection: open a new connection, so that a stale one can't make
+        the outcome uncertain.
+    """
+
+    method: str
+    url: str
+    headers: list[str]
+    body_length: int
+    timeout_ms: int
+    fresh_connection: bool
+
+
+class BackendHead(NamedTuple):
+    """Status line and headers of a backend server's answer."""
+
+    status: int
+    reason: str
+    headers: tuple[tuple[str, str], ...]
+
+
+class CurlClient:
+    """Runs transfers on the running asyncio loop.
+
+    :param max_connections: idle connections kept.
+    """
+
+    def __init__(self, *, max_connections: int = 64) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._multi = pycurl.CurlMulti()
+        self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._watch_socket)
+        self._multi.setopt(pycurl.M_TIMERFUNCTION, self._set_timer)
+        self._multi.setopt(pycurl.M_MAXCONNECTS, max_connections)
+        self._timer: asyncio.TimerHandle | None = None
+        self._watched: set[int] = set()
+        self._transfers: dict[pycurl.Curl, Transfer] = {}
+        self._idle_handles: list[pycurl.Curl] = []
+
+    def start(self, request: BackendRequest) -> "Transfer":
+        """Begin a transfer."""
+        easy = self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
+        transfer = Transfer(easy, request, self)
+        self._transfers[easy] = transfer
+        self._multi.add_handle(easy)
+        return transfer
+
+    def cancel(self, transfer: "Transfer") -> None:
+        """Stop a transfer; its connection is closed."""
+        if transfer.easy in self._transfers:
+            self._remove(transfer.easy)
+            transfer.finish(pycurl.E_ABORTED_BY_CALLBACK, "cancelled")
+
+    def close(self) -> None:
+        """Stop every transfer."""
+        for transfer in list(self._transfers.values()):
+            self.cancel(transfer)
+        if self._timer is not None:
+            self._timer.cancel()
+        self._multi.close()
+
+    def resume(self, easy: pycurl.Curl) -> None:
+        """Continue a paused transfer from outside of libcurl's callbacks."""
+        if easy in self._transfers:
+            easy.pause(pycurl.PAUSE_CONT)
+            self._set_timer(0)
+
+    def _watch_socket(self, event: int, fd: int, multi: object, data: object) -> None:
+        if fd in self._watched:
+            self._loop.remove_reader(fd)
+            self._loop.remove_writer(fd)
+            self._watched.discard(fd)
+        if event == _STOP_POLLING:
+            return
+        self._watched.add(fd)
+        if event & pycurl.POLL_IN:
+            self._loop.add_reader(fd, self._act, fd, pycurl.CSELECT_IN)
+        if event & pycurl.POLL_OUT:
+            self._loop.add_writer(fd, self._act, fd, pycurl.CSELECT_OUT)
+
+    def _set_timer(self, timeout_ms: int) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if timeout_ms >= 0:
+            self._timer = self._loop.call_later(timeout_ms / 1000, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        self._act(pycurl.SOCKET_TIMEOUT, 0)
+
+    def _act(self, fd: int, events: int) -> None:
+        self._multi.socket_action(fd, events)
+        self._reap()
+
+    def _reap(self) -> None:
+        """Finish the transfers that libcurl is done with."""
+        while True:
+            left, succeeded, failed = self._multi.info_read()
+            for easy in succeeded:
+                self._finish(easy, 0, "")
+            for easy, code, message in failed:
+                self._finish(easy, code, message)
+            if not left:
+                return
+
+    def _finish(self, easy: pycurl.Curl, code: int, message: str) -> None:
+        transfer = self._transfers.get(easy)
+        if transfer is not None:
+            self._remove(easy)
+            transfer.finish(code, message)
+
+    def _remove(self, easy: pycurl.Curl) -> None:
+        self._multi.remove_handle(easy)
+        del self._transfers[easy]
+        easy.reset()
+        self._idle_handles.append(easy)
+
+
+class Transfer:
+    """One request to a backend server and its answer."""
+
+    def __init__(
+        self, easy: pycurl.Curl, request: BackendRequest, client: CurlClient
+    ) -> None:
+        self.easy = easy
+        self.body_started = False
+        self._client = client
+        self._sends = 0
+        self._max_sends = 1
+        self._head_lines: list[bytes] = []
+        self._head: asyncio.Future[BackendHead | Failure] = client._loop.create_future()
+        self._outgoing: deque[bytes] = deque()
+        self._outgoing_ended = request.body_length == 0
+        self._read_paused = False
+        self._drained = asyncio.Event()
+        self._incoming: deque[bytes] = deque()
+        self._incoming_bytes = 0
+        self._write_paused = False
+        self._arrived = asyncio.Event()
+        self._result: Failure | None = None
+        self._done = False
+        self._set_options(request)
+
+    @property
+    def sent(self) -> bool:
+        """Whether libcurl began to send the request."""
+        return self._sends > 0
+
+    async def head(self) -> BackendHead | Failure:
+        """Wait for the beginning of the answer."""
+        return await self._head
+
+    async def send_body(self, data: bytes, *, end: bool) -> None:
+        """Send a piece of the request's body and wait until it was taken."""
+        if data:
+            self._outgoing.append(data)
+        self._outgoing_ended |= end
+        self._resume_reading()
+        while self._outgoing and not self._done:
+            self._drained.clear()
+            await self._drained.wait()
+
+    async def read_body(self) -> bytes | Failure | None:
+        """Return the next piece of the answer's body, None at its end."""
+        while not self._incoming:
+            if self._done:
+                return self._result
+            self._arrived.clear()
+            await self._arrived.wait()
+        data = b"".join(self._incoming)
+        self._incoming.clear()
+        self._incoming_bytes = 0
+        if self._write_paused:
+            self._write_paused = False
+            self._client.resume(self.easy)
+        return data
+
+    def take_ready_body(self) -> tuple[bytes, bool]:
+        """Return what has arrived of the body, and whether that is all of it."""
+        ended = self._done and self._result is None
+        data = b"".join(self._incoming) if ended else b""
+        if ended:
+            self._incoming.clear()
+        return data, ended
+
+    def cancel(self) -> None:
+        """Stop the transfer."""
+        self._client.cancel(self)
+
+    def finish(self, code: int, message: str) -> None:
+        """Take in how libcurl ended the transfer."""
+        self._done = True
+        if code:
+            self._result = self._describe(code, message)
+        if not self._head.done():
+            missing = Failure(Verdict.MAY_HAVE_RUN, "no_answer")
+            self._head.set_result(self._result or missing)
+        self._arrived.set()
+        self._drained.set()
+
+    def _describe(self, code: int, message: str) -> Failure:
+        """Tell from libcurl's error whether the request may have run."""
+        if not self.sent:
+            reason = _NOT_SENT_ERRORS.get(code, "not_sent")
+            return Failure(Verdict.NOT_RUN, reason, message)
+        if code == pycurl.E_OPERATION_TIMEDOUT:
+            return Failure(Verdict.MAY_HAVE_RUN, "backend_timeout", message)
+        if code == pycurl.E_PARTIAL_FILE:
+            return Failure(Verdict.RAN, "short_body", message)
+        return Failure(Verdict.MAY_HAVE_RUN, "backend_connection_broken", message)
+
+    def _set_options(self, request: BackendRequest) -> None:
+        easy = self.easy
+        easy.setopt(pycurl.URL, request.url)
+        easy.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+        easy.setopt(pycurl.CUSTOMREQUEST, request.method)
+        easy.setopt(pycurl.PATH_AS_IS, 1)
+        easy.setopt(pycurl.NOSIGNAL, 1)
+        easy.setopt(pycurl.PROXY, "")
+        easy.setopt(pycurl.HTTPHEADER, request.headers)
+        easy.setopt(pycurl.CONNECTTIMEOUT_MS, _CONNECT_TIMEOUT_MS)
+        easy.setopt(pycurl.TIMEOUT_MS, max(1, request.timeout_ms))
+        easy.setopt(pycurl.HEADERFUNCTION, self._on_header)
+        easy.setopt(pycurl.WRITEFUNCTION, self._on_body)
+        easy.setopt(pycurl.PREREQFUNCTION, self._before_send)
+        if request.fresh_connection:
+            easy.setopt(pycurl.FRESH_CONNECT, 1)
+        if request.method == "HEAD":
+            easy.setopt(pycurl.NOBODY, 1)
+        elif request.body_length != 0:
+            easy.setopt(pycurl.UPLOAD, 1)
+            easy.setopt(pycurl.READFUNCTION, self._on_read)
+            if request.body_length > 0:
+                easy.setopt(pycurl.INFILESIZE_LARGE, request.body_length)
+
+    def _before_send(self, *_addresses: object) -> int:
+        """Allow one sending: libcurl resends by itself on a dead connection."""
+        if self._sends >= self._max_sends:
+            return pycurl.PREREQFUNC_ABORT
+        self._sends += 1
+        return pycurl.PREREQFUNC_OK
+
+    def _on_header(self, line: bytes) -> None:
+        if line.startswith(b"HTTP/"):
+            self._head_lines = [line]
+        elif line.strip():
+            self._head_lines.append(line)
+        else:
+            self._end_of_head()
+
+    def _end_of_head(self) -> None:
+        head = _parse_head(self._head_lines)
+        # An interim answer, or the trailer after a body.
+        if head is None or head.status < 200 or self._head.done():
+            return
+        self._head.set_result(head)
+
+    def _on_body(self, data: bytes) -> int | None:
+        if self._incoming_bytes >= _PAUSE_ABOVE_BYTES:
+            self._write_paused = True
+            return pycurl.WRITEFUNC_PAUSE
+        self._incoming.append(data)
+        self._incoming_bytes += len(data)
+        self._arrived.set()
+        return None
+
+    def _on_read(self, size_bytes: int) -> bytes | int:
+        if not self._outgoing:
+            if self._outgoing_ended:
+                return b""
+            self._read_paused = True
+            return pycurl.READFUNC_PAUSE
+        self.body_started = True
+        piece = self._outgoing.popleft()
+        if len(piece) > size_bytes:
+            self._outgoing.appendleft(piece[size_bytes:])
+            piece = piece[:size_bytes]
+        if not self._outgoing:
+            self._drained.set()
+        return piece
+
+    def _resume_reading(self) -> None:
+        if self._read_paused:
+            self._read_paused = False
+            self._client.resume(self.easy)
+
+
+def _parse_head(lines: list[bytes]) -> BackendHead | None:
+    if not lines:
+        return None
+    words = lines[0].decode("latin-1").split(None, 2)
+    if len(words) < 2 or not words[1].isdecimal():
+        return None
+    reason = words[2].strip() if len(words) > 2 else ""
+    headers = []
+    for line in lines[1:]:
+        name, _, value = line.decode("latin-1").partition(":")
+        headers.append((name.strip(), value.strip()))
+    return BackendHead(int(words[1]), reason, tuple(headers))
--- /dev/null
+++ b/burdockdock/gate/gate.py
@@ -0,0 +1,308 @@
+"""Admission to one backend server: dedupe, slots, and the call itself."""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
+
+from burdockdock.clock import Clock
+from burdockdock.coordination.dedupe import DedupeTable
+from burdockdock.coordination.limiter import SlotLimiter
+from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.gate.curl_client import (
+    BackendHead,
+    BackendRequest,
+    CurlClient,
+    Transfer,
+)
+from burdockdock.metrics import Metrics
+from burdockdock.protocol.calls import AnswerHead, CallRequest
+
+TIMEOUT_HEADER = "X-Burdockdock-Timeout-Ms"
+REQUEST_ID_HEADER = "X-Burdockdock-Request-Id"
+_SHED_STATUSES = frozenset({429, 503})
+_DEFAULT_SLOTS = 8
+_MIN_MARGIN_S = 0.001
+_CURL_DEFAULT_HEADERS = ("Accept", "User-Agent", "Expect")
+_METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
+
+
+class BackendServer(NamedTuple):
+    """What a backend server announced of itself."""
+
+    service: str
+    version: str
+    host: str
+    port: int
+    slots: int = _DEFAULT_SLOTS
+    health_path: str = "/health"
+
+
+class CallResult(NamedTuple):
+    """What one call showed of the backend server's version.
+
+    :param failed: the version's own fault, not the caller's nor a shed call.
+    :param shed: the backend server refused for load.
+    """
+
+    route: str
+    tenant: str
+    traffic_class: str
+    seconds_s: float
+    failed: bool
+    shed: bool
+
+
+class CallStream(Protocol):
+    """The other end of a call: the node of the caller."""
+
+    async def read_body(self) -> tuple[bytes, bool]:
+        """Return the next piece of the request's body and whether it ends."""
+        ...
+
+    def send_head(self, head: AnswerHead) -> None:
+        """Begin the answer."""
+        ...
+
+    async def send_body(self, data: bytes, *, end: bool) -> None:
+        """Send a piece of the answer's body."""
+        ...
+
+    def fail(self, failure: Failure) -> None:
+        """End the call without a whole answer."""
+        ...
+
+
+class Gate:
+    """The only way into one backend server.
+
+    :param observe: told the result of every call that reached the backend server.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        metrics: Metrics,
+        observe: Callable[[CallResult], None] = lambda _: None,
+        queue_length: int = 32,
+    ) -> None:
+        self._clock = clock
+        self._metrics = metrics
+        self._observe = observe
+        self._client = CurlClient()
+        self._limiter = SlotLimiter(
+            slots=_DEFAULT_SLOTS, queue_length=queue_length, clock=clock
+        )
+        self._dedupe = DedupeTable(clock=clock)
+        self._backend: BackendServer | None = None
+        self._draining = False
+        self._running = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    @property
+    def backend(self) -> BackendServer | None:
+        """The backend server, None before it announced itself."""
+        return self._backend
+
+    @property
+    def load(self) -> int:
+        """Calls that run or wait here."""
+        return self._limiter.in_use + self._limiter.queued
+
+    def announce(self, backend: BackendServer) -> None:
+        """Take in what the backend server says of itself."""
+        self._backend = backend
+        self._limiter.resize(backend.slots)
+
+    def start_draining(self) -> None:
+        """Refuse new calls from now on."""
+        self._draining = True
+
+    async def wait_idle(self) -> None:
+        """Wait until no call runs or waits."""
+        await self._idle.wait()
+
+    def resolve(self, request_id: str, *, time_left_s: float) -> Failure:
+        """Tell what became of a request, barring it if it never started."""
+        deadline_s = self._clock.monotonic() + time_left_s
+        return self._dedupe.resolve(request_id, deadline_s=deadline_s)
+
+    async def run(self, request: CallRequest, stream: CallStream) -> None:
+        """Run one call from admission to the end of its answer."""
+        self._running += 1
+        self._idle.clear()
+        try:
+            await self._admit(request, stream)
+        finally:
+            self._running -= 1
+            if not self._running:
+                self._idle.set()
+
+    async def _admit(self, request: CallRequest, stream: CallStream) -> None:
+        deadline_s = self._clock.monotonic() + request.time_left_ms / 1000
+        refusal = self._refuse(request)
+        if refusal is None:
+            refusal = self._dedupe.claim(request.request_id, deadline_s=deadline_s)
+        if refusal is not None:
+            self._refused(refusal, stream)
+            return
+        try:
+            refusal = await self._limiter.acquire(
+                tenant=request.tenant, deadline_s=deadline_s, priority=request.priority
+            )
+        except asyncio.CancelledError:
+            self._dedupe.finish(request.request_id, Verdict.NOT_RUN)
+            raise
+        if refusal is not None:
+            self._dedupe.release(request.request_id)
+            self._refused(refusal, stream)
+            return
+        try:
+            await self._call_backend(request, stream, deadline_s)
+        finally:
+            self._limiter.release(request.tenant)
+
+    def _refuse(self, request: CallRequest) -> Failure | None:
+        if self._draining:
+            return Failure(Verdict.NOT_RUN, "draining")
+        if self._backend is None or self._backend.service != request.service:
+            return Failure(
+                Verdict.NOT_RUN, "not_here", f"{request.service} does not run here"
+            )
+        return None
+
+    def _refused(self, refusal: Failure, stream: CallStream) -> None:
+        self._metrics.count("gate_refusals", label=refusal.reason)
+        stream.fail(refusal)
+
+    async def _call_backend(
+        self, request: CallRequest, stream: CallStream, deadline_s: float
+    ) -> None:
+        """Send the request; from the first byte on it may have run."""
+        started_s = self._clock.monotonic()
+        transfer = self._client.start(self._backend_request(request, deadline_s))
+        verdict = Verdict.MAY_HAVE_RUN
+        upload = self._start_upload(request, stream, transfer)
+        try:
+            head = await transfer.head()
+            if isinstance(head, Failure):
+                verdict = head.verdict
+                self._end_without_answer(request, stream, head, started_s)
+                return
+            verdict = Verdict.RAN
+            complete = await self._relay(transfer, head, stream)
+            self._record(request, started_s, status=head.status, complete=complete)
+        finally:
+            if upload is not None:
+                upload.cancel()
+            if verdict is not Verdict.RAN and not transfer.sent:
+                verdict = Verdict.NOT_RUN
+            transfer.cancel()
+            self._finish_id(request, verdict)
+
+    def _finish_id(self, request: CallRequest, verdict: Verdict) -> None:
+        """Keep the id of what may have run; a refused one may be sent again."""
+        if verdict is Verdict.NOT_RUN:
+            self._dedupe.release(request.request_id)
+        else:
+            self._dedupe.finish(request.request_id, verdict)
+
+    def _start_upload(
+        self, request: CallRequest, stream: CallStream, transfer: Transfer
+    ) -> "asyncio.Task[None] | None":
+        if request.body_length == 0:
+            return None
+        return asyncio.create_task(_upload(request, stream, transfer))
+
+    async def _relay(
+        self, transfer: Transfer, head: BackendHead, stream: CallStream
+    ) -> bool:
+        """Pass the answer on; return whether it was whole."""
+        data, ended = transfer.take_ready_body()
+        stream.send_head(
+            AnswerHead(head.status, head.reason, head.headers, data, ended, self.load)
+        )
+        while not ended:
+            piece = await transfer.read_body()
+            if isinstance(piece, Failure):
+                stream.fail(piece._replace(verdict=Verdict.RAN))
+                return False
+            ended = piece is None
+            await stream.send_body(piece or b"", end=ended)
+        return True
+
+    def _end_without_answer(
+        self,
+        request: CallRequest,
+        stream: CallStream,
+        failure: Failure,
+        started_s: float,
+    ) -> None:
+        self._metrics.count("gate_failures", label=failure.reason)
+        self._record(request, started_s, status=0, complete=False)
+        stream.fail(failure)
+
+    def _record(
+        self, request: CallRequest, started_s: float, *, status: int, complete: bool
+    ) -> None:
+        seconds_s = self._clock.monotonic() - started_s
+        shed = status in _SHED_STATUSES
+        failed = not complete or (status >= 500 and not shed)
+        self._metrics.record_latency(
+            "backend",
+            seconds_s,
+            tenant=request.tenant,
+            traffic_class=request.traffic_class,
+        )
+        self._observe(
+            CallResult(
+                request.route,
+                request.tenant,
+                request.traffic_class,
+                seconds_s,
+                failed,
+                shed,
+            )
+        )
+
+    def _backend_request(
+        self, request: CallRequest, deadline_s: float
+    ) -> BackendRequest:
+        left_s = max(_MIN_MARGIN_S, deadline_s - self._clock.monotonic())
+        left_ms = int(left_s * 1000)
+        backend = self._backend
+        headers = _curl_headers(request)
+        headers.append(f"{TIMEOUT_HEADER}: {left_ms}")
+        headers.append(f"{REQUEST_ID_HEADER}: {request.request_id}")
+        return BackendRequest(
+            method=request.method,
+            url=f"http://{backend.host}:{backend.port}{request.target}",
+            headers=headers,
+            body_length=request.body_length,
+            timeout_ms=left_ms,
+            fresh_connection=not request.idempotent,
+        )
+
+
+def _curl_headers(request: CallRequest) -> list[str]:
+    """Return the request's headers, and none of those that libcurl would add."""
+    headers = [
+        f"{name}: {value}" if value else f"{name};" for name, value in request.headers
+    ]
+    present = {name.lower() for name, _ in request.headers}
+    for name in _CURL_DEFAULT_HEADERS:
+        if name.lower() not in present:
+            headers.append(f"{name}:")
+    if not request.body_length and request.method in _METHODS_WITH_BODY:
+        headers.append("Content-Length: 0")
+    return headers
+
+
+async def _upload(request: CallRequest, stream: CallStream, transfer: Transfer) -> None:
+    """Pass the request's body to the backend server as fast as it takes it."""
+    data, end = request.body, request.end
+    await transfer.send_body(data, end=end)
+    while not end:
+        data, end = await stream.read_body()
+        await transfer.send_body(data, end=end)
--- /dev/null
+++ b/burdockdock/node/node.py
@@ -0,0 +1,385 @@
+"""One node: proxy for callers, gate of a backend server, member of the overlay."""
+
+import asyncio
+import random
+import signal
+from typing import Any
+
+from burdockdock.clock import Clock, SystemClock
+from burdockdock.coordination.membership import Member, MembershipTable, MemberState
+from burdockdock.coordination.records import Record, RecordStore
+from burdockdock.gate.gate import BackendServer, CallResult, Gate
+from burdockdock.logs import log_event
+from burdockdock.metrics import Metrics
+from burdockdock.node.bootstrap import Bootstrap
+from burdockdock.node.config_state import CONFIG_KEY, ConfigState
+from burdockdock.node.operator_api import OperatorActions, serve_operators
+from burdockdock.node.peer_server import PeerServer
+from burdockdock.node.relay import PlatformReader, Relay
+from burdockdock.node.rollouts import RolloutPart
+from burdockdock.node.settings import NodeSettings
+from burdockdock.node.supervise import supervise
+from burdockdock.overlay.applied import AppliedTracker, FleetStatus
+from burdockdock.overlay.datagrams import Datagrams
+from burdockdock.overlay.failure_detector import FailureDetector
+from burdockdock.overlay.spread import Spreader
+from burdockdock.overlay.sync import SyncClient, SyncServer
+from burdockdock.platform_api.client import PlatformClient
+from burdockdock.protocol.handshake import PeerIdentity
+from burdockdock.proxy.balancer import Balancer
+from burdockdock.proxy.endpoints import Endpoints
+from burdockdock.proxy.forwarder import Forwarder
+from burdockdock.proxy.listener import CallContext, serve_callers
+from burdockdock.proxy.peer_link import PeerLinks
+
+_LEAVE_SPREAD_S = 1.0
+_BACKEND_SILENCE_S = 4.0
+_BACKEND_CHECK_S = 0.5
+
+
+class Node:
+    """Builds the parts of a node, runs them, and stops them gracefully."""
+
+    def __init__(self, settings: NodeSettings, *, clock: Clock | None = None) -> None:
+        self._settings = settings
+        self._clock = clock or SystemClock()
+        self._rng = random.Random()
+        self._stopping = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._backend_heard_s = float("-inf")
+        incarnation = int(self._clock.now().timestamp() * 1000)
+        self.metrics = Metrics()
+        self._identity = PeerIdentity(settings.mesh, settings.name, incarnation)
+        self._build_state(incarnation)
+        self._build_overlay()
+        self._build_calls()
+        self._build_control()
+
+    async def run(self) -> None:
+        """Run until a stop signal or an operator's order, then drain."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stop)
+        await self._start()
+        await self._stopping.wait()
+        await self._drain()
+
+    def stop(self) -> None:
+        """Begin a graceful stop."""
+        self._stopping.set()
+
+    def _build_state(self, incarnation: int) -> None:
+        settings = self._settings
+        own = Member(
+            node_id=settings.name,
+            host=settings.peers[0],
+            port=settings.peers[1],
+            region=settings.region,
+            availability_zone=settings.availability_zone,
+            incarnation=incarnation,
+        )
+        self.membership = MembershipTable(own, clock=self._clock)
+        self.config = ConfigState(settings.name)
+        self.records = RecordStore(accept=self._accept_record)
+        self._deltas = {CONFIG_KEY: self.config.codec}
+
+    def _build_overlay(self) -> None:
+        settings = self._settings
+        self.datagrams = Datagrams(settings.mesh, count=self.metrics.count)
+        self.spreader = Spreader(
+            membership=self.membership,
+            records=self.records,
+            datagrams=self.datagrams,
+            deltas=self._deltas,
+            pull=lambda node_id: self.sync.pull_from(node_id),
+        )
+        self.sync = SyncClient(
+            own=self._identity,
+            membership=self.membership,
+            records=self.records,
+            deltas=self._deltas,
+            pass_on=lambda record, before: self.spreader.pass_on_record(
+                record, base_version=before
+            ),
+            clock=self._clock,
+            rng=self._rng,
+        )
+        self.detector = FailureDetector(
+            membership=self.membership,
+            records=self.records,
+            datagrams=self.datagrams,
+            clock=self._clock,
+            rng=self._rng,
+            on_digest=self.sync.compare,
+        )
+        self.applied = AppliedTracker(
+            membership=self.membership,
+            datagrams=self.datagrams,
+            clock=self._clock,
+            own_state=self.config.applied_state,
+            on_in_force=_log_in_force,
+        )
+
+    def _build_calls(self) -> None:
+        settings = self._settings
+        self.gate = Gate(
+            clock=self._clock,
+            metrics=self.metrics,
+            observe=self._observe,
+            queue_length=settings.queue_length,
+        )
+        self.links = PeerLinks(self._identity, count=self.metrics.count)
+        self._endpoints = Endpoints(
+            self.membership, weights_of=self._weights_of, rng=self._rng
+        )
+        balancer = Balancer(
+            availability_zone=settings.availability_zone,
+            region=settings.region,
+            clock=self._clock,
+            rng=self._rng,
+        )
+        forwarder = Forwarder(
+            links=self.links,
+            endpoints=self._endpoints,
+            balancer=balancer,
+            clock=self._clock,
+            metrics=self.metrics,
+        )
+        self.context = CallContext(
+            node_id=settings.name,
+            availability_zone=settings.availability_zone,
+            snapshot=lambda: self.config.snapshot,
+            forwarder=forwarder,
+            clock=self._clock,
+            metrics=self.metrics,
+        )
+        self.membership.subscribe(self._on_member)
+
+    def _build_control(self) -> None:
+        settings = self._settings
+        holder = f"{settings.name}/{self._identity.incarnation}"
+        self.platform = PlatformClient(
+            settings.platform_url, name=settings.name, clock=self._clock
+        )
+        self._reader = PlatformReader(
+            self.platform, records=self.records, spread=self.spreader.start_record
+        )
+        self._relay = Relay(
+            platform=self.platform,
+            reader=self._reader,
+            membership=self.membership,
+            clock=self._clock,
+            holder=holder,
+            rng=self._rng,
+        )
+        self._bootstrap = Bootstrap(
+            platform=self.platform,
+            reader=self._reader,
+            sync=self.sync,
+            membership=self.membership,
+            seeds=settings.seeds,
+            rng=self._rng,
+        )
+        self.rollouts = RolloutPart(
+            records=self.records,
+            membership=self.membership,
+            datagrams=self.datagrams,
+            platform=self.platform,
+            clock=self._clock,
+            holder=holder,
+            spread=self.spreader.start_record,
+        )
+
+    async def _start(self) -> None:
+        """Join first, then serve: no call meets an older configuration."""
+        settings = self._settings
+        self._peer_server = PeerServer(
+            own=self._identity,
+            gate=self.gate,
+            sync_server=SyncServer(
+                membership=self.membership,
+                records=self.records,
+                deltas=self._deltas,
+                clock=self._clock,
+            ),
+            clock=self._clock,
+            metrics=self.metrics,
+        )
+        host, port = settings.peers
+        await self.datagrams.open(host, port)
+        self._peer_server.listen(port, address=host, backlog=1024)
+        await self._bootstrap.join()
+        self.spreader.start_member(self.membership.own)
+        self._start_tasks()
+        self._operator_server = serve_operators(
+            OperatorActions(
+                announce=self._announce,
+                status=self._status,
+                refresh=self._reader.refresh,
+                drain=self.stop,
+            ),
+            self.metrics,
+            host=settings.operators[0],
+            port=settings.operators[1],
+        )
+        self._caller_server = serve_callers(
+            self.context, host=settings.callers[0], port=settings.callers[1]
+        )
+        log_event(
+            "node.serving",
+            mesh=settings.mesh,
+            availability_zone=settings.availability_zone,
+            config_version=self.config.snapshot.version,
+        )
+
+    def _start_tasks(self) -> None:
+        loops = {
+            "failure_detector": self.detector.run,
+            "applied_tracker": self.applied.run,
+            "relay": self._relay.run,
+            "rejoin": self._bootstrap.run,
+            "rollouts": self.rollouts.run,
+            "backend_watch": self._watch_backend,
+        }
+        self._tasks = [
+            asyncio.create_task(supervise(name, loop)) for name, loop in loops.items()
+        ]
+
+    async def _drain(self) -> None:
+        """Say that this node leaves, finish what it has, then stop."""
+        log_event("node.draining", calls=self.context.open_calls)
+        self._change_own(leaving=True)
+        self.context.draining = True
+        # Until everyone knows, calls still arrive and are still served.
+        await asyncio.sleep(_LEAVE_SPREAD_S)
+        self._caller_server.stop()
+        self.gate.start_draining()
+        try:
+            async with asyncio.timeout(self._settings.drain_timeout_s):
+                await self.gate.wait_idle()
+                while self.context.open_calls:
+                    await asyncio.sleep(0.02)
+        except TimeoutError:
+            log_event("node.drain_timeout", calls=self.context.open_calls)
+        await self._relay.release()
+        await self._close()
+        log_event("node.stopped")
+
+    async def _close(self) -> None:
+        self._operator_server.stop()
+        await self._caller_server.close_all_connections()
+        for task in self._tasks:
+            task.cancel()
+        self.rollouts.close()
+        self.sync.close()
+        self.links.close()
+        self._peer_server.close()
+        self.datagrams.close()
+
+    def _announce(self, backend: BackendServer, draining: bool) -> None:
+        """Take in the backend server's announcement, and tell what is new in it."""
+        self._backend_heard_s = self._clock.monotonic()
+        self.gate.announce(backend)
+        own = self.membership.own
+        ready = not draining
+        known = (own.service, own.service_version, own.slots, own.ready)
+        told = (backend.service, backend.version, backend.slots, ready)
+        if known != told:
+            self.rollouts.backend_started()
+            self._change_own(
+                service=backend.service,
+                service_version=backend.version,
+                slots=backend.slots,
+                ready=ready,
+            )
+
+    async def _watch_backend(self) -> None:
+        """Take a backend server that fell silent out of service."""
+        while True:
+            await asyncio.sleep(_BACKEND_CHECK_S)
+            silent_s = self._clock.monotonic() - self._backend_heard_s
+            if self.membership.own.ready and silent_s > _BACKEND_SILENCE_S:
+                log_event("backend.silent", silent_s=silent_s)
+                self._change_own(ready=False)
+
+    def _change_own(self, **changes: object) -> None:
+        member = self.membership.update_own(**changes)
+        self.spreader.start_member(member)
+
+    def _accept_record(self, record: Record) -> bool:
+        """Check a record before it is stored."""
+        if record.key != CONFIG_KEY:
+            return True
+        accepted = self.config.accept(record)
+        state = self.config.applied_state()
+        if accepted:
+            log_event("config.applied", version=record.version)
+        else:
+            log_event("config.refused", version=record.version, reason=state.reason)
+        return accepted
+
+    def _weights_of(self, service: str) -> dict[str, float]:
+        weights = self.rollouts.view.weights(service)
+        if weights:
+            return weights
+        found = self.config.snapshot.services.get(service)
+        if found is not None and found.initial_version:
+            return {found.initial_version: 1.0}
+        return {}
+
+    def _observe(self, result: CallResult) -> None:
+        backend = self.gate.backend
+        if backend is not None:
+            self.rollouts.observe(result, backend)
+
+    def _on_member(self, member: Member, known: Member | None) -> None:
+        """Close connections to a node that died or was replaced."""
+        replaced = known is not None and known.host != member.host
+        if member.state is MemberState.DEAD or replaced:
+            self.links.drop(member.host, member.port)
+
+    async def _status(self) -> dict[str, Any]:
+        fleet = await self.applied.status()
+        live = self.membership.live()
+        own = self.membership.own
+        return {
+            "node": own.node_id,
+            "availability_zone": own.availability_zone,
+            "config_version": self.config.snapshot.version,
+            "is_relay": self._relay.is_relay,
+            "members": len(live),
+            "dead_members": len(self.membership.dead()),
+            "platform_failures_in_row": self.platform.failures_in_row,
+            "fleet": _fleet_fields(fleet),
+            "moves": [
+                {"service": r.service, "phase": r.phase.value, "share": r.share}
+                for r in self.rollouts.view.all()
+            ],
+            "control_bytes": {
+                "datagrams_sent": self.datagrams.sent_bytes,
+                "datagrams_received": self.datagrams.received_bytes,
+                "sync_sent": self.sync.sent_bytes,
+                "sync_received": self.sync.received_bytes,
+            },
+        }
+
+
+def _fleet_fields(fleet: FleetStatus | None) -> dict[str, Any] | None:
+    if fleet is None:
+        return None
+    return {
+        "version": fleet.version,
+        "applied": fleet.applied,
+        "total": fleet.total,
+        "refused": fleet.refused,
+        "laggards": [state._asdict() for state in fleet.laggards],
+    }
+
+
+def _log_in_force(status: FleetStatus, seconds_s: float) -> None:
+    log_event(
+        "config.in_force",
+        version=status.version,
+        nodes=status.total,
+        seconds_s=round(seconds_s, 3),
+    )
--- /dev/null
+++ b/burdockdock/node/peer_server.py
@@ -0,0 +1,81 @@
+"""The TCP server for other nodes: calls and exchanges of state."""
+
+import asyncio
+
+from tornado.iostream import IOStream
+from tornado.tcpserver import TCPServer
+
+from burdockdock.clock import Clock
+from burdockdock.coordination.backoff import TokenBucket
+from burdockdock.coordination.verdict import Failure
+from burdockdock.gate.call_server import CallServer
+from burdockdock.gate.gate import Gate
+from burdockdock.metrics import Metrics
+from burdockdock.overlay.sync import SyncServer
+from burdockdock.protocol import MALFORMED, FrameConnection, ProtocolError
+from burdockdock.protocol.handshake import PeerIdentity, receive_greeting
+
+_HANDSHAKES_PER_S = 200
+_HANDSHAKE_BURST = 400
+
+
+class PeerServer(TCPServer):
+    """One task for each connection from another node."""
+
+    def __init__(
+        self,
+        *,
+        own: PeerIdentity,
+        gate: Gate,
+        sync_server: SyncServer,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        super().__init__()
+        self._own = own
+        self._gate = gate
+        self._sync_server = sync_server
+        self._metrics = metrics
+        self._handshakes = TokenBucket(
+            rate_per_s=_HANDSHAKES_PER_S, burst=_HANDSHAKE_BURST, clock=clock
+        )
+        self._connections: set[FrameConnection] = set()
+
+    async def handle_stream(self, stream: IOStream, address: tuple) -> None:
+        """Serve one connection to its end."""
+        connection = FrameConnection(stream)
+        self._connections.add(connection)
+        try:
+            await self._serve(connection)
+        except (ValueError, *MALFORMED):
+            self._metrics.count("peer_connections_malformed")
+        finally:
+            connection.close()
+            self._connections.discard(connection)
+
+    def close(self) -> None:
+        """Stop listening and close every connection."""
+        self.stop()
+        for connection in list(self._connections):
+            connection.close()
+
+    async def _serve(self, connection: FrameConnection) -> None:
+        peer = await receive_greeting(
+            connection, self._own, accepting=self._handshakes.try_take()
+        )
+        if isinstance(peer, Failure):
+            self._metrics.count("handshakes_refused", label=peer.reason)
+            # Give the refusal time to arrive before the connection is closed.
+            await asyncio.sleep(0.05)
+            return
+        calls = CallServer(connection, self._gate)
+        try:
+            while (message := await connection.read()) is not None:
+                if calls.handle(message):
+                    continue
+                if message.which() != "syncRequest":
+                    raise ProtocolError(f"unexpected {message.which()}")
+                reply = self._sync_server.reply_to(message.syncRequest)
+                connection.send(reply)
+        finally:
+            calls.close()
--- /dev/null
+++ b/burdockdock/node/rollouts.py
@@ -0,0 +1,107 @@
+"""A node's part in rollouts: evidence from its gate, and ownership."""
+
+import asyncio
+from collections.abc import Callable
+
+from burdockdock.clock import Clock
+from burdockdock.coordination.membership import MembershipTable
+from burdockdock.coordination.records import Record, RecordStore
+from burdockdock.gate.gate import BackendServer, CallResult
+from burdockdock.overlay.datagrams import Address, Datagrams
+from burdockdock.platform_api.client import PlatformClient
+from burdockdock.protocol import Message
+from burdockdock.rollout.evidence import (
+    EvidenceCollector,
+    EvidenceKey,
+    EvidenceRow,
+    pack_rows,
+    unpack_rows,
+)
+from burdockdock.rollout.owner import RolloutOwners, RolloutView, candidates
+
+_SEND_INTERVAL_S = 0.25
+_ROWS_PER_MESSAGE = 8
+_COLD_S = 3.0
+
+
+class RolloutPart:
+    """Sends this gate's results to the candidates for owner, and may be one."""
+
+    def __init__(
+        self,
+        *,
+        records: RecordStore,
+        membership: MembershipTable,
+        datagrams: Datagrams,
+        platform: PlatformClient,
+        clock: Clock,
+        holder: str,
+        spread: Callable[[Record], None],
+    ) -> None:
+        self._membership = membership
+        self._datagrams = datagrams
+        self._clock = clock
+        self._collector = EvidenceCollector()
+        self._started_s = clock.monotonic()
+        self.view = RolloutView(records)
+        self._owners = RolloutOwners(
+            view=self.view,
+            membership=membership,
+            platform=platform,
+            clock=clock,
+            holder=holder,
+            spread=spread,
+        )
+        datagrams.on("evidence", self._on_evidence)
+
+    async def run(self) -> None:
+        """Send evidence and own rollouts, for ever."""
+        owners = asyncio.create_task(self._owners.run())
+        try:
+            while True:
+                await asyncio.sleep(_SEND_INTERVAL_S)
+                self._send_evidence()
+        finally:
+            owners.cancel()
+
+    def close(self) -> None:
+        """Stop owning rollouts."""
+        self._owners.close()
+
+    def backend_started(self) -> None:
+        """Note that the backend server is cold from now on for a while."""
+        self._started_s = self._clock.monotonic()
+
+    def observe(self, result: CallResult, backend: BackendServer) -> None:
+        """Take in one result of the gate, if its service is being moved."""
+        rollout = self.view.get(backend.service)
+        if rollout is None or rollout.phase.final:
+            return
+        cold = self._clock.monotonic() - self._started_s < _COLD_S
+        self._collector.add(result, version=backend.version, cold=cold)
+
+    def _send_evidence(self) -> None:
+        rows = self._collector.take()
+        service = self._membership.own.service
+        if not rows:
+            return
+        items = list(rows.items())
+        for start in range(0, len(items), _ROWS_PER_MESSAGE):
+            self._send_rows(service, dict(items[start : start + _ROWS_PER_MESSAGE]))
+
+    def _send_rows(self, service: str, rows: dict[EvidenceKey, EvidenceRow]) -> None:
+        own_id = self._membership.own.node_id
+        for member in candidates(self._membership, service):
+            if member.node_id == own_id:
+                self._owners.receive(service, rows)
+                continue
+            self._datagrams.send(
+                (member.host, member.port),
+                "evidence",
+                nodeId=own_id,
+                service=service,
+                rows=pack_rows(rows),
+            )
+
+    def _on_evidence(self, evidence: Message, address: Address) -> None:
+        self._owners.receive(evidence.service, unpack_rows(evidence.rows))
--- /dev/null
+++ b/burdockdock/overlay/failure_detector.py
@@ -0,0 +1,248 @@
+"""Detection of failed members by probes, without an observer set aside.
+
+Each node probes one member a period, directly and then through others, and
+suspects it before it is taken for dead; the member refutes by a higher incarnation
+(A. Das, I. Gupta, A. Motivala: SWIM, 2002).
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from burdockdock.clock import Clock
+from burdockdock.coordination.membership import (
+    Member,
+    MembershipTable,
+    MemberState,
+)
+from burdockdock.coordination.records import RecordStore
+from burdockdock.overlay.datagrams import Address, Datagrams
+from burdockdock.overlay.gossip import GossipQueue
+from burdockdock.protocol import Message
+from burdockdock.protocol.members import pack_member, unpack_member
+
+_INDIRECT_PROBES = 3
+_KNOCK_PERIODS = 5
+
+
+class DetectorTiming(NamedTuple):
+    """Times of the failure detector.
+
+    :param period_s: seconds between probes.
+    :param ack_timeout_s: seconds to wait before probing through others.
+    :param suspicion_s: seconds a suspect has to refute.
+    :param late_s: own delay from which on this node suspects itself first.
+    """
+
+    period_s: float = 1.0
+    ack_timeout_s: float = 0.3
+    suspicion_s: float = 4.0
+    late_s: float = 0.5
+
+
+class PeerDigest(NamedTuple):
+    """What a peer's message says of its state."""
+
+    node_id: str
+    member_digest: int
+    record_digest: int
+    record_sum: int
+
+
+class FailureDetector:
+    """Probes members and keeps the membership table up to date.
+
+    :param on_digest: told what each message says of its sender's state.
+    """
+
+    def __init__(
+        self,
+        *,
+        membership: MembershipTable,
+        records: RecordStore,
+        datagrams: Datagrams,
+        clock: Clock,
+        rng: random.Random,
+        on_digest: Callable[[PeerDigest], None],
+        timing: DetectorTiming | None = None,
+    ) -> None:
+        self._membership = membership
+        self._records = records
+        self._datagrams = datagrams
+        self._clock = clock
+        self._rng = rng
+        self._on_digest = on_digest
+        self._timing = timing or DetectorTiming()
+        self._gossip = GossipQueue()
+        self._sequence = 0
+        self._acks: dict[int, asyncio.Future[None]] = {}
+        self._relayed: dict[int, tuple[Address, int]] = {}
+        self._order: list[str] = []
+        self._suspected: dict[str, tuple[int, float]] = {}
+        self._periods = 0
+        membership.subscribe(self._on_change)
+        datagrams.on("ping", self._on_ping)
+        datagrams.on("ack", self._on_ack)
+        datagrams.on("pingRequest", self._on_ping_request)
+
+    async def run(self) -> None:
+        """Probe one member a period, for ever."""
+        while True:
+            started_s = self._clock.monotonic()
+            target = self._next_target()
+            answered = target is None or await self._probe(target)
+            await self._sleep_until(started_s + self._timing.period_s)
+            late_s = self._clock.monotonic() - started_s - self._timing.period_s
+            if late_s > self._timing.late_s:
+                self._forgive_all()
+                continue
+            if not answered:
+                self._membership.suspect(target.node_id)
+            self._confirm_suspects()
+            self._end_period()
+
+    def ping(self, member: Member) -> None:
+        """Send a probe without waiting for its answer."""
+        self._send_ping((member.host, member.port))
+
+    def _end_period(self) -> None:
+        self._periods += 1
+        self._membership.forget_old()
+        if self._periods % _KNOCK_PERIODS == 0:
+            self._knock()
+
+    def _knock(self) -> None:
+        """Try a lost address again: after a split, nobody else would."""
+        dead = self._membership.dead()
+        if dead:
+            member = self._rng.choice(dead)
+            # It must learn that it was taken for dead, or it can't refute.
+            self._gossip.add(member)
+            self.ping(member)
+
+    async def _probe(self, target: Member) -> bool:
+        """Probe a member directly, then through others."""
+        sequence, future = self._expect_ack()
+        self._send_ping((target.host, target.port), sequence)
+        try:
+            if await self._acked(future, self._timing.ack_timeout_s):
+                return True
+            for helper in self._helpers(target):
+                self._datagrams.send(
+                    (helper.host, helper.port),
+                    "pingRequest",
+                    sequence=sequence,
+                    nodeId=self._membership.own.node_id,
+                    targetId=target.node_id,
+                )
+            left_s = self._timing.period_s - self._timing.ack_timeout_s
+            return await self._acked(future, left_s)
+        finally:
+            self._acks.pop(sequence, None)
+
+    async def _acked(self, future: "asyncio.Future[None]", wait_s: float) -> bool:
+        await asyncio.wait([future], timeout=wait_s)
+        return future.done()
+
+    async def _sleep_until(self, time_s: float) -> None:
+        await asyncio.sleep(max(0.0, time_s - self._clock.monotonic()))
+
+    def _next_target(self) -> Member | None:
+        """Take members in a random order, each once before any again."""
+        while True:
+            if not self._order:
+                own_id = self._membership.own.node_id
+                live = self._membership.live()
+                self._order = [m.node_id for m in live if m.node_id != own_id]
+                self._rng.shuffle(self._order)
+            if not self._order:
+                return None
+            member = self._membership.get(self._order.pop())
+            if member is not None and member.state is not MemberState.DEAD:
+                return member
+
+    def _helpers(self, target: Member) -> list[Member]:
+        own_id = self._membership.own.node_id
+        others = [
+            m
+            for m in self._membership.live()
+            if m.node_id not in (own_id, target.node_id)
+        ]
+        return self._rng.sample(others, min(_INDIRECT_PROBES, len(others)))
+
+    def _confirm_suspects(self) -> None:
+        now_s = self._clock.monotonic()
+        for node_id, (incarnation, since_s) in list(self._suspected.items()):
+            if now_s - since_s >= self._timing.suspicion_s:
+                del self._suspected[node_id]
+                self._membership.confirm_dead(node_id, incarnation=incarnation)
+
+    def _forgive_all(self) -> None:
+        """Restart all suspicions: this node was paused, not the others."""
+        now_s = self._clock.monotonic()
+        self._suspected = {
+            node_id: (incarnation, now_s)
+            for node_id, (incarnation, _) in self._suspected.items()
+        }
+
+    def _on_change(self, member: Member, known: Member | None) -> None:
+        self._gossip.add(member)
+        if member.state is MemberState.SUSPECT:
+            entry = (member.incarnation, self._clock.monotonic())
+            self._suspected[member.node_id] = entry
+        else:
+            self._suspected.pop(member.node_id, None)
+
+    def _expect_ack(self) -> tuple[int, "asyncio.Future[None]"]:
+        self._sequence += 1
+        future = asyncio.get_running_loop().create_future()
+        self._acks[self._sequence] = future
+        return self._sequence, future
+
+    def _send_ping(self, address: Address, sequence: int = 0) -> None:
+        self._datagrams.send(address, "ping", **self._state_fields(sequence))
+
+    def _state_fields(self, sequence: int) -> dict[str, Any]:
+        rumours = self._gossip.take(len(self._membership))
+        return {
+            "sequence": sequence,
+            "nodeId": self._membership.own.node_id,
+            "members": [pack_member(member) for member in rumours],
+            "memberDigest": self._membership.digest,
+            "recordDigest": self._records.digest,
+            "recordSum": self._records.version_sum,
+        }
+
+    def _on_ping(self, ping: Message, address: Address) -> None:
+        self._take_in(ping)
+        self._datagrams.send(address, "ack", **self._state_fields(ping.sequence))
+
+    def _on_ack(self, ack: Message, address: Address) -> None:
+        self._take_in(ack)
+        future = self._acks.get(ack.sequence)
+        if future is not None and not future.done():
+            future.set_result(None)
+        relayed = self._relayed.pop(ack.sequence, None)
+        if relayed is not None:
+            back, sequence = relayed
+            self._datagrams.send(back, "ack", **self._state_fields(sequence))
+
+    def _on_ping_request(self, request: Message, address: Address) -> None:
+        target = self._membership.get(request.targetId)
+        if target is None:
+            return
+        self._sequence += 1
+        self._relayed[self._sequence] = (address, request.sequence)
+        loop = asyncio.get_running_loop()
+        loop.call_later(self._timing.period_s, self._relayed.pop, self._sequence, None)
+        self._send_ping((target.host, target.port), self._sequence)
+
+    def _take_in(self, state: Message) -> None:
+        for packed in state.members:
+            self._membership.merge(unpack_member(packed))
+        self._on_digest(
+            PeerDigest(
+                state.nodeId, state.memberDigest, state.recordDigest, state.recordSum
+            )
+        )
--- /dev/null
+++ b/burdockdock/overlay/sync.py
@@ -0,0 +1,245 @@
+"""Exchange of what two nodes lack, over a connection of its own."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any
+
+from tornado.iostream import StreamClosedError
+from tornado.tcpclient import TCPClient
+
+from burdockdock.clock import Clock
+from burdockdock.coordination.backoff import TokenBucket
+from burdockdock.coordination.membership import Member, MembershipTable
+from burdockdock.coordination.records import Record, RecordStore
+from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.overlay.failure_detector import PeerDigest
+from burdockdock.overlay.spread import DeltaCodec
+from burdockdock.protocol import MALFORMED, FrameConnection, Message
+from burdockdock.protocol.codec import frame
+from burdockdock.protocol.handshake import PeerIdentity, greet
+from burdockdock.protocol.members import (
+    pack_member,
+    pack_record,
+    unpack_member,
+    unpack_record,
+)
+
+_TIMEOUT_S = 5.0
+_SETTLE_S = 0.5
+_MEMBER_SYNC_INTERVAL_S = 5.0
+_BYTES_PER_S = 4_000_000
+_BURST_BYTES = 16_000_000
+_MEMBER_BYTES = 160
+
+
+class SyncServer:
+    """Answers other nodes' requests, within a budget of bytes."""
+
+    def __init__(
+        self,
+        *,
+        membership: MembershipTable,
+        records: RecordStore,
+        deltas: dict[str, DeltaCodec],
+        clock: Clock,
+    ) -> None:
+        self._membership = membership
+        self._records = records
+        self._deltas = deltas
+        self._budget = TokenBucket(
+            rate_per_s=_BYTES_PER_S, burst=_BURST_BYTES, clock=clock
+        )
+
+    def reply_to(self, request: Message) -> bytes:
+        """Return the frame that answers a request."""
+        for packed in request.members:
+            self._membership.merge(unpack_member(packed))
+        versions = {entry.key: entry.version for entry in request.versions}
+        records = [
+            self._pack(record, versions.get(record.key, 0))
+            for record in self._records.newer_than(versions)
+        ]
+        differing = self._differing_buckets(list(request.bucketDigests))
+        members = self._membership.in_buckets(differing)
+        size_bytes = sum(len(record["value"]) for record in records)
+        size_bytes += len(members) * _MEMBER_BYTES
+        if not self._budget.try_take(size_bytes):
+            return frame("syncReply", busy=True)
+        return frame(
+            "syncReply",
+            records=records,
+            members=[pack_member(member) for member in members],
+            differingBuckets=sorted(differing),
+        )
+
+    def _pack(self, record: Record, known_version: int) -> dict[str, Any]:
+        codec = self._deltas.get(record.key)
+        if codec is not None and known_version:
+            delta = codec.encode(known_version)
+            if delta is not None:
+                changed = record._replace(value=delta)
+                return pack_record(changed, base_version=known_version)
+        return pack_record(record)
+
+    def _differing_buckets(self, digests: list[int]) -> set[int]:
+        own = self._membership.bucket_digests
+        if len(digests) != len(own):
+            return set()
+        return {i for i, digest in enumerate(digests) if digest != own[i]}
+
+
+class SyncClient:
+    """Fetches what this node lacks from other nodes.
+
+    :param pass_on: called with each record that was new, and with the version that
+        it replaced.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: PeerIdentity,
+        membership: MembershipTable,
+        records: RecordStore,
+        deltas: dict[str, DeltaCodec],
+        pass_on: Callable[[Record, int], None],
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._own = own
+        self._membership = membership
+        self._records = records
+        self._deltas = deltas
+        self._pass_on = pass_on
+        self._clock = clock
+        self._rng = rng
+        self._tcp = TCPClient()
+        self._pulling: asyncio.Task[None] | None = None
+        self._wanted_whole: set[str] = set()
+        self._last_member_sync_s = float("-inf")
+        self.sent_bytes = 0
+        self.received_bytes = 0
+
+    async def sync_with(
+        self, host: str, port: int, *, members: bool = True
+    ) -> PeerIdentity | Failure:
+        """Exchange state with the node at an address.
+
+        :param members: whether to exchange members besides records.
+        """
+        try:
+            async with asyncio.timeout(_TIMEOUT_S):
+                return await self._exchange(host, port, members)
+        except TimeoutError:
+            return Failure(Verdict.MAY_HAVE_RUN, "sync_timeout", f"{host}:{port}")
+        except (OSError, StreamClosedError, ValueError, *MALFORMED) as error:
+            return Failure(Verdict.MAY_HAVE_RUN, "sync_failed", str(error))
+
+    def pull_from(self, node_id: str) -> None:
+        """Fetch the records of a member in the background, one fetch at a time."""
+        member = self._membership.get(node_id)
+        if member is None or self._is_pulling():
+            return
+        self._pulling = asyncio.create_task(self._pull(member))
+
+    def compare(self, digest: PeerDigest) -> None:
+        """Fetch from a peer whose digest shows that this node lacks something."""
+        if self._is_pulling():
+            return
+        if digest.record_digest != self._records.digest:
+            behind = digest.record_sum >= self._records.version_sum
+            if behind:
+                self._pulling = asyncio.create_task(self._pull_if_still(digest))
+        elif digest.member_digest != self._membership.digest:
+            now_s = self._clock.monotonic()
+            if now_s - self._last_member_sync_s >= _MEMBER_SYNC_INTERVAL_S:
+                self._last_member_sync_s = now_s
+                self._pulling = asyncio.create_task(self._pull_if_still(digest))
+
+    def close(self) -> None:
+        """Stop a fetch that is under way."""
+        if self._pulling is not None:
+            self._pulling.cancel()
+
+    def _is_pulling(self) -> bool:
+        return self._pulling is not None and not self._pulling.done()
+
+    async def _pull_if_still(self, digest: PeerDigest) -> None:
+        """Wait for news on its way, then fetch if nothing changed meanwhile."""
+        before = (self._records.digest, self._membership.digest)
+        await asyncio.sleep(_SETTLE_S * self._rng.uniform(0.5, 1.5))
+        if (self._records.digest, self._membership.digest) != before:
+            return
+        member = self._membership.get(digest.node_id)
+        if member is not None:
+            await self._pull(member)
+
+    async def _pull(self, member: Member) -> None:
+        await self.sync_with(member.host, member.port)
+
+    async def _exchange(
+        self, host: str, port: int, members: bool
+    ) -> PeerIdentity | Failure:
+        stream = await self._tcp.connect(host, port)
+        connection = FrameConnection(stream)
+        try:
+            peer = await greet(connection, self._own)
+            if isinstance(peer, Failure):
+                return peer
+            reply = await self._ask(connection, members=members, pushed=[])
+            if reply is None or reply.busy:
+                return Failure(Verdict.NOT_RUN, "peer_busy", f"{host}:{port}")
+            differing = set(reply.differingBuckets)
+            self._take_in(reply)
+            if differing:
+                pushed = self._membership.in_buckets(differing)
+                await self._ask(connection, members=False, pushed=pushed)
+            return peer
+        finally:
+            connection.close()
+            self.sent_bytes += connection.sent_bytes
+            self.received_bytes += connection.received_bytes
+
+    async def _ask(
+        self, connection: FrameConnection, *, members: bool, pushed: list[Member]
+    ) -> Message | None:
+        versions = {
+            key: version
+            for key, version in self._records.versions().items()
+            if key not in self._wanted_whole
+        }
+        digests = self._membership.bucket_digests if members else ()
+        connection.send(
+            frame(
+                "syncRequest",
+                versions=[{"key": k, "version": v} for k, v in versions.items()],
+                bucketDigests=list(digests),
+                members=[pack_member(member) for member in pushed],
+            )
+        )
+        message = await connection.read()
+        if message is None or message.which() != "syncReply":
+            return None
+        return message.syncReply
+
+    def _take_in(self, reply: Message) -> None:
+        for packed in reply.members:
+            self._membership.merge(unpack_member(packed))
+        for packed in reply.records:
+            self._take_record(unpack_record(packed), packed.baseVersion)
+
+    def _take_record(self, record: Record, base_version: int) -> None:
+        before = self._records.version(record.key)
+        if base_version:
+            codec = self._deltas.get(record.key)
+            if codec is None or base_version != before:
+                return
+            whole = codec.apply(record)
+            if whole is None:
+                self._wanted_whole.add(record.key)
+                return
+            record = whole
+        self._wanted_whole.discard(record.key)
+        if self._records.put(record):
+            self._pass_on(record, before)
--- /dev/null
+++ b/burdockdock/platform_api/__init__.py
@@ -0,0 +1,17 @@
+"""Client of the users' platform."""
+
+from burdockdock.platform_api.client import (
+    MAX_VALUE_BYTES,
+    Conflict,
+    PlatformClient,
+    PlatformObject,
+    WatchResult,
+)
+
+__all__ = [
+    "MAX_VALUE_BYTES",
+    "Conflict",
+    "PlatformClient",
+    "PlatformObject",
+    "WatchResult",
+]
--- /dev/null
+++ b/burdockdock/protocol/__init__.py
@@ -0,0 +1,29 @@
+"""The protocol between the system's own processes."""
+
+from burdockdock.protocol.codec import (
+    MALFORMED,
+    MAX_FRAME_BYTES,
+    SCHEMA_VERSION,
+    Message,
+    ProtocolError,
+    decode,
+    encode,
+    frame,
+)
+from burdockdock.protocol.connection import FrameConnection
+from burdockdock.protocol.flow import WINDOW_BYTES, SendWindow, WindowClosed
+
+__all__ = [
+    "MALFORMED",
+    "MAX_FRAME_BYTES",
+    "SCHEMA_VERSION",
+    "WINDOW_BYTES",
+    "FrameConnection",
+    "Message",
+    "ProtocolError",
+    "SendWindow",
+    "WindowClosed",
+    "decode",
+    "encode",
+    "frame",
+]
--- /dev/null
+++ b/burdockdock/protocol/calls.py
@@ -0,0 +1,151 @@
+"""Typed forms of the messages that make up a call."""
+
+from typing import NamedTuple
+
+from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.protocol.codec import Message, frame
+
+Headers = tuple[tuple[str, str], ...]
+
+
+class CallRequest(NamedTuple):
+    """A request as it travels from the caller's node to the backend server's.
+
+    :param request_id: dedicated to one request through all its attempts.
+    :param time_left_ms: until the deadline.
+    :param body_length: bytes of the whole body, -1 when not known.
+    :param body: the first bytes of the body.
+    :param end: whether ``body`` is all of it.
+    """
+
+    request_id: str
+    tenant: str
+    traffic_class: str
+    route: str
+    service: str
+    time_left_ms: int
+    idempotent: bool
+    method: str
+    target: str
+    headers: Headers
+    body_length: int = 0
+    body: bytes = b""
+    end: bool = True
+    priority: int = 0
+    queue_length: int = 32
+
+
+class AnswerHead(NamedTuple):
+    """The beginning of a backend server's answer.
+
+    :param load: calls running and waiting at the backend server's node.
+    """
+
+    status: int
+    reason: str
+    headers: Headers
+    body: bytes = b""
+    end: bool = False
+    load: int = 0
+
+
+def frame_call_start(call_id: int, request: CallRequest) -> bytes:
+    """Return the frame that starts a call."""
+    return frame(
+        "callStart",
+        callId=call_id,
+        requestId=request.request_id,
+        tenant=request.tenant,
+        trafficClass=request.traffic_class,
+        route=request.route,
+        service=request.service,
+        timeLeftMs=request.time_left_ms,
+        idempotent=request.idempotent,
+        method=request.method,
+        target=request.target,
+        headers=_pack_headers(request.headers),
+        bodyLength=request.body_length,
+        body=request.body,
+        end=request.end,
+        priority=request.priority,
+        queueLength=request.queue_length,
+    )
+
+
+def read_call_start(message: Message) -> CallRequest:
+    """Read the request out of a message."""
+    start = message.callStart
+    return CallRequest(
+        request_id=start.requestId,
+        tenant=start.tenant,
+        traffic_class=start.trafficClass,
+        route=start.route,
+        service=start.service,
+        time_left_ms=start.timeLeftMs,
+        idempotent=start.idempotent,
+        method=start.method,
+        target=start.target,
+        headers=_unpack_headers(start.headers),
+        body_length=start.bodyLength,
+        body=start.body,
+        end=start.end,
+        priority=start.priority,
+        queue_length=start.queueLength,
+    )
+
+
+def frame_answer_head(call_id: int, head: AnswerHead) -> bytes:
+    """Return the frame that begins an answer."""
+    return frame(
+        "answerHead",
+        callId=call_id,
+        status=head.status,
+        reason=head.reason,
+        headers=_pack_headers(head.headers),
+        body=head.body,
+        end=head.end,
+        load=head.load,
+    )
+
+
+def read_answer_head(message: Message) -> AnswerHead:
+    """Read the beginning of an answer out of a message."""
+    head = message.answerHead
+    return AnswerHead(
+        status=head.status,
+        reason=head.reason,
+        headers=_unpack_headers(head.headers),
+        body=head.body,
+        end=head.end,
+        load=head.load,
+    )
+
+
+def frame_failure(call_id: int, failure: Failure, *, load: int) -> bytes:
+    """Return the frame that ends a call without an answer."""
+    return frame(
+        "callFailed",
+        callId=call_id,
+        verdict=int(failure.verdict),
+        reason=failure.reason,
+        detail=failure.detail,
+        load=load,
+    )
+
+
+def read_failure(message: Message) -> Failure:
+    """Read why a call has no answer."""
+    failed = message.callFailed
+    return Failure(Verdict(failed.verdict), failed.reason, failed.detail)
+
+
+def _pack_headers(headers: Headers) -> str:
+    """Join headers into one text; a value holds no line feed."""
+    return "\n".join(f"{name}:{value}" for name, value in headers)
+
+
+def _unpack_headers(text: str) -> Headers:
+    if not text:
+        return ()
+    lines = text.split("\n")
+    return tuple((name, value) for name, _, value in (s.partition(":") for s in lines))
--- /dev/null
+++ b/burdockdock/protocol/connection.py
@@ -0,0 +1,80 @@
+"""A connection that carries frames."""
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from burdockdock.protocol.codec import (
+    HEADER_BYTES,
+    Message,
+    decode,
+    frame_length,
+)
+
+_READ_BYTES = 128 * 1024
+
+
+class FrameConnection:
+    """Reads and writes frames on a stream.
+
+    :param stream: an open stream.
+    """
+
+    def __init__(self, stream: IOStream) -> None:
+        self._stream = stream
+        self._buffer = bytearray()
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        stream.set_nodelay(True)
+
+    @property
+    def closed(self) -> bool:
+        """Whether the connection is closed."""
+        return self._stream.closed()
+
+    async def read(self) -> Message | None:
+        """Return the next message, None at the end of the connection.
+
+        :raises ProtocolError: if the peer sent something else.
+        """
+        while True:
+            data = self._take_frame()
+            if data is not None:
+                return decode(data)
+            try:
+                more = await self._stream.read_bytes(_READ_BYTES, partial=True)
+            except StreamClosedError:
+                return None
+            self.received_bytes += len(more)
+            self._buffer += more
+
+    def send(self, data: bytes) -> None:
+        """Send a frame; on a closed connection it is dropped."""
+        if self._stream.closed():
+            return
+        self.sent_bytes += len(data)
+        try:
+            future = self._stream.write(data)
+        except StreamClosedError:
+            return
+        if not future.done():
+            future.add_done_callback(_ignore_result)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._stream.close()
+
+    def _take_frame(self) -> bytes | None:
+        """Cut one whole frame out of the buffer."""
+        if len(self._buffer) < HEADER_BYTES:
+            return None
+        length = frame_length(bytes(self._buffer[:HEADER_BYTES]))
+        end = HEADER_BYTES + length
+        if len(self._buffer) < end:
+            return None
+        data = bytes(self._buffer[HEADER_BYTES:end])
+        del self._buffer[:end]
+        return data
+
+
+def _ignore_result(future: object) -> None:
+    """Read a write's error; the reader of the connection meets it as well."""
+    future.exception()  # type: ignore[attr-defined]
--- /dev/null
+++ b/burdockdock/protocol/members.py
@@ -0,0 +1,64 @@
+"""Members and records as they stand in messages."""
+
+from typing import Any
+
+from burdockdock.coordination.membership import Member, MemberState
+from burdockdock.coordination.records import Record
+from burdockdock.protocol.codec import Message
+
+
+def pack_member(member: Member) -> dict[str, Any]:
+    """Return a member as a message's field."""
+    return {
+        "nodeId": member.node_id,
+        "host": member.host,
+        "port": member.port,
+        "region": member.region,
+        "availabilityZone": member.availability_zone,
+        "incarnation": member.incarnation,
+        "state": int(member.state),
+        "leaving": member.leaving,
+        "ready": member.ready,
+        "service": member.service,
+        "serviceVersion": member.service_version,
+        "slots": member.slots,
+    }
+
+
+def unpack_member(packed: Message) -> Member:
+    """Read a member out of a message.
+
+    :raises ValueError: if its state is unknown.
+    """
+    return Member(
+        node_id=packed.nodeId,
+        host=packed.host,
+        port=packed.port,
+        region=packed.region,
+        availability_zone=packed.availabilityZone,
+        incarnation=packed.incarnation,
+        state=MemberState(packed.state),
+        leaving=packed.leaving,
+        ready=packed.ready,
+        service=packed.service,
+        service_version=packed.serviceVersion,
+        slots=packed.slots,
+    )
+
+
+def pack_record(record: Record, *, base_version: int = 0) -> dict[str, Any]:
+    """Return a record as a message's field.
+
+    :param base_version: the version that the value is a delta to, 0 for a whole one.
+    """
+    return {
+        "key": record.key,
+        "version": record.version,
+        "baseVersion": base_version,
+        "value": record.value,
+    }
+
+
+def unpack_record(packed: Message) -> Record:
+    """Read a record out of a message; its value may be a delta."""
+    return Record(packed.key, packed.version, packed.value)
--- /dev/null
+++ b/burdockdock/proxy/endpoints.py
@@ -0,0 +1,63 @@
+"""The members that serve each service, by version and traffic weight."""
+
+import random
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+
+from burdockdock.coordination.membership import Member, MembershipTable
+
+Weights = dict[str, float]
+
+
+class Endpoints:
+    """Index of the membership by service, kept up to date by its changes.
+
+    :param weights_of: the traffic share of each version of a service, empty when
+        every version takes calls alike.
+    """
+
+    def __init__(
+        self,
+        membership: MembershipTable,
+        *,
+        weights_of: Callable[[str], Weights],
+        rng: random.Random,
+    ) -> None:
+        self._by_service: dict[str, dict[str, Member]] = defaultdict(dict)
+        self._weights_of = weights_of
+        self._rng = rng
+        for member in membership:
+            self._update(member, None)
+        membership.subscribe(self._update)
+
+    def of_service(self, service: str) -> list[Member]:
+        """Return the members that may take new calls of a service."""
+        members = self._by_service.get(service, {})
+        return [m for m in members.values() if m.takes_work]
+
+    def for_call(self, service: str) -> list[Member]:
+        """Return the members of the version drawn for one call.
+
+        Versions are drawn by weight. A version of weight 0 takes no call, even when
+        no other is left.
+        """
+        members = self.of_service(service)
+        weights = self._weights_of(service)
+        if not weights:
+            return members
+        versions = {m.service_version for m in members}
+        drawn = self._draw(versions, weights)
+        return [m for m in members if m.service_version == drawn]
+
+    def _draw(self, versions: Iterable[str], weights: Weights) -> str | None:
+        eligible = sorted(v for v in versions if weights.get(v, 0.0) > 0.0)
+        if not eligible:
+            return None
+        shares = [weights[v] for v in eligible]
+        return self._rng.choices(eligible, weights=shares)[0]
+
+    def _update(self, member: Member, known: Member | None) -> None:
+        if known is not None and known.service != member.service:
+            self._by_service[known.service].pop(member.node_id, None)
+        if member.service:
+            self._by_service[member.service][member.node_id] = member
--- /dev/null
+++ b/burdockdock/proxy/forwarder.py
@@ -0,0 +1,297 @@
+"""Carries one call to a backend server, with retries that never run it twice."""
+
+import asyncio
+from typing import NamedTuple, Protocol
+
+from burdockdock.clock import Clock
+from burdockdock.coordination.backoff import RetryBudget
+from burdockdock.coordination.membership import Member
+from burdockdock.coordination.verdict import Failure, Verdict, may_retry
+from burdockdock.metrics import Metrics
+from burdockdock.protocol import WindowClosed
+from burdockdock.protocol.calls import AnswerHead, CallRequest
+from burdockdock.proxy.balancer import Balancer
+from burdockdock.proxy.endpoints import Endpoints
+from burdockdock.proxy.peer_link import PeerLink, PeerLinks, RemoteCall
+
+_REPLAY_BYTES = 64 * 1024
+_OUTCOME_INTERVAL_S = 0.02
+_ANSWER_LOST = "answer_lost"
+_NO_BACKEND_SERVER = "no_backend_server"
+_SHED_STATUSES = frozenset({429, 503})
+# Refusals that say something about load or a planned stop, not about faults.
+_HEALTHY_REFUSALS = frozenset(
+    {"queue_full", "tenant_queue_full", "queue_timeout", "draining", "deadline_passed"}
+)
+
+
+class Caller(Protocol):
+    """The side of the caller."""
+
+    async def read_body(self) -> tuple[bytes, bool]:
+        """Return the next piece of the request's body and whether it ends."""
+        ...
+
+    async def send_head(self, head: AnswerHead) -> None:
+        """Begin the answer."""
+        ...
+
+    async def send_body(self, data: bytes) -> None:
+        """Send a piece of the answer once there is room for it."""
+        ...
+
+    def finish(self) -> None:
+        """End a whole answer."""
+        ...
+
+    def break_off(self) -> None:
+        """Break the connection, so that a partial answer can't pass for a whole."""
+        ...
+
+
+class Call(NamedTuple):
+    """A call as the listener hands it over.
+
+    :param deadline_s: monotonic seconds.
+    :param retries: further attempts allowed.
+    """
+
+    request: CallRequest
+    deadline_s: float
+    retries: int
+
+
+class _Attempt(NamedTuple):
+    member: Member
+    link: PeerLink
+    remote: RemoteCall
+
+
+class Forwarder:
+    """Sends calls to other nodes' gates."""
+
+    def __init__(
+        self,
+        *,
+        links: PeerLinks,
+        endpoints: Endpoints,
+        balancer: Balancer,
+        clock: Clock,
+        metrics: Metrics,
+        retry_budget: RetryBudget | None = None,
+    ) -> None:
+        self._links = links
+        self._endpoints = endpoints
+        self._balancer = balancer
+        self._clock = clock
+        self._metrics = metrics
+        self._budget = retry_budget or RetryBudget()
+
+    async def forward(self, call: Call, caller: Caller) -> Failure | None:
+        """Carry a call to its answer.
+
+        :returns: None when the answer was passed on whole or broken off visibly,
+            else a failure of which the caller was not told yet.
+        """
+        self._budget.record_call()
+        body = _ReplayableBody(caller, call.request.body_length)
+        if call.request.body_length != 0:
+            await body.read_first()
+        excluded: frozenset[str] = frozenset()
+        worst = Verdict.NOT_RUN
+        for attempts_left in range(call.retries, -1, -1):
+            outcome = await self._attempt(call, caller, body, excluded)
+            if outcome is None:
+                return None
+            excluded |= {outcome.node_id}
+            failure = outcome.failure
+            worst = max(worst, failure.verdict)
+            if not self._should_retry(call, body, failure, attempts_left):
+                break
+            self._metrics.count("retries", label=failure.reason)
+        # What an earlier attempt may have done holds whatever the last one did.
+        return failure._replace(verdict=worst)
+
+    async def _attempt(
+        self,
+        call: Call,
+        caller: Caller,
+        body: "_ReplayableBody",
+        excluded: frozenset[str],
+    ) -> "_AttemptFailure | None":
+        members = self._endpoints.for_call(call.request.service)
+        member = self._balancer.pick(members, excluded=excluded)
+        if member is None:
+            detail = f"no backend server of {call.request.service} takes calls now"
+            failure = Failure(Verdict.NOT_RUN, _NO_BACKEND_SERVER, detail)
+            return _AttemptFailure("", failure)
+        self._balancer.started(member.node_id)
+        failed = True
+        try:
+            result = await self._run_on(member, call, caller, body)
+            failed = _is_fault(result)
+        finally:
+            self._balancer.finished(member.node_id, failed=failed)
+        if isinstance(result, Failure):
+            return _AttemptFailure(member.node_id, result)
+        return None
+
+    async def _run_on(
+        self, member: Member, call: Call, caller: Caller, body: "_ReplayableBody"
+    ) -> AnswerHead | Failure:
+        link = self._links.open_link(member.host, member.port)
+        if link is None:
+            found = await self._links.get(member.host, member.port)
+            if isinstance(found, Failure):
+                return found
+            link = found
+        if link.peer.node_id != member.node_id:
+            return Failure(Verdict.NOT_RUN, "other_node", link.peer.node_id)
+        left_ms = self._left_ms(call)
+        if left_ms <= 0:
+            return Failure(Verdict.NOT_RUN, "deadline_passed")
+        request = call.request._replace(
+            time_left_ms=left_ms, body=body.start, end=body.start_is_all
+        )
+        attempt = _Attempt(member, link, link.start(request))
+        return await self._follow(attempt, call, caller, body)
+
+    async def _follow(
+        self, attempt: _Attempt, call: Call, caller: Caller, body: "_ReplayableBody"
+    ) -> AnswerHead | Failure:
+        """Send the rest of the body while waiting for the answer."""
+        upload = None
+        if not body.start_is_all:
+            upload = asyncio.create_task(body.send_rest(attempt.remote))
+        try:
+            head = await self._head_in_time(attempt.remote, call)
+            if isinstance(head, Failure):
+                return await self._settle(attempt, call, head)
+            self._balancer.tell_load(attempt.member.node_id, head.load)
+            await self._relay(attempt.remote, head, caller)
+            return head
+        finally:
+            if upload is not None:
+                upload.cancel()
+            attempt.remote.cancel()
+
+    async def _head_in_time(
+        self, remote: RemoteCall, call: Call
+    ) -> AnswerHead | Failure:
+        left_s = call.deadline_s - self._clock.monotonic()
+        try:
+            async with asyncio.timeout(left_s):
+                return await remote.head()
+        except TimeoutError:
+            return Failure(Verdict.MAY_HAVE_RUN, "deadline_passed")
+
+    async def _settle(self, attempt: _Attempt, call: Call, failure: Failure) -> Failure:
+        """Find out what became of a call whose connection broke."""
+        if failure.reason != "peer_connection_broken" or call.request.idempotent:
+            return failure
+        member = attempt.member
+        while (left_ms := self._left_ms(call)) > 0:
+            outcome = await self._ask_outcome(member, call, left_ms)
+            if outcome is None:
+                return failure
+            if outcome.reason != "running":
+                return _as_told_to_caller(outcome)
+            await asyncio.sleep(_OUTCOME_INTERVAL_S)
+        return failure
+
+    async def _ask_outcome(
+        self, member: Member, call: Call, left_ms: int
+    ) -> Failure | None:
+        """Ask the same incarnation of a node; another one knows nothing."""
+        link = await self._links.get(member.host, member.port)
+        if isinstance(link, Failure) or link.peer.node_id != member.node_id:
+            return None
+        try:
+            async with asyncio.timeout(left_ms / 1000):
+                outcome = await link.query_outcome(
+                    call.request.request_id, time_left_ms=left_ms
+                )
+        except TimeoutError:
+            return None
+        return None if outcome.reason == "peer_connection_broken" else outcome
+
+    async def _relay(
+        self, remote: RemoteCall, head: AnswerHead, caller: Caller
+    ) -> None:
+        await caller.send_head(head)
+        while True:
+            piece = await remote.read_body()
+            if isinstance(piece, Failure):
+                self._metrics.count("answers_broken_off", label=piece.reason)
+                caller.break_off()
+                return
+            if piece is None:
+                caller.finish()
+                return
+            await caller.send_body(piece)
+
+    def _should_retry(
+        self,
+        call: Call,
+        body: "_ReplayableBody",
+        failure: Failure,
+        attempts_left: int,
+    ) -> bool:
+        return (
+            attempts_left > 0
+            and failure.reason != _NO_BACKEND_SERVER
+            and may_retry(failure, idempotent=call.request.idempotent)
+            and body.replayable
+            and self._left_ms(call) > 0
+            and self._budget.try_spend()
+        )
+
+    def _left_ms(self, call: Call) -> int:
+        return int((call.deadline_s - self._clock.monotonic()) * 1000)
+
+
+class _AttemptFailure(NamedTuple):
+    node_id: str
+    failure: Failure
+
+
+class _ReplayableBody:
+    """A request's body of which the beginning can be sent again."""
+
+    def __init__(self, caller: Caller, length: int) -> None:
+        self._caller = caller
+        self._length = length
+        self.start = b""
+        self.start_is_all = True
+        self.replayable = True
+
+    async def read_first(self) -> None:
+        """Read all of a short body, or the first piece of another."""
+        self.start, self.start_is_all = await self._caller.read_body()
+        while not self.start_is_all and 0 < self._length <= _REPLAY_BYTES:
+            data, self.start_is_all = await self._caller.read_body()
+            self.start += data
+
+    async def send_rest(self, remote: RemoteCall) -> None:
+        """Send what comes after the beginning; it can't be sent again."""
+        end = False
+        while not end:
+            data, end = await self._caller.read_body()
+            self.replayable = False
+            try:
+                await remote.send_body(data, end=end)
+            except WindowClosed:
+                return
+
+
+def _is_fault(result: AnswerHead | Failure) -> bool:
+    """Tell whether a result speaks against the backend server's health."""
+    if isinstance(result, Failure):
+        return result.reason not in _HEALTHY_REFUSALS
+    return result.status >= 500 and result.status not in _SHED_STATUSES
+
+
+def _as_told_to_caller(outcome: Failure) -> Failure:
+    if outcome.verdict is Verdict.RAN:
+        return Failure(Verdict.RAN, _ANSWER_LOST, "the request ran, its answer is lost")
+    return outcome
--- /dev/null
+++ b/burdockdock/proxy/listener.py
@@ -0,0 +1,357 @@
+"""The HTTP server that callers use."""
+
+import asyncio
+import json
+import uuid
+from collections.abc import Callable
+
+from tornado.httpserver import HTTPServer
+from tornado.httputil import (
+    HTTPConnection,
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import StreamClosedError
+
+from burdockdock.clock import Clock
+from burdockdock.configuration.lookup import find_route, policy_for
+from burdockdock.configuration.model import Snapshot
+from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.metrics import Metrics
+from burdockdock.protocol.calls import AnswerHead, CallRequest, Headers
+from burdockdock.proxy.forwarder import Call, Forwarder
+
+TENANT_HEADER = "X-Tenant"
+IDEMPOTENCY_HEADER = "Idempotency-Key"
+TIMEOUT_HEADER = "X-Burdockdock-Timeout-Ms"
+VERDICT_HEADER = "X-Burdockdock-Verdict"
+DEPTH_HEADER = "X-Burdockdock-Depth"
+MAX_HEADER_BYTES = 64 * 1024
+MAX_BODY_BYTES = 1 << 40
+_BUFFER_BYTES = 256 * 1024
+_IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS", "TRACE"})
+_HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
+    }
+)
+_REPLACED_HEADERS = frozenset(
+    name.lower() for name in (TIMEOUT_HEADER, DEPTH_HEADER, "X-Burdockdock-Request-Id")
+)
+_STATUS_OF_VERDICT = {
+    Verdict.NOT_RUN: 503,
+    Verdict.MAY_HAVE_RUN: 502,
+    Verdict.RAN: 502,
+}
+_STATUS_OF_REASON = {"deadline_passed": 504, "backend_timeout": 504, "no_route": 404}
+_REASON_PHRASES = {404: "Not Found", 502: "Bad Gateway", 503: "Service Unavailable"}
+_RETRY_AFTER_S = 1
+_MAX_DEPTH = 32
+
+
+class CallContext:
+    """What the listener needs to know of its node."""
+
+    def __init__(
+        self,
+        *,
+        node_id: str,
+        availability_zone: str,
+        snapshot: Callable[[], Snapshot],
+        forwarder: Forwarder,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self.node_id = node_id
+        self.availability_zone = availability_zone
+        self.snapshot = snapshot
+        self.forwarder = forwarder
+        self.clock = clock
+        self.metrics = metrics
+        self.draining = False
+        self.open_calls = 0
+
+
+class Listener(HTTPServerConnectionDelegate):
+    """Starts a call for each request."""
+
+    def __init__(self, context: CallContext) -> None:
+        self._context = context
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTPConnection
+    ) -> HTTPMessageDelegate:
+        """Return the receiver of one request's parts."""
+        return _CallerSide(self._context, request_conn)
+
+
+def serve_callers(context: CallContext, *, host: str, port: int) -> HTTPServer:
+    """Listen for callers."""
+    server = HTTPServer(
+        Listener(context),
+        max_header_size=MAX_HEADER_BYTES,
+        max_body_size=MAX_BODY_BYTES,
+        idle_connection_timeout=300,
+    )
+    server.listen(port, address=host, backlog=1024)
+    return server
+
+
+class _CallerSide(HTTPMessageDelegate):
+    """One request of a caller; its parts arrive here while its call runs."""
+
+    def __init__(self, context: CallContext, connection: HTTPConnection) -> None:
+        self._context = context
+        self._connection = connection
+        self._pieces: list[bytes] = []
+        self._buffered_bytes = 0
+        self._body_ended = False
+        self._arrived = asyncio.Event()
+        self._has_room: asyncio.Future[None] | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._answer_started = False
+        self._answer_ended = False
+        self._method = ""
+
+    def headers_received(
+        self, start_line: RequestStartLine, headers: HTTPHeaders
+    ) -> None:
+        """Start the call."""
+        self._method = start_line.method
+        self._context.open_calls += 1
+        self._task = asyncio.create_task(self._run(start_line, headers))
+
+    def data_received(self, chunk: bytes) -> "asyncio.Future[None] | None":
+        """Keep a piece of the body; make the caller wait while many are kept."""
+        self._pieces.append(chunk)
+        self._buffered_bytes += len(chunk)
+        self._arrived.set()
+        if self._buffered_bytes < _BUFFER_BYTES or self._answer_ended:
+            return None
+        self._has_room = asyncio.get_running_loop().create_future()
+        return self._has_room
+
+    def finish(self) -> None:
+        """Note the end of the body."""
+        self._body_ended = True
+        self._arrived.set()
+
+    def on_connection_close(self) -> None:
+        """Cancel the call, since nobody waits for its answer."""
+        if self._task is not None and not self._answer_ended:
+            self._task.cancel()
+        self._make_room()
+
+    async def read_body(self) -> tuple[bytes, bool]:
+        """Return what has arrived of the body and whether that is its end."""
+        while not self._pieces and not self._body_ended:
+            self._arrived.clear()
+            await self._arrived.wait()
+        data = b"".join(self._pieces)
+        self._pieces.clear()
+        self._buffered_bytes = 0
+        self._make_room()
+        return data, self._body_ended
+
+    async def send_head(self, head: AnswerHead) -> None:
+        """Begin the answer, with all of its body if that is there already."""
+        self._answer_started = True
+        headers = _answer_headers(head, self._method)
+        if self._context.draining:
+            headers["Connection"] = "close"
+        await self._write(
+            self._connection.write_headers(
+                ResponseStartLine("HTTP/1.1", head.status, head.reason), headers
+            )
+        )
+
+    async def send_body(self, data: bytes) -> None:
+        """Send a piece of the answer once the connection took it."""
+        if self._method != "HEAD":
+            await self._write(self._connection.write(data))
+
+    def finish_answer(self) -> None:
+        """End a whole answer."""
+        self._answer_ended = True
+        self._connection.finish()
+        self._make_room()
+
+    def break_off(self) -> None:
+        """Close the caller's connection in the middle of an answer."""
+        self._answer_ended = True
+        stream = self._connection.detach()
+        stream.close()
+        self._make_room()
+
+    async def _write(self, future: "asyncio.Future[None]") -> None:
+        try:
+            await future
+        except StreamClosedError:
+            raise asyncio.CancelledError from None
+
+    async def _run(self, start_line: RequestStartLine, headers: HTTPHeaders) -> None:
+        context = self._context
+        started_s = context.clock.monotonic()
+        tenant = headers.get(TENANT_HEADER, "default")
+        traffic_class = "none"
+        try:
+            call = _make_call(context, start_line, headers, tenant)
+            if isinstance(call, Failure):
+                failure: Failure | None = call
+            else:
+                traffic_class = call.request.traffic_class
+                failure = await context.forwarder.forward(call, _CallerAdapter(self))
+            if failure is not None:
+                await self._refuse(failure)
+        except asyncio.CancelledError:
+            context.metrics.count("calls_abandoned")
+        finally:
+            context.open_calls -= 1
+            context.metrics.record_latency(
+                "call",
+                context.clock.monotonic() - started_s,
+                tenant=tenant,
+                traffic_class=traffic_class,
+            )
+
+    async def _refuse(self, failure: Failure) -> None:
+        """Tell the caller the verdict and the reason."""
+        self._context.metrics.count("call_failures", label=failure.reason)
+        status = _STATUS_OF_REASON.get(
+            failure.reason, _STATUS_OF_VERDICT[failure.verdict]
+        )
+        verdict = failure.verdict.name.lower()
+        body = json.dumps(
+            {"verdict": verdict, "reason": failure.reason, "detail": failure.detail}
+        ).encode()
+        headers: list[tuple[str, str]] = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+            (VERDICT_HEADER, verdict),
+        ]
+        if failure.verdict is Verdict.NOT_RUN:
+            headers.append(("Retry-After", str(_RETRY_AFTER_S)))
+        phrase = _REASON_PHRASES.get(status, "Gateway Timeout")
+        await self.send_head(AnswerHead(status, phrase, tuple(headers)))
+        await self.send_body(body)
+        self.finish_answer()
+
+    def _make_room(self) -> None:
+        if self._has_room is not None and not self._has_room.done():
+            self._has_room.set_result(None)
+
+
+class _CallerAdapter:
+    """The caller as the forwarder sees it."""
+
+    def __init__(self, side: _CallerSide) -> None:
+        self.read_body = side.read_body
+        self.send_head = side.send_head
+        self.send_body = side.send_body
+        self.finish = side.finish_answer
+        self.break_off = side.break_off
+
+
+def _make_call(
+    context: CallContext,
+    start_line: RequestStartLine,
+    headers: HTTPHeaders,
+    tenant: str,
+) -> Call | Failure:
+    """Find the route of a request and build its call."""
+    snapshot = context.snapshot()
+    path = start_line.path.partition("?")[0]
+    route = find_route(snapshot, host=headers.get("Host", ""), path=path)
+    if route is None:
+        return Failure(Verdict.NOT_RUN, "no_route", f"no route for {path}")
+    depth = _integer(headers.get(DEPTH_HEADER), 0)
+    if depth >= _MAX_DEPTH:
+        return Failure(Verdict.NOT_RUN, "too_deep", f"{depth} calls deep")
+    policy = policy_for(
+        snapshot,
+        route,
+        availability_zone=context.availability_zone,
+        node_id=context.node_id,
+        now=context.clock.now(),
+    )
+    timeout_ms = _integer(headers.get(TIMEOUT_HEADER), policy.timeout_ms)
+    timeout_ms = min(timeout_ms, policy.timeout_ms)
+    key = headers.get(IDEMPOTENCY_HEADER)
+    request = CallRequest(
+        request_id=f"{tenant}/{key}" if key else uuid.uuid4().hex,
+        tenant=tenant,
+        traffic_class=route.traffic_class,
+        route=route.name,
+        service=route.service,
+        time_left_ms=timeout_ms,
+        idempotent=start_line.method in _IDEMPOTENT_METHODS,
+        method=start_line.method,
+        target=start_line.path,
+        headers=_request_headers(headers, depth),
+        body_length=_body_length(headers),
+        priority=route.priority,
+        queue_length=policy.queue_length,
+    )
+    # Only the first node of a chain retries after a failure that may have run;
+    # otherwise the attempts would multiply with the depth.
+    retries = policy.retries if depth == 0 else min(policy.retries, 1)
+    deadline_s = context.clock.monotonic() + timeout_ms / 1000
+    return Call(request, deadline_s, retries)
+
+
+def _body_length(headers: HTTPHeaders) -> int:
+    if "chunked" in headers.get("Transfer-Encoding", "").lower():
+        return -1
+    return _integer(headers.get("Content-Length"), 0)
+
+
+def _request_headers(headers: HTTPHeaders, depth: int) -> Headers:
+    kept = [
+        (name, value)
+        for name, value in headers.get_all()
+        if name.lower() not in _hop_headers(headers)
+        and name.lower() not in _REPLACED_HEADERS
+        and name.lower() != "content-length"
+    ]
+    return (*kept, (DEPTH_HEADER, str(depth + 1)))
+
+
+def _answer_headers(head: AnswerHead, method: str) -> HTTPHeaders:
+    answer = HTTPHeaders()
+    for name, value in head.headers:
+        answer.add(name, value)
+    dropped = _hop_headers(answer)
+    kept = HTTPHeaders()
+    for name, value in answer.get_all():
+        if name.lower() not in dropped:
+            kept.add(name, value)
+    if method == "HEAD" and "Content-Length" not in kept:
+        # Tornado would end the answer with an empty chunk.
+        kept["Transfer-Encoding"] = "chunked"
+    return kept
+
+
+def _hop_headers(headers: HTTPHeaders) -> frozenset[str]:
+    """Return the headers that are for one connection only."""
+    named = headers.get("Connection", "").lower()
+    if named in ("", "close", "keep-alive"):
+        return _HOP_HEADERS
+    return _HOP_HEADERS | {name.strip() for name in named.split(",")}
+
+
+def _integer(text: str | None, default: int) -> int:
+    if text is not None and text.isascii() and text.isdecimal():
+        return int(text)
+    return default
--- /dev/null
+++ b/burdockdock/proxy/peer_link.py
@@ -0,0 +1,303 @@
+"""The caller side of a connection to another node's gate."""
+
+import asyncio
+import itertools
+from collections import deque
+from collections.abc import Callable
+
+from tornado.iostream import StreamClosedError
+from tornado.tcpclient import TCPClient
+
+from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.protocol import (
+    MALFORMED,
+    FrameConnection,
+    Message,
+    SendWindow,
+    WindowClosed,
+)
+from burdockdock.protocol.calls import (
+    AnswerHead,
+    CallRequest,
+    frame_call_start,
+    read_answer_head,
+    read_failure,
+)
+from burdockdock.protocol.codec import frame
+from burdockdock.protocol.handshake import PeerIdentity, greet
+
+CONNECT_TIMEOUT_S = 1.0
+LINK_BROKEN = Failure(Verdict.MAY_HAVE_RUN, "peer_connection_broken")
+
+
+class RemoteCall:
+    """One attempt of a call at another node."""
+
+    def __init__(self, call_id: int, link: "PeerLink") -> None:
+        self._call_id = call_id
+        self._link = link
+        self._window = SendWindow()
+        loop = asyncio.get_running_loop()
+        self._head: asyncio.Future[AnswerHead | Failure] = loop.create_future()
+        self._pieces: deque[bytes] = deque()
+        self._ended = False
+        self._failure: Failure | None = None
+        self._arrived = asyncio.Event()
+
+    async def head(self) -> AnswerHead | Failure:
+        """Wait for the beginning of the answer."""
+        return await self._head
+
+    async def send_body(self, data: bytes, *, end: bool) -> None:
+        """Send a piece of the request's body once there is room for it.
+
+        :raises WindowClosed: if the call is over.
+        """
+        if data:
+            await self._window.reserve(len(data))
+        self._link.send(frame("callBody", callId=self._call_id, data=data, end=end))
+
+    async def read_body(self) -> bytes | Failure | None:
+        """Return the next piece of the answer, None at its end."""
+        while not self._pieces:
+            if self._failure is not None:
+                return self._failure
+            if self._ended:
+                return None
+            self._arrived.clear()
+            await self._arrived.wait()
+        data = b"".join(self._pieces)
+        self._pieces.clear()
+        if not self._ended:
+            self._link.send(frame("credit", callId=self._call_id, sizeBytes=len(data)))
+        return data
+
+    def cancel(self) -> None:
+        """Tell the other node that the answer is no longer wanted."""
+        if not self._ended and self._failure is None:
+            self._link.send(frame("callCancel", callId=self._call_id))
+        self._link.forget(self._call_id)
+        self._window.close()
+
+    def receive_head(self, head: AnswerHead) -> None:
+        """Take in the beginning of the answer."""
+        self._ended = head.end
+        if not self._head.done():
+            self._head.set_result(head)
+        self._arrived.set()
+
+    def receive_body(self, data: bytes, end: bool) -> None:
+        """Take in a piece of the answer."""
+        if data:
+            self._pieces.append(data)
+        self._ended |= end
+        self._arrived.set()
+
+    def receive_failure(self, failure: Failure) -> None:
+        """Take in that there will be no whole answer."""
+        self._failure = failure
+        if not self._head.done():
+            self._head.set_result(failure)
+        self._window.close()
+        self._arrived.set()
+
+    def grant(self, size_bytes: int) -> None:
+        """Take in credit for the request's body."""
+        self._window.grant(size_bytes)
+
+
+class PeerLink:
+    """One connection to another node, shared by all calls to it."""
+
+    def __init__(
+        self,
+        connection: FrameConnection,
+        peer: PeerIdentity,
+        *,
+        count_late: Callable[[], None],
+    ) -> None:
+        self.peer = peer
+        self._connection = connection
+        self._count_late = count_late
+        self._ids = itertools.count(1)
+        self._calls: dict[int, RemoteCall] = {}
+        self._queries: dict[int, asyncio.Future[Failure]] = {}
+        self._reader = asyncio.create_task(self._read())
+
+    @property
+    def closed(self) -> bool:
+        """Whether the connection has ended."""
+        return self._connection.closed
+
+    @property
+    def calls_in_flight(self) -> int:
+        """Calls that have not ended."""
+        return len(self._calls)
+
+    def start(self, request: CallRequest) -> RemoteCall:
+        """Send a request."""
+        call_id = next(self._ids)
+        call = RemoteCall(call_id, self)
+        self._calls[call_id] = call
+        if self.closed:
+            call.receive_failure(Failure(Verdict.NOT_RUN, "peer_connection_closed"))
+        else:
+            self.send(frame_call_start(call_id, request))
+        return call
+
+    async def query_outcome(self, request_id: str, *, time_left_ms: int) -> Failure:
+        """Ask what became of a request, so that it can't start any more."""
+        query_id = next(self._ids)
+        future = asyncio.get_running_loop().create_future()
+        self._queries[query_id] = future
+        self.send(
+            frame(
+                "outcomeQuery",
+                queryId=query_id,
+                requestId=request_id,
+                timeLeftMs=time_left_ms,
+            )
+        )
+        try:
+            return await future
+        finally:
+            del self._queries[query_id]
+
+    def send(self, data: bytes) -> None:
+        """Send a frame."""
+        self._connection.send(data)
+
+    def forget(self, call_id: int) -> None:
+        """Drop what still arrives for a call."""
+        self._calls.pop(call_id, None)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._connection.close()
+        self._reader.cancel()
+        self._break_calls()
+
+    async def _read(self) -> None:
+        try:
+            while (message := await self._connection.read()) is not None:
+                self._handle(message)
+        except MALFORMED:
+            pass
+        self._connection.close()
+        self._break_calls()
+
+    def _handle(self, message: Message) -> None:
+        kind = message.which()
+        if kind == "answerHead":
+            call = self._call(message.answerHead.callId)
+            if call is not None:
+                self._receive_head(call, message)
+        elif kind == "answerBody":
+            body = message.answerBody
+            call = self._call(body.callId)
+            if call is not None:
+                call.receive_body(body.data, body.end)
+        elif kind == "callFailed":
+            call = self._call(message.callFailed.callId)
+            if call is not None:
+                call.receive_failure(read_failure(message))
+        elif kind == "credit":
+            call = self._calls.get(message.credit.callId)
+            if call is not None:
+                call.grant(message.credit.sizeBytes)
+        elif kind == "outcome":
+            self._receive_outcome(message.outcome)
+
+    def _receive_head(self, call: RemoteCall, message: Message) -> None:
+        head = read_answer_head(message)
+        if head.body:
+            call.receive_body(head.body, head.end)
+        call.receive_head(head)
+
+    def _receive_outcome(self, outcome: Message) -> None:
+        future = self._queries.get(outcome.queryId)
+        if future is not None and not future.done():
+            future.set_result(Failure(Verdict(outcome.verdict), outcome.reason))
+
+    def _call(self, call_id: int) -> RemoteCall | None:
+        """Return the call that an answer belongs to; count a late one."""
+        call = self._calls.get(call_id)
+        if call is None:
+            self._count_late()
+        return call
+
+    def _break_calls(self) -> None:
+        for call in list(self._calls.values()):
+            call.receive_failure(LINK_BROKEN)
+        self._calls.clear()
+        for future in self._queries.values():
+            if not future.done():
+                future.set_result(LINK_BROKEN)
+
+
+class PeerLinks:
+    """The connections of this node to other nodes, opened when needed.
+
+    :param own: how this node introduces itself.
+    :param count: called with a counter's name.
+    """
+
+    def __init__(self, own: PeerIdentity, *, count: Callable[[str], None]) -> None:
+        self._own = own
+        self._count = count
+        self._links: dict[tuple[str, int], PeerLink] = {}
+        self._opening: dict[tuple[str, int], asyncio.Task[PeerLink | Failure]] = {}
+        self._tcp = TCPClient()
+
+    def open_link(self, host: str, port: int) -> PeerLink | None:
+        """Return the connection to an address if it is open."""
+        link = self._links.get((host, port))
+        return link if link is not None and not link.closed else None
+
+    async def get(self, host: str, port: int) -> PeerLink | Failure:
+        """Return the connection to an address, opening it once for all who wait."""
+        link = self.open_link(host, port)
+        if link is not None:
+            return link
+        address = (host, port)
+        task = self._opening.get(address)
+        if task is None:
+            task = asyncio.create_task(self._open(host, port))
+            self._opening[address] = task
+            task.add_done_callback(lambda _: self._opening.pop(address, None))
+        return await asyncio.shield(task)
+
+    def close(self) -> None:
+        """Close every connection."""
+        for task in list(self._opening.values()):
+            task.cancel()
+        for link in self._links.values():
+            link.close()
+
+    def drop(self, host: str, port: int) -> None:
+        """Close the connection to an address, such as a dead node's."""
+        link = self._links.pop((host, port), None)
+        if link is not None:
+            link.close()
+
+    async def _open(self, host: str, port: int) -> PeerLink | Failure:
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                stream = await self._tcp.connect(host, port)
+        except (OSError, StreamClosedError, TimeoutError) as error:
+            return Failure(
+                Verdict.NOT_RUN, "peer_unreachable", f"{host}:{port} {error}"
+            )
+        connection = FrameConnection(stream)
+        peer = await greet(connection, self._own)
+        if isinstance(peer, Failure):
+            connection.close()
+            return peer
+        link = PeerLink(
+            connection, peer, count_late=lambda: self._count("late_answers")
+        )
+        self._links[host, port] = link
+        return link
+
+
+__all__ = ["PeerLink", "PeerLinks", "RemoteCall", "WindowClosed"]
--- /dev/null
+++ b/burdockdock/rollout/start.py
@@ -0,0 +1,143 @@
+"""Starting and cancelling rollouts by conditional updates."""
+
+from datetime import datetime
+from typing import NamedTuple
+
+from burdockdock.clock import Clock
+from burdockdock.coordination.verdict import Failure
+from burdockdock.platform_api.client import Conflict, PlatformClient, PlatformObject
+from burdockdock.rollout.model import (
+    ROLLOUT_PREFIX,
+    Phase,
+    PhaseChange,
+    Rollout,
+    rollout_from,
+)
+from burdockdock.rollout.policy import earliest_deadline
+
+
+class NotStarted(NamedTuple):
+    """A change of a rollout that did not happen, and why.
+
+    :param undecided: the platform did not tell whether it happened.
+    """
+
+    message: str
+    undecided: bool = False
+
+    def __bool__(self) -> bool:
+        """Return False, as a failure does."""
+        return False
+
+
+async def read_rollout(
+    platform: PlatformClient, service: str
+) -> tuple[Rollout | None, int] | Failure:
+    """Return a service's newest rollout and its object's version."""
+    found = await platform.read(ROLLOUT_PREFIX + service)
+    if isinstance(found, Failure):
+        return found
+    if not found.version:
+        return None, 0
+    return rollout_from(found.value), found.version
+
+
+async def start_rollout(
+    platform: PlatformClient,
+    *,
+    service: str,
+    from_version: str,
+    to_version: str,
+    deadline: datetime,
+    author: str,
+    reason: str,
+    clock: Clock,
+) -> Rollout | NotStarted:
+    """Write a new rollout unless another of the service is under way."""
+    now = clock.now()
+    refusal = _check(from_version, to_version, deadline, reason, now)
+    if refusal is not None:
+        return refusal
+    found = await read_rollout(platform, service)
+    if isinstance(found, Failure):
+        return NotStarted(f"the platform can't be reached: {found.detail}")
+    current, version = found
+    if current is not None and not current.phase.final:
+        return NotStarted(_describe_other(current))
+    change = PhaseChange(Phase.WAITING.value, now.isoformat(), reason)
+    rollout = Rollout(
+        service=service,
+        number=current.number + 1 if current else 1,
+        from_version=from_version,
+        to_version=to_version,
+        started_at=now,
+        deadline=deadline,
+        author=author,
+        reason=reason,
+        history=(change,),
+    )
+    result = await platform.update(
+        ROLLOUT_PREFIX + service, expected_version=version, value=rollout.to_value()
+    )
+    return _describe_result(result, rollout)
+
+
+async def cancel_rollout(
+    platform: PlatformClient, *, service: str, author: str, reason: str, clock: Clock
+) -> Rollout | NotStarted:
+    """Roll a rollout back on an operator's order."""
+    while True:
+        found = await read_rollout(platform, service)
+        if isinstance(found, Failure):
+            return NotStarted(f"the platform can't be reached: {found.detail}")
+        rollout, version = found
+        if rollout is None:
+            return NotStarted(f"no move of {service} was ever started")
+        if rollout.phase.final:
+            return NotStarted(f"the move already ended: {rollout.phase.value}")
+        cancelled = rollout.enter(
+            Phase.ROLLED_BACK,
+            now=clock.now(),
+            reason=f"cancelled by {author}: {reason}",
+        )
+        result = await platform.update(
+            ROLLOUT_PREFIX + service,
+            expected_version=version,
+            value=cancelled.to_value(),
+        )
+        # The owner's step came first: cancel what it made of the rollout.
+        if not isinstance(result, Conflict):
+            return _describe_result(result, cancelled)
+
+
+def _check(
+    from_version: str, to_version: str, deadline: datetime, reason: str, now: datetime
+) -> NotStarted | None:
+    if from_version == to_version:
+        return NotStarted("the versions are the same")
+    if not reason.strip():
+        return NotStarted("give a reason")
+    earliest = earliest_deadline(now)
+    if deadline < earliest:
+        return NotStarted(
+            f"can't be done by {deadline.isoformat(timespec='seconds')}; the earliest "
+            f"time is {earliest.isoformat(timespec='seconds')}"
+        )
+    return None
+
+
+def _describe_result(
+    result: PlatformObject | Conflict | Failure, rollout: Rollout
+) -> Rollout | NotStarted:
+    if isinstance(result, Failure):
+        return NotStarted(f"not known: {result.detail}", undecided=True)
+    if isinstance(result, Conflict):
+        return NotStarted(_describe_other(rollout_from(result.current.value)))
+    return rollout
+
+
+def _describe_other(other: Rollout) -> str:
+    return (
+        f"another move of {other.service} came first: {other.from_version} to "
+        f"{other.to_version} by {other.author}, {other.phase.value}"
+    )
--- /dev/null
+++ b/burdockdock/standin/backend.py
@@ -0,0 +1,241 @@
+"""A stand-in for a backend server, with switches for its failures."""
+
+import asyncio
+import json
+import random
+import time
+from typing import Any, NamedTuple
+
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPError, HTTPRequest
+from tornado.httpserver import HTTPServer
+from tornado.iostream import StreamClosedError
+from tornado.web import Application, RequestHandler, stream_request_body
+
+_ANNOUNCE_INTERVAL_S = 1.0
+_CHUNK_BYTES = 64 * 1024
+
+
+class BackendOptions(NamedTuple):
+    """How a backend server behaves.
+
+    :param latency_ms: time of one request.
+    :param slots: requests that run at a time.
+    :param cold_start_s: seconds before the backend server is ready.
+    :param fail_share: share of requests that fail, from 0 to 1.
+    :param fail_after: requests that succeed before failures begin.
+    :param fail_route: prefix of the paths that fail, all without one.
+    :param slow_factor: factor on the latency.
+    """
+
+    service: str
+    version: str
+    host: str
+    port: int
+    node_url: str = ""
+    latency_ms: float = 5.0
+    slots: int = 8
+    cold_start_s: float = 0.0
+    fail_share: float = 0.0
+    fail_after: int = 0
+    fail_route: str = ""
+    slow_factor: float = 1.0
+    seed: int = 1
+
+
+class _State:
+    """What all requests of one backend server share."""
+
+    def __init__(self, options: BackendOptions) -> None:
+        self.options = options
+        self.rng = random.Random(options.seed)
+        self.running = 0
+        self.served = 0
+        self.draining = False
+        self.lying_health = False
+        self.ran: dict[str, int] = {}
+
+    def should_fail(self, path: str) -> bool:
+        """Decide whether the next request fails."""
+        options = self.options
+        if self.served <= options.fail_after:
+            return False
+        if not path.startswith(options.fail_route):
+            return False
+        return self.rng.random() < options.fail_share
+
+
+class _Base(RequestHandler):
+    def initialize(self, state: _State) -> None:
+        self.state = state
+
+
+class _Health(_Base):
+    def get(self) -> None:
+        self.write({"ready": True, "load": self.state.running})
+
+
+class _Ran(_Base):
+    def get(self) -> None:
+        self.write(self.state.ran)
+
+
+class _Switches(_Base):
+    def post(self) -> None:
+        changes: dict[str, Any] = json.loads(self.request.body)
+        self.state.draining = changes.pop("draining", self.state.draining)
+        self.state.options = self.state.options._replace(**changes)
+        self.write({"ok": True})
+
+
+@stream_request_body
+class _Work(_Base):
+    """Serves every other path.
+
+    ``/bytes/N`` answers with N bytes, ``/status/N`` with a status, and every other
+    path with what was received.
+    """
+
+    def prepare(self) -> None:
+        self.received_bytes = 0
+        self.received_start = b""
+        self.request.connection.set_max_body_size(1 << 32)
+
+    def data_received(self, chunk: bytes) -> None:
+        self.received_bytes += len(chunk)
+        if len(self.received_start) < _CHUNK_BYTES:
+            self.received_start += chunk
+
+    async def _serve(self) -> None:
+        state = self.state
+        if state.running >= state.options.slots:
+            self.set_status(503)
+            self.write({"error": "shed"})
+            return
+        state.running += 1
+        try:
+            await self._run()
+        finally:
+            state.running -= 1
+
+    get = post = put = delete = patch = head = options = _serve
+
+    async def _run(self) -> None:
+        state = self.state
+        request_id = self.request.headers.get("X-Burdockdock-Request-Id", "")
+        state.ran[request_id] = state.ran.get(request_id, 0) + 1
+        state.served += 1
+        options = state.options
+        await asyncio.sleep(options.latency_ms * options.slow_factor / 1000)
+        if state.should_fail(self.request.path):
+            self.set_status(500)
+            self.write({"error": "this version is faulty"})
+            return
+        await self._answer()
+
+    async def _answer(self) -> None:
+        kind, _, argument = self.request.path.strip("/").partition("/")
+        if kind == "bytes":
+            await self._send_bytes(int(argument))
+        elif kind == "short":
+            await self._send_short(int(argument))
+        elif kind == "status":
+            self.set_status(int(argument))
+            if int(argument) not in (204, 304):
+                self.write({"status": int(argument)})
+        else:
+            self._echo()
+
+    def _echo(self) -> None:
+        options = self.state.options
+        self.set_header("X-Served-By", f"{options.service}/{options.version}")
+        self.write(
+            {
+                "method": self.request.method,
+                "uri": self.request.uri,
+                "test_headers": {
+                    name: value
+                    for name, value in self.request.headers.get_all()
+                    if name.startswith("X-Test")
+                },
+                "received_bytes": self.received_bytes,
+                "received_start": self.received_start.decode("latin-1")[:200],
+            }
+        )
+
+    async def _send_bytes(self, size_bytes: int) -> None:
+        if not self.get_query_argument("chunked", ""):
+            self.set_header("Content-Length", str(size_bytes))
+        for start in range(0, size_bytes, _CHUNK_BYTES):
+            length = min(_CHUNK_BYTES, size_bytes - start)
+            self.write(bytes([start // _CHUNK_BYTES % 251]) * length)
+            try:
+                await self.flush()
+            except StreamClosedError:
+                return
+
+    async def _send_short(self, size_bytes: int) -> None:
+        """Promise a body and close the connection half way through it."""
+        self.set_header("Content-Length", str(size_bytes))
+        self.write(b"x" * (size_bytes // 2))
+        await self.flush()
+        self.request.connection.stream.close()
+        self._finished = True
+
+
+class Backend:
+    """A running backend server that announces itself to its node."""
+
+    def __init__(self, options: BackendOptions) -> None:
+        self._state = _State(options)
+        shared = {"state": self._state}
+        application = Application(
+            [
+                (r"/health", _Health, shared),
+                (r"/standin/ran", _Ran, shared),
+                (r"/standin/switches", _Switches, shared),
+                (r"/.*", _Work, shared),
+            ],
+            log_function=lambda handler: None,
+        )
+        self._server = HTTPServer(application, max_body_size=1 << 32)
+        self._started_s = time.monotonic()
+
+    async def run(self, stopped: asyncio.Event) -> None:
+        """Serve until stopped; drain before the end."""
+        options = self._state.options
+        await asyncio.sleep(options.cold_start_s)
+        self._server.listen(options.port, address=options.host, backlog=1024)
+        client = CurlAsyncHTTPClient(force_instance=True)
+        while not stopped.is_set():
+            await self._announce(client)
+            try:
+                await asyncio.wait_for(stopped.wait(), _ANNOUNCE_INTERVAL_S)
+            except TimeoutError:
+                pass
+        self._state.draining = True
+        await self._announce(client)
+        while self._state.running:
+            await asyncio.sleep(0.05)
+        self._server.stop()
+
+    async def _announce(self, client: CurlAsyncHTTPClient) -> None:
+        options = self._state.options
+        if not options.node_url:
+            return
+        body = {
+            "service": options.service,
+            "version": options.version,
+            "host": options.host,
+            "port": options.port,
+            "slots": options.slots,
+            "draining": self._state.draining,
+        }
+        request = HTTPRequest(
+            f"{options.node_url}/backend", method="POST", body=json.dumps(body)
+        )
+        try:
+            await client.fetch(request, raise_error=False)
+        except (HTTPError, OSError):
+            # The node is not up; the next announcement will reach it.
+            pass
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, in folders that mirror the package."""
--- /dev/null
+++ b/tests/coordination/test_lease.py
@@ -0,0 +1,95 @@
+"""Tests of leases under pauses, outages and lost answers."""
+
+import itertools
+
+import testtools
+
+from burdockdock.clock import ManualClock
+from burdockdock.coordination.lease import Lease
+from tests.support import FakePlatform, async_test
+
+_TERM_S = 6.0
+
+
+class LeaseTest(testtools.TestCase):
+    """Tests of one lease between two candidates."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.clock = ManualClock()
+        self.platform = FakePlatform()
+        self.first = self._candidate("first")
+        self.second = self._candidate("second")
+
+    def _candidate(self, holder: str, clock: ManualClock | None = None) -> Lease:
+        return Lease(
+            self.platform,
+            "leases/x",
+            holder=holder,
+            clock=clock or self.clock,
+            term_s=_TERM_S,
+        )
+
+    @async_test
+    async def test_one_holder_until_it_stops_renewing(self) -> None:
+        self.assertTrue(await self.first.maintain())
+        self.assertFalse(await self.second.maintain())
+        self.clock.advance(_TERM_S / 2)
+        self.assertTrue(await self.first.maintain())
+        self.clock.advance(_TERM_S / 2 + 0.1)
+        self.assertFalse(await self.second.maintain())
+        self.clock.advance(_TERM_S + 0.1)
+        self.assertTrue(await self.second.maintain())
+        self.assertFalse(self.first.is_held())
+        self.assertGreater(self.second.epoch, self.first.epoch)
+
+    @async_test
+    async def test_paused_holder_wakes_without_the_lease(self) -> None:
+        await self.first.maintain()
+        await self.second.maintain()
+        self.clock.advance(_TERM_S + 1)
+        self.assertTrue(await self.second.maintain())
+        self.assertFalse(self.first.is_held())
+        self.assertFalse(await self.first.maintain())
+        self.assertTrue(self.second.is_held())
+
+    @async_test
+    async def test_outage_ends_the_lease_at_its_term(self) -> None:
+        await self.first.maintain()
+        self.platform.down = True
+        self.clock.advance(_TERM_S - 0.1)
+        self.assertTrue(await self.first.maintain())
+        self.clock.advance(0.2)
+        self.assertFalse(await self.first.maintain())
+
+    @async_test
+    async def test_lost_answer_of_a_renewal_keeps_only_the_proved_term(self) -> None:
+        await self.first.maintain()
+        self.platform.faults[2] = "lost_after"
+        self.clock.advance(2)
+        await self.first.maintain()
+        self.assertTrue(await self.first.maintain())
+        self.clock.advance(_TERM_S - 2 + 0.1)
+        self.assertFalse(self.first.is_held())
+
+    @async_test
+    async def test_release_frees_it_at_once(self) -> None:
+        await self.first.maintain()
+        await self.first.release()
+        self.assertTrue(await self.second.maintain())
+
+    @async_test
+    async def test_never_two_holders_under_any_fault_at_any_write(self) -> None:
+        """The fault matrix: every fault at every write, with and without a pause."""
+        faults = ("lost_before", "lost_after")
+        cells = itertools.product(range(1, 9), faults, (0.5, _TERM_S + 1))
+        for number, fault, pause_s in cells:
+            clock = ManualClock()
+            self.platform = FakePlatform({number: fault})
+            pair = [self._candidate(name, clock) for name in ("first", "second")]
+            for step in range(40):
+                await pair[step % 2].maintain()
+                held = [lease for lease in pair if lease.is_held()]
+                self.assertLessEqual(len(held), 1, (number, fault, pause_s, step))
+                clock.advance(pause_s if step == 5 else 1.0)
+            self.assertTrue(any(lease.is_held() for lease in pair))
--- /dev/null
+++ b/tests/coordination/test_limiter.py
@@ -0,0 +1,81 @@
+"""Tests of slots and their queue."""
+
+import asyncio
+
+import testtools
+
+from burdockdock.clock import ManualClock, SystemClock
+from burdockdock.coordination.limiter import SlotLimiter
+from burdockdock.coordination.verdict import Verdict
+from tests.support import async_test
+
+
+class SlotLimiterTest(testtools.TestCase):
+    """Tests of one limiter."""
+
+    @async_test
+    async def test_never_more_in_use_than_slots(self) -> None:
+        limiter = SlotLimiter(slots=3, queue_length=100, clock=SystemClock())
+        deadline_s = SystemClock().monotonic() + 60
+        peak = 0
+
+        async def work(i: int) -> None:
+            nonlocal peak
+            tenant = f"t{i % 4}"
+            refusal = await limiter.acquire(tenant=tenant, deadline_s=deadline_s)
+            self.assertIsNone(refusal)
+            peak = max(peak, limiter.in_use)
+            await asyncio.sleep(0)
+            limiter.release(tenant)
+
+        await asyncio.gather(*(work(i) for i in range(60)))
+        self.assertEqual((3, 0, 0), (peak, limiter.in_use, limiter.queued))
+
+    @async_test
+    async def test_full_queue_refuses_as_not_run(self) -> None:
+        limiter = SlotLimiter(slots=1, queue_length=0, clock=ManualClock())
+        self.assertIsNone(await limiter.acquire(tenant="t", deadline_s=5))
+        refusal = await limiter.acquire(tenant="t", deadline_s=5)
+        self.assertEqual(
+            (Verdict.NOT_RUN, "queue_full"), (refusal.verdict, refusal.reason)
+        )
+
+    @async_test
+    async def test_deadline_ends_the_wait(self) -> None:
+        limiter = SlotLimiter(slots=1, queue_length=5, clock=ManualClock())
+        await limiter.acquire(tenant="t", deadline_s=5)
+        refusal = await limiter.acquire(tenant="t", deadline_s=0.01)
+        self.assertEqual("queue_timeout", refusal.reason)
+        self.assertEqual(0, limiter.queued)
+
+    @async_test
+    async def test_noisy_tenant_leaves_room_in_the_queue(self) -> None:
+        limiter = SlotLimiter(slots=1, queue_length=4, clock=SystemClock())
+        deadline_s = SystemClock().monotonic() + 60
+        await limiter.acquire(tenant="noisy", deadline_s=deadline_s)
+        quiet = asyncio.create_task(
+            limiter.acquire(tenant="quiet", deadline_s=deadline_s)
+        )
+        await asyncio.sleep(0)
+        noisy = [
+            asyncio.create_task(limiter.acquire(tenant="noisy", deadline_s=deadline_s))
+            for _ in range(6)
+        ]
+        await asyncio.sleep(0)
+        refused = [task for task in noisy if task.done()]
+        self.assertEqual(4, len(refused))
+        limiter.release("noisy")
+        self.assertIsNone(await quiet)
+        for task in noisy:
+            task.cancel()
+
+    @async_test
+    async def test_cancelled_waiter_gives_its_slot_back(self) -> None:
+        limiter = SlotLimiter(slots=1, queue_length=5, clock=ManualClock())
+        await limiter.acquire(tenant="t", deadline_s=60)
+        waiter = asyncio.create_task(limiter.acquire(tenant="t", deadline_s=60))
+        await asyncio.sleep(0)
+        limiter.release("t")
+        waiter.cancel()
+        await asyncio.wait([waiter])
+        self.assertEqual((0, 0), (limiter.in_use, limiter.queued))
--- /dev/null
+++ b/tests/coordination/test_tree.py
@@ -0,0 +1,79 @@
+"""Tests of the spread tree and of backoff."""
+
+import random
+
+import testtools
+
+from burdockdock.clock import ManualClock
+from burdockdock.coordination.backoff import RetryBudget, TokenBucket, full_jitter
+from burdockdock.coordination.tree import (
+    TreeMember,
+    children,
+    targets_of_origin,
+    zone_order,
+)
+
+
+class TreeTest(testtools.TestCase):
+    """Tests of the trees of a fleet."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.members = [TreeMember(f"n{i}", f"z{i % 3}") for i in range(300)]
+
+    def _reached(self, salts: tuple[str, ...], dead: set[str]) -> tuple[set[str], int]:
+        """Spread from n0; return who was reached and the largest depth."""
+        orders = {salt: zone_order(self.members, salt) for salt in salts}
+        zone_of = {m.node_id: m.availability_zone for m in self.members}
+        reached = {"n0": 0}
+        queue = ["n0"]
+        while queue:
+            node_id = queue.pop(0)
+            targets = []
+            for salt in salts:
+                if node_id == "n0":
+                    targets += targets_of_origin(orders[salt], node_id)
+                targets += children(orders[salt][zone_of[node_id]], node_id)
+            for target in targets:
+                if target not in reached and target not in dead:
+                    reached[target] = reached[node_id] + 1
+                    queue.append(target)
+        return set(reached), max(reached.values())
+
+    def test_reaches_everyone_in_few_hops(self) -> None:
+        reached, depth = self._reached(("first",), set())
+        self.assertEqual(300, len(reached))
+        self.assertLessEqual(depth, 4)
+
+    def test_second_tree_reaches_behind_dead_members(self) -> None:
+        rng = random.Random(5)
+        dead = set(rng.sample([m.node_id for m in self.members[1:]], 30))
+        one, _ = self._reached(("first",), dead)
+        two, _ = self._reached(("first", "second"), dead)
+        self.assertLess(len(one), 270)
+        self.assertGreaterEqual(len(two), 267)
+
+
+class BackoffTest(testtools.TestCase):
+    """Tests of delays and budgets."""
+
+    def test_jitter_stays_below_its_bound(self) -> None:
+        rng = random.Random(1)
+        for attempt in range(50):
+            delay_s = full_jitter(attempt, base_s=0.1, cap_s=5, rng=rng)
+            self.assertTrue(0 <= delay_s <= min(5, 0.1 * 2**attempt))
+
+    def test_retries_stay_a_share_of_the_calls(self) -> None:
+        budget = RetryBudget(share=0.1, reserve=5)
+        spent = 0
+        for _ in range(1000):
+            budget.record_call()
+            spent += budget.try_spend()
+        self.assertLessEqual(spent, 105)
+
+    def test_bucket_refills_with_time(self) -> None:
+        clock = ManualClock()
+        bucket = TokenBucket(rate_per_s=10, burst=2, clock=clock)
+        self.assertEqual([True, True, False], [bucket.try_take() for _ in range(3)])
+        clock.advance(0.1)
+        self.assertTrue(bucket.try_take())
