Cancel only the transfer that still owns its curl handle

Cause: a finished transfer's cancel looked its handle up alone, and the handle may serve another transfer by then, which was taken out of libcurl and never ended. Ruled out: a lost wake-up in pause and resume (calls without a body hung too).

--- a/burdockdock/cli/demo.py
+++ b/burdockdock/cli/demo.py
@@ -77,6 +77,8 @@
         load.stop()
         await task
         await load.check_doubled([b.url for b in self._fleet.backends.values()])
+        for reason, count in load.refusals.items():
+            self._say(f"no answer for {count} calls: {reason}")
         return load.report
 
     async def _start_fleet(self) -> None:
--- a/burdockdock/gate/curl_client.py
+++ b/burdockdock/gate/curl_client.py
@@ -71,8 +71,8 @@
         return transfer
 
     def cancel(self, transfer: "Transfer") -> None:
-        """Stop a transfer; its connection is closed."""
-        if transfer.easy in self._transfers:
+        """Stop a transfer, unless it has ended; its connection is closed."""
+        if self._runs(transfer):
             self._remove(transfer.easy)
             transfer.finish(pycurl.E_ABORTED_BY_CALLBACK, "cancelled")
 
@@ -84,12 +84,16 @@
             self._timer.cancel()
         self._multi.close()
 
-    def resume(self, easy: pycurl.Curl) -> None:
+    def resume(self, transfer: "Transfer") -> None:
         """Continue a paused transfer from outside of libcurl's callbacks."""
-        if easy in self._transfers:
-            easy.pause(pycurl.PAUSE_CONT)
+        if self._runs(transfer):
+            transfer.easy.pause(pycurl.PAUSE_CONT)
             self._set_timer(0)
 
+    def _runs(self, transfer: "Transfer") -> bool:
+        """Tell whether a transfer has not ended; its handle may serve another."""
+        return self._transfers.get(transfer.easy) is transfer
+
     def _watch_socket(self, event: int, fd: int, multi: object, data: object) -> None:
         if fd in self._watched:
             self._loop.remove_reader(fd)
@@ -198,7 +202,7 @@
         self._incoming_bytes = 0
         if self._write_paused:
             self._write_paused = False
-            self._client.resume(self.easy)
+            self._client.resume(self)
         return data
 
     def take_ready_body(self) -> tuple[bytes, bool]:
@@ -308,7 +312,7 @@
     def _resume_reading(self) -> None:
         if self._read_paused:
             self._read_paused = False
-            self._client.resume(self.easy)
+            self._client.resume(self)
 
 
 def _parse_head(lines: list[bytes]) -> BackendHead | None:
--- a/burdockdock/standin/load.py
+++ b/burdockdock/standin/load.py
@@ -5,6 +5,7 @@
 import random
 import time
 import uuid
+from collections import Counter
 from typing import NamedTuple
 
 from tornado.curl_httpclient import CurlAsyncHTTPClient
@@ -58,6 +59,7 @@
         self._posted: set[str] = set()
         self.report = LoadReport()
         self.latencies_s: list[float] = []
+        self.refusals: Counter[str] = Counter()
 
     def stop(self) -> None:
         """Start no further call."""
@@ -125,6 +127,8 @@
     def _count(self, response: HTTPResponse, path: str, call_id: str) -> None:
         report = self.report._replace(calls=self.report.calls + 1)
         verdict = response.headers.get("X-Burdockdock-Verdict")
+        if response.code == 599 or verdict is not None:
+            self.refusals[_reason_of(response)] += 1
         if verdict == "not_run":
             report = report._replace(not_run=report.not_run + 1)
         elif response.code == 599 or verdict is not None:
@@ -138,6 +142,13 @@
         self.report = report
 
 
+def _reason_of(response: HTTPResponse) -> str:
+    """Return why a call has no answer."""
+    if response.code == 599:
+        return "connection_broken"
+    return json.loads(response.body)["reason"]
+
+
 def _is_right(response: HTTPResponse, path: str, call_id: str) -> bool:
     """Tell whether an answer belongs to its request."""
     try:
