--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -359,8 +359,9 @@
             "control_bytes": {
                 "datagrams_sent": self.datagrams.sent_bytes,
                 "datagrams_received": self.datagrams.received_bytes,
-                "sync_sent": self.sync.sent_bytes,
-                "sync_received": self.sync.received_bytes,
+                "sync_sent": self.sync.sent_bytes + self._peer_server.sync_sent_bytes,
+                "sync_received": self.sync.received_bytes
+                + self._peer_server.sync_received_bytes,
             },
         }
 
--- a/burdockdock/node/peer_server.py
+++ b/burdockdock/node/peer_server.py
@@ -12,7 +12,13 @@
 from burdockdock.gate.gate import Gate
 from burdockdock.metrics import Metrics
 from burdockdock.overlay.sync import SyncServer
-from burdockdock.protocol import MALFORMED, FrameConnection, ProtocolError
+from burdockdock.protocol import (
+    MALFORMED,
+    WORD_BYTES,
+    FrameConnection,
+    Message,
+    ProtocolError,
+)
 from burdockdock.protocol.handshake import PeerIdentity, receive_greeting
 
 _HANDSHAKES_PER_S = 200
@@ -40,6 +46,8 @@
             rate_per_s=_HANDSHAKES_PER_S, burst=_HANDSHAKE_BURST, clock=clock
         )
         self._connections: set[FrameConnection] = set()
+        self.sync_sent_bytes = 0
+        self.sync_received_bytes = 0
 
     async def handle_stream(self, stream: IOStream, address: tuple) -> None:
         """Serve one connection to its end."""
@@ -75,7 +83,12 @@
                     continue
                 if message.which() != "syncRequest":
                     raise ProtocolError(f"unexpected {message.which()}")
-                reply = self._sync_server.reply_to(message.syncRequest)
-                connection.send(reply)
+                self._answer_sync(connection, message)
         finally:
             calls.close()
+
+    def _answer_sync(self, connection: FrameConnection, message: Message) -> None:
+        reply = self._sync_server.reply_to(message.syncRequest)
+        self.sync_sent_bytes += len(reply)
+        self.sync_received_bytes += message.total_size.word_count * WORD_BYTES
+        connection.send(reply)
--- a/burdockdock/platform_api/client.py
+++ b/burdockdock/platform_api/client.py
@@ -68,7 +68,7 @@
         self._clock = clock
         self._rng = rng or random.Random()
         self._timeout_s = timeout_s
-        self._http = CurlAsyncHTTPClient(force_instance=True, max_clients=_MAX_CLIENTS)
+        self._http: CurlAsyncHTTPClient | None = None
         self.failures_in_row = 0
 
     def new_token(self) -> str:
@@ -170,6 +170,14 @@
         """Wait as long as the failures in a row call for."""
         await asyncio.sleep(self._delay_s(max(0, self.failures_in_row - 1)))
 
+    def _client(self) -> CurlAsyncHTTPClient:
+        """Return the HTTP client, which belongs to the loop that first calls."""
+        if self._http is None:
+            self._http = CurlAsyncHTTPClient(
+                force_instance=True, max_clients=_MAX_CLIENTS
+            )
+        return self._http
+
     def _delay_s(self, attempt: int) -> float:
         return full_jitter(
             attempt, base_s=_BACKOFF_BASE_S, cap_s=_BACKOFF_CAP_S, rng=self._rng
@@ -192,7 +200,7 @@
             request_timeout=timeout_s or self._timeout_s,
         )
         try:
-            response = await self._http.fetch(request, raise_error=False)
+            response = await self._client().fetch(request, raise_error=False)
         except (HTTPError, OSError) as error:
             return self._fail(Verdict.MAY_HAVE_RUN, str(error))
         if response.code == 599:
--- a/burdockdock/protocol/codec.py
+++ b/burdockdock/protocol/codec.py
@@ -10,6 +10,7 @@
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 _HEADER = struct.Struct("<I")
 HEADER_BYTES = _HEADER.size
+WORD_BYTES = 8
 _TRAVERSAL_LIMIT_WORDS = MAX_FRAME_BYTES
 
 capnp.remove_import_hook()
