--- a/bench/distribution.py
+++ b/bench/distribution.py
@@ -43,6 +43,7 @@
     sent_bytes: dict[str, int]
     received_bytes: dict[str, int]
     platform_calls: dict[str, int]
+    relays: set[str]
 
 
 class _Bench:
@@ -135,15 +136,6 @@
         await work
         after = await self._sample()
         seconds_s = after.at_s - before.at_s
-        names = list(after.usage)
-        cpu = [
-            (after.usage[n].cpu_s - before.usage[n].cpu_s) / seconds_s for n in names
-        ]
-        sent = [(after.sent_bytes[n] - before.sent_bytes[n]) / seconds_s for n in names]
-        received = [
-            (after.received_bytes[n] - before.received_bytes[n]) / seconds_s
-            for n in names
-        ]
         calls = {
             kind: (count - before.platform_calls.get(kind, 0)) / seconds_s
             for kind, count in after.platform_calls.items()
@@ -151,23 +143,23 @@
         return {
             "seconds_s": seconds_s,
             "changes": changes,
-            "cpu_share": _summary(cpu),
-            "sent_bytes_per_s": _summary(sent),
-            "received_bytes_per_s": _summary(received),
-            "resident_bytes": _summary([after.usage[n].resident_bytes for n in names]),
+            "relays": _use(before, after, after.relays),
+            "others": _use(before, after, set(after.usage) - after.relays),
             "platform_calls_per_s": calls,
         }
 
     async def _sample(self) -> Sample:
-        usage, sent, received = {}, {}, {}
+        usage, sent, received, relays = {}, {}, {}, set()
         for name, node in self._fleet.nodes.items():
             status = await call_node(node.operators_url, "/status")
             control = status["control_bytes"]
+            if status["is_relay"]:
+                relays.add(name)
             usage[name] = usage_of(node.process.pid)
             sent[name] = control["datagrams_sent"] + control["sync_sent"]
             received[name] = control["datagrams_received"] + control["sync_received"]
         calls = await self._platform_calls()
-        return Sample(time.monotonic(), usage, sent, received, calls)
+        return Sample(time.monotonic(), usage, sent, received, calls, relays)
 
     async def _platform_calls(self) -> dict[str, int]:
         """Return the platform's count of calls by kind, the bench's left out."""
@@ -250,6 +242,29 @@
     return NodePlace(f"node-{i:04d}", f"region-{zone % _REGIONS}", f"zone-{zone}")
 
 
+def _use(before: Sample, after: Sample, names: set[str]) -> dict[str, Any]:
+    """Return what each of some nodes used a second between two samples."""
+    if not names:
+        return {}
+    seconds_s = after.at_s - before.at_s
+
+    def rates(counter: str) -> list[float]:
+        old, new = getattr(before, counter), getattr(after, counter)
+        return [(new[name] - old[name]) / seconds_s for name in names]
+
+    cpu = [
+        (after.usage[name].cpu_s - before.usage[name].cpu_s) / seconds_s
+        for name in names
+    ]
+    return {
+        "nodes": len(names),
+        "cpu_share": _summary(cpu),
+        "sent_bytes_per_s": _summary(rates("sent_bytes")),
+        "received_bytes_per_s": _summary(rates("received_bytes")),
+        "resident_bytes": _summary([after.usage[n].resident_bytes for n in names]),
+    }
+
+
 def _summary(values: list[float]) -> dict[str, float]:
     return {
         "mean": sum(values) / len(values),
--- a/burdockdock/configuration/checks.py
+++ b/burdockdock/configuration/checks.py
@@ -2,12 +2,15 @@
 
 from datetime import datetime
 
-from burdockdock.configuration.ini import digest_of
+from burdockdock.configuration.ini import section_digest
 from burdockdock.configuration.model import (
+    EMPTY_SNAPSHOT,
     Override,
+    Part,
     Policy,
     Problem,
     Route,
+    RouteMatch,
     Sections,
     Service,
     Snapshot,
@@ -25,120 +28,177 @@
 _MIN_REASON_LENGTH = 5
 
 
-def build_snapshot(sections: Sections, *, version: int) -> Snapshot | list[Problem]:
+def build_snapshot(
+    sections: Sections, *, version: int, previous: Snapshot = EMPTY_SNAPSHOT
+) -> Snapshot | list[Problem]:
     """Check sections and build the snapshot that nodes apply.
 
+    The result does not depend on the previous snapshot; sections that stand in both
+    are only not checked again on their own.
+
     :param version: the version that the snapshot will carry.
     :returns: the snapshot, or everything that is wrong with the sections.
     """
-    builder = _Builder()
-    for name, pairs in sections.items():
-        builder.add_section(name, pairs)
+    builder = _Builder(previous)
+    builder.change_to(sections)
     builder.check_references()
     if builder.problems:
         return builder.problems
-    return Snapshot(
-        version=version,
-        digest=digest_of(sections),
-        defaults=builder.defaults,
-        services=builder.services,
-        routes=tuple(sorted(builder.routes, key=_by_specificity)),
-        overrides=tuple(builder.overrides),
-        sections=sections,
-    )
+    return builder.snapshot(sections, version)
 
 
 class _Builder:
     """Collects the parts of a snapshot and the problems found on the way."""
 
-    def __init__(self) -> None:
+    def __init__(self, previous: Snapshot) -> None:
         self.problems: list[Problem] = []
-        self.defaults = Policy()
-        self.services: dict[str, Service] = {}
-        self.routes: list[Route] = []
-        self.overrides: list[Override] = []
+        self._previous = previous
+        self._digest = previous.digest
+        self._defaults = previous.defaults
+        self._services = dict(previous.services)
+        self._routes = dict(previous.routes)
+        self._overrides = dict(previous.overrides)
+        self._parts = dict(previous.parts)
+        self._added: list[str] = []
+        self._services_removed = False
+
+    def change_to(self, sections: Sections) -> None:
+        """Take out the sections that are gone or changed, then add the new ones."""
+        old = self._previous.sections
+        changed = [n for n, pairs in sections.items() if old.get(n) != pairs]
+        gone = [name for name in old if name not in sections]
+        for name in [*gone, *(n for n in changed if n in old)]:
+            self._remove(name)
+        for name in changed:
+            self._add(name, sections[name])
+
+    def check_references(self) -> None:
+        """Check that every name that is used is also defined."""
+        names = self._parts if self._services_removed else self._added
+        for name in names:
+            value = self._parts[name].value
+            if isinstance(value, Route) and value.service not in self._services:
+                self._problem(
+                    name,
+                    "service",
+                    f"service {value.service} is not defined; add "
+                    f"[service {value.service}]",
+                )
+        for override in self._overrides.values():
+            self._check_scope(override)
+
+    def snapshot(self, sections: Sections, version: int) -> Snapshot:
+        """Return what was built."""
+        return Snapshot(
+            version=version,
+            digest=self._digest,
+            defaults=self._defaults,
+            services=self._services,
+            routes=self._routes,
+            overrides=self._overrides,
+            sections=sections,
+            parts=self._parts,
+        )
+
+    def _remove(self, section: str) -> None:
+        part = self._parts.pop(section)
+        self._digest ^= part.digest
+        if isinstance(part.value, Service):
+            del self._services[part.value.name]
+            self._services_removed = True
+        elif isinstance(part.value, Route):
+            del self._routes[_match_of(part.value)]
+        elif isinstance(part.value, Override):
+            del self._overrides[part.value.name]
+        else:
+            self._defaults = Policy()
 
-    def add_section(self, section: str, pairs: dict[str, str]) -> None:
+    def _add(self, section: str, pairs: dict[str, str]) -> None:
         """Check one section and keep what it says."""
+        value = self._read(section, pairs)
+        if value is None:
+            return
+        digest = section_digest(section, pairs)
+        self._digest ^= digest
+        self._parts[section] = Part(pairs, digest, value)
+        self._added.append(section)
+        if isinstance(value, Service):
+            self._services[value.name] = value
+        elif isinstance(value, Route):
+            self._add_match(section, value)
+        elif isinstance(value, Override):
+            self._overrides[value.name] = value
+        else:
+            self._defaults = Policy()._replace(**value)
+
+    def _read(
+        self, section: str, pairs: dict[str, str]
+    ) -> Service | Route | Override | dict[str, int] | None:
         kind, _, name = section.partition(" ")
         name = name.strip()
         if section == "defaults":
-            self.defaults = self.defaults._replace(**self._policy(section, pairs))
-        elif kind == "service" and name:
-            policy = {k: v for k, v in pairs.items() if k != _INITIAL_VERSION}
-            self.services[name] = Service(
-                name,
-                self._policy(section, policy),
-                pairs.get(_INITIAL_VERSION, ""),
-            )
-        elif kind == "route" and name:
-            self._add_route(section, name, pairs)
-        elif kind == "exception" and name:
-            self._add_override(section, name, pairs)
-        else:
+            return self._policy(section, pairs)
+        if kind == "service" and name:
+            return self._read_service(section, name, pairs)
+        if kind == "route" and name:
+            return self._read_route(section, name, pairs)
+        if kind == "exception" and name:
+            return self._read_override(section, name, pairs)
+        self._problem(
+            section,
+            "",
+            "unknown section; use defaults, service NAME, route NAME or exception NAME",
+        )
+        return None
+
+    def _add_match(self, section: str, route: Route) -> None:
+        other = self._routes.setdefault(_match_of(route), route)
+        if other is not route:
             self._problem(
-                section,
-                "",
-                "unknown section; use defaults, service NAME, route NAME "
-                "or exception NAME",
+                section, "path", f"matches the same calls as route {other.name}"
             )
 
-    def check_references(self) -> None:
-        """Check that every name that is used is also defined."""
-        for route in self.routes:
-            if route.service not in self.services:
-                self._problem(
-                    f"route {route.name}",
-                    "service",
-                    f"service {route.service} is not defined; add "
-                    f"[service {route.service}]",
-                )
-        self._check_route_matches()
-        routes = {route.name for route in self.routes}
-        known = {"service": self.services.keys(), "route": routes}
-        for override in self.overrides:
-            names = known.get(override.scope_kind)
-            if names is not None and override.scope_name not in names:
-                self._problem(
-                    f"exception {override.name}",
-                    "scope",
-                    f"{override.scope_kind} {override.scope_name} is not defined",
-                )
+    def _check_scope(self, override: Override) -> None:
+        defined = {
+            "service": lambda name: name in self._services,
+            "route": lambda name: f"route {name}" in self._parts,
+        }
+        is_defined = defined.get(override.scope_kind)
+        if is_defined is not None and not is_defined(override.scope_name):
+            self._problem(
+                f"exception {override.name}",
+                "scope",
+                f"{override.scope_kind} {override.scope_name} is not defined",
+            )
 
-    def _check_route_matches(self) -> None:
-        seen: dict[tuple[str, str], str] = {}
-        for route in self.routes:
-            match = (route.host, route.path)
-            if match in seen:
-                self._problem(
-                    f"route {route.name}",
-                    "path",
-                    f"matches the same calls as route {seen[match]}",
-                )
-            seen[match] = route.name
+    def _read_service(self, section: str, name: str, pairs: dict[str, str]) -> Service:
+        policy = {k: v for k, v in pairs.items() if k != _INITIAL_VERSION}
+        return Service(
+            name, self._policy(section, policy), pairs.get(_INITIAL_VERSION, "")
+        )
 
-    def _add_route(self, section: str, name: str, pairs: dict[str, str]) -> None:
+    def _read_route(self, section: str, name: str, pairs: dict[str, str]) -> Route:
         policy = {k: v for k, v in pairs.items() if k not in _ROUTE_KEYS}
         path = pairs.get("path", "")
         if not path.startswith("/"):
             self._problem(section, "path", "give a path that begins with /")
         if not pairs.get("service"):
             self._problem(section, "service", "give the service's name")
-        self.routes.append(
-            Route(
-                name=name,
-                path=path,
-                service=pairs.get("service", ""),
-                host=pairs.get("host", "").lower(),
-                traffic_class=pairs.get("class", "default"),
-                priority=self._integer(
-                    section, "priority", pairs.get("priority", "0"), 0, 9
-                ),
-                policy_keys=self._policy(section, policy),
-            )
+        return Route(
+            name=name,
+            path=path,
+            service=pairs.get("service", ""),
+            host=pairs.get("host", "").lower(),
+            traffic_class=pairs.get("class", "default"),
+            priority=self._integer(
+                section, "priority", pairs.get("priority", "0"), 0, 9
+            ),
+            policy_keys=self._policy(section, policy),
         )
 
-    def _add_override(self, section: str, name: str, pairs: dict[str, str]) -> None:
+    def _read_override(
+        self, section: str, name: str, pairs: dict[str, str]
+    ) -> Override | None:
         for key in pairs.keys() - _OVERRIDE_KEYS:
             self._problem(section, key, "unknown key")
         kind, _, target = pairs.get("scope", "").partition(":")
@@ -154,14 +214,12 @@
             self._problem(
                 section, "setting", f"give one of {', '.join(_POLICY_BOUNDS)}"
             )
-            return
+            return None
         value = self._integer(
             section, "value", pairs.get("value", ""), *_POLICY_BOUNDS[setting]
         )
         expires = self._time(section, "expires", pairs.get("expires"))
-        self.overrides.append(
-            Override(name, kind, target, setting, value, reason, expires)
-        )
+        return Override(name, kind, target, setting, value, reason, expires)
 
     def _policy(self, section: str, pairs: dict[str, str]) -> dict[str, int]:
         keys: dict[str, int] = {}
@@ -198,6 +256,5 @@
         self.problems.append(Problem(section, key, message))
 
 
-def _by_specificity(route: Route) -> tuple[bool, int, str]:
-    """Order routes so that the first match is the most specific one."""
-    return not route.host, -len(route.path), route.name
+def _match_of(route: Route) -> RouteMatch:
+    return RouteMatch(route.host, route.path)
--- a/burdockdock/configuration/delta.py
+++ b/burdockdock/configuration/delta.py
@@ -3,7 +3,7 @@
 import json
 from typing import NamedTuple
 
-from burdockdock.configuration.ini import digest_of
+from burdockdock.configuration.ini import section_digest
 from burdockdock.configuration.model import Sections
 
 
@@ -38,8 +38,11 @@
         raise ValueError(str(error)) from None
 
 
-def encode_delta(old: ConfigDocument, new: ConfigDocument) -> bytes:
-    """Return the bytes that turn the old document into the new one."""
+def encode_delta(old: ConfigDocument, new: ConfigDocument, *, digest: int) -> bytes:
+    """Return the bytes that turn the old document into the new one.
+
+    :param digest: of the new document's sections.
+    """
     changed = {
         name: pairs
         for name, pairs in new.sections.items()
@@ -48,20 +51,33 @@
     removed = [name for name in old.sections if name not in new.sections]
     document = new._replace(sections=changed)._asdict()
     document["removed"] = removed
-    document["digest"] = digest_of(new.sections)
+    document["digest"] = f"{digest:032x}"
     return json.dumps(document, separators=(",", ":")).encode()
 
 
-def apply_delta(old: ConfigDocument, data: bytes) -> ConfigDocument | None:
+def apply_delta(
+    old: ConfigDocument, data: bytes, *, digest: int
+) -> ConfigDocument | None:
     """Return the document that a delta leads to.
 
+    :param digest: of the old document's sections.
     :returns: None if the delta was made against other sections than ours.
+    :raises ValueError: if the bytes are no delta.
     """
-    fields = json.loads(data)
-    removed = fields.pop("removed")
-    digest = fields.pop("digest")
-    sections = {k: v for k, v in old.sections.items() if k not in removed}
-    sections.update(fields["sections"])
-    if digest_of(sections) != digest:
-        return None
-    return ConfigDocument(**{**fields, "sections": sections})
+    try:
+        fields = json.loads(data)
+        removed = fields.pop("removed")
+        expected = int(fields.pop("digest"), 16)
+        changed: Sections = fields.pop("sections")
+        document = ConfigDocument(sections=dict(old.sections), **fields)
+    except (KeyError, TypeError, AttributeError) as error:
+        raise ValueError(str(error)) from None
+    sections = document.sections
+    for name in [*removed, *changed]:
+        pairs = sections.pop(name, None)
+        if pairs is not None:
+            digest ^= section_digest(name, pairs)
+    for name, pairs in changed.items():
+        sections[name] = pairs
+        digest ^= section_digest(name, pairs)
+    return document if digest == expected else None
--- a/burdockdock/configuration/ini.py
+++ b/burdockdock/configuration/ini.py
@@ -2,7 +2,6 @@
 
 import configparser
 import hashlib
-import json
 
 from burdockdock.configuration.model import Problem, Sections
 
@@ -33,10 +32,22 @@
     return "\n".join(blocks)
 
 
-def digest_of(sections: Sections) -> str:
-    """Return a digest that is equal for equal sections in any order."""
-    canonical = json.dumps(sections, sort_keys=True, separators=(",", ":"))
-    return hashlib.sha256(canonical.encode()).hexdigest()[:32]
+def section_digest(name: str, pairs: dict[str, str]) -> int:
+    """Return a digest of one section, the same for any order of its pairs."""
+    text = "\0".join([name, *(f"{k}={pairs[k]}" for k in sorted(pairs))])
+    digest = hashlib.blake2b(text.encode(), digest_size=16).digest()
+    return int.from_bytes(digest)
+
+
+def digest_of(sections: Sections) -> int:
+    """Return the exclusive or of the sections' digests.
+
+    A change of one section changes it by that section's digests alone.
+    """
+    total = 0
+    for name, pairs in sections.items():
+        total ^= section_digest(name, pairs)
+    return total
 
 
 def _fold(value: str) -> str:
--- a/burdockdock/configuration/lookup.py
+++ b/burdockdock/configuration/lookup.py
@@ -2,17 +2,27 @@
 
 from datetime import datetime
 
-from burdockdock.configuration.model import Override, Policy, Route, Snapshot
+from burdockdock.configuration.model import (
+    Override,
+    Policy,
+    Route,
+    RouteMatch,
+    Snapshot,
+)
 
 _SCOPE_ORDER = {"zone": 0, "service": 1, "route": 2, "node": 3}
 
 
 def find_route(snapshot: Snapshot, *, host: str, path: str) -> Route | None:
-    """Return the most specific route for a host and a path."""
+    """Return the most specific route: by host first, then by the longest path."""
     name = host.partition(":")[0].lower()
-    for route in snapshot.routes:
-        if (not route.host or route.host == name) and _covers(route.path, path):
-            return route
+    hosts = (name, "") if name else ("",)
+    prefixes = _prefixes(path)
+    for route_host in hosts:
+        for prefix in prefixes:
+            route = snapshot.routes.get(RouteMatch(route_host, prefix))
+            if route is not None:
+                return route
     return None
 
 
@@ -39,7 +49,7 @@
         "route": route.name,
         "node": node_id,
     }
-    for override in sorted(snapshot.overrides, key=_scope_order):
+    for override in sorted(snapshot.overrides.values(), key=_scope_order):
         if names[override.scope_kind] == override.scope_name and _is_valid(
             override, now
         ):
@@ -47,10 +57,17 @@
     return snapshot.defaults._replace(**keys)
 
 
-def _covers(prefix: str, path: str) -> bool:
-    if not path.startswith(prefix):
-        return False
-    return prefix.endswith("/") or path[len(prefix) :][:1] in ("", "/", "?")
+def _prefixes(path: str) -> list[str]:
+    """Return the paths of routes that cover a path, the longest first."""
+    found = [path]
+    end = path.rfind("/")
+    while end >= 0:
+        if end + 1 < len(path) or len(found) > 1:
+            found.append(path[: end + 1])
+        if end > 0:
+            found.append(path[:end])
+        end = path.rfind("/", 0, end)
+    return list(dict.fromkeys(found))
 
 
 def _scope_order(override: Override) -> int:
--- a/burdockdock/configuration/model.py
+++ b/burdockdock/configuration/model.py
@@ -86,20 +86,42 @@
     expires: datetime | None = None
 
 
+class Part(NamedTuple):
+    """One checked section.
+
+    :param pairs: the section as it stands in the configuration.
+    :param digest: of its name and pairs.
+    :param value: what the section defines; the policy keys of the defaults.
+    """
+
+    pairs: dict[str, str]
+    digest: int
+    value: "Service | Route | Override | dict[str, int]"
+
+
+class RouteMatch(NamedTuple):
+    """What a route matches; no two routes match the same."""
+
+    host: str
+    path: str
+
+
 class Snapshot(NamedTuple):
     """One whole configuration version.
 
     :param version: assigned by the platform, 0 before the first.
-    :param digest: of the sections.
+    :param digest: of the sections, in any order.
+    :param parts: the checked sections by name.
     """
 
     version: int
-    digest: str
+    digest: int
     defaults: Policy
     services: dict[str, Service]
-    routes: tuple[Route, ...]
-    overrides: tuple[Override, ...]
+    routes: dict[RouteMatch, Route]
+    overrides: dict[str, Override]
     sections: Sections
+    parts: dict[str, Part]
 
 
-EMPTY_SNAPSHOT = Snapshot(0, "", Policy(), {}, (), (), {})
+EMPTY_SNAPSHOT = Snapshot(0, 0, Policy(), {}, {}, {}, {}, {})
--- a/burdockdock/coordination/tree.py
+++ b/burdockdock/coordination/tree.py
@@ -1,18 +1,13 @@
 """The spread tree: which members a node passes a message on to."""
 
 import hashlib
-from collections import defaultdict
 from collections.abc import Iterable, Sequence
-from typing import NamedTuple
+from typing import TypeVar
 
 FANOUT = 8
+ENTRIES_PER_ZONE = 2
 
-
-class TreeMember(NamedTuple):
-    """What the tree needs to know of a member."""
-
-    node_id: str
-    availability_zone: str
+_Node = TypeVar("_Node")
 
 
 def rank(node_id: str, salt: str) -> bytes:
@@ -20,43 +15,22 @@
     return hashlib.blake2b(f"{salt}/{node_id}".encode(), digest_size=8).digest()
 
 
-def zone_order(members: Iterable[TreeMember], salt: str) -> dict[str, list[str]]:
-    """Order the members of each availability zone by their rank.
-
-    :returns: node ids by availability zone.
-    """
-    zones: dict[str, list[str]] = defaultdict(list)
-    for member in members:
-        zones[member.availability_zone].append(member.node_id)
-    for node_ids in zones.values():
-        node_ids.sort(key=lambda node_id: rank(node_id, salt))
-    return dict(zones)
-
-
-def children(order: Sequence[str], node_id: str, *, fanout: int = FANOUT) -> list[str]:
-    """Return the members below a node in a heap-shaped tree.
+def children(
+    order: Sequence[_Node], index: int, *, fanout: int = FANOUT
+) -> Sequence[_Node]:
+    """Return the nodes below one in a heap-shaped tree.
 
-    :param order: the members of the node's zone by rank.
+    :param order: the nodes of an availability zone by rank.
+    :param index: position of the node whose children are asked for.
     """
-    try:
-        index = order.index(node_id)
-    except ValueError:
-        return []
     first = index * fanout + 1
-    return list(order[first : first + fanout])
+    return order[first : first + fanout]
 
 
-def targets_of_origin(
-    zones: dict[str, list[str]], node_id: str, *, entries_per_zone: int = 2
-) -> list[str]:
+def entries(zones: Iterable[Sequence[_Node]]) -> list[_Node]:
     """Return whom the origin of a message sends it to.
 
-    The first members of every zone's order, more than one of each, so that a dead
-    one can't keep a message from its zone.
+    The first nodes of every zone's order, more than one of each, so that a dead one
+    can't keep a message from its zone.
     """
-    return [
-        target
-        for order in zones.values()
-        for target in order[:entries_per_zone]
-        if target != node_id
-    ]
+    return [node for order in zones for node in order[:ENTRIES_PER_ZONE]]
--- a/burdockdock/node/config_state.py
+++ b/burdockdock/node/config_state.py
@@ -25,23 +25,27 @@
         self._node_id = node_id
         self._document = ConfigDocument(0, {})
         self._recent: OrderedDict[int, ConfigDocument] = OrderedDict()
+        self._from_delta: ConfigDocument | None = None
+        self._whole: tuple[int, bytes] = (0, b"")
         self._refused_version = 0
         self._refusal = ""
         self.snapshot: Snapshot = EMPTY_SNAPSHOT
 
     @property
     def codec(self) -> DeltaCodec:
-        """How configuration records are sent as differences."""
-        return DeltaCodec(self._encode_delta, self._apply_delta)
+        """How configuration records are sent."""
+        return DeltaCodec(self._encode_whole, self._encode_delta, self._apply_delta)
 
     def accept(self, record: Record) -> bool:
         """Check a record whole and apply it; a bad one changes nothing."""
         try:
-            document = decode_document(record.value)
+            document = self._document_of(record)
         except ValueError as error:
             self._refuse(record.version, str(error))
             return False
-        built = build_snapshot(document.sections, version=record.version)
+        built = build_snapshot(
+            document.sections, version=record.version, previous=self.snapshot
+        )
         if isinstance(built, list):
             self._refuse(record.version, str(built[0]))
             return False
@@ -58,18 +62,33 @@
             self._node_id, self.snapshot.version, self._refused_version, self._refusal
         )
 
+    def _document_of(self, record: Record) -> ConfigDocument:
+        """Return the document that a delta led to, or read a whole one."""
+        document = self._from_delta
+        self._from_delta = None
+        if document is not None and document.version == record.version:
+            return document
+        return decode_document(record.value)
+
     def _refuse(self, version: int, reason: str) -> None:
         self._refused_version = version
         self._refusal = reason
 
+    def _encode_whole(self) -> bytes:
+        if self._whole[0] != self._document.version:
+            self._whole = (self._document.version, self._document.encode())
+        return self._whole[1]
+
     def _encode_delta(self, base_version: int) -> bytes | None:
         base = self._recent.get(base_version)
         if base is None:
             return None
-        return encode_delta(base, self._document)
+        return encode_delta(base, self._document, digest=self.snapshot.digest)
 
     def _apply_delta(self, record: Record) -> Record | None:
-        document = apply_delta(self._document, record.value)
-        if document is None:
+        self._from_delta = apply_delta(
+            self._document, record.value, digest=self.snapshot.digest
+        )
+        if self._from_delta is None:
             return None
-        return record._replace(value=document.encode())
+        return record._replace(value=b"")
--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -7,6 +7,7 @@
 
 from burdockdock.clock import Clock, SystemClock
 from burdockdock.coordination.membership import Member, MembershipTable, MemberState
+from burdockdock.coordination.ranking import MemberRanking
 from burdockdock.coordination.records import Record, RecordStore
 from burdockdock.gate.gate import BackendServer, CallResult, Gate
 from burdockdock.logs import log_event
@@ -79,6 +80,7 @@
             incarnation=incarnation,
         )
         self.membership = MembershipTable(own, clock=self._clock)
+        self.ranking = MemberRanking(self.membership)
         self.config = ConfigState(settings.name)
         self.records = RecordStore(accept=self._accept_record)
         self._deltas = {CONFIG_KEY: self.config.codec}
@@ -88,6 +90,7 @@
         self.datagrams = Datagrams(settings.mesh, count=self.metrics.count)
         self.spreader = Spreader(
             membership=self.membership,
+            ranking=self.ranking,
             records=self.records,
             datagrams=self.datagrams,
             deltas=self._deltas,
@@ -114,6 +117,7 @@
         )
         self.applied = AppliedTracker(
             membership=self.membership,
+            ranking=self.ranking,
             datagrams=self.datagrams,
             clock=self._clock,
             own_state=self.config.applied_state,
@@ -162,12 +166,16 @@
             settings.platform_url, name=settings.name, clock=self._clock
         )
         self._reader = PlatformReader(
-            self.platform, records=self.records, spread=self.spreader.start_record
+            self.platform,
+            records=self.records,
+            spread=self.spreader.start_record,
+            rng=self._rng,
         )
         self._relay = Relay(
             platform=self.platform,
             reader=self._reader,
             membership=self.membership,
+            ranking=self.ranking,
             clock=self._clock,
             holder=holder,
             rng=self._rng,
@@ -183,6 +191,7 @@
         self.rollouts = RolloutPart(
             records=self.records,
             membership=self.membership,
+            ranking=self.ranking,
             datagrams=self.datagrams,
             platform=self.platform,
             clock=self._clock,
--- a/burdockdock/node/relay.py
+++ b/burdockdock/node/relay.py
@@ -8,8 +8,8 @@
 from burdockdock.configuration.acceptance import HEAD_KEY, head_from, read_document
 from burdockdock.coordination.lease import Lease
 from burdockdock.coordination.membership import MembershipTable
+from burdockdock.coordination.ranking import MemberRanking
 from burdockdock.coordination.records import Record, RecordStore
-from burdockdock.coordination.tree import rank
 from burdockdock.coordination.verdict import Failure
 from burdockdock.logs import log_event
 from burdockdock.node.config_state import CONFIG_KEY
@@ -27,6 +27,7 @@
 _LEASE_INTERVAL_S = 3.0
 _LEASE_TERM_S = 10.0
 _ROSTER_INTERVAL_S = 15.0
+_READ_DELAY_S = 0.4
 _ROSTER_LENGTH = 8
 _CANDIDATES = 4
 _RELAY_SALT = "relay"
@@ -44,9 +45,11 @@
         *,
         records: RecordStore,
         spread: Callable[[Record], None],
+        rng: random.Random,
     ) -> None:
         self._platform = platform
         self._records = records
+        self._rng = rng
         self._spread = spread
         self._reading = asyncio.Lock()
 
@@ -65,23 +68,28 @@
             return False
         return await self.take_in(found.objects)
 
-    async def take_in(self, objects: list[PlatformObject]) -> bool:
+    async def take_in(
+        self, objects: list[PlatformObject], *, delay_s: float = 0.0
+    ) -> bool:
         """Spread what is newer than the records.
 
+        :param delay_s: bound of a random delay in which another node's spread may
+            make the reading of a configuration needless.
         :returns: False if a part of it could not be read.
         """
         complete = True
         for found in objects:
             if found.key == HEAD_KEY and found.version:
-                complete &= await self._take_head(found)
+                complete &= await self._take_head(found, delay_s)
             elif found.key.startswith(ROLLOUT_PREFIX):
                 rollout = rollout_from(found.value)
                 self._spread(Record(found.key, found.version, rollout.encode()))
         return complete
 
-    async def _take_head(self, found: PlatformObject) -> bool:
+    async def _take_head(self, found: PlatformObject, delay_s: float) -> bool:
         async with self._reading:
             head = head_from(found)
+            await asyncio.sleep(self._rng.uniform(0.0, delay_s))
             if head.version <= self._records.version(CONFIG_KEY):
                 return True
             document = await read_document(self._platform, head)
@@ -104,6 +112,7 @@
         platform: PlatformClient,
         reader: PlatformReader,
         membership: MembershipTable,
+        ranking: MemberRanking,
         clock: Clock,
         holder: str,
         rng: random.Random,
@@ -111,6 +120,7 @@
         self._platform = platform
         self._reader = reader
         self._membership = membership
+        self._ranking = ranking
         self._clock = clock
         self._rng = rng
         zone = membership.own.availability_zone
@@ -169,13 +179,9 @@
 
     def _is_candidate(self) -> bool:
         """Only the first by rank ask, so that calls don't grow with the zone."""
-        ids = [
-            m.node_id
-            for m in self._membership.live()
-            if m.availability_zone == self._zone and not m.leaving
-        ]
-        ids.sort(key=lambda node_id: rank(node_id, _RELAY_SALT))
-        return self._membership.own.node_id in ids[:_CANDIDATES]
+        order = self._ranking.in_zone(_RELAY_SALT, self._zone)
+        staying = [m.node_id for m in order if not m.leaving]
+        return self._membership.own.node_id in staying[:_CANDIDATES]
 
     async def _watch(self) -> None:
         """Follow the changes of configuration and rollouts."""
@@ -199,7 +205,7 @@
         """Watch one prefix until a call fails."""
         found = await self._platform.list(prefix)
         while isinstance(found, WatchResult):
-            if not await self._reader.take_in(found.objects):
+            if not await self._reader.take_in(found.objects, delay_s=_READ_DELAY_S):
                 return
             found = await self._platform.watch(prefix, after=found.revision)
 
@@ -209,7 +215,7 @@
         due = now_s - self._roster_written_s >= _ROSTER_INTERVAL_S
         if not self.is_relay or not due:
             return
-        live = [m for m in self._membership.live() if m.availability_zone == self._zone]
+        live = self._ranking.zones()[self._zone]
         chosen = self._rng.sample(live, min(_ROSTER_LENGTH, len(live)))
         addresses = sorted([m.host, m.port] for m in chosen)
         key = ROSTER_PREFIX + self._zone
--- a/burdockdock/node/rollouts.py
+++ b/burdockdock/node/rollouts.py
@@ -5,6 +5,7 @@
 
 from burdockdock.clock import Clock
 from burdockdock.coordination.membership import MembershipTable
+from burdockdock.coordination.ranking import MemberRanking
 from burdockdock.coordination.records import Record, RecordStore
 from burdockdock.gate.gate import BackendServer, CallResult
 from burdockdock.overlay.datagrams import Address, Datagrams
@@ -32,6 +33,7 @@
         *,
         records: RecordStore,
         membership: MembershipTable,
+        ranking: MemberRanking,
         datagrams: Datagrams,
         platform: PlatformClient,
         clock: Clock,
@@ -39,6 +41,7 @@
         spread: Callable[[Record], None],
     ) -> None:
         self._membership = membership
+        self._ranking = ranking
         self._datagrams = datagrams
         self._clock = clock
         self._collector = EvidenceCollector()
@@ -47,6 +50,7 @@
         self._owners = RolloutOwners(
             view=self.view,
             membership=membership,
+            ranking=ranking,
             platform=platform,
             clock=clock,
             holder=holder,
@@ -91,7 +95,7 @@
 
     def _send_rows(self, service: str, rows: dict[EvidenceKey, EvidenceRow]) -> None:
         own_id = self._membership.own.node_id
-        for member in candidates(self._membership, service):
+        for member in candidates(self._ranking, service):
             if member.node_id == own_id:
                 self._owners.receive(service, rows)
                 continue
--- a/burdockdock/overlay/applied.py
+++ b/burdockdock/overlay/applied.py
@@ -11,7 +11,7 @@
 
 from burdockdock.clock import Clock
 from burdockdock.coordination.membership import Member, MembershipTable
-from burdockdock.coordination.tree import rank
+from burdockdock.coordination.ranking import MemberRanking
 from burdockdock.overlay.datagrams import Address, Datagrams
 from burdockdock.protocol import Message
 
@@ -74,12 +74,14 @@
         self,
         *,
         membership: MembershipTable,
+        ranking: MemberRanking,
         datagrams: Datagrams,
         clock: Clock,
         own_state: Callable[[], AppliedState],
         on_in_force: Callable[[FleetStatus, float], None],
     ) -> None:
         self._membership = membership
+        self._ranking = ranking
         self._datagrams = datagrams
         self._clock = clock
         self._own_state = own_state
@@ -93,15 +95,15 @@
         self._queries: list[asyncio.Future[FleetStatus]] = []
         self._first_seen: tuple[int, float] = (0, 0.0)
         self._announced_version = 0
-        self._reporters: dict[str, str] = {}
-        self._reporters_generation = -1
+        self._changed = True
+        self._summed_generation = -1
         datagrams.on("applied", self._on_report)
 
     async def run(self) -> None:
         """Report and sum up, for ever."""
         while True:
             self._report()
-            if self._is_reporter():
+            if self._is_reporter() and self._needs_summing():
                 self._sum_up()
                 self._announce()
             await asyncio.sleep(_TICK_S)
@@ -136,9 +138,20 @@
         self._reported_at_s = now_s
         if reporter.node_id == state.node_id:
             self._states[state.node_id] = state
+            self._changed = True
         else:
             self._send_to(reporter, entries=[_pack_state(state)])
 
+    def _needs_summing(self) -> bool:
+        """Tell whether anything changed since the last sum, or a refresh is due."""
+        generation = self._ranking.generation
+        age_s = self._clock.monotonic() - self._sent_summary_at_s
+        if not self._changed and generation == self._summed_generation:
+            return age_s >= _SUMMARY_REFRESH_S
+        self._changed = False
+        self._summed_generation = generation
+        return True
+
     def _sum_up(self) -> None:
         summary = self._own_zone_summary()
         now_s = self._clock.monotonic()
@@ -149,10 +162,10 @@
         self._sent_summary = summary
         self._sent_summary_at_s = now_s
         own = self._membership.own
-        for zone, node_id in self._zone_reporters().items():
-            member = self._membership.get(node_id)
-            if zone != own.availability_zone and member is not None:
-                self._send_to(member, summaries=[_pack_summary(summary)])
+        for zone in self._ranking.zones():
+            if zone != own.availability_zone:
+                reporter = self._reporter_of(zone)
+                self._send_to(reporter, summaries=[_pack_summary(summary)])
 
     def _own_zone_summary(self) -> ZoneSummary:
         zone = self._membership.own.availability_zone
@@ -184,7 +197,7 @@
         applied = refused = total = 0
         laggards: list[AppliedState] = []
         now_s = self._clock.monotonic()
-        for zone in self._zone_reporters():
+        for zone in self._ranking.zones():
             summary, told_at_s = self._summaries.get(zone, (None, 0.0))
             total += len(self._zone_members(zone))
             if summary is None or now_s - told_at_s > _SUMMARY_MAX_AGE_S:
@@ -204,7 +217,7 @@
         now_s = self._clock.monotonic()
         if status.version > self._first_seen[0]:
             self._first_seen = (status.version, now_s)
-        first_zone = min(self._zone_reporters())
+        first_zone = min(self._ranking.zones())
         is_first = self._membership.own.availability_zone == first_zone
         if status.in_force and status.version > self._announced_version:
             self._announced_version = status.version
@@ -220,6 +233,7 @@
             self._take_report(report)
 
     def _take_report(self, report: Message) -> None:
+        self._changed = True
         for entry in report.entries:
             self._states[entry.nodeId] = _unpack_state(entry)
         now_s = self._clock.monotonic()
@@ -259,32 +273,14 @@
         return self._own_reporter().node_id == self._membership.own.node_id
 
     def _own_reporter(self) -> Member:
-        own = self._membership.own
-        node_id = self._zone_reporters().get(own.availability_zone, own.node_id)
-        return self._membership.get(node_id) or own
-
-    def _zone_reporters(self) -> dict[str, str]:
-        """Return each zone's reporter, computed anew after a membership change."""
-        if self._reporters_generation != self._membership.generation:
-            self._reporters_generation = self._membership.generation
-            self._reporters = self._choose_reporters()
-        return self._reporters
-
-    def _choose_reporters(self) -> dict[str, str]:
-        chosen: dict[str, tuple[bytes, str]] = {}
-        for member in self._membership.live():
-            position = (rank(member.node_id, _REPORTER_SALT), member.node_id)
-            zone = member.availability_zone
-            if zone not in chosen or position < chosen[zone]:
-                chosen[zone] = position
-        return {zone: node_id for zone, (_, node_id) in chosen.items()}
+        return self._reporter_of(self._membership.own.availability_zone)
+
+    def _reporter_of(self, zone: str) -> Member:
+        order = self._ranking.in_zone(_REPORTER_SALT, zone)
+        return order[0] if order else self._membership.own
 
     def _zone_members(self, zone: str) -> list[Member]:
-        return [
-            m
-            for m in self._membership.live()
-            if m.availability_zone == zone and not m.leaving
-        ]
+        return [m for m in self._ranking.zones().get(zone, []) if not m.leaving]
 
 
 def _pack_state(state: AppliedState) -> dict[str, Any]:
--- a/burdockdock/overlay/failure_detector.py
+++ b/burdockdock/overlay/failure_detector.py
@@ -98,7 +98,7 @@
                 self._forgive_all()
                 continue
             if not answered:
-                self._membership.suspect(target.node_id)
+                self._gossip_change(self._membership.suspect(target.node_id))
             self._confirm_suspects()
             self._end_period()
 
@@ -176,7 +176,8 @@
         for node_id, (incarnation, since_s) in list(self._suspected.items()):
             if now_s - since_s >= self._timing.suspicion_s:
                 del self._suspected[node_id]
-                self._membership.confirm_dead(node_id, incarnation=incarnation)
+                dead = self._membership.confirm_dead(node_id, incarnation=incarnation)
+                self._gossip_change(dead)
 
     def _forgive_all(self) -> None:
         """Restart all suspicions: this node was paused, not the others."""
@@ -187,13 +188,22 @@
         }
 
     def _on_change(self, member: Member, known: Member | None) -> None:
-        self._gossip.add(member)
+        if member.node_id == self._membership.own.node_id:
+            self._gossip.add(member)
         if member.state is MemberState.SUSPECT:
             entry = (member.incarnation, self._clock.monotonic())
             self._suspected[member.node_id] = entry
         else:
             self._suspected.pop(member.node_id, None)
 
+    def _gossip_change(self, member: Member | None) -> None:
+        """Tell others what this node found out itself.
+
+        What came along the trees or by an exchange is on its way to them already.
+        """
+        if member is not None:
+            self._gossip.add(member)
+
     def _expect_ack(self) -> tuple[int, "asyncio.Future[None]"]:
         self._sequence += 1
         future = asyncio.get_running_loop().create_future()
@@ -240,7 +250,9 @@
 
     def _take_in(self, state: Message) -> None:
         for packed in state.members:
-            self._membership.merge(unpack_member(packed))
+            rumour = unpack_member(packed)
+            if self._membership.merge(rumour):
+                self._gossip.add(rumour)
         self._on_digest(
             PeerDigest(
                 state.nodeId, state.memberDigest, state.recordDigest, state.recordSum
--- a/burdockdock/overlay/spread.py
+++ b/burdockdock/overlay/spread.py
@@ -4,13 +4,9 @@
 from typing import NamedTuple
 
 from burdockdock.coordination.membership import Member, MembershipTable
+from burdockdock.coordination.ranking import MemberRanking
 from burdockdock.coordination.records import Record, RecordStore
-from burdockdock.coordination.tree import (
-    TreeMember,
-    children,
-    targets_of_origin,
-    zone_order,
-)
+from burdockdock.coordination.tree import children, entries
 from burdockdock.overlay.datagrams import MAX_DATAGRAM_BYTES, Address, Datagrams
 from burdockdock.protocol import Message
 from burdockdock.protocol.members import (
@@ -25,16 +21,18 @@
 
 
 class DeltaCodec(NamedTuple):
-    """How the records under a key are sent as differences.
+    """How the records under a key are sent, whose state is kept outside the store.
 
-    :param encode: returns the bytes that lead from a version to the record's, None
-        when that version is no longer known.
-    :param apply: returns the whole record that a delta leads to, None when it was
-        made against another one.
+    :param encode_whole: returns the bytes of the newest state.
+    :param encode_delta: returns the bytes that lead from a version to the newest,
+        None when that version is no longer known.
+    :param apply_delta: returns the record to store for a delta, None when the delta
+        was made against another state.
     """
 
-    encode: Callable[[int], bytes | None]
-    apply: Callable[[Record], Record | None]
+    encode_whole: Callable[[], bytes]
+    encode_delta: Callable[[int], bytes | None]
+    apply_delta: Callable[[Record], Record | None]
 
 
 class Spreader:
@@ -50,6 +48,7 @@
         self,
         *,
         membership: MembershipTable,
+        ranking: MemberRanking,
         records: RecordStore,
         datagrams: Datagrams,
         deltas: dict[str, DeltaCodec],
@@ -60,8 +59,9 @@
         self._datagrams = datagrams
         self._deltas = deltas
         self._pull = pull
-        self._orders: dict[str, dict[str, list[str]]] = {}
-        self._orders_generation = -1
+        self._ranking = ranking
+        self._children: list[Member] = []
+        self._children_generation = -1
         datagrams.on("spread", self._on_spread)
 
     def start_record(self, record: Record) -> None:
@@ -79,7 +79,7 @@
         self._send_member(member, self._origin_targets())
 
     def _send_record(
-        self, record: Record, base_version: int, targets: list[str]
+        self, record: Record, base_version: int, targets: list[Member]
     ) -> None:
         packed = self._pack_in_bounds(record, base_version)
         if packed is None:
@@ -91,26 +91,25 @@
     def _pack_in_bounds(self, record: Record, base_version: int) -> dict | None:
         """Return the record, or its delta, if that fits into a datagram."""
         codec = self._deltas.get(record.key)
-        if codec is not None and base_version:
-            delta = codec.encode(base_version)
-            if delta is not None and len(delta) <= _MAX_VALUE_BYTES:
-                changed = record._replace(value=delta)
-                return pack_record(changed, base_version=base_version)
+        if codec is not None:
+            delta = codec.encode_delta(base_version) if base_version else None
+            if delta is None or len(delta) > _MAX_VALUE_BYTES:
+                return None
+            changed = record._replace(value=delta)
+            return pack_record(changed, base_version=base_version)
         if len(record.value) <= _MAX_VALUE_BYTES:
             return pack_record(record)
         return None
 
-    def _send_member(self, member: Member, targets: list[str]) -> None:
+    def _send_member(self, member: Member, targets: list[Member]) -> None:
         self._send(targets, {"member": pack_member(member)})
 
-    def _send(self, targets: list[str], content: dict[str, object]) -> None:
+    def _send(self, targets: list[Member], content: dict[str, object]) -> None:
         own_id = self._membership.own.node_id
-        for node_id in targets:
-            member = self._membership.get(node_id)
-            if member is not None:
-                self._datagrams.send(
-                    (member.host, member.port), "spread", nodeId=own_id, **content
-                )
+        for member in targets:
+            self._datagrams.send(
+                (member.host, member.port), "spread", nodeId=own_id, **content
+            )
 
     def _on_spread(self, spread: Message, address: Address) -> None:
         kind = spread.which()
@@ -144,36 +143,36 @@
         codec = self._deltas.get(record.key)
         if codec is None or self._records.version(record.key) != base_version:
             return None
-        return codec.apply(record)
-
-    def _origin_targets(self) -> list[str]:
-        own_id = self._membership.own.node_id
-        targets = []
-        for salt in _TREE_SALTS:
-            targets += targets_of_origin(self._order(salt), own_id)
-            targets += self._children_in(salt)
-        return list(dict.fromkeys(targets))
+        return codec.apply_delta(record)
 
-    def _child_targets(self) -> list[str]:
+    def _origin_targets(self) -> list[Member]:
+        """Return the first members of every zone in both trees, and the children."""
         targets = []
         for salt in _TREE_SALTS:
-            targets += self._children_in(salt)
-        return list(dict.fromkeys(targets))
-
-    def _children_in(self, salt: str) -> list[str]:
+            zones = self._ranking.zones()
+            targets += entries(self._ranking.in_zone(salt, zone) for zone in zones)
+        return self._without_own(targets + self._child_targets())
+
+    def _child_targets(self) -> list[Member]:
+        """Return this node's children in both trees."""
+        if self._children_generation != self._ranking.generation:
+            self._children_generation = self._ranking.generation
+            self._children = self._find_children()
+        return self._children
+
+    def _find_children(self) -> list[Member]:
         own = self._membership.own
-        order = self._order(salt).get(own.availability_zone, [])
-        return children(order, own.node_id)
-
-    def _order(self, salt: str) -> dict[str, list[str]]:
-        """Return the zones' orders, computed anew after the membership changed."""
-        if self._orders_generation != self._membership.generation:
-            self._orders.clear()
-            self._orders_generation = self._membership.generation
-        if salt not in self._orders:
-            members = [
-                TreeMember(m.node_id, m.availability_zone)
-                for m in self._membership.live()
-            ]
-            self._orders[salt] = zone_order(members, salt)
-        return self._orders[salt]
+        found = []
+        for salt in _TREE_SALTS:
+            order = self._ranking.in_zone(salt, own.availability_zone)
+            index = next(
+                (i for i, m in enumerate(order) if m.node_id == own.node_id), None
+            )
+            if index is not None:
+                found += children(order, index)
+        return self._without_own(found)
+
+    def _without_own(self, members: list[Member]) -> list[Member]:
+        own_id = self._membership.own.node_id
+        unique = {m.node_id: m for m in members if m.node_id != own_id}
+        return list(unique.values())
--- a/burdockdock/overlay/sync.py
+++ b/burdockdock/overlay/sync.py
@@ -75,12 +75,12 @@
 
     def _pack(self, record: Record, known_version: int) -> dict[str, Any]:
         codec = self._deltas.get(record.key)
-        if codec is not None and known_version:
-            delta = codec.encode(known_version)
-            if delta is not None:
-                changed = record._replace(value=delta)
-                return pack_record(changed, base_version=known_version)
-        return pack_record(record)
+        if codec is None:
+            return pack_record(record)
+        delta = codec.encode_delta(known_version) if known_version else None
+        if delta is None:
+            return pack_record(record._replace(value=codec.encode_whole()))
+        return pack_record(record._replace(value=delta), base_version=known_version)
 
     def _differing_buckets(self, digests: list[int]) -> set[int]:
         own = self._membership.bucket_digests
@@ -235,11 +235,11 @@
             codec = self._deltas.get(record.key)
             if codec is None or base_version != before:
                 return
-            whole = codec.apply(record)
-            if whole is None:
+            applied = codec.apply_delta(record)
+            if applied is None:
                 self._wanted_whole.add(record.key)
                 return
-            record = whole
+            record = applied
         self._wanted_whole.discard(record.key)
         if self._records.put(record):
             self._pass_on(record, before)
--- a/burdockdock/rollout/owner.py
+++ b/burdockdock/rollout/owner.py
@@ -1,6 +1,7 @@
 """Driving the rollouts of which this node is an owner."""
 
 import asyncio
+import itertools
 import random
 from collections.abc import Callable
 from typing import NamedTuple
@@ -8,8 +9,8 @@
 from burdockdock.clock import Clock
 from burdockdock.coordination.lease import Lease
 from burdockdock.coordination.membership import Member, MembershipTable
+from burdockdock.coordination.ranking import MemberRanking
 from burdockdock.coordination.records import Record, RecordStore
-from burdockdock.coordination.tree import rank
 from burdockdock.coordination.verdict import Failure
 from burdockdock.logs import log_event
 from burdockdock.platform_api.client import Conflict, PlatformClient, PlatformObject
@@ -36,11 +37,11 @@
 _OWNER_SALT = "rollout"
 
 
-def candidates(membership: MembershipTable, service: str) -> list[Member]:
+def candidates(ranking: MemberRanking, service: str) -> list[Member]:
     """Return the members that may own a service's rollouts, in order."""
-    live = [m for m in membership.live() if not m.leaving]
-    salt = f"{_OWNER_SALT}/{service}"
-    return sorted(live, key=lambda m: rank(m.node_id, salt))[:CANDIDATES]
+    order = ranking.everywhere(f"{_OWNER_SALT}/{service}")
+    staying = (m for m in order if not m.leaving)
+    return list(itertools.islice(staying, CANDIDATES))
 
 
 class RolloutView:
@@ -99,6 +100,7 @@
         *,
         view: RolloutView,
         membership: MembershipTable,
+        ranking: MemberRanking,
         platform: PlatformClient,
         clock: Clock,
         holder: str,
@@ -106,6 +108,7 @@
     ) -> None:
         self._view = view
         self._membership = membership
+        self._ranking = ranking
         self._platform = platform
         self._clock = clock
         self._holder = holder
@@ -140,8 +143,7 @@
         return {
             rollout.service
             for rollout in self._view.active()
-            if own_id
-            in [m.node_id for m in candidates(self._membership, rollout.service)]
+            if own_id in [m.node_id for m in candidates(self._ranking, rollout.service)]
         }
 
     def _start(self, service: str) -> None:
--- a/tests/coordination/test_tree.py
+++ b/tests/coordination/test_tree.py
@@ -6,12 +6,7 @@
 
 from burdockdock.clock import ManualClock
 from burdockdock.coordination.backoff import RetryBudget, TokenBucket, full_jitter
-from burdockdock.coordination.tree import (
-    TreeMember,
-    children,
-    targets_of_origin,
-    zone_order,
-)
+from burdockdock.coordination.tree import children, entries, rank
 
 
 class TreeTest(testtools.TestCase):
@@ -19,21 +14,25 @@
 
     def setUp(self) -> None:
         super().setUp()
-        self.members = [TreeMember(f"n{i}", f"z{i % 3}") for i in range(300)]
+        self.zones = [[f"n{z}-{i}" for i in range(100)] for z in range(3)]
 
     def _reached(self, salts: tuple[str, ...], dead: set[str]) -> tuple[set[str], int]:
-        """Spread from n0; return who was reached and the largest depth."""
-        orders = {salt: zone_order(self.members, salt) for salt in salts}
-        zone_of = {m.node_id: m.availability_zone for m in self.members}
-        reached = {"n0": 0}
-        queue = ["n0"]
+        """Spread from one node; return who was reached and the largest depth."""
+        origin = self.zones[0][0]
+        orders = {
+            salt: [sorted(zone, key=lambda n: rank(n, salt)) for zone in self.zones]
+            for salt in salts
+        }
+        reached = {origin: 0}
+        queue = [origin]
         while queue:
             node_id = queue.pop(0)
             targets = []
             for salt in salts:
-                if node_id == "n0":
-                    targets += targets_of_origin(orders[salt], node_id)
-                targets += children(orders[salt][zone_of[node_id]], node_id)
+                if node_id == origin:
+                    targets += entries(orders[salt])
+                order = next(order for order in orders[salt] if node_id in order)
+                targets += children(order, order.index(node_id))
             for target in targets:
                 if target not in reached and target not in dead:
                     reached[target] = reached[node_id] + 1
@@ -46,8 +45,8 @@
         self.assertLessEqual(depth, 4)
 
     def test_second_tree_reaches_behind_dead_members(self) -> None:
-        rng = random.Random(5)
-        dead = set(rng.sample([m.node_id for m in self.members[1:]], 30))
+        everyone = [node_id for zone in self.zones for node_id in zone]
+        dead = set(random.Random(5).sample(everyone[1:], 30))
         one, _ = self._reached(("first",), dead)
         two, _ = self._reached(("first", "second"), dead)
         self.assertLess(len(one), 270)
