--- a/burdockdock/coordination/limiter.py
+++ b/burdockdock/coordination/limiter.py
@@ -24,12 +24,10 @@
     """Hands out a number of slots, first to the tenant that holds the fewest.
 
     :param slots: requests that may run at a time.
-    :param queue_length: requests that may wait at a time.
     """
 
-    def __init__(self, *, slots: int, queue_length: int, clock: Clock) -> None:
+    def __init__(self, *, slots: int, clock: Clock) -> None:
         self._slots = slots
-        self._queue_length = queue_length
         self._clock = clock
         self._in_use = 0
         self._waiters: list[_Waiter] = []
@@ -58,18 +56,24 @@
         self._hand_out()
 
     async def acquire(
-        self, *, tenant: str, deadline_s: float, priority: int = 0
+        self,
+        *,
+        tenant: str,
+        deadline_s: float,
+        priority: int = 0,
+        queue_length: int = 32,
     ) -> Failure | None:
         """Wait for a slot until the deadline.
 
         :param priority: lower goes first.
+        :param queue_length: requests that may wait at a time.
         :param deadline_s: monotonic seconds.
         :returns: None with a slot held, else the refusal.
         """
         if self._in_use < self._slots and not self._waiters:
             self._take(tenant)
             return None
-        refusal = self._refuse_queueing(tenant)
+        refusal = self._refuse_queueing(tenant, queue_length)
         if refusal is not None:
             return refusal
         return await self._wait(tenant, deadline_s, priority)
@@ -84,13 +88,13 @@
             self._tenant_in_use.pop(tenant, None)
         self._hand_out()
 
-    def _refuse_queueing(self, tenant: str) -> Failure | None:
+    def _refuse_queueing(self, tenant: str, queue_length: int) -> Failure | None:
         """Refuse when the queue is full or the tenant has its share of it."""
-        if len(self._waiters) >= self._queue_length:
+        if len(self._waiters) >= queue_length:
             return Failure(Verdict.NOT_RUN, "queue_full")
         waiting = self._tenant_waiting.get(tenant, 0)
         others = len(self._tenant_waiting) - (tenant in self._tenant_waiting)
-        if waiting * (others + 1) >= self._queue_length:
+        if waiting * (others + 1) >= queue_length:
             return Failure(Verdict.NOT_RUN, "tenant_queue_full")
         return None
 
--- a/burdockdock/gate/curl_client.py
+++ b/burdockdock/gate/curl_client.py
@@ -27,6 +27,7 @@
     :param body_length: bytes of the body, -1 when not known, 0 without a body.
     :param fresh_connection: open a new connection, so that a stale one can't make
         the outcome uncertain.
+    :param resend_allowed: let libcurl send the request again on a dead connection.
     """
 
     method: str
@@ -35,6 +36,7 @@
     body_length: int
     timeout_ms: int
     fresh_connection: bool
+    resend_allowed: bool = False
 
 
 class BackendHead(NamedTuple):
@@ -156,7 +158,7 @@
         self.body_started = False
         self._client = client
         self._sends = 0
-        self._max_sends = 1
+        self._resend_allowed = request.resend_allowed
         self._head_lines: list[bytes] = []
         self._head: asyncio.Future[BackendHead | Failure] = client._loop.create_future()
         self._outgoing: deque[bytes] = deque()
@@ -265,7 +267,7 @@
 
     def _before_send(self, *_addresses: object) -> int:
         """Allow one sending: libcurl resends by itself on a dead connection."""
-        if self._sends >= self._max_sends:
+        if self._sends and not self._resend_allowed:
             return pycurl.PREREQFUNC_ABORT
         self._sends += 1
         return pycurl.PREREQFUNC_OK
--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -75,6 +75,9 @@
 class Gate:
     """The only way into one backend server.
 
+    ``resend_allowed`` takes the guard against libcurl's own resending out, for
+    measurements against a version without it.
+
     :param observe: told the result of every call that reached the backend server.
     """
 
@@ -84,17 +87,15 @@
         clock: Clock,
         metrics: Metrics,
         observe: Callable[[CallResult], None] = lambda _: None,
-        queue_length: int = 32,
     ) -> None:
         self._clock = clock
         self._metrics = metrics
         self._observe = observe
         self._client = CurlClient()
-        self._limiter = SlotLimiter(
-            slots=_DEFAULT_SLOTS, queue_length=queue_length, clock=clock
-        )
+        self._limiter = SlotLimiter(slots=_DEFAULT_SLOTS, clock=clock)
         self._dedupe = DedupeTable(clock=clock)
         self._backend: BackendServer | None = None
+        self.resend_allowed = False
         self._draining = False
         self._running = 0
         self._idle = asyncio.Event()
@@ -143,13 +144,16 @@
         deadline_s = self._clock.monotonic() + request.time_left_ms / 1000
         refusal = self._refuse(request)
         if refusal is None:
-            refusal = self._dedupe.claim(request.request_id, deadline_s=deadline_s)
+            refusal = self._claim(request, deadline_s)
         if refusal is not None:
             self._refused(refusal, stream)
             return
         try:
             refusal = await self._limiter.acquire(
-                tenant=request.tenant, deadline_s=deadline_s, priority=request.priority
+                tenant=request.tenant,
+                deadline_s=deadline_s,
+                priority=request.priority,
+                queue_length=request.queue_length,
             )
         except asyncio.CancelledError:
             self._dedupe.finish(request.request_id, Verdict.NOT_RUN)
@@ -163,6 +167,12 @@
         finally:
             self._limiter.release(request.tenant)
 
+    def _claim(self, request: CallRequest, deadline_s: float) -> Failure | None:
+        """Claim the id; an idempotent request may run again and needs none."""
+        if request.idempotent:
+            return None
+        return self._dedupe.claim(request.request_id, deadline_s=deadline_s)
+
     def _refuse(self, request: CallRequest) -> Failure | None:
         if self._draining:
             return Failure(Verdict.NOT_RUN, "draining")
@@ -282,6 +292,7 @@
             body_length=request.body_length,
             timeout_ms=left_ms,
             fresh_connection=not request.idempotent,
+            resend_allowed=self.resend_allowed,
         )
 
 
--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -130,7 +130,6 @@
             clock=self._clock,
             metrics=self.metrics,
             observe=self._observe,
-            queue_length=settings.queue_length,
         )
         self.links = PeerLinks(self._identity, count=self.metrics.count)
         self._endpoints = Endpoints(
--- a/burdockdock/node/settings.py
+++ b/burdockdock/node/settings.py
@@ -13,7 +13,7 @@
     "listen": {"callers", "peers", "operators"},
     "platform": {"url"},
     "peers": {"seeds"},
-    "limits": {"drain_timeout_s", "queue_length"},
+    "limits": {"drain_timeout_s"},
     "operators": {"notify_url"},
 }
 _REQUIRED = {
@@ -44,7 +44,6 @@
     platform_url: str
     seeds: tuple[Address, ...] = ()
     drain_timeout_s: float = 60.0
-    queue_length: int = 32
     notify_url: str = ""
 
 
@@ -82,7 +81,6 @@
         platform_url=reader.url("platform", "url"),
         seeds=reader.addresses("peers", "seeds"),
         drain_timeout_s=reader.number("limits", "drain_timeout_s", 60.0, 0, 86_400),
-        queue_length=int(reader.number("limits", "queue_length", 32, 0, 10_000)),
         notify_url=reader.url("operators", "notify_url"),
     )
     return reader.problems or settings
--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -189,9 +189,8 @@
         """Find out what became of a call whose connection broke."""
         if failure.reason != "peer_connection_broken" or call.request.idempotent:
             return failure
-        member = attempt.member
         while (left_ms := self._left_ms(call)) > 0:
-            outcome = await self._ask_outcome(member, call, left_ms)
+            outcome = await self._ask_outcome(attempt, call, left_ms)
             if outcome is None:
                 return failure
             if outcome.reason != "running":
@@ -200,11 +199,11 @@
         return failure
 
     async def _ask_outcome(
-        self, member: Member, call: Call, left_ms: int
+        self, attempt: _Attempt, call: Call, left_ms: int
     ) -> Failure | None:
         """Ask the same incarnation of a node; another one knows nothing."""
-        link = await self._links.get(member.host, member.port)
-        if isinstance(link, Failure) or link.peer.node_id != member.node_id:
+        link = await self._links.get(attempt.member.host, attempt.member.port)
+        if isinstance(link, Failure) or link.peer != attempt.link.peer:
             return None
         try:
             async with asyncio.timeout(left_ms / 1000):
--- a/burdockdock/proxy/listener.py
+++ b/burdockdock/proxy/listener.py
@@ -288,7 +288,8 @@
     )
     timeout_ms = _integer(headers.get(TIMEOUT_HEADER), policy.timeout_ms)
     timeout_ms = min(timeout_ms, policy.timeout_ms)
-    key = headers.get(IDEMPOTENCY_HEADER)
+    idempotent = start_line.method in _IDEMPOTENT_METHODS
+    key = None if idempotent else headers.get(IDEMPOTENCY_HEADER)
     request = CallRequest(
         request_id=f"{tenant}/{key}" if key else uuid.uuid4().hex,
         tenant=tenant,
@@ -296,7 +297,7 @@
         route=route.name,
         service=route.service,
         time_left_ms=timeout_ms,
-        idempotent=start_line.method in _IDEMPOTENT_METHODS,
+        idempotent=idempotent,
         method=start_line.method,
         target=start_line.path,
         headers=_request_headers(headers, depth),
--- a/burdockdock/proxy/peer_link.py
+++ b/burdockdock/proxy/peer_link.py
@@ -3,9 +3,9 @@
 import asyncio
 import itertools
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
-from tornado.iostream import StreamClosedError
+from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpclient import TCPClient
 
 from burdockdock.coordination.verdict import Failure, Verdict
@@ -238,6 +238,8 @@
 class PeerLinks:
     """The connections of this node to other nodes, opened when needed.
 
+    ``connect`` opens a stream to an address and may be replaced.
+
     :param own: how this node introduces itself.
     :param count: called with a counter's name.
     """
@@ -247,7 +249,7 @@
         self._count = count
         self._links: dict[tuple[str, int], PeerLink] = {}
         self._opening: dict[tuple[str, int], asyncio.Task[PeerLink | Failure]] = {}
-        self._tcp = TCPClient()
+        self.connect: Callable[[str, int], Awaitable[IOStream]] = TCPClient().connect
 
     def open_link(self, host: str, port: int) -> PeerLink | None:
         """Return the connection to an address if it is open."""
@@ -283,7 +285,7 @@
     async def _open(self, host: str, port: int) -> PeerLink | Failure:
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                stream = await self._tcp.connect(host, port)
+                stream = await self.connect(host, port)
         except (OSError, StreamClosedError, TimeoutError) as error:
             return Failure(
                 Verdict.NOT_RUN, "peer_unreachable", f"{host}:{port} {error}"
--- a/burdockdock/standin/backend.py
+++ b/burdockdock/standin/backend.py
@@ -122,7 +122,9 @@
 
     async def _run(self) -> None:
         state = self.state
-        request_id = self.request.headers.get("X-Burdockdock-Request-Id", "")
+        headers = self.request.headers
+        request_id = headers.get("X-Burdockdock-Request-Id", "")
+        request_id = headers.get("X-Test-Id", request_id)
         state.ran[request_id] = state.ran.get(request_id, 0) + 1
         state.served += 1
         options = state.options
--- a/burdockdock/standin/load.py
+++ b/burdockdock/standin/load.py
@@ -93,7 +93,7 @@
             response = await self._client.fetch(f"{url}/standin/ran")
             for request_id, count in json.loads(response.body).items():
                 runs[request_id] = runs.get(request_id, 0) + count
-        doubled = sum(runs.get(f"default/{key}", 0) > 1 for key in self._posted)
+        doubled = sum(runs.get(key, 0) > 1 for key in self._posted)
         self.report = self.report._replace(doubled=doubled)
 
     async def _call_once(self) -> None:
--- a/tests/coordination/test_limiter.py
+++ b/tests/coordination/test_limiter.py
@@ -15,14 +15,16 @@
 
     @async_test
     async def test_never_more_in_use_than_slots(self) -> None:
-        limiter = SlotLimiter(slots=3, queue_length=100, clock=SystemClock())
+        limiter = SlotLimiter(slots=3, clock=SystemClock())
         deadline_s = SystemClock().monotonic() + 60
         peak = 0
 
         async def work(i: int) -> None:
             nonlocal peak
             tenant = f"t{i % 4}"
-            refusal = await limiter.acquire(tenant=tenant, deadline_s=deadline_s)
+            refusal = await limiter.acquire(
+                tenant=tenant, deadline_s=deadline_s, queue_length=100
+            )
             self.assertIsNone(refusal)
             peak = max(peak, limiter.in_use)
             await asyncio.sleep(0)
@@ -33,16 +35,16 @@
 
     @async_test
     async def test_full_queue_refuses_as_not_run(self) -> None:
-        limiter = SlotLimiter(slots=1, queue_length=0, clock=ManualClock())
+        limiter = SlotLimiter(slots=1, clock=ManualClock())
         self.assertIsNone(await limiter.acquire(tenant="t", deadline_s=5))
-        refusal = await limiter.acquire(tenant="t", deadline_s=5)
+        refusal = await limiter.acquire(tenant="t", deadline_s=5, queue_length=0)
         self.assertEqual(
             (Verdict.NOT_RUN, "queue_full"), (refusal.verdict, refusal.reason)
         )
 
     @async_test
     async def test_deadline_ends_the_wait(self) -> None:
-        limiter = SlotLimiter(slots=1, queue_length=5, clock=ManualClock())
+        limiter = SlotLimiter(slots=1, clock=ManualClock())
         await limiter.acquire(tenant="t", deadline_s=5)
         refusal = await limiter.acquire(tenant="t", deadline_s=0.01)
         self.assertEqual("queue_timeout", refusal.reason)
@@ -50,15 +52,17 @@
 
     @async_test
     async def test_noisy_tenant_leaves_room_in_the_queue(self) -> None:
-        limiter = SlotLimiter(slots=1, queue_length=4, clock=SystemClock())
+        limiter = SlotLimiter(slots=1, clock=SystemClock())
         deadline_s = SystemClock().monotonic() + 60
         await limiter.acquire(tenant="noisy", deadline_s=deadline_s)
         quiet = asyncio.create_task(
-            limiter.acquire(tenant="quiet", deadline_s=deadline_s)
+            limiter.acquire(tenant="quiet", deadline_s=deadline_s, queue_length=4)
         )
         await asyncio.sleep(0)
         noisy = [
-            asyncio.create_task(limiter.acquire(tenant="noisy", deadline_s=deadline_s))
+            asyncio.create_task(
+                limiter.acquire(tenant="noisy", deadline_s=deadline_s, queue_length=4)
+            )
             for _ in range(6)
         ]
         await asyncio.sleep(0)
@@ -71,7 +75,7 @@
 
     @async_test
     async def test_cancelled_waiter_gives_its_slot_back(self) -> None:
-        limiter = SlotLimiter(slots=1, queue_length=5, clock=ManualClock())
+        limiter = SlotLimiter(slots=1, clock=ManualClock())
         await limiter.acquire(tenant="t", deadline_s=60)
         waiter = asyncio.create_task(limiter.acquire(tenant="t", deadline_s=60))
         await asyncio.sleep(0)
