Prove acceptance, spread and rollouts under faults; ports outside the ephemeral range

Cause of a benchmark that never saw 100 members again: ports were taken from the range that outgoing connections use, so that a restarted node found its port taken.

--- a/burdockdock/standin/local_fleet.py
+++ b/burdockdock/standin/local_fleet.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import random
 import socket
 import sys
 import tempfile
@@ -16,6 +17,8 @@
 
 _HOST = "127.0.0.1"
 _STOP_TIMEOUT_S = 30.0
+_FIRST_PORT = 10_000
+_LAST_PORT = 32_000
 _POLL_S = 0.1
 
 
@@ -197,15 +200,20 @@
 
 
 _handed_out: set[int] = set()
+_port_rng = random.Random()
 
 
 def free_port() -> int:
-    """Return a port that is free for TCP and UDP, and was not returned before."""
+    """Return a port that is free for TCP and UDP, and was not returned before.
+
+    It lies below the range from which the system serves outgoing connections, so
+    that it is still free when a stopped process comes back to it.
+    """
     while True:
+        port = _port_rng.randrange(_FIRST_PORT, _LAST_PORT)
         with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-            tcp.bind((_HOST, 0))
-            port = tcp.getsockname()[1]
             try:
+                tcp.bind((_HOST, port))
                 udp.bind((_HOST, port))
             except OSError:
                 continue
--- /dev/null
+++ b/tests/overlay/test_spread.py
@@ -0,0 +1,202 @@
+"""Spread and repair over a network that loses, doubles and reorders."""
+
+import random
+
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from burdockdock.clock import ManualClock
+from burdockdock.configuration.delta import ConfigDocument
+from burdockdock.configuration.model import Sections
+from burdockdock.coordination.membership import Member, MembershipTable, MemberState
+from burdockdock.coordination.ranking import MemberRanking
+from burdockdock.coordination.records import Record, RecordStore
+from burdockdock.node.config_state import CONFIG_KEY, ConfigState
+from burdockdock.overlay.spread import Spreader
+from burdockdock.overlay.sync import SyncClient, SyncServer
+from burdockdock.protocol import decode, encode
+from burdockdock.protocol.codec import HEADER_BYTES
+from burdockdock.protocol.handshake import PeerIdentity
+
+_SERVICES = 60
+_NODES = 9
+
+
+class _Network:
+    """Datagrams under way, and pulls that were asked for."""
+
+    def __init__(self) -> None:
+        self.datagrams: list[tuple[int, bytes]] = []
+        self.pulls: list[tuple[int, str]] = []
+        self.nodes: list[_FakeNode] = []
+
+    def deliver(self, i: int) -> None:
+        """Deliver one datagram and leave it on the way, as a doubled one."""
+        port, data = self.datagrams[i]
+        spread = decode(data).spread
+        self.nodes[port].handlers["spread"](spread, ("fake", 0))
+
+    def run_pull(self) -> None:
+        """Run the oldest pull."""
+        port, node_id = self.pulls.pop(0)
+        self.nodes[port].pull_from(self.nodes[int(node_id)])
+
+
+class _FakeNode:
+    """The parts of a node that spread, over the fake network."""
+
+    def __init__(self, index: int, network: _Network) -> None:
+        clock = ManualClock()
+        members = [
+            Member(str(i), "fake", i, "r", f"z{i % 3}", 1) for i in range(_NODES)
+        ]
+        self.index = index
+        self.network = network
+        self.handlers: dict = {}
+        self.seen_versions: list[int] = []
+        self.membership = MembershipTable(members[index], clock=clock)
+        for member in members:
+            if member.node_id != str(index):
+                self.membership.merge(member)
+        self.config = ConfigState(str(index))
+        self.records = RecordStore(accept=self._accept)
+        deltas = {CONFIG_KEY: self.config.codec}
+        self.spreader = Spreader(
+            membership=self.membership,
+            ranking=MemberRanking(self.membership),
+            records=self.records,
+            datagrams=self,
+            deltas=deltas,
+            pull=lambda node_id: network.pulls.append((index, node_id)),
+        )
+        self.server = SyncServer(
+            membership=self.membership,
+            records=self.records,
+            deltas=deltas,
+            clock=clock,
+        )
+        self.client = SyncClient(
+            own=PeerIdentity("m", str(index), 1),
+            membership=self.membership,
+            records=self.records,
+            deltas=deltas,
+            pass_on=lambda record, before: self.spreader.pass_on_record(
+                record, base_version=before
+            ),
+            clock=clock,
+            rng=random.Random(index),
+        )
+
+    def on(self, kind: str, handler: object) -> None:
+        """Keep a handler, as datagrams do."""
+        self.handlers[kind] = handler
+
+    def send(self, address: tuple[str, int], kind: str, **fields: object) -> None:
+        """Put a datagram on its way."""
+        data = encode(kind, mesh="m", **fields)
+        self.network.datagrams.append((address[1], data))
+
+    def pull_from(self, other: "_FakeNode") -> None:
+        """Exchange state with another node, without the connection in between."""
+        request = encode(
+            "syncRequest",
+            versions=[
+                {"key": key, "version": version}
+                for key, version in self.records.versions().items()
+                if key not in self.client._wanted_whole
+            ],
+            bucketDigests=list(self.membership.bucket_digests),
+        )
+        reply = other.server.reply_to(decode(request).syncRequest)
+        self.client._take_in(decode(reply[HEADER_BYTES:]).syncReply)
+
+    def _accept(self, record: Record) -> bool:
+        accepted = self.config.accept(record)
+        snapshot = self.config.snapshot
+        self.seen_versions.append(snapshot.version)
+        for route in snapshot.routes.values():
+            assert route.service in snapshot.services, route
+        return accepted
+
+
+def _document(version: int, rng: random.Random) -> ConfigDocument:
+    """Return a version that differs from any other in services and routes."""
+    sections: Sections = {}
+    for i in rng.sample(range(_SERVICES), _SERVICES - 5):
+        sections[f"service s{i}"] = {"timeout_ms": str(version)} if i % 9 else {}
+        sections[f"route r{i}"] = {"path": f"/{i}", "service": f"s{i}"}
+    return ConfigDocument(version, sections)
+
+
+class SpreadTest(testtools.TestCase):
+    """Tests of nine nodes in three availability zones."""
+
+    @settings(max_examples=30)
+    @given(
+        st.randoms(use_true_random=False),
+        st.integers(1, 6),
+        st.floats(0.0, 1.0),
+        st.booleans(),
+    )
+    def test_any_order_loss_and_repeat_keep_the_promises(
+        self, rng: random.Random, changes: int, delivered: float, small: bool
+    ) -> None:
+        network = _Network()
+        network.nodes = [_FakeNode(i, network) for i in range(_NODES)]
+        base = _document(1, rng)
+        documents = {}
+        for version in range(1, changes + 1):
+            if small:
+                sections = {**base.sections, "defaults": {"retries": str(version % 5)}}
+                documents[version] = ConfigDocument(version, sections)
+            else:
+                documents[version] = _document(version, rng)
+        order = list(documents)
+        rng.shuffle(order)
+        for version in order:
+            origin = rng.choice(network.nodes)
+            record = Record(CONFIG_KEY, version, documents[version].encode())
+            origin.spreader.start_record(record)
+            self._run_some(network, rng, delivered)
+        self._repair(network)
+        for node in network.nodes:
+            self.assertEqual(sorted(node.seen_versions), node.seen_versions)
+            snapshot = node.config.snapshot
+            self.assertEqual(documents[changes].sections, snapshot.sections)
+            self.assertEqual(changes, snapshot.version)
+
+    def _run_some(
+        self, network: _Network, rng: random.Random, delivered: float
+    ) -> None:
+        for _ in range(int(delivered * 60)):
+            if network.pulls and rng.random() < 0.5:
+                network.run_pull()
+            elif network.datagrams:
+                i = rng.randrange(len(network.datagrams))
+                network.deliver(i)
+                if rng.random() < 0.7:
+                    network.datagrams.pop(i)
+        lost = int(len(network.datagrams) * rng.random())
+        del network.datagrams[:lost]
+
+    def _repair(self, network: _Network) -> None:
+        """Let every node exchange with its neighbours, as the digests cause it."""
+        network.pulls.clear()
+        for _ in range(_NODES):
+            for i, node in enumerate(network.nodes):
+                node.pull_from(network.nodes[(i + 1) % _NODES])
+
+    def test_members_of_two_sides_of_a_split_find_each_other(self) -> None:
+        network = _Network()
+        network.nodes = [_FakeNode(i, network) for i in range(_NODES)]
+        left, right = network.nodes[0], network.nodes[8]
+        for node, lost in ((left, range(5, 9)), (right, range(0, 5))):
+            for i in lost:
+                member = node.membership.get(str(i))
+                node.membership.merge(member._replace(state=MemberState.DEAD))
+        left.pull_from(right)
+        right.pull_from(left)
+        left.pull_from(right)
+        self.assertIs(MemberState.ALIVE, right.membership.get("0").state)
+        self.assertIs(MemberState.ALIVE, left.membership.get("8").state)
--- a/tests/proxy/fault_matrix.py
+++ b/tests/proxy/fault_matrix.py
@@ -283,11 +283,13 @@
 with a second backend server beside node c. Printed by
 `python -m tests.proxy.fault_matrix` from the run itself;
 `tests/proxy/test_fault_matrix.py` runs the same cells. The witness is the backend
-servers' log of what ran. The naive version forwards and retries on any error. Bold: a promise was broken.
+servers' log of what ran. The naive version forwards and retries on any error. Bold: a
+promise was broken.
 
-Steps: *send* before node b gets the request, *admit* after; *start* before the backend
-server gets it, *run* after; *answer* before its answer leaves, *answer body* in the
-middle of it; *relay* before node b's answer reaches node a, *finish* in the middle.
+Steps: *send* before node b gets the request, *admit* after; *start* before the
+backend server gets it, *run* after; *answer* before its answer leaves, *answer body*
+in the middle of it; *relay* before node b's answer reaches node a, *finish* in the
+middle of it.
 
 | step | fault | GET | POST | GET, naive | POST, naive |
 |---|---|---|---|---|---|"""
--- /dev/null
+++ b/tests/rollout/test_policy.py
@@ -0,0 +1,164 @@
+"""Tests of the steps of a rollout and of the judge."""
+
+import random
+from datetime import UTC, datetime, timedelta
+
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+
+from burdockdock.rollout.evidence import EvidenceKey, EvidenceRow, bucket_of
+from burdockdock.rollout.judge import Judge, Judgement
+from burdockdock.rollout.model import Phase, Rollout, decode_rollout
+from burdockdock.rollout.policy import Facts, next_state
+
+START = datetime(2026, 1, 1, tzinfo=UTC)
+_ORDER = [Phase.WAITING, Phase.SHIFTING, Phase.SOAKING, Phase.DONE]
+
+
+def rollout(**fields: object) -> Rollout:
+    """Return a rollout of a minute."""
+    values = {
+        "service": "desk",
+        "number": 1,
+        "from_version": "1",
+        "to_version": "2",
+        "started_at": START,
+        "deadline": START + timedelta(seconds=60),
+        "author": "op",
+        "reason": "test",
+        **fields,
+    }
+    return Rollout(**values)
+
+
+def facts(**fields: object) -> Facts:
+    """Return facts of a good version with many calls."""
+    values = {
+        "judgement": Judgement("", 10_000),
+        "aborted": "",
+        "new_slots": 8,
+        "old_slots": 8,
+        **fields,
+    }
+    return Facts(**values)
+
+
+def _run(state: Rollout, given_facts: Facts, *, seconds: int = 70) -> list[Rollout]:
+    """Let time pass and return every state."""
+    states = [state]
+    for tick in range(seconds * 4):
+        now = START + timedelta(seconds=tick / 4)
+        following = next_state(states[-1], given_facts, now)
+        if following is not None:
+            states.append(following)
+    return states
+
+
+class PolicyTest(testtools.TestCase):
+    """Tests of what follows from state and facts."""
+
+    def test_good_version_is_done_before_the_deadline(self) -> None:
+        states = _run(rollout(), facts())
+        self.assertIs(Phase.DONE, states[-1].phase)
+        self.assertEqual(_ORDER, list(dict.fromkeys(s.phase for s in states)))
+        shares = [state.share for state in states]
+        self.assertEqual(sorted(shares), shares)
+        self.assertLess(states[-1].step_at, states[-1].deadline)
+
+    def test_fault_ends_it_from_every_phase(self) -> None:
+        for phase in _ORDER[:-1]:
+            state = rollout(phase=phase, share=0.5, step_at=START)
+            for bad in (
+                facts(judgement=Judgement("fault", 10)),
+                facts(aborted="fault"),
+            ):
+                following = next_state(state, bad, START)
+                self.assertEqual(
+                    (Phase.ROLLED_BACK, 0.0), (following.phase, following.share)
+                )
+
+    def test_too_few_calls_are_not_known_and_never_done(self) -> None:
+        last = _run(rollout(), facts(judgement=Judgement("", 12)))[-1]
+        self.assertIs(Phase.ROLLED_BACK, last.phase)
+        self.assertIn("not known after 12 calls", last.history[-1].reason)
+
+    def test_share_stays_within_the_ready_slots(self) -> None:
+        states = _run(rollout(), facts(new_slots=2), seconds=59)
+        self.assertEqual(0.25, max(state.share for state in states))
+        last = _run(rollout(), facts(new_slots=0))[-1]
+        self.assertIn("no backend server of version 2", last.history[-1].reason)
+
+    @given(
+        st.lists(
+            st.tuples(
+                st.integers(0, 20),
+                st.sampled_from(["", "", "", "fault"]),
+                st.integers(0, 400),
+                st.integers(0, 16),
+            ),
+            max_size=40,
+        )
+    )
+    def test_phases_only_go_forward_and_an_end_is_final(self, ticks: list) -> None:
+        state = rollout()
+        now = START
+        for seconds, fault, calls, slots in ticks:
+            now += timedelta(seconds=seconds)
+            given_facts = facts(judgement=Judgement(fault, calls), new_slots=slots)
+            following = next_state(state, given_facts, now)
+            if following is None:
+                continue
+            self.assertFalse(state.phase.final)
+            self.assertEqual(state.step + 1, following.step)
+            if following.phase is not Phase.ROLLED_BACK:
+                self.assertGreaterEqual(
+                    _ORDER.index(following.phase), _ORDER.index(state.phase)
+                )
+                self.assertGreaterEqual(following.share, state.share)
+            state = decode_rollout(following.encode())
+            self.assertEqual(following, state)
+
+
+def _rows(
+    rng: random.Random, calls: int, version: str, *, fail: float = 0.0, slow: float = 1
+) -> dict[EvidenceKey, EvidenceRow]:
+    """Return an interval's results of one version."""
+    latencies: dict[int, int] = {}
+    failures = 0
+    for _ in range(calls):
+        if rng.random() < fail:
+            failures += 1
+            continue
+        bucket = bucket_of(0.005 * rng.lognormvariate(0, 0.3) * slow)
+        latencies[bucket] = latencies.get(bucket, 0) + 1
+    key = EvidenceKey("profiles", "browsing", version)
+    return {key: EvidenceRow(calls, failures, latencies)}
+
+
+class JudgeTest(testtools.TestCase):
+    """Tests of the judge with fixed seeds."""
+
+    def _judge(self, seed: int, intervals: int = 200, **new: float) -> Judgement:
+        rng = random.Random(seed)
+        judge = Judge(from_version="1", to_version="2")
+        for _ in range(intervals):
+            judge.update({**_rows(rng, 40, "1"), **_rows(rng, 4, "2", **new)})
+        return judge.judgement()
+
+    def test_good_versions_stay_without_fault(self) -> None:
+        for seed in range(20):
+            self.assertEqual("", self._judge(seed).fault)
+
+    def test_failing_and_slow_versions_are_found(self) -> None:
+        for seed in range(10):
+            self.assertIn("failures", self._judge(seed, fail=0.05).fault)
+            self.assertIn("slower", self._judge(seed, slow=1.5).fault)
+
+    def test_fault_of_both_versions_is_not_the_new_ones(self) -> None:
+        rng = random.Random(3)
+        judge = Judge(from_version="1", to_version="2")
+        for _ in range(100):
+            rows = _rows(rng, 40, "1", fail=0.3, slow=2)
+            judge.update({**rows, **_rows(rng, 10, "2", fail=0.3, slow=2)})
+        self.assertEqual("", judge.judgement().fault)
