--- a/burdockdock/cli/demo.py
+++ b/burdockdock/cli/demo.py
@@ -27,7 +27,7 @@
 )
 _FAULTY = ("tripvault", "2")
 _FAULTY_SHARE = 0.5
-_CALLS_PER_S = 120.0
+_CALLS_PER_S = 160.0
 _FINISH_BY = "+20s"
 
 
--- a/burdockdock/coordination/sequential_test.py
+++ b/burdockdock/coordination/sequential_test.py
@@ -13,6 +13,9 @@
 from typing import NamedTuple
 
 _ODDS_RATIOS = (3.0, 10.0, 50.0)
+_MIN_BATCH_CALLS = 20
+# Calls of the old version alone that are too old to compare with.
+_MAX_BATCH_CALLS = 400
 
 
 class Counts(NamedTuple):
@@ -26,11 +29,17 @@
     events: int = 0
 
 
+def _sum(first: Counts, second: Counts) -> Counts:
+    return Counts(first.calls + second.calls, first.events + second.events)
+
+
 class ComparisonTest:
     """Accumulates evidence that a new version has more events than the old one."""
 
     def __init__(self) -> None:
         self._log_ratios = [0.0] * len(_ODDS_RATIOS)
+        self._new = Counts()
+        self._old = Counts()
 
     @property
     def log_evidence(self) -> float:
@@ -40,9 +49,20 @@
         return largest + math.log(total / len(self._log_ratios))
 
     def update(self, *, new: Counts, old: Counts) -> None:
-        """Add the counts of one interval, observed at the same time."""
-        if not new.calls or not old.calls:
-            return
+        """Add the counts of one interval, observed at the same time.
+
+        Intervals are put together until they hold calls of both versions.
+        """
+        self._new = _sum(self._new, new)
+        self._old = _sum(self._old, old)
+        if not self._new.calls and self._old.calls >= _MAX_BATCH_CALLS:
+            self._old = Counts()
+        enough = self._new.calls + self._old.calls >= _MIN_BATCH_CALLS
+        if enough and self._new.calls and self._old.calls:
+            self._add(self._new, self._old)
+            self._new = self._old = Counts()
+
+    def _add(self, new: Counts, old: Counts) -> None:
         share = new.calls / (new.calls + old.calls)
         for i, odds in enumerate(_ODDS_RATIOS):
             from_new = odds * share / (odds * share + 1 - share)
@@ -55,15 +75,9 @@
 
 
 class RateTest:
-    """Wald's test of one version's event rate against a known bound.
-
-    :param accepted_rate: rate that is still good, between 0 and 1.
-    :param rejected_rate: rate that is bad, larger than the accepted one.
-    """
+    """Wald's test of one version's event rate against bounds known beforehand."""
 
-    def __init__(self, *, accepted_rate: float, rejected_rate: float) -> None:
-        self._per_event = math.log(rejected_rate / accepted_rate)
-        self._per_success = math.log((1 - rejected_rate) / (1 - accepted_rate))
+    def __init__(self) -> None:
         self._log_ratio = 0.0
 
     @property
@@ -71,10 +85,17 @@
         """Natural logarithm of the evidence that the rate is bad."""
         return self._log_ratio
 
-    def update(self, counts: Counts) -> None:
-        """Add counts; good runs can't save up credit against later faults."""
+    def update(
+        self, counts: Counts, *, accepted_rate: float, rejected_rate: float
+    ) -> None:
+        """Add counts; good runs can't save up credit against later faults.
+
+        :param accepted_rate: rate that is still good, between 0 and 1.
+        :param rejected_rate: rate that is bad, larger than the accepted one.
+        """
         good = counts.calls - counts.events
-        step = counts.events * self._per_event + good * self._per_success
+        step = counts.events * math.log(rejected_rate / accepted_rate)
+        step += good * math.log((1 - rejected_rate) / (1 - accepted_rate))
         self._log_ratio = max(0.0, self._log_ratio + step)
 
     def rejects(self, *, alpha: float) -> bool:
--- a/burdockdock/rollout/judge.py
+++ b/burdockdock/rollout/judge.py
@@ -19,8 +19,15 @@
 _MIN_REFERENCE_CALLS = 100
 # A tenth slower than the old version's slow calls is noise, not a fault.
 _SLOW_TOLERANCE = 1.1
-_MIN_ACCEPTED_FAILURES = 0.01
-_MIN_REJECTED_FAILURES = 0.1
+_MIN_ACCEPTED_FAILURES = 0.005
+# Calls that the old version's failure rate is counted over at the least.
+_MIN_OLD_CALLS = 200
+# Multiples of the old version's rate that are still good, and that are bad.
+_ACCEPTED_FAILURES_FACTOR = 3
+_REJECTED_FAILURES_FACTOR = 8
+_MAX_RATE = 0.9
+_ACCEPTED_SLOW = 3 * _SLOW_SHARE
+_REJECTED_SLOW = 8 * _SLOW_SHARE
 
 
 class Judgement(NamedTuple):
@@ -47,12 +54,8 @@
     def __init__(self) -> None:
         self.failures = ComparisonTest()
         self.slowness = ComparisonTest()
-        self.failure_rate = RateTest(
-            accepted_rate=_MIN_ACCEPTED_FAILURES, rejected_rate=_MIN_REJECTED_FAILURES
-        )
-        self.slow_rate = RateTest(
-            accepted_rate=3 * _SLOW_SHARE, rejected_rate=8 * _SLOW_SHARE
-        )
+        self.failure_rate = RateTest()
+        self.slow_rate = RateTest()
         self._reference = HdrHistogram(1, _HIGHEST_US, _SIGNIFICANT_DIGITS)
         self._old = Counts()
 
@@ -63,15 +66,37 @@
         for bucket, count in old.latencies.items():
             self._reference.record_value(bucket_value_us(bucket), count)
 
+    def find_fault(self, *, alpha: float) -> str:
+        """Return what the tests reject, each with its share of the probability."""
+        tests = {
+            "more failures than the old version": self.failures,
+            "too many failures": self.failure_rate,
+            "slower than the old version": self.slowness,
+            "slower than the old version was": self.slow_rate,
+        }
+        for fault, test in tests.items():
+            if test.rejects(alpha=alpha / len(tests)):
+                return fault
+        return ""
+
     def _update_failures(self, new: EvidenceRow, old: EvidenceRow) -> None:
         new_counts = Counts(new.calls, new.failures)
         old_counts = Counts(old.calls, old.failures)
         self.failures.update(new=new_counts, old=old_counts)
-        if not self._old.events:
-            # Against an old version that fails as well, only the comparison counts.
-            self.failure_rate.update(new_counts)
+        accepted_rate = self._accepted_failures()
+        rejected_rate = min(_MAX_RATE, _REJECTED_FAILURES_FACTOR * accepted_rate)
+        if rejected_rate > accepted_rate:
+            self.failure_rate.update(
+                new_counts, accepted_rate=accepted_rate, rejected_rate=rejected_rate
+            )
         self._old = Counts(self._old.calls + old.calls, self._old.events + old.failures)
 
+    def _accepted_failures(self) -> float:
+        """Return the failure rate that the old version's results so far allow."""
+        calls = max(_MIN_OLD_CALLS, self._old.calls)
+        old_rate = (self._old.events + 1) / calls
+        return max(_MIN_ACCEPTED_FAILURES, _ACCEPTED_FAILURES_FACTOR * old_rate)
+
     def _update_slowness(self, new: EvidenceRow, old: EvidenceRow) -> None:
         limit_us = self._slow_limit_us()
         if limit_us is None:
@@ -80,7 +105,11 @@
         old_counts = _slow_counts(old, limit_us)
         self.slowness.update(new=new_counts, old=old_counts)
         if not old_counts.calls:
-            self.slow_rate.update(new_counts)
+            self.slow_rate.update(
+                new_counts,
+                accepted_rate=_ACCEPTED_SLOW,
+                rejected_rate=_REJECTED_SLOW,
+            )
 
     def _slow_limit_us(self) -> float | None:
         """Return the latency that few calls of the old version exceeded so far."""
@@ -103,33 +132,37 @@
         self._to_version = to_version
         self._alpha = alpha
         self._scopes: dict[_Scope, _ScopeJudge] = defaultdict(_ScopeJudge)
+        self._whole = _ScopeJudge()
         self._new_calls = 0
 
     def update(self, rows: dict[EvidenceKey, EvidenceRow]) -> None:
         """Take in the results of one interval from all gates."""
+        whole_new = whole_old = _NOTHING
         for scope in {_Scope(key.route, key.traffic_class) for key in rows}:
             new = rows.get(EvidenceKey(*scope, self._to_version), _NOTHING)
             old = rows.get(EvidenceKey(*scope, self._from_version), _NOTHING)
-            self._new_calls += new.calls
             self._scopes[scope].update(new, old)
+            whole_new = _add(whole_new, new)
+            whole_old = _add(whole_old, old)
+        # Calls are drawn for a version by weight alone, so that both versions serve
+        # the same mix and may be compared over all routes at once.
+        self._whole.update(whole_new, whole_old)
+        self._new_calls += whole_new.calls
 
     def judgement(self) -> Judgement:
         """Return what all results so far say."""
         return Judgement(self._find_fault(), self._new_calls)
 
     def _find_fault(self) -> str:
-        # Every test of every scope has its share of the error probability.
-        alpha = self._alpha / max(1, 4 * len(self._scopes))
+        """Return the first fault; half of the error probability is for the whole."""
+        fault = self._whole.find_fault(alpha=self._alpha / 2)
+        if fault:
+            return f"{fault} on all routes"
+        alpha = self._alpha / 2 / max(1, len(self._scopes))
         for scope, judge in self._scopes.items():
-            place = f"on route {scope.route}, class {scope.traffic_class}"
-            if judge.failures.rejects(alpha=alpha):
-                return f"more failures than the old version {place}"
-            if judge.failure_rate.rejects(alpha=alpha):
-                return f"too many failures {place}"
-            if judge.slowness.rejects(alpha=alpha):
-                return f"slower than the old version {place}"
-            if judge.slow_rate.rejects(alpha=alpha):
-                return f"slower than the old version was {place}"
+            fault = judge.find_fault(alpha=alpha)
+            if fault:
+                return f"{fault} on route {scope.route}, class {scope.traffic_class}"
         return ""
 
 
--- a/burdockdock/rollout/policy.py
+++ b/burdockdock/rollout/policy.py
@@ -11,10 +11,9 @@
 _SHIFTING_PART = 0.6
 _SOAKING_PART = 0.25
 _MIN_DWELL_S = 0.5
-# Share up to which the new version may grow before it has enough calls.
-_SHARE_WITHOUT_EVIDENCE = 0.1
-_CALLS_TO_GO_ON = 50
-_CALLS_TO_BE_DONE = 200
+# Calls that the new version must have had before it takes a share.
+_CALLS_FOR_SHARE = {0.25: 100, 0.5: 150, 1.0: 200}
+_CALLS_TO_BE_DONE = 300
 MIN_DURATION_S = 10.0
 
 
@@ -69,7 +68,7 @@
         return None
     share = next(s for s in _SHARES if s > rollout.share)
     calls = facts.judgement.new_calls
-    if share > _SHARE_WITHOUT_EVIDENCE and calls < _CALLS_TO_GO_ON:
+    if calls < _CALLS_FOR_SHARE.get(share, 0):
         return None
     if share > _largest_share(facts):
         return None
--- a/tests/coordination/test_sequential_test.py
+++ b/tests/coordination/test_sequential_test.py
@@ -64,8 +64,9 @@
     """Tests of the rate against a bound."""
 
     def test_late_fault_is_found_after_a_long_good_time(self) -> None:
-        test = RateTest(accepted_rate=0.01, rejected_rate=0.1)
-        test.update(Counts(100_000, 100))
+        test = RateTest()
+        rates = {"accepted_rate": 0.01, "rejected_rate": 0.1}
+        test.update(Counts(100_000, 100), **rates)
         self.assertFalse(test.rejects(alpha=_ALPHA))
-        test.update(Counts(20, 10))
+        test.update(Counts(20, 10), **rates)
         self.assertTrue(test.rejects(alpha=_ALPHA))
