--- /dev/null
+++ b/bench/members.py
@@ -0,0 +1,168 @@
+"""Measures what many members cost one node, in one process.
+
+Usage: python -m bench.members
+"""
+
+import gc
+import json
+import random
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import click
+
+from bench.accounting import fit_line
+from bench.fleet_config import full_size_sections
+from burdockdock.clock import ManualClock
+from burdockdock.configuration.delta import ConfigDocument
+from burdockdock.coordination.membership import Member, MembershipTable
+from burdockdock.coordination.ranking import MemberRanking
+from burdockdock.coordination.records import Record
+from burdockdock.coordination.tree import children, entries
+from burdockdock.node.config_state import CONFIG_KEY, ConfigState
+from burdockdock.protocol import encode
+from burdockdock.protocol.members import pack_member
+from burdockdock.proxy.endpoints import Endpoints
+
+_SIZES = (1_500, 3_000, 6_000, 12_000)
+_ZONES = 15
+_MEMBERS_A_SERVICE = 6.3
+_RESULTS = Path(__file__).parent / "results"
+
+
+def _member(i: int) -> Member:
+    zone = i % _ZONES
+    return Member(
+        node_id=f"node-{i:05d}",
+        host=f"10.{i >> 16 & 255}.{i >> 8 & 255}.{i & 255}",
+        port=7000,
+        region=f"region-{zone % 5}",
+        availability_zone=f"zone-{zone}",
+        incarnation=1_700_000_000_000 + i,
+        ready=True,
+        service=f"service-{int(i / _MEMBERS_A_SERVICE):04d}",
+        service_version="1",
+        slots=10,
+    )
+
+
+def _resident_bytes() -> int:
+    gc.collect()
+    pages = int(Path("/proc/self/statm").read_text().split()[1])
+    return pages * 4096
+
+
+def _seconds_of(action: Callable[[], Any], *, repeats: int) -> float:
+    started_s = time.process_time()
+    for _ in range(repeats):
+        action()
+    return (time.process_time() - started_s) / repeats
+
+
+def _measure(count: int) -> dict[str, float]:
+    """Return the cost of one size of fleet."""
+    before_bytes = _resident_bytes()
+    table = MembershipTable(_member(0), clock=ManualClock())
+    ranking = MemberRanking(table)
+    endpoints = Endpoints(table, weights_of=lambda _: {}, rng=random.Random(1))
+    started_s = time.process_time()
+    for i in range(1, count):
+        table.merge(_member(i))
+    merge_s = (time.process_time() - started_s) / count
+
+    def change_and_rank() -> None:
+        """What one member's change costs a node that passes it on."""
+        table.update_own()
+        order = ranking.in_zone("first", "zone-0")
+        children(order, 0)
+        children(ranking.in_zone("second", "zone-0"), 0)
+        ranking.in_zone("reporter", "zone-0")
+
+    def start_spread() -> None:
+        """What the origin of a message pays after a change."""
+        table.update_own()
+        for salt in ("first", "second"):
+            entries(ranking.in_zone(salt, zone) for zone in ranking.zones())
+
+    change_s = _seconds_of(change_and_rank, repeats=10)
+    origin_s = _seconds_of(start_spread, repeats=5)
+    endpoint_s = _seconds_of(lambda: endpoints.for_call("service-0000"), repeats=1000)
+    used_bytes = _resident_bytes() - before_bytes
+    return {
+        "members": count,
+        "memory_bytes": used_bytes,
+        "merge_s": merge_s,
+        "change_s": change_s,
+        "origin_s": origin_s,
+        "endpoint_lookup_s": endpoint_s,
+        "member_wire_bytes": len(
+            encode("ping", mesh="m", members=[pack_member(_member(1))])
+        )
+        - len(encode("ping", mesh="m")),
+    }
+
+
+def _measure_config(services: int) -> dict[str, float]:
+    """Return what a configuration of a size costs one node."""
+    sections = full_size_sections(services=services)
+    whole = ConfigDocument(1, sections).encode()
+    before_bytes = _resident_bytes()
+    state = ConfigState("node")
+    started_s = time.process_time()
+    state.accept(Record(CONFIG_KEY, 1, whole))
+    whole_s = time.process_time() - started_s
+    other = ConfigState("other")
+    other.accept(Record(CONFIG_KEY, 1, whole))
+    delta_s, delta_bytes = _measure_deltas(state, other, sections)
+    return {
+        "services": services,
+        "memory_bytes": (_resident_bytes() - before_bytes) / 2,
+        "whole_bytes": len(whole),
+        "whole_s": whole_s,
+        "delta_s": delta_s,
+        "delta_bytes": delta_bytes,
+    }
+
+
+def _measure_deltas(
+    origin: ConfigState, receiver: ConfigState, sections: dict[str, dict[str, str]]
+) -> tuple[float, int]:
+    spent_s = 0.0
+    for version in range(2, 12):
+        name = f"service service-{version:04d}"
+        sections = {**sections, name: {"timeout_ms": str(version)}}
+        document = ConfigDocument(version, sections, "operator", "a small change")
+        origin.accept(Record(CONFIG_KEY, version, document.encode()))
+        data = origin.codec.encode_delta(version - 1)
+        started_s = time.process_time()
+        record = receiver.codec.apply_delta(Record(CONFIG_KEY, version, data))
+        receiver.accept(record)
+        receiver.codec.encode_delta(version - 1)
+        spent_s += time.process_time() - started_s
+    return spent_s / 10, len(data)
+
+
+@click.command()
+def main() -> None:
+    """Measure each size and write the figures and slopes as JSON."""
+    members = [_measure(count) for count in _SIZES]
+    configs = [_measure_config(count) for count in (475, 950, 1_900)]
+    slopes = {
+        name: fit_line([(row["members"], row[name]) for row in members])._asdict()
+        for name in ("memory_bytes", "change_s", "origin_s")
+    }
+    slopes |= {
+        f"config_{name}": fit_line(
+            [(row["services"], row[name]) for row in configs]
+        )._asdict()
+        for name in ("memory_bytes", "whole_s", "delta_s")
+    }
+    result = {"members": members, "configs": configs, "slopes": slopes}
+    (_RESULTS / "members.json").write_text(json.dumps(result, indent=1) + "\n")
+    click.echo(json.dumps(result, indent=1))
+
+
+if __name__ == "__main__":
+    main()
--- a/burdockdock/node/relay.py
+++ b/burdockdock/node/relay.py
@@ -24,12 +24,13 @@
 RELAYS_PER_ZONE = 2
 ROSTER_PREFIX = "roster/"
 _LEASE_PREFIX = "leases/relay/"
-_LEASE_INTERVAL_S = 3.0
+_RENEW_INTERVAL_S = 3.0
+_SEEK_INTERVAL_S = 5.0
 _LEASE_TERM_S = 10.0
 _ROSTER_INTERVAL_S = 15.0
 _READ_DELAY_S = 0.4
 _ROSTER_LENGTH = 8
-_CANDIDATES = 4
+_CANDIDATES = 3
 _RELAY_SALT = "relay"
 
 
@@ -155,7 +156,8 @@
                     watch.cancel()
                     watch = None
                 await self._write_roster()
-                await asyncio.sleep(_LEASE_INTERVAL_S * self._rng.uniform(0.8, 1.0))
+                interval_s = _RENEW_INTERVAL_S if self.is_relay else _SEEK_INTERVAL_S
+                await asyncio.sleep(interval_s * self._rng.uniform(0.8, 1.0))
         finally:
             if watch is not None:
                 watch.cancel()
