--- a/bench/members.py
+++ b/bench/members.py
@@ -7,6 +7,7 @@
 import json
 import random
 import time
+import tracemalloc
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -48,10 +49,16 @@
     )
 
 
-def _resident_bytes() -> int:
+def _allocated_bytes(build: Callable[[], Any]) -> int:
+    """Return the bytes that Python allocates for what a function builds."""
     gc.collect()
-    pages = int(Path("/proc/self/statm").read_text().split()[1])
-    return pages * 4096
+    tracemalloc.start()
+    built = build()
+    gc.collect()
+    size_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del built
+    return size_bytes
 
 
 def _seconds_of(action: Callable[[], Any], *, repeats: int) -> float:
@@ -61,15 +68,23 @@
     return (time.process_time() - started_s) / repeats
 
 
-def _measure(count: int) -> dict[str, float]:
-    """Return the cost of one size of fleet."""
-    before_bytes = _resident_bytes()
+def _build(count: int) -> tuple[MembershipTable, MemberRanking, Endpoints]:
+    """Return a node's view of a fleet, its orders and its index of endpoints."""
     table = MembershipTable(_member(0), clock=ManualClock())
     ranking = MemberRanking(table)
     endpoints = Endpoints(table, weights_of=lambda _: {}, rng=random.Random(1))
-    started_s = time.process_time()
     for i in range(1, count):
         table.merge(_member(i))
+    for salt in ("first", "second"):
+        for zone in ranking.zones():
+            ranking.in_zone(salt, zone)
+    return table, ranking, endpoints
+
+
+def _measure(count: int) -> dict[str, float]:
+    """Return the cost of one size of fleet."""
+    started_s = time.process_time()
+    table, ranking, endpoints = _build(count)
     merge_s = (time.process_time() - started_s) / count
 
     def change_and_rank() -> None:
@@ -89,10 +104,9 @@
     change_s = _seconds_of(change_and_rank, repeats=10)
     origin_s = _seconds_of(start_spread, repeats=5)
     endpoint_s = _seconds_of(lambda: endpoints.for_call("service-0000"), repeats=1000)
-    used_bytes = _resident_bytes() - before_bytes
     return {
         "members": count,
-        "memory_bytes": used_bytes,
+        "memory_bytes": _allocated_bytes(lambda: _build(count)),
         "merge_s": merge_s,
         "change_s": change_s,
         "origin_s": origin_s,
@@ -108,7 +122,6 @@
     """Return what a configuration of a size costs one node."""
     sections = full_size_sections(services=services)
     whole = ConfigDocument(1, sections).encode()
-    before_bytes = _resident_bytes()
     state = ConfigState("node")
     started_s = time.process_time()
     state.accept(Record(CONFIG_KEY, 1, whole))
@@ -118,7 +131,7 @@
     delta_s, delta_bytes = _measure_deltas(state, other, sections)
     return {
         "services": services,
-        "memory_bytes": (_resident_bytes() - before_bytes) / 2,
+        "memory_bytes": _allocated_bytes(lambda: _apply(whole)),
         "whole_bytes": len(whole),
         "whole_s": whole_s,
         "delta_s": delta_s,
@@ -126,6 +139,12 @@
     }
 
 
+def _apply(whole: bytes) -> ConfigState:
+    state = ConfigState("node")
+    state.accept(Record(CONFIG_KEY, 1, whole))
+    return state
+
+
 def _measure_deltas(
     origin: ConfigState, receiver: ConfigState, sections: dict[str, dict[str, str]]
 ) -> tuple[float, int]:
--- a/burdockdock/gate/curl_client.py
+++ b/burdockdock/gate/curl_client.py
@@ -225,8 +225,9 @@
         if code:
             self._result = self._describe(code, message)
         if not self._head.done():
+            # Failures are false, so that "or" would not do here.
             missing = Failure(Verdict.MAY_HAVE_RUN, "no_answer")
-            self._head.set_result(self._result or missing)
+            self._head.set_result(missing if self._result is None else self._result)
         self._arrived.set()
         self._drained.set()
 
--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -223,6 +223,7 @@
             OperatorActions(
                 announce=self._announce,
                 status=self._status,
+                services=self._endpoints.counts,
                 refresh=self._reader.refresh,
                 drain=self.stop,
             ),
--- a/burdockdock/node/operator_api.py
+++ b/burdockdock/node/operator_api.py
@@ -16,12 +16,14 @@
 
     :param announce: takes in the backend server, and whether it is draining.
     :param status: returns the node's and the fleet's status.
+    :param services: returns how many backend servers take calls, as this node sees it.
     :param refresh: reads the platform now; returns whether it answered.
     :param drain: stops the node gracefully.
     """
 
     announce: Callable[[BackendServer, bool], None]
     status: Callable[[], Awaitable[dict[str, Any]]]
+    services: Callable[[], dict[str, dict[str, int]]]
     refresh: Callable[[], Awaitable[bool]]
     drain: Callable[[], None]
 
@@ -35,6 +37,7 @@
         [
             (r"/backend", _BackendHandler, shared),
             (r"/status", _StatusHandler, shared),
+            (r"/services", _ServicesHandler, shared),
             (r"/refresh", _RefreshHandler, shared),
             (r"/drain", _DrainHandler, shared),
             (r"/metrics", _MetricsHandler, shared),
@@ -73,6 +76,11 @@
         self.write(await self.actions.status())
 
 
+class _ServicesHandler(_Handler):
+    def get(self) -> None:
+        self.write({"services": self.actions.services()})
+
+
 class _RefreshHandler(_Handler):
     async def post(self) -> None:
         self.write({"platform": await self.actions.refresh()})
--- a/burdockdock/proxy/endpoints.py
+++ b/burdockdock/proxy/endpoints.py
@@ -1,10 +1,10 @@
 """The members that serve each service, by version and traffic weight."""
 
 import random
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable
 
-from burdockdock.coordination.membership import Member, MembershipTable
+from burdockdock.coordination.membership import Member, MembershipTable, MemberState
 
 Weights = dict[str, float]
 
@@ -31,9 +31,24 @@
         membership.subscribe(self._update)
 
     def of_service(self, service: str) -> list[Member]:
-        """Return the members that may take new calls of a service."""
-        members = self._by_service.get(service, {})
-        return [m for m in members.values() if m.takes_work]
+        """Return the members that may take new calls of a service.
+
+        Suspects are left out while there are others: a suspicion is often wrong, and
+        a call to one that is gone is known not to have run.
+        """
+        members = self._by_service.get(service, {}).values()
+        alive = [m for m in members if m.takes_work]
+        if alive:
+            return alive
+        suspects = [m for m in members if m.state is MemberState.SUSPECT]
+        return [m for m in suspects if m.ready and not m.leaving]
+
+    def counts(self) -> dict[str, dict[str, int]]:
+        """Return how many members of each service and version take new calls."""
+        return {
+            service: dict(Counter(m.service_version for m in self.of_service(service)))
+            for service in self._by_service
+        }
 
     def for_call(self, service: str) -> list[Member]:
         """Return the members of the version drawn for one call.
@@ -57,7 +72,7 @@
         return self._rng.choices(eligible, weights=shares)[0]
 
     def _update(self, member: Member, known: Member | None) -> None:
-        if known is not None and known.service != member.service:
+        if known is not None and known.service not in ("", member.service):
             self._by_service[known.service].pop(member.node_id, None)
         if member.service:
             self._by_service[member.service][member.node_id] = member
--- a/tests/proxy/test_whole_path.py
+++ b/tests/proxy/test_whole_path.py
@@ -168,3 +168,21 @@
                     )
                 else:
                     self.fail("the call was not refused")
+
+    @async_test
+    async def test_draining_backend_server_gets_no_new_work(self) -> None:
+        async with running_fleet("a", "b", "c") as fleet:
+            await fleet.add_backend("b", slots=100)
+            await fleet.add_backend("c", slots=100)
+            await fleet.apply()
+            backend = fleet.nodes["b"].gate.backend
+            fleet.nodes["b"].gate.announce = lambda _: None
+            fleet.nodes["b"]._announce(backend, draining=True)
+            known = fleet.nodes["a"].membership
+            await eventually(lambda: not known.get("b").takes_work)
+            await asyncio.gather(
+                *(_call(fleet.callers["a"], f"/x/{i}") for i in range(30))
+            )
+            request = HTTPRequest(f"{fleet.backends['b']}/standin/ran")
+            ran = json.loads((await CurlAsyncHTTPClient().fetch(request)).body)
+            self.assertEqual({}, ran)
