--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -433,7 +433,8 @@
 {_fleet_table(figures)}
 
 The naive version polls the platform once a second from every node. Its calls grow with
-the fleet; ours are bounded by three candidates and two relays a zone. All processes
+the fleet (the column holds ours too, which ran beside it); ours are bounded by three
+candidates and two relays a zone. All processes
 share 8 cores, so that the spread of a change grows with the processor time of all.
 
 ## Calls
--- a/burdockdock/cli/__init__.py
+++ b/burdockdock/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- a/burdockdock/configuration/__init__.py
+++ b/burdockdock/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The fleet's configuration: text, checks, versions, acceptance."""
--- a/burdockdock/gate/__init__.py
+++ b/burdockdock/gate/__init__.py
@@ -0,0 +1,1 @@
+"""The only way into one backend server."""
--- a/burdockdock/node/__init__.py
+++ b/burdockdock/node/__init__.py
@@ -0,0 +1,1 @@
+"""A running node, composed of all parts."""
--- a/burdockdock/overlay/__init__.py
+++ b/burdockdock/overlay/__init__.py
@@ -0,0 +1,1 @@
+"""How nodes find each other and pass news on."""
--- a/burdockdock/proxy/__init__.py
+++ b/burdockdock/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' side of a node."""
--- a/burdockdock/rollout/__init__.py
+++ b/burdockdock/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Moving a service's traffic from one version to another."""
--- /dev/null
+++ b/examples/embedding.py
@@ -0,0 +1,77 @@
+"""Uses a lease, a limiter and a dedupe table without the daemon."""
+
+import asyncio
+from typing import Any, NamedTuple
+
+from burdockdock.clock import ManualClock, SystemClock
+from burdockdock.coordination import DedupeTable, Failure, Lease, SlotLimiter, Verdict
+
+
+class StoredValue(NamedTuple):
+    """A value with its version; a lost race gives the one that stands there."""
+
+    version: int
+    value: dict[str, Any]
+    lost_race: bool = False
+
+    @property
+    def current(self) -> "StoredValue":
+        """The value that stands there."""
+        return self
+
+    def __bool__(self) -> bool:
+        """Return whether an update took effect."""
+        return not self.lost_race
+
+
+class MemoryStore:
+    """The smallest store that a lease can use."""
+
+    def __init__(self) -> None:
+        self._values: dict[str, StoredValue] = {}
+
+    async def read(self, key: str) -> StoredValue:
+        """Read a value; version 0 when there is none."""
+        return self._values.get(key, StoredValue(0, {}))
+
+    async def write_once(
+        self, key: str, *, expected_version: int, value: dict[str, Any]
+    ) -> StoredValue:
+        """Replace a value if its version is the expected one."""
+        current = await self.read(key)
+        if current.version != expected_version:
+            return current._replace(lost_race=True)
+        self._values[key] = StoredValue(expected_version + 1, value)
+        return self._values[key]
+
+
+async def show_lease() -> None:
+    """Let a second candidate take over from one that is silent."""
+    clock, store = ManualClock(), MemoryStore()
+    first = Lease(store, "leader", holder="first", clock=clock)
+    second = Lease(store, "leader", holder="second", clock=clock)
+    print("first holds it:", await first.maintain())
+    print("second holds it:", await second.maintain())
+    clock.advance(7)
+    print("second took over:", await second.maintain(), "epoch", second.epoch)
+    print("first still holds it:", first.is_held())
+
+
+async def show_limits() -> None:
+    """Refuse what there is no slot for, and what ran already."""
+    clock = SystemClock()
+    limiter = SlotLimiter(slots=1, clock=clock)
+    deadline_s = clock.monotonic() + 1
+    await limiter.acquire(tenant="t", deadline_s=deadline_s)
+    refusal = await limiter.acquire(tenant="t", deadline_s=deadline_s, queue_length=0)
+    if isinstance(refusal, Failure):
+        print("refused:", refusal.reason, refusal.verdict.name)
+    table = DedupeTable(clock=clock)
+    table.claim("order-1", deadline_s=deadline_s)
+    table.finish("order-1", Verdict.RAN)
+    print("again:", table.claim("order-1", deadline_s=deadline_s).reason)
+
+
+if __name__ == "__main__":
+    asyncio.run(show_lease())
+    asyncio.run(show_limits())
