--- /dev/null
+++ b/tests/node/test_settings.py
@@ -0,0 +1,43 @@
+"""Tests of a node's settings."""
+
+from importlib import resources
+from pathlib import Path
+
+import testtools
+
+from burdockdock.node.settings import NodeSettings, parse_settings, read_settings
+
+_SAMPLE = resources.files("burdockdock.node").joinpath("sample.ini").read_text()
+
+
+class SettingsTest(testtools.TestCase):
+    """Tests of the checks at start."""
+
+    def test_sample_is_good_and_shows_every_key(self) -> None:
+        settings = parse_settings(_SAMPLE)
+        self.assertIsInstance(settings, NodeSettings)
+        self.assertEqual(("127.0.0.1", 8080), settings.callers)
+        self.assertEqual(2, len(settings.seeds))
+
+    def test_each_problem_is_named_with_its_place(self) -> None:
+        for change, place in (
+            (("[limits]", "[limit]"), ("limit", "")),
+            (("drain_timeout_s = 60", "drain_timeout_s = 60s"), ("limits", "drain")),
+            (("drain_timeout_s = 60", "drain_s = 60"), ("limits", "drain_s")),
+            (
+                ("callers = 127.0.0.1:8080", "callers = host:8080"),
+                ("listen", "callers"),
+            ),
+            (("peers = 127.0.0.1:7000", "peers = 127.0.0.1:0"), ("listen", "peers")),
+            (("availability_zone = lk-west", ""), ("node", "availability_zone")),
+            (("url = http:", "url = ftp:"), ("platform", "url")),
+        ):
+            self.assertIn(change[0], _SAMPLE)
+            problems = parse_settings(_SAMPLE.replace(*change))
+            self.assertIsInstance(problems, list, change)
+            places = [(p.section, p.key) for p in problems]
+            found = [s == place[0] and k.startswith(place[1]) for s, k in places]
+            self.assertTrue(any(found), (change, places))
+
+    def test_missing_file_is_a_problem(self) -> None:
+        self.assertIsInstance(read_settings(Path("/nowhere/node.ini")), list)
