--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -14,6 +14,7 @@
 from burdockdock.metrics import Metrics
 from burdockdock.node.bootstrap import Bootstrap
 from burdockdock.node.config_state import CONFIG_KEY, ConfigState
+from burdockdock.node.notifier import Notifier
 from burdockdock.node.operator_api import OperatorActions, serve_operators
 from burdockdock.node.peer_server import PeerServer
 from burdockdock.node.relay import PlatformReader, Relay
@@ -87,6 +88,7 @@
 
     def _build_overlay(self) -> None:
         settings = self._settings
+        self._notifier = Notifier(settings.notify_url, rng=self._rng)
         self.datagrams = Datagrams(settings.mesh, count=self.metrics.count)
         self.spreader = Spreader(
             membership=self.membership,
@@ -121,7 +123,8 @@
             datagrams=self.datagrams,
             clock=self._clock,
             own_state=self.config.applied_state,
-            on_in_force=_log_in_force,
+            on_in_force=self._tell_in_force,
+            on_late=self._tell_late,
         )
 
     def _build_calls(self) -> None:
@@ -196,6 +199,7 @@
             clock=self._clock,
             holder=holder,
             spread=self.spreader.start_record,
+            notifier=self._notifier,
         )
 
     async def start(self) -> None:
@@ -281,6 +285,7 @@
         for task in self._tasks:
             task.cancel()
         self.rollouts.close()
+        self._notifier.close()
         self.sync.close()
         self.links.close()
         self._peer_server.close()
@@ -337,6 +342,31 @@
             return {found.initial_version: 1.0}
         return {}
 
+    def _tell_in_force(self, status: FleetStatus, seconds_s: float) -> None:
+        """Say that a version is in force everywhere."""
+        fields = {"version": status.version, "nodes": status.total}
+        seconds_s = round(seconds_s, 3)
+        log_event("config.in_force", seconds_s=seconds_s, **fields)
+        self._notifier.post_later(
+            f"config-{status.version}/in_force",
+            "config.in_force",
+            seconds_s=seconds_s,
+            **fields,
+        )
+
+    def _tell_late(self, status: FleetStatus, seconds_s: float) -> None:
+        """Say that a version is not in force everywhere in time, and where."""
+        fields = {
+            "version": status.version,
+            "applied": status.applied,
+            "nodes": status.total,
+            "laggards": [state._asdict() for state in status.laggards],
+        }
+        log_event("config.late", seconds_s=round(seconds_s, 3), **fields)
+        self._notifier.post_later(
+            f"config-{status.version}/late", "config.late", **fields
+        )
+
     def _observe(self, result: CallResult) -> None:
         backend = self.gate.backend
         if backend is not None:
@@ -385,12 +415,3 @@
         "refused": fleet.refused,
         "laggards": [state._asdict() for state in fleet.laggards],
     }
-
-
-def _log_in_force(status: FleetStatus, seconds_s: float) -> None:
-    log_event(
-        "config.in_force",
-        version=status.version,
-        nodes=status.total,
-        seconds_s=round(seconds_s, 3),
-    )
--- a/burdockdock/node/rollouts.py
+++ b/burdockdock/node/rollouts.py
@@ -8,6 +8,7 @@
 from burdockdock.coordination.ranking import MemberRanking
 from burdockdock.coordination.records import Record, RecordStore
 from burdockdock.gate.gate import BackendServer, CallResult
+from burdockdock.node.notifier import Notifier
 from burdockdock.overlay.datagrams import Address, Datagrams
 from burdockdock.platform_api.client import PlatformClient
 from burdockdock.protocol import Message
@@ -18,6 +19,7 @@
     pack_rows,
     unpack_rows,
 )
+from burdockdock.rollout.model import Rollout
 from burdockdock.rollout.owner import RolloutOwners, RolloutView, candidates
 
 _SEND_INTERVAL_S = 0.25
@@ -39,6 +41,7 @@
         clock: Clock,
         holder: str,
         spread: Callable[[Record], None],
+        notifier: Notifier,
     ) -> None:
         self._membership = membership
         self._ranking = ranking
@@ -46,6 +49,7 @@
         self._clock = clock
         self._collector = EvidenceCollector()
         self._started_s = clock.monotonic()
+        self._notifier = notifier
         self.view = RolloutView(records)
         self._owners = RolloutOwners(
             view=self.view,
@@ -55,6 +59,7 @@
             clock=clock,
             holder=holder,
             spread=spread,
+            notify=self._tell_end if notifier.enabled else None,
         )
         datagrams.on("evidence", self._on_evidence)
 
@@ -84,6 +89,18 @@
         cold = self._clock.monotonic() - self._started_s < _COLD_S
         self._collector.add(result, version=backend.version, cold=cold)
 
+    async def _tell_end(self, rollout: Rollout) -> bool:
+        """Tell the operators how a rollout ended."""
+        return await self._notifier.post(
+            f"{rollout.rollout_id}/{rollout.phase.value}",
+            "move",
+            service=rollout.service,
+            from_version=rollout.from_version,
+            to_version=rollout.to_version,
+            outcome=rollout.phase.value,
+            reason=rollout.history[-1].reason,
+        )
+
     def _send_evidence(self) -> None:
         rows = self._collector.take()
         service = self._membership.own.service
--- a/burdockdock/overlay/applied.py
+++ b/burdockdock/overlay/applied.py
@@ -20,6 +20,7 @@
 _SUMMARY_REFRESH_S = 5.0
 _SUMMARY_MAX_AGE_S = 20.0
 _MAX_LAGGARDS = 5
+_LATE_S = 3.0
 _REPORTER_SALT = "reporter"
 
 
@@ -68,6 +69,7 @@
     :param own_state: returns what this node applies.
     :param on_in_force: called on one reporter with the status and the seconds since
         it learned of the version, when that is in force everywhere.
+    :param on_late: called likewise when it is not after some seconds.
     """
 
     def __init__(
@@ -79,6 +81,7 @@
         clock: Clock,
         own_state: Callable[[], AppliedState],
         on_in_force: Callable[[FleetStatus, float], None],
+        on_late: Callable[[FleetStatus, float], None],
     ) -> None:
         self._membership = membership
         self._ranking = ranking
@@ -86,6 +89,7 @@
         self._clock = clock
         self._own_state = own_state
         self._on_in_force = on_in_force
+        self._on_late = on_late
         self._reported: tuple[AppliedState, str] | None = None
         self._reported_at_s = 0.0
         self._states: dict[str, AppliedState] = {}
@@ -95,6 +99,7 @@
         self._queries: list[asyncio.Future[FleetStatus]] = []
         self._first_seen: tuple[int, float] = (0, 0.0)
         self._announced_version = 0
+        self._late_version = 0
         self._changed = True
         self._summed_generation = -1
         datagrams.on("applied", self._on_report)
@@ -102,12 +107,17 @@
     async def run(self) -> None:
         """Report and sum up, for ever."""
         while True:
-            self._report()
-            if self._is_reporter() and self._needs_summing():
-                self._sum_up()
-                self._announce()
+            self.tick()
             await asyncio.sleep(_TICK_S)
 
+    def tick(self) -> None:
+        """Report, and as the reporter sum up what changed."""
+        self._report()
+        if self._is_reporter():
+            if self._needs_summing():
+                self._sum_up()
+            self._announce()
+
     async def status(self, *, timeout_s: float = 1.0) -> FleetStatus | None:
         """Return the fleet's status as this zone's reporter knows it.
 
@@ -212,17 +222,25 @@
         )
 
     def _announce(self) -> None:
-        """Say once that a version is in force; only the first zone's reporter does."""
-        status = self._fleet_status()
+        """Say once that a version is in force, or late, as the first reporter."""
+        newest = self._newest_version()
         now_s = self._clock.monotonic()
-        if status.version > self._first_seen[0]:
-            self._first_seen = (status.version, now_s)
+        if newest > self._first_seen[0]:
+            self._first_seen = (newest, now_s)
+        if newest <= self._announced_version:
+            return
         first_zone = min(self._ranking.zones())
         is_first = self._membership.own.availability_zone == first_zone
-        if status.in_force and status.version > self._announced_version:
-            self._announced_version = status.version
+        status = self._fleet_status()
+        waited_s = now_s - self._first_seen[1]
+        if status.in_force:
+            self._announced_version = newest
+            if is_first:
+                self._on_in_force(status, waited_s)
+        elif waited_s > _LATE_S and newest > self._late_version:
+            self._late_version = newest
             if is_first:
-                self._on_in_force(status, now_s - self._first_seen[1])
+                self._on_late(status, waited_s)
 
     def _on_report(self, report: Message, address: Address) -> None:
         if report.query:
--- a/burdockdock/rollout/owner.py
+++ b/burdockdock/rollout/owner.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 from burdockdock.clock import Clock
@@ -28,6 +28,8 @@
 )
 from burdockdock.rollout.policy import Facts, next_state
 
+Notify = Callable[[Rollout], Awaitable[bool]]
+
 CANDIDATES = 3
 LEASE_PREFIX = "leases/rollout/"
 _TICK_S = 0.25
@@ -61,10 +63,6 @@
         """Return the newest rollout of every service."""
         return list(self._rollouts.values())
 
-    def active(self) -> list[Rollout]:
-        """Return the rollouts that have not ended."""
-        return [r for r in self._rollouts.values() if not r.phase.final]
-
     def abort_of(self, rollout: Rollout) -> Abort | None:
         """Return the abort of a rollout."""
         abort = self._aborts.get(rollout.service)
@@ -93,6 +91,7 @@
 
     :param spread: stores a record and sends it to every node.
     :param notify: tells the operators of an end; returns whether they were told.
+        None when there is nobody to tell.
     """
 
     def __init__(
@@ -105,10 +104,12 @@
         clock: Clock,
         holder: str,
         spread: Callable[[Record], None],
+        notify: Notify | None = None,
     ) -> None:
         self._view = view
         self._membership = membership
         self._ranking = ranking
+        self._notify = notify
         self._platform = platform
         self._clock = clock
         self._holder = holder
@@ -142,10 +143,17 @@
         own_id = self._membership.own.node_id
         return {
             rollout.service
-            for rollout in self._view.active()
-            if own_id in [m.node_id for m in candidates(self._ranking, rollout.service)]
+            for rollout in self._view.all()
+            if self._is_open(rollout)
+            and own_id
+            in [m.node_id for m in candidates(self._ranking, rollout.service)]
         }
 
+    def _is_open(self, rollout: Rollout) -> bool:
+        """Tell whether a rollout has not ended, or its end was not told yet."""
+        untold = self._notify is not None and not rollout.notified
+        return not rollout.phase.final or untold
+
     def _start(self, service: str) -> None:
         inbox: list[dict[EvidenceKey, EvidenceRow]] = []
         self._inboxes[service] = inbox
@@ -158,6 +166,7 @@
             clock=self._clock,
             holder=self._holder,
             spread=self._spread,
+            notify=self._notify,
         )
         self._owners[service] = asyncio.create_task(owner.run())
 
@@ -183,7 +192,9 @@
         clock: Clock,
         holder: str,
         spread: Callable[[Record], None],
+        notify: Notify | None = None,
     ) -> None:
+        self._notify = notify
         self._service = service
         self._inbox = inbox
         self._view = view
@@ -256,6 +267,9 @@
         """Take the next step if the facts call for one."""
         if self._current is None and not await self._read():
             return
+        if self._current.rollout.phase.final:
+            await self._tell_end(self._current.rollout)
+            return
         facts = self._facts(self._current.rollout)
         following = next_state(self._current.rollout, facts, self._clock.now())
         if following is None:
@@ -264,6 +278,16 @@
             self._spread_abort(following, following.history[-1].reason)
         await self._write(following._replace(epoch=self._lease.epoch))
 
+    async def _tell_end(self, rollout: Rollout) -> None:
+        """Tell the operators, then note it; a lost note tells them twice."""
+        if self._notify is None or rollout.notified:
+            return
+        if await self._notify(rollout):
+            told = rollout._replace(
+                notified=True, step=rollout.step + 1, epoch=self._lease.epoch
+            )
+            await self._write(told)
+
     async def _read(self) -> bool:
         found = await self._platform.read(ROLLOUT_PREFIX + self._service)
         if isinstance(found, Failure) or not found.version:
--- a/tests/rollout/test_owner.py
+++ b/tests/rollout/test_owner.py
@@ -13,7 +13,7 @@
 from burdockdock.platform_api import Conflict, PlatformObject
 from burdockdock.rollout.evidence import EvidenceKey, EvidenceRow
 from burdockdock.rollout.model import ROLLOUT_PREFIX, Phase, Rollout, rollout_from
-from burdockdock.rollout.owner import RolloutView, _Owner
+from burdockdock.rollout.owner import Notify, RolloutView, _Owner
 from burdockdock.rollout.start import NotStarted, cancel_rollout, start_rollout
 from tests.rollout.test_policy import START, rollout
 from tests.support import FakePlatform, async_test
@@ -47,7 +47,14 @@
 class _Candidate:
     """One candidate for owner with its own view."""
 
-    def __init__(self, name: str, platform: FakePlatform, clock: ManualClock) -> None:
+    def __init__(
+        self,
+        name: str,
+        platform: FakePlatform,
+        clock: ManualClock,
+        *,
+        notify: Notify | None = None,
+    ) -> None:
         own = Member(name, "h", 1, "r", "z", 1)
         membership = MembershipTable(own, clock=clock)
         for version in ("1", "2"):
@@ -78,6 +85,7 @@
             clock=clock,
             holder=name,
             spread=self._spread,
+            notify=notify,
         )
         self.ranking = MemberRanking(membership)
 
@@ -166,6 +174,33 @@
         await candidate.tick(_BAD_ROW)
         self.assertEqual({"1": 1.0}, candidate.view.weights("desk"))
 
+    @async_test
+    async def test_end_is_told_at_least_once_under_every_fault(self) -> None:
+        for number, fault in itertools.product(
+            range(1, 8), ("lost_before", "lost_after")
+        ):
+            clock = ManualClock(start=START)
+            platform = _HistoryPlatform()
+            ended = rollout(phase=Phase.SOAKING).enter(
+                Phase.DONE, now=START, reason="test"
+            )
+            await platform.write_once(_KEY, expected_version=0, value=ended.to_value())
+            platform.writes, platform.faults = 0, {number: fault}
+            told: list[str] = []
+
+            async def notify(ended: Rollout, told: list[str] = told) -> bool:
+                told.append(ended.rollout_id)
+                return len(told) > 1
+
+            candidate = _Candidate("one", platform, clock, notify=notify)
+            candidate.records.put(Record(_KEY, 1, ended.encode()))
+            for _ in range(60):
+                await candidate.tick(_GOOD_ROW)
+                clock.advance(_TICK_S)
+            self.assertGreaterEqual(len(told), 2, (number, fault))
+            self.assertEqual({"desk-1"}, set(told))
+            self.assertTrue(platform.states[-1].notified, (number, fault))
+
 
 class StartTest(testtools.TestCase):
     """Operators who start and cancel."""
