--- a/burdockdock/cli/standin.py
+++ b/burdockdock/cli/standin.py
@@ -44,6 +44,9 @@
 @click.option("--fail-share", type=float, default=0.0, show_default=True)
 @click.option("--fail-after", type=int, default=0, show_default=True)
 @click.option("--fail-route", default="", help="Prefix of the paths that fail.")
+@click.option("--fail-after-s", type=float, default=0.0, show_default=True)
+@click.option("--fail-above", type=int, default=0, show_default=True)
+@click.option("--lying-health", is_flag=True, help="Health says ready and idle.")
 @click.option("--slow-factor", type=float, default=1.0, show_default=True)
 @click.option("--seed", type=int, default=1, show_default=True)
 def backend(**fields: object) -> None:
--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 import signal
-from typing import Any
 
 from burdockdock.clock import Clock, SystemClock
 from burdockdock.coordination.membership import Member, MembershipTable, MemberState
@@ -20,6 +19,13 @@
 from burdockdock.node.relay import PlatformReader, Relay
 from burdockdock.node.rollouts import RolloutPart
 from burdockdock.node.settings import NodeSettings
+from burdockdock.node.status import (
+    ControlBytes,
+    StatusReport,
+    report_fleet,
+    report_laggard,
+    report_move,
+)
 from burdockdock.node.supervise import supervise
 from burdockdock.overlay.applied import AppliedTracker, FleetStatus
 from burdockdock.overlay.datagrams import Datagrams
@@ -360,7 +366,7 @@
             "version": status.version,
             "applied": status.applied,
             "nodes": status.total,
-            "laggards": [state._asdict() for state in status.laggards],
+            "laggards": [report_laggard(state) for state in status.laggards],
         }
         log_event("config.late", seconds_s=round(seconds_s, 3), **fields)
         self._notifier.post_later(
@@ -378,40 +384,25 @@
         if member.state is MemberState.DEAD or replaced:
             self.links.drop(member.host, member.port)
 
-    async def _status(self) -> dict[str, Any]:
-        fleet = await self.applied.status()
-        live = self.membership.live()
-        own = self.membership.own
-        return {
-            "node": own.node_id,
-            "availability_zone": own.availability_zone,
-            "config_version": self.config.snapshot.version,
-            "is_relay": self._relay.is_relay,
-            "members": len(live),
-            "dead_members": len(self.membership.dead()),
-            "platform_failures_in_row": self.platform.failures_in_row,
-            "fleet": _fleet_fields(fleet),
-            "moves": [
-                {"service": r.service, "phase": r.phase.value, "share": r.share}
-                for r in self.rollouts.view.all()
-            ],
-            "control_bytes": {
-                "datagrams_sent": self.datagrams.sent_bytes,
-                "datagrams_received": self.datagrams.received_bytes,
-                "sync_sent": self.sync.sent_bytes + self._peer_server.sync_sent_bytes,
-                "sync_received": self.sync.received_bytes
-                + self._peer_server.sync_received_bytes,
-            },
-        }
-
+    async def _status(self) -> StatusReport:
+        return StatusReport(
+            node=self.membership.own.node_id,
+            availability_zone=self.membership.own.availability_zone,
+            config_version=self.config.snapshot.version,
+            is_relay=self._relay.is_relay,
+            members=len(self.membership.live()),
+            dead_members=len(self.membership.dead()),
+            platform_failures_in_row=self.platform.failures_in_row,
+            fleet=report_fleet(await self.applied.status()),
+            moves=[report_move(rollout) for rollout in self.rollouts.view.all()],
+            control_bytes=self._control_bytes(),
+        )
 
-def _fleet_fields(fleet: FleetStatus | None) -> dict[str, Any] | None:
-    if fleet is None:
-        return None
-    return {
-        "version": fleet.version,
-        "applied": fleet.applied,
-        "total": fleet.total,
-        "refused": fleet.refused,
-        "laggards": [state._asdict() for state in fleet.laggards],
-    }
+    def _control_bytes(self) -> ControlBytes:
+        server = self._peer_server
+        return ControlBytes(
+            datagrams_sent=self.datagrams.sent_bytes,
+            datagrams_received=self.datagrams.received_bytes,
+            sync_sent=self.sync.sent_bytes + server.sync_sent_bytes,
+            sync_received=self.sync.received_bytes + server.sync_received_bytes,
+        )
--- a/burdockdock/node/operator_api.py
+++ b/burdockdock/node/operator_api.py
@@ -2,13 +2,14 @@
 
 import json
 from collections.abc import Awaitable, Callable
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
 from burdockdock.gate.gate import BackendServer
 from burdockdock.metrics import Metrics
+from burdockdock.node.status import StatusReport
 
 
 class OperatorActions(NamedTuple):
@@ -22,7 +23,7 @@
     """
 
     announce: Callable[[BackendServer, bool], None]
-    status: Callable[[], Awaitable[dict[str, Any]]]
+    status: Callable[[], Awaitable[StatusReport]]
     services: Callable[[], dict[str, dict[str, int]]]
     refresh: Callable[[], Awaitable[bool]]
     drain: Callable[[], None]
--- a/burdockdock/node/rollouts.py
+++ b/burdockdock/node/rollouts.py
@@ -20,7 +20,7 @@
     unpack_rows,
 )
 from burdockdock.rollout.model import Rollout
-from burdockdock.rollout.owner import RolloutOwners, RolloutView, candidates
+from burdockdock.rollout.owner import OwnerParts, RolloutOwners, RolloutView, candidates
 
 _SEND_INTERVAL_S = 0.25
 _ROWS_PER_MESSAGE = 8
@@ -52,14 +52,16 @@
         self._notifier = notifier
         self.view = RolloutView(records)
         self._owners = RolloutOwners(
-            view=self.view,
-            membership=membership,
-            ranking=ranking,
-            platform=platform,
-            clock=clock,
-            holder=holder,
-            spread=spread,
-            notify=self._tell_end if notifier.enabled else None,
+            OwnerParts(
+                view=self.view,
+                membership=membership,
+                ranking=ranking,
+                platform=platform,
+                clock=clock,
+                holder=holder,
+                spread=spread,
+                notify=self._tell_end if notifier.enabled else None,
+            )
         )
         datagrams.on("evidence", self._on_evidence)
 
--- /dev/null
+++ b/burdockdock/node/status.py
@@ -0,0 +1,90 @@
+"""What a node tells operators of itself and of the fleet."""
+
+from typing import TypedDict
+
+from burdockdock.overlay.applied import AppliedState, FleetStatus
+from burdockdock.rollout.model import Rollout
+
+
+class Laggard(TypedDict):
+    """A node that does not apply the newest version, and why."""
+
+    node_id: str
+    version: int
+    refused_version: int
+    reason: str
+
+
+class FleetReport(TypedDict):
+    """How far the newest configuration version is in force."""
+
+    version: int
+    applied: int
+    total: int
+    refused: int
+    laggards: list[Laggard]
+
+
+class MoveReport(TypedDict):
+    """How the newest move of a service stands."""
+
+    service: str
+    phase: str
+    share: float
+
+
+class ControlBytes(TypedDict):
+    """Bytes of the overlay's messages since the node's start."""
+
+    datagrams_sent: int
+    datagrams_received: int
+    sync_sent: int
+    sync_received: int
+
+
+class StatusReport(TypedDict):
+    """A node's whole status.
+
+    :param fleet: None when the reporter of the node's zone did not answer.
+    """
+
+    node: str
+    availability_zone: str
+    config_version: int
+    is_relay: bool
+    members: int
+    dead_members: int
+    platform_failures_in_row: int
+    fleet: FleetReport | None
+    moves: list[MoveReport]
+    control_bytes: ControlBytes
+
+
+def report_fleet(status: FleetStatus | None) -> FleetReport | None:
+    """Return the fleet's part of a status report."""
+    if status is None:
+        return None
+    return FleetReport(
+        version=status.version,
+        applied=status.applied,
+        total=status.total,
+        refused=status.refused,
+        laggards=[report_laggard(state) for state in status.laggards],
+    )
+
+
+def report_laggard(state: AppliedState) -> Laggard:
+    """Return one laggard's part of a report."""
+    return Laggard(
+        node_id=state.node_id,
+        version=state.version,
+        refused_version=state.refused_version,
+        reason=state.reason,
+    )
+
+
+def report_move(rollout: Rollout) -> MoveReport:
+    """Return one move's part of a status report."""
+    return MoveReport(
+        service=rollout.service, phase=rollout.phase.value, share=rollout.share
+    )
--- a/burdockdock/rollout/owner.py
+++ b/burdockdock/rollout/owner.py
@@ -86,34 +86,30 @@
             self._aborts[abort.service] = abort
 
 
-class RolloutOwners:
-    """Runs one owner task for each active rollout this node is a candidate for.
+class OwnerParts(NamedTuple):
+    """What owners need of their node.
 
+    :param holder: id of this process, unique to its incarnation.
     :param spread: stores a record and sends it to every node.
     :param notify: tells the operators of an end; returns whether they were told.
         None when there is nobody to tell.
     """
 
-    def __init__(
-        self,
-        *,
-        view: RolloutView,
-        membership: MembershipTable,
-        ranking: MemberRanking,
-        platform: PlatformClient,
-        clock: Clock,
-        holder: str,
-        spread: Callable[[Record], None],
-        notify: Notify | None = None,
-    ) -> None:
-        self._view = view
-        self._membership = membership
-        self._ranking = ranking
-        self._notify = notify
-        self._platform = platform
-        self._clock = clock
-        self._holder = holder
-        self._spread = spread
+    view: RolloutView
+    membership: MembershipTable
+    ranking: MemberRanking
+    platform: PlatformClient
+    clock: Clock
+    holder: str
+    spread: Callable[[Record], None]
+    notify: Notify | None = None
+
+
+class RolloutOwners:
+    """Runs one owner task for each open rollout this node is a candidate for."""
+
+    def __init__(self, parts: OwnerParts) -> None:
+        self._parts = parts
         self._owners: dict[str, asyncio.Task[None]] = {}
         self._inboxes: dict[str, list[dict[EvidenceKey, EvidenceRow]]] = {}
 
@@ -140,34 +136,26 @@
             task.cancel()
 
     def _wanted(self) -> set[str]:
-        own_id = self._membership.own.node_id
+        """Return the services whose rollout is open and may be owned here."""
         return {
             rollout.service
-            for rollout in self._view.all()
-            if self._is_open(rollout)
-            and own_id
-            in [m.node_id for m in candidates(self._ranking, rollout.service)]
+            for rollout in self._parts.view.all()
+            if self._is_open(rollout) and self._is_candidate(rollout.service)
         }
 
     def _is_open(self, rollout: Rollout) -> bool:
         """Tell whether a rollout has not ended, or its end was not told yet."""
-        untold = self._notify is not None and not rollout.notified
+        untold = self._parts.notify is not None and not rollout.notified
         return not rollout.phase.final or untold
 
+    def _is_candidate(self, service: str) -> bool:
+        own_id = self._parts.membership.own.node_id
+        return own_id in [m.node_id for m in candidates(self._parts.ranking, service)]
+
     def _start(self, service: str) -> None:
         inbox: list[dict[EvidenceKey, EvidenceRow]] = []
         self._inboxes[service] = inbox
-        owner = _Owner(
-            service,
-            inbox=inbox,
-            view=self._view,
-            membership=self._membership,
-            platform=self._platform,
-            clock=self._clock,
-            holder=self._holder,
-            spread=self._spread,
-            notify=self._notify,
-        )
+        owner = _Owner(service, inbox, self._parts)
         self._owners[service] = asyncio.create_task(owner.run())
 
 
@@ -184,30 +172,17 @@
     def __init__(
         self,
         service: str,
-        *,
         inbox: list[dict[EvidenceKey, EvidenceRow]],
-        view: RolloutView,
-        membership: MembershipTable,
-        platform: PlatformClient,
-        clock: Clock,
-        holder: str,
-        spread: Callable[[Record], None],
-        notify: Notify | None = None,
+        parts: OwnerParts,
     ) -> None:
-        self._notify = notify
         self._service = service
         self._inbox = inbox
-        self._view = view
-        self._membership = membership
-        self._platform = platform
-        self._clock = clock
-        self._spread = spread
-        self._holder = holder
+        self._parts = parts
         self._lease = Lease(
-            platform,
+            parts.platform,
             LEASE_PREFIX + service,
-            holder=holder,
-            clock=clock,
+            holder=parts.holder,
+            clock=parts.clock,
             term_s=_LEASE_TERM_S,
         )
         self._current: _Current | None = None
@@ -241,7 +216,7 @@
 
     def _take_evidence(self) -> None:
         """Add what the gates sent; candidates judge too, to take over warm."""
-        rollout = self._view.get(self._service)
+        rollout = self._parts.view.get(self._service)
         if rollout is None:
             return
         if self._judge is None or self._judged_number != rollout.number:
@@ -256,8 +231,8 @@
 
     def _abort_if_faulty(self) -> None:
         """Stop a faulty version on this node's evidence, whoever holds the lease."""
-        rollout = self._view.get(self._service)
-        if rollout is None or rollout.phase.final or self._view.abort_of(rollout):
+        rollout = self._parts.view.get(self._service)
+        if rollout is None or rollout.phase.final or self._parts.view.abort_of(rollout):
             return
         fault = self._judge.judgement().fault
         if fault:
@@ -271,7 +246,7 @@
             await self._tell_end(self._current.rollout)
             return
         facts = self._facts(self._current.rollout)
-        following = next_state(self._current.rollout, facts, self._clock.now())
+        following = next_state(self._current.rollout, facts, self._parts.clock.now())
         if following is None:
             return
         if following.phase is Phase.ROLLED_BACK:
@@ -280,23 +255,23 @@
 
     async def _tell_end(self, rollout: Rollout) -> None:
         """Tell the operators, then note it; a lost note tells them twice."""
-        if self._notify is None or rollout.notified:
+        if self._parts.notify is None or rollout.notified:
             return
-        if await self._notify(rollout):
+        if await self._parts.notify(rollout):
             told = rollout._replace(
                 notified=True, step=rollout.step + 1, epoch=self._lease.epoch
             )
             await self._write(told)
 
     async def _read(self) -> bool:
-        found = await self._platform.read(ROLLOUT_PREFIX + self._service)
+        found = await self._parts.platform.read(ROLLOUT_PREFIX + self._service)
         if isinstance(found, Failure) or not found.version:
             return False
         self._adopt(found)
         return True
 
     def _facts(self, rollout: Rollout) -> Facts:
-        abort = self._view.abort_of(rollout)
+        abort = self._parts.view.abort_of(rollout)
         return Facts(
             judgement=self._judge.judgement(),
             aborted=abort.reason if abort else "",
@@ -307,7 +282,7 @@
     def _slots(self, version: str) -> int:
         return sum(
             m.slots
-            for m in self._membership.live()
+            for m in self._parts.membership.live()
             if m.takes_work
             and m.service == self._service
             and m.service_version == version
@@ -315,10 +290,10 @@
 
     def _spread_abort(self, rollout: Rollout, reason: str) -> None:
         """Stop the version everywhere at once; the platform may be down."""
-        abort = Abort(rollout.service, rollout.number, reason, self._holder)
-        if not self._view.abort_of(rollout):
+        abort = Abort(rollout.service, rollout.number, reason, self._parts.holder)
+        if not self._parts.view.abort_of(rollout):
             log_event("rollout.aborted", rollout=rollout.rollout_id, reason=reason)
-        self._spread(
+        self._parts.spread(
             Record(ABORT_PREFIX + rollout.service, rollout.number, abort.encode())
         )
 
@@ -327,7 +302,7 @@
         key = ROLLOUT_PREFIX + self._service
         if not self._lease.is_held(margin_s=_WRITE_MARGIN_S):
             return
-        result = await self._platform.update(
+        result = await self._parts.platform.update(
             key, expected_version=self._current.version, value=rollout.to_value()
         )
         if isinstance(result, Failure):
@@ -349,4 +324,4 @@
     def _adopt(self, found: PlatformObject) -> None:
         rollout = rollout_from(found.value)
         self._current = _Current(rollout, found.version)
-        self._spread(Record(found.key, found.version, rollout.encode()))
+        self._parts.spread(Record(found.key, found.version, rollout.encode()))
--- a/burdockdock/standin/backend.py
+++ b/burdockdock/standin/backend.py
@@ -25,7 +25,10 @@
     :param fail_share: share of requests that fail, from 0 to 1.
     :param fail_after: requests that succeed before failures begin.
     :param fail_route: prefix of the paths that fail, all without one.
+    :param fail_after_s: seconds from the start before failures begin.
+    :param fail_above: requests that run at a time from which failures begin.
     :param slow_factor: factor on the latency.
+    :param lying_health: the health endpoint says ready and idle whatever happens.
     """
 
     service: str
@@ -39,7 +42,10 @@
     fail_share: float = 0.0
     fail_after: int = 0
     fail_route: str = ""
+    fail_after_s: float = 0.0
+    fail_above: int = 0
     slow_factor: float = 1.0
+    lying_health: bool = False
     seed: int = 1
 
 
@@ -52,13 +58,15 @@
         self.running = 0
         self.served = 0
         self.draining = False
-        self.lying_health = False
+        self.started_s = time.monotonic()
         self.ran: dict[str, int] = {}
 
     def should_fail(self, path: str) -> bool:
         """Decide whether the next request fails."""
         options = self.options
-        if self.served <= options.fail_after:
+        if self.served <= options.fail_after or self.running <= options.fail_above:
+            return False
+        if time.monotonic() - self.started_s < options.fail_after_s:
             return False
         if not path.startswith(options.fail_route):
             return False
@@ -72,7 +80,10 @@
 
 class _Health(_Base):
     def get(self) -> None:
-        self.write({"ready": True, "load": self.state.running})
+        state = self.state
+        lying = state.options.lying_health
+        ready = lying or not (state.draining or state.options.fail_share)
+        self.write({"ready": ready, "load": 0 if lying else state.running})
 
 
 class _Ran(_Base):
@@ -201,7 +212,6 @@
             log_function=lambda handler: None,
         )
         self._server = HTTPServer(application, max_body_size=1 << 32)
-        self._started_s = time.monotonic()
 
     async def run(self, stopped: asyncio.Event) -> None:
         """Serve until stopped; drain before the end."""
--- a/tests/rollout/test_owner.py
+++ b/tests/rollout/test_owner.py
@@ -13,7 +13,7 @@
 from burdockdock.platform_api import Conflict, PlatformObject
 from burdockdock.rollout.evidence import EvidenceKey, EvidenceRow
 from burdockdock.rollout.model import ROLLOUT_PREFIX, Phase, Rollout, rollout_from
-from burdockdock.rollout.owner import Notify, RolloutView, _Owner
+from burdockdock.rollout.owner import Notify, OwnerParts, RolloutView, _Owner
 from burdockdock.rollout.start import NotStarted, cancel_rollout, start_rollout
 from tests.rollout.test_policy import START, rollout
 from tests.support import FakePlatform, async_test
@@ -76,18 +76,17 @@
         self.view = RolloutView(self.records)
         self.inbox: list = []
         self.peers: list[_Candidate] = []
-        self.owner = _Owner(
-            "desk",
-            inbox=self.inbox,
+        parts = OwnerParts(
             view=self.view,
             membership=membership,
+            ranking=MemberRanking(membership),
             platform=platform,
             clock=clock,
             holder=name,
             spread=self._spread,
             notify=notify,
         )
-        self.ranking = MemberRanking(membership)
+        self.owner = _Owner("desk", self.inbox, parts)
 
     def _spread(self, record: Record) -> None:
         for peer in (self, *self.peers):
