Send a caller's key always to the gate that remembers it

Cause, found by reading: a repeated key was balanced like any other call, and reached a gate that knew nothing of it in two cases of three with three gates. Now the key's rank chooses the gate and the version, and it is never sent elsewhere for load. Before, by the new test without the change: more than five runs of five keys are possible; after: five keys sent 60 times through four nodes ran five times. The fault matrix posts without keys, which retries elsewhere.

--- a/burdockdock/proxy/endpoints.py
+++ b/burdockdock/proxy/endpoints.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable
 
 from burdockdock.coordination.membership import Member, MembershipTable, MemberState
+from burdockdock.coordination.tree import rank
 
 Weights = dict[str, float]
 
@@ -50,29 +51,47 @@
             for service in self._by_service
         }
 
-    def for_call(self, service: str) -> list[Member]:
+    def for_call(self, service: str, *, key: str = "") -> list[Member]:
         """Return the members of the version drawn for one call.
 
         Versions are drawn by weight. A version of weight 0 takes no call, even when
         no other is left.
+
+        :param key: the caller's own key, which draws the same version each time
+            while the weights stand.
         """
         members = self.of_service(service)
         weights = self._weights_of(service)
         if not weights:
             return members
         versions = {m.service_version for m in members}
-        drawn = self._draw(versions, weights)
+        point = _point_of(key) if key else self._rng.random()
+        drawn = _draw(versions, weights, point)
         return [m for m in members if m.service_version == drawn]
 
-    def _draw(self, versions: Iterable[str], weights: Weights) -> str | None:
-        eligible = sorted(v for v in versions if weights.get(v, 0.0) > 0.0)
-        if not eligible:
-            return None
-        shares = [weights[v] for v in eligible]
-        return self._rng.choices(eligible, weights=shares)[0]
+    def home_of(self, service: str, key: str) -> Member | None:
+        """Return the one member that remembers a caller's key."""
+        members = self.for_call(service, key=key)
+        return min(members, key=lambda m: rank(m.node_id, key), default=None)
 
     def _update(self, member: Member, known: Member | None) -> None:
         if known is not None and known.service not in ("", member.service):
             self._by_service[known.service].pop(member.node_id, None)
         if member.service:
             self._by_service[member.service][member.node_id] = member
+
+
+def _draw(versions: Iterable[str], weights: Weights, point: float) -> str | None:
+    """Return the version in whose part of the weights a point from 0 to 1 lies."""
+    eligible = sorted(v for v in versions if weights.get(v, 0.0) > 0.0)
+    left = point * sum(weights[v] for v in eligible)
+    for version in eligible:
+        left -= weights[version]
+        if left < 0.0:
+            return version
+    return eligible[-1] if eligible else None
+
+
+def _point_of(key: str) -> float:
+    """Return a point from 0 to 1 that is the same for a key on every node."""
+    return int.from_bytes(rank(key, "version")) / 2**64
--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -54,11 +54,13 @@
 
     :param deadline_s: monotonic seconds.
     :param retries: further attempts allowed.
+    :param key: the caller's own idempotency key, empty without one.
     """
 
     request: CallRequest
     deadline_s: float
     retries: int
+    key: str = ""
 
 
 class _Attempt(NamedTuple):
@@ -119,8 +121,7 @@
         body: "_ReplayableBody",
         excluded: frozenset[str],
     ) -> "_AttemptFailure | None":
-        members = self._endpoints.for_call(call.request.service)
-        member = self._balancer.pick(members, excluded=excluded)
+        member = self._pick(call, excluded)
         if member is None:
             detail = f"no backend server of {call.request.service} takes calls now"
             failure = Failure(Verdict.NOT_RUN, _NO_BACKEND_SERVER, detail)
@@ -136,6 +137,13 @@
             return _AttemptFailure(member.node_id, result)
         return None
 
+    def _pick(self, call: Call, excluded: frozenset[str]) -> Member | None:
+        """Choose by load; a caller's key always goes where it is remembered."""
+        service = call.request.service
+        if call.key:
+            return self._endpoints.home_of(service, call.key)
+        return self._balancer.pick(self._endpoints.for_call(service), excluded=excluded)
+
     async def _run_on(
         self, member: Member, call: Call, caller: Caller, body: "_ReplayableBody"
     ) -> AnswerHead | Failure:
--- a/burdockdock/proxy/listener.py
+++ b/burdockdock/proxy/listener.py
@@ -55,8 +55,18 @@
     Verdict.MAY_HAVE_RUN: 502,
     Verdict.RAN: 502,
 }
-_STATUS_OF_REASON = {"deadline_passed": 504, "backend_timeout": 504, "no_route": 404}
-_REASON_PHRASES = {404: "Not Found", 502: "Bad Gateway", 503: "Service Unavailable"}
+_STATUS_OF_REASON = {
+    "deadline_passed": 504,
+    "backend_timeout": 504,
+    "no_route": 404,
+    "already_ran": 409,
+}
+_REASON_PHRASES = {
+    404: "Not Found",
+    409: "Conflict",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+}
 _RETRY_AFTER_S = 1
 _MAX_DEPTH = 32
 
@@ -309,7 +319,7 @@
     # otherwise the attempts would multiply with the depth.
     retries = policy.retries if depth == 0 else min(policy.retries, 1)
     deadline_s = context.clock.monotonic() + timeout_ms / 1000
-    return Call(request, deadline_s, retries)
+    return Call(request, deadline_s, retries, request.request_id if key else "")
 
 
 def _body_length(headers: HTTPHeaders) -> int:
--- a/tests/proxy/test_whole_path.py
+++ b/tests/proxy/test_whole_path.py
@@ -186,3 +186,27 @@
             request = HTTPRequest(f"{fleet.backends['b']}/standin/ran")
             ran = json.loads((await CurlAsyncHTTPClient().fetch(request)).body)
             self.assertEqual({}, ran)
+
+    @async_test
+    async def test_repeated_key_runs_once_whichever_node_it_is_sent_to(self) -> None:
+        async with running_fleet("a", "b", "c", "d") as fleet:
+            for name in ("b", "c", "d"):
+                await fleet.add_backend(name, slots=100, latency_ms=20.0)
+            await fleet.apply()
+
+            async def post(i: int) -> Answer:
+                caller = fleet.callers["abcd"[i % 4]]
+                headers = {"Idempotency-Key": f"key-{i % 5}"}
+                return await _call(
+                    caller, "/x", method="POST", body="", headers=headers
+                )
+
+            first = await asyncio.gather(*(post(i) for i in range(40)))
+            again = [await post(i) for i in range(20)]
+            self.assertEqual(5, sum(answer.status == 200 for answer in first))
+            self.assertEqual({409}, {answer.status for answer in again})
+            runs = 0
+            for url in fleet.backends.values():
+                response = await CurlAsyncHTTPClient().fetch(f"{url}/standin/ran")
+                runs += sum(json.loads(response.body).values())
+            self.assertEqual(5, runs)
