Start no call that can't end in time, share a full queue fairly, plan moves by time

Causes, by bench.overload at twice the capacity: calls started too late to end and were cut at their deadline with an unknown outcome, and a noisy tenant filled the queue before a quiet one came. Moves follow a plan by time and catch up when evidence came late.

--- /dev/null
+++ b/bench/overload.py
@@ -0,0 +1,149 @@
+"""Measures goodput beyond capacity, and a quiet tenant beside a noisy one.
+
+Usage: python -m bench.overload
+"""
+
+import asyncio
+import json
+import random
+import time
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import click
+
+from bench.accounting import quantile
+from burdockdock.clock import SystemClock
+from burdockdock.configuration.acceptance import accept, read_head
+from burdockdock.configuration.ini import read_sections
+from burdockdock.gate.curl_client import BackendRequest, CurlClient
+from burdockdock.platform_api import PlatformClient
+from burdockdock.standin.local_fleet import LocalFleet, NodePlace
+
+_CONFIG = (
+    "[defaults]\nretries = 0\nqueue_length = 16\n"
+    "[service work]\n[route all]\npath = /\nservice = work\n"
+)
+_SLOTS = 8
+_LATENCY_MS = 100.0
+_DEADLINE_MS = 500
+_CAPACITY_PER_S = 2 * _SLOTS * 1000 / _LATENCY_MS
+_LOADS = (0.5, 1.0, 1.5, 2.0, 3.0)
+_SECONDS = 8.0
+_RESULTS = Path(__file__).parent / "results"
+
+
+class Outcome(NamedTuple):
+    """What one caller saw, and when."""
+
+    tenant: str
+    status: int
+    verdict: str
+    seconds_s: float
+
+
+async def _call(client: CurlClient, url: str, tenant: str, number: int) -> Outcome:
+    started_s = time.perf_counter()
+    transfer = client.start(
+        BackendRequest(
+            method="POST",
+            url=f"{url}/call/{number}",
+            headers=[
+                f"X-Tenant: {tenant}",
+                f"X-Burdockdock-Timeout-Ms: {_DEADLINE_MS}",
+                f"X-Test-Id: {tenant}-{number}",
+                "Content-Length: 0",
+            ],
+            body_length=0,
+            timeout_ms=10_000,
+            fresh_connection=False,
+        )
+    )
+    head = await transfer.head()
+    while isinstance(await transfer.read_body(), bytes):
+        pass
+    seconds_s = time.perf_counter() - started_s
+    headers = dict(getattr(head, "headers", ()))
+    verdict = headers.get("X-Burdockdock-Verdict", "")
+    return Outcome(tenant, getattr(head, "status", 0), verdict, seconds_s)
+
+
+async def _load(
+    client: CurlClient, url: str, rates: dict[str, float], seed: int
+) -> list[Outcome]:
+    """Let tenants call at their rates, whatever the answers take."""
+    rng = random.Random(seed)
+    total = sum(rates.values())
+    tasks = []
+    next_s = time.monotonic()
+    end_s = next_s + _SECONDS
+    while next_s < end_s:
+        tenant = rng.choices(list(rates), weights=list(rates.values()))[0]
+        number = seed * 100_000 + len(tasks)
+        tasks.append(asyncio.create_task(_call(client, url, tenant, number)))
+        next_s += rng.expovariate(total)
+        await asyncio.sleep(max(0.0, next_s - time.monotonic()))
+    return list(await asyncio.gather(*tasks))
+
+
+def _summary(outcomes: list[Outcome]) -> dict[str, Any]:
+    good = [o.seconds_s for o in outcomes if o.status == 200]
+    in_time = [s for s in good if s <= _DEADLINE_MS / 1000]
+    return {
+        "calls": len(outcomes),
+        "goodput_per_s": len(in_time) / _SECONDS,
+        "not_run": sum(o.verdict == "not_run" for o in outcomes),
+        "may_have_run": sum(o.verdict == "may_have_run" for o in outcomes),
+        "good_p50_ms": quantile(good, 0.5) * 1000 if good else None,
+        "good_p99_ms": quantile(good, 0.99) * 1000 if good else None,
+    }
+
+
+async def _run() -> dict[str, Any]:
+    fleet = LocalFleet(mesh="bench")
+    try:
+        return await _run_fleet(fleet)
+    finally:
+        await asyncio.to_thread(fleet.stop)
+
+
+async def _run_fleet(fleet: LocalFleet) -> dict[str, Any]:
+    fleet.start_platform()
+    nodes = [fleet.start_node(NodePlace(f"n{i}", "r", f"z{i}")) for i in range(3)]
+    for node in nodes[1:]:
+        fleet.start_backend(node, "work", "1", slots=_SLOTS, latency_ms=_LATENCY_MS)
+    await fleet.wait_ready(members=3)
+    platform = PlatformClient(fleet.platform_url, name="bench", clock=SystemClock())
+    await accept(
+        platform,
+        read_sections(_CONFIG),
+        base=await read_head(platform),
+        author="bench",
+        reason="bench",
+        clock=SystemClock(),
+    )
+    await asyncio.sleep(3)
+    client, url = CurlClient(), nodes[0].callers_url
+    result: dict[str, Any] = {"capacity_per_s": _CAPACITY_PER_S, "loads": {}}
+    for i, load in enumerate(_LOADS):
+        outcomes = await _load(client, url, {"one": load * _CAPACITY_PER_S}, i + 1)
+        result["loads"][str(load)] = _summary(outcomes)
+    rates = {"noisy": 2.0 * _CAPACITY_PER_S, "quiet": 0.1 * _CAPACITY_PER_S}
+    outcomes = await _load(client, url, rates, 9)
+    result["tenants"] = {
+        tenant: _summary([o for o in outcomes if o.tenant == tenant])
+        for tenant in rates
+    }
+    return result
+
+
+@click.command()
+def main() -> None:
+    """Measure and write the figures as JSON."""
+    result = asyncio.run(_run())
+    (_RESULTS / "overload.json").write_text(json.dumps(result, indent=1) + "\n")
+    click.echo(json.dumps(result, indent=1))
+
+
+if __name__ == "__main__":
+    main()
--- a/burdockdock/coordination/limiter.py
+++ b/burdockdock/coordination/limiter.py
@@ -17,7 +17,7 @@
     deadline_s: float
     sequence: int
     tenant: str
-    future: "asyncio.Future[None]"
+    future: "asyncio.Future[Failure | None]"
 
 
 class SlotLimiter:
@@ -90,18 +90,33 @@
 
     def _refuse_queueing(self, tenant: str, queue_length: int) -> Failure | None:
         """Refuse when the queue is full or the tenant has its share of it."""
-        if len(self._waiters) >= queue_length:
-            return Failure(Verdict.NOT_RUN, "queue_full")
         waiting = self._tenant_waiting.get(tenant, 0)
         others = len(self._tenant_waiting) - (tenant in self._tenant_waiting)
-        if waiting * (others + 1) >= queue_length:
+        if others and waiting * (others + 1) >= queue_length:
             return Failure(Verdict.NOT_RUN, "tenant_queue_full")
-        return None
+        if len(self._waiters) < queue_length or self._make_room(waiting):
+            return None
+        return Failure(Verdict.NOT_RUN, "queue_full")
+
+    def _make_room(self, waiting: int) -> bool:
+        """Refuse the last request of the tenant that waits most, if that is fair.
+
+        :param waiting: requests of the arriving request's tenant that wait.
+        """
+        most = max(self._tenant_waiting, key=self._tenant_waiting.get, default=None)
+        if most is None or self._tenant_waiting[most] <= waiting + 1:
+            return False
+        last = max(w for w in self._waiters if w.tenant == most)
+        self._forget(last)
+        if not last.future.done():
+            last.future.set_result(Failure(Verdict.NOT_RUN, "tenant_queue_full"))
+        return True
 
     async def _wait(
         self, tenant: str, deadline_s: float, priority: int
     ) -> Failure | None:
-        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        future: asyncio.Future[Failure | None]
+        future = asyncio.get_running_loop().create_future()
         load = self._tenant_in_use.get(tenant, 0) + self._tenant_waiting.get(tenant, 0)
         waiter = _Waiter(
             priority, load, deadline_s, next(self._sequence), tenant, future
@@ -110,7 +125,7 @@
         self._tenant_waiting[tenant] = self._tenant_waiting.get(tenant, 0) + 1
         try:
             async with asyncio.timeout(deadline_s - self._clock.monotonic()):
-                await future
+                return await future
         except TimeoutError:
             if not _was_granted(future):
                 self._forget(waiter)
@@ -150,5 +165,5 @@
             self._tenant_waiting.pop(tenant, None)
 
 
-def _was_granted(future: "asyncio.Future[None]") -> bool:
-    return future.done() and not future.cancelled()
+def _was_granted(future: "asyncio.Future[Failure | None]") -> bool:
+    return future.done() and not future.cancelled() and future.result() is None
--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -7,6 +7,7 @@
 from burdockdock.clock import Clock
 from burdockdock.coordination.dedupe import DedupeTable
 from burdockdock.coordination.limiter import SlotLimiter
+from burdockdock.coordination.typical import TypicalTimes
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.gate.curl_client import (
     BackendHead,
@@ -94,6 +95,7 @@
         self._client = CurlClient()
         self._limiter = SlotLimiter(slots=_DEFAULT_SLOTS, clock=clock)
         self._dedupe = DedupeTable(clock=clock)
+        self._typical = TypicalTimes()
         self._backend: BackendServer | None = None
         self.resend_allowed = False
         self._draining = False
@@ -148,24 +150,35 @@
         if refusal is not None:
             self._refused(refusal, stream)
             return
+        refusal = await self._acquire(request, deadline_s)
+        if refusal is not None:
+            self._dedupe.release(request.request_id)
+            self._refused(refusal, stream)
+            return
+        try:
+            await self._call_backend(request, stream, deadline_s)
+        finally:
+            self._limiter.release(request.tenant)
+
+    async def _acquire(self, request: CallRequest, deadline_s: float) -> Failure | None:
+        """Wait for a slot for as long as there is time to use it."""
+        start_by_s = deadline_s - self._typical.needed_s(request.route)
+        if start_by_s <= self._clock.monotonic():
+            self._typical.refused(request.route)
+            return Failure(Verdict.NOT_RUN, "too_little_time")
         try:
             refusal = await self._limiter.acquire(
                 tenant=request.tenant,
-                deadline_s=deadline_s,
+                deadline_s=start_by_s,
                 priority=request.priority,
                 queue_length=request.queue_length,
             )
         except asyncio.CancelledError:
             self._dedupe.finish(request.request_id, Verdict.NOT_RUN)
             raise
-        if refusal is not None:
-            self._dedupe.release(request.request_id)
-            self._refused(refusal, stream)
-            return
-        try:
-            await self._call_backend(request, stream, deadline_s)
-        finally:
-            self._limiter.release(request.tenant)
+        if refusal is not None and refusal.reason == "queue_timeout":
+            self._typical.refused(request.route)
+        return refusal
 
     def _claim(self, request: CallRequest, deadline_s: float) -> Failure | None:
         """Claim the id; an idempotent request may run again and needs none."""
@@ -259,6 +272,8 @@
         seconds_s = self._clock.monotonic() - started_s
         shed = status in _SHED_STATUSES
         failed = not complete or (status >= 500 and not shed)
+        if not failed and not shed:
+            self._typical.record(request.route, seconds_s)
         self._metrics.record_latency(
             "backend",
             seconds_s,
--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -21,7 +21,14 @@
 _SHED_STATUSES = frozenset({429, 503})
 # Refusals that say something about load or a planned stop, not about faults.
 _HEALTHY_REFUSALS = frozenset(
-    {"queue_full", "tenant_queue_full", "queue_timeout", "draining", "deadline_passed"}
+    {
+        "queue_full",
+        "tenant_queue_full",
+        "queue_timeout",
+        "draining",
+        "deadline_passed",
+        "too_little_time",
+    }
 )
 
 
--- a/burdockdock/rollout/policy.py
+++ b/burdockdock/rollout/policy.py
@@ -10,6 +10,8 @@
 # Parts of the time from start to deadline.
 _SHIFTING_PART = 0.6
 _SOAKING_PART = 0.25
+_SHORTEST_SOAKING_PART = 0.1
+_SHORTEST_DWELL_PART = 0.02
 _MIN_DWELL_S = 0.5
 # Calls that the new version must have had before it takes a share.
 _CALLS_FOR_SHARE = {0.25: 100, 0.5: 150, 1.0: 200}
@@ -64,9 +66,9 @@
 
 def _shift(rollout: Rollout, facts: Facts, now: datetime) -> Rollout | None:
     """Grow the share when the time since the last step and the evidence allow it."""
-    if now - (rollout.step_at or now) < _dwell(rollout):
-        return None
     share = next(s for s in _SHARES if s > rollout.share)
+    if now < _planned_at(rollout, share) or not _has_dwelt(rollout, now):
+        return None
     calls = facts.judgement.new_calls
     if calls < _CALLS_FOR_SHARE.get(share, 0):
         return None
@@ -87,7 +89,9 @@
 def _may_be_done(rollout: Rollout, facts: Facts, now: datetime) -> bool:
     if rollout.phase is not Phase.SOAKING or rollout.step_at is None:
         return False
-    soaked = now - rollout.step_at >= _duration(rollout) * _SOAKING_PART
+    # A soak that began late is cut short by the deadline, to a part of its time.
+    part = _SOAKING_PART if now < rollout.deadline else _SHORTEST_SOAKING_PART
+    soaked = now - rollout.step_at >= _duration(rollout) * part
     return soaked and facts.judgement.new_calls >= _CALLS_TO_BE_DONE
 
 
@@ -111,6 +115,14 @@
     return rollout.deadline - rollout.started_at
 
 
-def _dwell(rollout: Rollout) -> timedelta:
-    dwell = _duration(rollout) * _SHIFTING_PART / len(_SHARES)
-    return max(dwell, timedelta(seconds=_MIN_DWELL_S))
+def _planned_at(rollout: Rollout, share: float) -> datetime:
+    """Return when a share is due by the plan."""
+    part = _SHIFTING_PART * _SHARES.index(share) / len(_SHARES)
+    return rollout.started_at + _duration(rollout) * part
+
+
+def _has_dwelt(rollout: Rollout, now: datetime) -> bool:
+    """Tell whether the share stood long enough, also when the plan is late."""
+    shortest = _duration(rollout) * _SHORTEST_DWELL_PART
+    shortest = max(shortest, timedelta(seconds=_MIN_DWELL_S))
+    return now - (rollout.step_at or now) >= shortest
--- a/tests/coordination/test_limiter.py
+++ b/tests/coordination/test_limiter.py
@@ -6,6 +6,7 @@
 
 from burdockdock.clock import ManualClock, SystemClock
 from burdockdock.coordination.limiter import SlotLimiter
+from burdockdock.coordination.typical import TypicalTimes
 from burdockdock.coordination.verdict import Verdict
 from tests.support import async_test
 
@@ -83,3 +84,41 @@
         waiter.cancel()
         await asyncio.wait([waiter])
         self.assertEqual((0, 0), (limiter.in_use, limiter.queued))
+
+    @async_test
+    async def test_full_queue_makes_room_for_a_quiet_tenant(self) -> None:
+        limiter = SlotLimiter(slots=1, clock=SystemClock())
+        deadline_s = SystemClock().monotonic() + 60
+        await limiter.acquire(tenant="noisy", deadline_s=deadline_s)
+        noisy = [
+            asyncio.create_task(
+                limiter.acquire(tenant="noisy", deadline_s=deadline_s, queue_length=4)
+            )
+            for _ in range(4)
+        ]
+        await asyncio.sleep(0)
+        quiet = asyncio.create_task(
+            limiter.acquire(tenant="quiet", deadline_s=deadline_s, queue_length=4)
+        )
+        await asyncio.sleep(0)
+        limiter.release("noisy")
+        self.assertIsNone(await quiet)
+        refused = [task.result() for task in noisy if task.done()]
+        self.assertEqual(["tenant_queue_full"], [f.reason for f in refused])
+        self.assertEqual((1, 3), (limiter.in_use, limiter.queued))
+        for task in noisy:
+            task.cancel()
+
+
+class TypicalTimesTest(testtools.TestCase):
+    """Tests of what time a request needs."""
+
+    def test_refusals_let_a_slow_time_be_forgotten(self) -> None:
+        times = TypicalTimes()
+        self.assertEqual(0.0, times.needed_s("r"))
+        for _ in range(50):
+            times.record("r", 0.1)
+        self.assertTrue(0.1 < times.needed_s("r") < 0.15)
+        for _ in range(200):
+            times.refused("r")
+        self.assertLess(times.needed_s("r"), 0.01)
