--- a/bench/overload.py
+++ b/bench/overload.py
@@ -14,7 +14,7 @@
 
 from bench.accounting import quantile
 from burdockdock.clock import SystemClock
-from burdockdock.configuration.acceptance import accept, read_head
+from burdockdock.configuration.acceptance import accept_over_newest
 from burdockdock.configuration.ini import read_sections
 from burdockdock.gate.curl_client import BackendRequest, CurlClient
 from burdockdock.platform_api import PlatformClient
@@ -114,10 +114,9 @@
         fleet.start_backend(node, "work", "1", slots=_SLOTS, latency_ms=_LATENCY_MS)
     await fleet.wait_ready(members=3)
     platform = PlatformClient(fleet.platform_url, name="bench", clock=SystemClock())
-    await accept(
+    await accept_over_newest(
         platform,
         read_sections(_CONFIG),
-        base=await read_head(platform),
         author="bench",
         reason="bench",
         clock=SystemClock(),
--- a/bench/requests.py
+++ b/bench/requests.py
@@ -15,7 +15,7 @@
 
 from bench.accounting import quantile, usage_of
 from burdockdock.clock import SystemClock
-from burdockdock.configuration.acceptance import accept, read_head
+from burdockdock.configuration.acceptance import accept_over_newest
 from burdockdock.configuration.ini import read_sections
 from burdockdock.gate.curl_client import BackendRequest, CurlClient
 from burdockdock.platform_api import PlatformClient
@@ -94,10 +94,9 @@
     backend = fleet.start_backend(nodes[1], "work", "1", slots=64, latency_ms=2)
     await fleet.wait_ready(members=2)
     platform = PlatformClient(fleet.platform_url, name="bench", clock=SystemClock())
-    await accept(
+    await accept_over_newest(
         platform,
         read_sections(_CONFIG),
-        base=await read_head(platform),
         author="bench",
         reason="bench",
         clock=SystemClock(),
--- a/burdockdock/configuration/acceptance.py
+++ b/burdockdock/configuration/acceptance.py
@@ -152,6 +152,25 @@
     return outcome
 
 
+async def accept_over_newest(
+    platform: PlatformClient,
+    sections: Sections,
+    *,
+    author: str,
+    reason: str,
+    clock: Clock,
+) -> Accepted | Rejected | Undecided:
+    """Accept a configuration in place of whichever is the newest now."""
+    base = await read_head(platform)
+    if isinstance(base, Failure):
+        return Rejected(
+            [Problem("", "", f"the platform can't be reached: {base.detail}")]
+        )
+    return await accept(
+        platform, sections, base=base, author=author, reason=reason, clock=clock
+    )
+
+
 async def find_outcome(
     platform: PlatformClient, token: str, *, base_version: int
 ) -> Accepted | Rejected | Undecided:
--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -13,6 +13,7 @@
 from burdockdock.metrics import Metrics
 from burdockdock.node.bootstrap import Bootstrap
 from burdockdock.node.config_state import CONFIG_KEY, ConfigState
+from burdockdock.node.notices import tell_in_force, tell_late
 from burdockdock.node.notifier import Notifier
 from burdockdock.node.operator_api import OperatorActions, serve_operators
 from burdockdock.node.peer_server import PeerServer
@@ -23,11 +24,10 @@
     ControlBytes,
     StatusReport,
     report_fleet,
-    report_laggard,
     report_move,
 )
 from burdockdock.node.supervise import supervise
-from burdockdock.overlay.applied import AppliedTracker, FleetStatus
+from burdockdock.overlay.applied import AppliedTracker
 from burdockdock.overlay.datagrams import Datagrams
 from burdockdock.overlay.failure_detector import FailureDetector
 from burdockdock.overlay.spread import Spreader
@@ -129,8 +129,8 @@
             datagrams=self.datagrams,
             clock=self._clock,
             own_state=self.config.applied_state,
-            on_in_force=self._tell_in_force,
-            on_late=self._tell_late,
+            on_in_force=tell_in_force(self._notifier),
+            on_late=tell_late(self._notifier),
         )
 
     def _build_calls(self) -> None:
@@ -348,31 +348,6 @@
             return {found.initial_version: 1.0}
         return {}
 
-    def _tell_in_force(self, status: FleetStatus, seconds_s: float) -> None:
-        """Say that a version is in force everywhere."""
-        fields = {"version": status.version, "nodes": status.total}
-        seconds_s = round(seconds_s, 3)
-        log_event("config.in_force", seconds_s=seconds_s, **fields)
-        self._notifier.post_later(
-            f"config-{status.version}/in_force",
-            "config.in_force",
-            seconds_s=seconds_s,
-            **fields,
-        )
-
-    def _tell_late(self, status: FleetStatus, seconds_s: float) -> None:
-        """Say that a version is not in force everywhere in time, and where."""
-        fields = {
-            "version": status.version,
-            "applied": status.applied,
-            "nodes": status.total,
-            "laggards": [report_laggard(state) for state in status.laggards],
-        }
-        log_event("config.late", seconds_s=round(seconds_s, 3), **fields)
-        self._notifier.post_later(
-            f"config-{status.version}/late", "config.late", **fields
-        )
-
     def _observe(self, result: CallResult) -> None:
         backend = self.gate.backend
         if backend is not None:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -7,7 +7,7 @@
 from tornado.httpserver import HTTPServer
 
 from burdockdock.clock import SystemClock
-from burdockdock.configuration.acceptance import Accepted, accept, read_head
+from burdockdock.configuration.acceptance import Accepted, accept_over_newest
 from burdockdock.configuration.ini import read_sections
 from burdockdock.node.node import Node
 from burdockdock.node.settings import NodeSettings
@@ -92,11 +92,9 @@
 
     async def apply(self, text: str = CONFIG) -> int:
         """Accept a configuration and wait until every node applies it."""
-        head = await read_head(self.platform)
-        result = await accept(
+        result = await accept_over_newest(
             self.platform,
             read_sections(text),
-            base=head,
             author="test",
             reason="test",
             clock=SystemClock(),
--- /dev/null
+++ b/tests/platform_api/test_client.py
@@ -0,0 +1,96 @@
+"""Tests of the client against the platform's stand-in and its failures."""
+
+import asyncio
+import json
+
+import testtools
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPRequest
+
+from burdockdock.clock import SystemClock
+from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.platform_api import Conflict, PlatformClient, PlatformObject
+from burdockdock.standin.local_fleet import free_port
+from burdockdock.standin.platform import serve_platform
+from tests.support import async_test
+
+
+class _Platform:
+    """A stand-in in this process, and a client of it."""
+
+    def __init__(self) -> None:
+        port = free_port()
+        self.url = f"http://127.0.0.1:{port}"
+        self.server = serve_platform("127.0.0.1", port)
+        self.client = PlatformClient(self.url, name="test", clock=SystemClock())
+
+    async def switch(self, **switches: object) -> None:
+        """Change how the platform fails."""
+        request = HTTPRequest(
+            f"{self.url}/switches", method="POST", body=json.dumps(switches)
+        )
+        await CurlAsyncHTTPClient().fetch(request)
+
+
+class PlatformClientTest(testtools.TestCase):
+    """Tests of updates, watches and failures."""
+
+    @async_test
+    async def test_conditional_updates(self) -> None:
+        client = _Platform().client
+        created = await client.update("a/b", expected_version=0, value={"x": 1})
+        self.assertIsInstance(created, PlatformObject)
+        again = await client.update("a/b", expected_version=0, value={"x": 2})
+        self.assertIsInstance(again, Conflict)
+        self.assertEqual(1, again.current.value["x"])
+        missing = await client.read("a/c")
+        self.assertEqual((0, {}), (missing.version, missing.value))
+
+    @async_test
+    async def test_lost_answer_is_found_out_by_the_token(self) -> None:
+        platform = _Platform()
+        await platform.switch(lose_answers=1)
+        written = await platform.client.update("k", expected_version=0, value={"x": 1})
+        self.assertIsInstance(written, PlatformObject)
+        found = await platform.client.read("k")
+        self.assertEqual((written.version, 1), (found.version, found.value["x"]))
+
+    @async_test
+    async def test_lost_answer_of_a_lost_race_is_a_conflict(self) -> None:
+        platform = _Platform()
+        await platform.client.update("k", expected_version=0, value={"x": "other"})
+        result = await platform.client.update("k", expected_version=0, value={"x": 1})
+        self.assertEqual("other", result.current.value["x"])
+
+    @async_test
+    async def test_outage_is_told_as_not_run(self) -> None:
+        platform = _Platform()
+        await platform.switch(down=True)
+        result = await platform.client.update(
+            "k", expected_version=0, value={}, patience_s=0.2
+        )
+        self.assertIsInstance(result, Failure)
+        self.assertIs(Verdict.NOT_RUN, result.verdict)
+        self.assertGreater(platform.client.failures_in_row, 0)
+        await platform.switch(down=False)
+        await platform.client.read("k")
+        self.assertEqual(0, platform.client.failures_in_row)
+
+    @async_test
+    async def test_too_large_value_is_refused_before_it_is_sent(self) -> None:
+        client = _Platform().client
+        value = {"x": "y" * 1_100_000}
+        result = await client.update("k", expected_version=0, value=value)
+        self.assertEqual("too_large", result.reason)
+
+    @async_test
+    async def test_watch_sees_what_changed_after_a_revision(self) -> None:
+        client = _Platform().client
+        listed = await client.list("p/")
+        watch = asyncio.create_task(client.watch("p/", after=listed.revision))
+        await client.update("q/other", expected_version=0, value={})
+        await client.update("p/one", expected_version=0, value={"x": 1})
+        seen = await watch
+        self.assertEqual(["p/one"], [found.key for found in seen.objects])
+        empty = await client.watch("p/", after=seen.revision, wait_s=0.05)
+        self.assertEqual([], empty.objects)
--- a/tests/rollout/test_processes.py
+++ b/tests/rollout/test_processes.py
@@ -8,7 +8,7 @@
 import testtools
 
 from burdockdock.clock import SystemClock
-from burdockdock.configuration.acceptance import accept, read_head
+from burdockdock.configuration.acceptance import accept_over_newest
 from burdockdock.configuration.ini import read_sections
 from burdockdock.node.operator_client import call_node
 from burdockdock.platform_api import PlatformClient
@@ -71,10 +71,9 @@
         await task
 
     async def _apply(self, platform: PlatformClient) -> None:
-        await accept(
+        await accept_over_newest(
             platform,
             read_sections(_CONFIG),
-            base=await read_head(platform),
             author="test",
             reason="test",
             clock=SystemClock(),
