--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -39,6 +39,7 @@
     fleets: list[dict[str, Any]]
     members: dict[str, Any]
     requests: list[dict[str, Any]]
+    overload: dict[str, Any]
 
 
 class Row(NamedTuple):
@@ -57,7 +58,9 @@
     def load(name: str) -> Any:
         return json.loads((_RESULTS / f"{name}.json").read_text())
 
-    return Measurements(load("distribution"), load("members"), load("requests"))
+    return Measurements(
+        load("distribution"), load("members"), load("requests"), load("overload")
+    )
 
 
 class _Figures:
@@ -330,6 +333,23 @@
     return "\n".join(lines)
 
 
+def _overload_table(figures: _Figures) -> str:
+    overload = figures.measured.overload
+    rows = {f"{load} times": row for load, row in overload["loads"].items()}
+    rows |= {f"tenant {name}": row for name, row in overload["tenants"].items()}
+    lines = [
+        "| load | calls | good in time | not run | may have run | good p50, p99 |",
+        "|---|---|---|---|---|---|",
+    ]
+    lines += [
+        f"| {name} | {row['calls']} | {row['goodput_per_s']:.0f}/s | "
+        f"{row['not_run']} | {row['may_have_run']} | {row['good_p50_ms']:.0f}, "
+        f"{row['good_p99_ms']:.0f} ms |"
+        for name, row in rows.items()
+    ]
+    return "\n".join(lines)
+
+
 def _bad_days(figures: _Figures) -> str:
     wire = figures.measured.members["members"][-1]["member_wire_bytes"]
     zone = INSTANCES // ZONES
@@ -441,6 +461,13 @@
 
 {_request_table(figures)}
 
+`python -m bench.overload`: two gates with 8 slots and 100 ms a call each, so that
+{measured.overload["capacity_per_s"]:.0f} calls a second are the capacity, and a
+deadline of 500 ms; then a noisy tenant at twice the capacity beside a quiet one at a
+tenth of it.
+
+{_overload_table(figures)}
+
 ## Ordinary and bad days
 
 {_bad_days(figures)}
