Take out what nothing calls

A constant, a store's lookup by prefix, a count of calls on a link and a switch of the exchange that was always on. No behaviour changes; the tests of the parts concerned pass (64), the whole suite was not run again.

--- a/burdockdock/coordination/records.py
+++ b/burdockdock/coordination/records.py
@@ -56,10 +56,6 @@
         keys = self._records.keys() | self._refused.keys()
         return {key: self.version(key) for key in keys}
 
-    def with_prefix(self, prefix: str) -> list[Record]:
-        """Return the records whose key begins with a prefix."""
-        return [r for key, r in self._records.items() if key.startswith(prefix)]
-
     def subscribe(self, listener: Callable[[Record], None]) -> None:
         """Call a function with each record that is stored."""
         self._listeners.append(listener)
--- a/burdockdock/overlay/sync.py
+++ b/burdockdock/overlay/sync.py
@@ -121,16 +121,11 @@
         self.sent_bytes = 0
         self.received_bytes = 0
 
-    async def sync_with(
-        self, host: str, port: int, *, members: bool = True
-    ) -> PeerIdentity | Failure:
-        """Exchange state with the node at an address.
-
-        :param members: whether to exchange members besides records.
-        """
+    async def sync_with(self, host: str, port: int) -> PeerIdentity | Failure:
+        """Exchange state with the node at an address."""
         try:
             async with asyncio.timeout(_TIMEOUT_S):
-                return await self._exchange(host, port, members)
+                return await self._exchange(host, port)
         except TimeoutError:
             return Failure(Verdict.MAY_HAVE_RUN, "sync_timeout", f"{host}:{port}")
         except (OSError, StreamClosedError, ValueError, *MALFORMED) as error:
@@ -178,16 +173,14 @@
     async def _pull(self, member: Member) -> None:
         await self.sync_with(member.host, member.port)
 
-    async def _exchange(
-        self, host: str, port: int, members: bool
-    ) -> PeerIdentity | Failure:
+    async def _exchange(self, host: str, port: int) -> PeerIdentity | Failure:
         stream = await self._tcp.connect(host, port)
         connection = FrameConnection(stream)
         try:
             peer = await greet(connection, self._own)
             if isinstance(peer, Failure):
                 return peer
-            reply = await self._ask(connection, members=members, pushed=[])
+            reply = await self._ask(connection, members=True, pushed=[])
             if reply is None or reply.busy:
                 return Failure(Verdict.NOT_RUN, "peer_busy", f"{host}:{port}")
             differing = set(reply.differingBuckets)
--- a/burdockdock/proxy/peer_link.py
+++ b/burdockdock/proxy/peer_link.py
@@ -129,11 +129,6 @@
         """Whether the connection has ended."""
         return self._connection.closed
 
-    @property
-    def calls_in_flight(self) -> int:
-        """Calls that have not ended."""
-        return len(self._calls)
-
     def start(self, request: CallRequest) -> RemoteCall:
         """Send a request."""
         call_id = next(self._ids)
--- a/burdockdock/rollout/judge.py
+++ b/burdockdock/rollout/judge.py
@@ -15,7 +15,6 @@
 _HIGHEST_US = 600_000_000
 _SIGNIFICANT_DIGITS = 2
 _SLOW_PERCENTILE = 95
-_SLOW_SHARE = 1 - _SLOW_PERCENTILE / 100
 _MIN_REFERENCE_CALLS = 100
 # A tenth slower than the old version's slow calls is noise, not a fault.
 _SLOW_TOLERANCE = 1.1
