--- a/burdockdock/cli/node.py
+++ b/burdockdock/cli/node.py
@@ -4,6 +4,7 @@
 import gc
 from importlib import resources
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import click
 
@@ -11,6 +12,9 @@
 from burdockdock.logs import start_logging
 from burdockdock.node.settings import NodeSettings, read_settings
 
+if TYPE_CHECKING:
+    from burdockdock.node.interface import Interface
+
 _GC_YOUNG_OBJECTS = 20_000
 _GC_MIDDLE_RUNS = 20
 _GC_OLD_RUNS = 100
@@ -20,6 +24,7 @@
     "path",
     type=click.Path(path_type=Path),
     required=True,
+    envvar="BURDOCKDOCK_CONFIG",
     help="The node's settings, an INI file.",
 )
 
@@ -61,7 +66,18 @@
     gc.set_threshold(_GC_YOUNG_OBJECTS, _GC_MIDDLE_RUNS, _GC_OLD_RUNS)
     # What the imports made stays for good; the collector need not look at it.
     gc.freeze()
-    await Node(settings).run()
+    await Node(settings, interface=_interface_of(settings)).run()
+
+
+def _interface_of(settings: NodeSettings) -> "Interface":
+    """Return what the settings say that the platform speaks."""
+    from burdockdock.node.interface import OWN_INTERFACE
+
+    if settings.platform_form == "own":
+        return OWN_INTERFACE
+    from burdockdock.platform import INTERFACE
+
+    return INTERFACE
 
 
 def _read_or_exit(path: Path) -> NodeSettings:
--- a/burdockdock/configuration/checks.py
+++ b/burdockdock/configuration/checks.py
@@ -14,6 +14,7 @@
     Sections,
     Service,
     Snapshot,
+    SplitPart,
 )
 
 _POLICY_BOUNDS = {
@@ -21,7 +22,18 @@
     "retries": (0, 5),
     "queue_length": (0, 10_000),
 }
-_ROUTE_KEYS = {"path", "service", "host", "class", "priority"}
+_ROUTE_KEYS = {
+    "path",
+    "service",
+    "host",
+    "class",
+    "priority",
+    "kind",
+    "split",
+    "target_latency_ms",
+}
+_ROUTE_KINDS = ("idempotent", "non_idempotent", "download")
+_LONGEST_MS = 600_000
 _OVERRIDE_KEYS = {"scope", "setting", "value", "reason", "expires"}
 _INITIAL_VERSION = "initial_version"
 _SCOPE_KINDS = ("zone", "service", "route", "node")
@@ -77,16 +89,20 @@
         names = self._parts if self._services_removed else self._added
         for name in names:
             value = self._parts[name].value
-            if isinstance(value, Route) and value.service not in self._services:
-                self._problem(
-                    name,
-                    "service",
-                    f"service {value.service} is not defined; add "
-                    f"[service {value.service}]",
-                )
+            if isinstance(value, Route):
+                self._check_services(name, value)
         for override in self._overrides.values():
             self._check_scope(override)
 
+    def _check_services(self, section: str, route: Route) -> None:
+        for service in route.services:
+            if service not in self._services:
+                self._problem(
+                    section,
+                    "split" if route.split else "service",
+                    f"service {service} is not defined; add [service {service}]",
+                )
+
     def snapshot(self, sections: Sections, version: int) -> Snapshot:
         """Return what was built."""
         return Snapshot(
@@ -182,8 +198,12 @@
         path = pairs.get("path", "")
         if not path.startswith("/"):
             self._problem(section, "path", "give a path that begins with /")
-        if not pairs.get("service"):
+        split = self._split(section, pairs.get("split", ""))
+        if not pairs.get("service") and not split:
             self._problem(section, "service", "give the service's name")
+        kind = pairs.get("kind", "")
+        if kind and kind not in _ROUTE_KINDS:
+            self._problem(section, "kind", f"give one of {', '.join(_ROUTE_KINDS)}")
         return Route(
             name=name,
             path=path,
@@ -194,8 +214,34 @@
                 section, "priority", pairs.get("priority", "0"), 0, 9
             ),
             policy_keys=self._policy(section, policy),
+            kind=kind,
+            split=split,
+            target_latency_ms=self._integer(
+                section,
+                "target_latency_ms",
+                pairs.get("target_latency_ms", "0"),
+                0,
+                _LONGEST_MS,
+            ),
         )
 
+    def _split(self, section: str, text: str) -> tuple[SplitPart, ...]:
+        """Read services with weights, such as ``work:90, work-next:10``."""
+        parts = []
+        for item in text.split(",") if text else ():
+            service, _, weight = item.strip().rpartition(":")
+            try:
+                part = SplitPart(service, float(weight))
+            except ValueError:
+                part = SplitPart("", 0.0)
+            if not part.service or not 0 <= part.weight < float("inf"):
+                self._problem(section, "split", "give SERVICE:WEIGHT, SERVICE:WEIGHT")
+                return ()
+            parts.append(part)
+        if parts and not any(part.weight for part in parts):
+            self._problem(section, "split", "give one weight above 0 at least")
+        return tuple(parts)
+
     def _read_override(
         self, section: str, name: str, pairs: dict[str, str]
     ) -> Override | None:
--- a/burdockdock/configuration/lookup.py
+++ b/burdockdock/configuration/lookup.py
@@ -1,5 +1,6 @@
 """Finding the route and the policy of a call in a snapshot."""
 
+import random
 from datetime import datetime
 
 from burdockdock.configuration.model import (
@@ -26,26 +27,46 @@
     return None
 
 
+def draw_service(route: Route, *, rng: random.Random) -> str:
+    """Return the service for one call, drawn by weight where the route is split.
+
+    The draw does not look at which service has room, so that the parts keep their
+    weights when one of them is short of it.
+    """
+    if not route.split:
+        return route.service
+    point = rng.random() * sum(part.weight for part in route.split)
+    for part in route.split:
+        point -= part.weight
+        if point < 0.0:
+            return part.service
+    return next(part.service for part in reversed(route.split) if part.weight)
+
+
 def policy_for(
     snapshot: Snapshot,
     route: Route,
     *,
+    service: str = "",
     availability_zone: str,
     node_id: str,
     now: datetime,
 ) -> Policy:
-    """Return the policy of a route's calls on one node.
+    """Return the policy of a route's calls to one service on one node.
 
     The defaults, then the service, the route, and last the exceptions that apply,
     the narrowest scope last.
+
+    :param service: the service drawn for the call, by default the route's only one.
     """
+    service = service or route.service
     keys = {
-        **snapshot.services[route.service].policy_keys,
+        **snapshot.services[service].policy_keys,
         **route.policy_keys,
     }
     names = {
         "zone": availability_zone,
-        "service": route.service,
+        "service": service,
         "route": route.name,
         "node": node_id,
     }
--- a/burdockdock/configuration/model.py
+++ b/burdockdock/configuration/model.py
@@ -52,13 +52,27 @@
     initial_version: str = ""
 
 
+class SplitPart(NamedTuple):
+    """One service's part of a route's calls.
+
+    :param weight: the part, relative to the others' weights.
+    """
+
+    service: str
+    weight: float
+
+
 class Route(NamedTuple):
     """A rule that sends calls to a service.
 
     :param host: host name that the call must carry, empty for any.
     :param path: prefix of the path, whole segments only.
+    :param service: empty when the calls are split.
     :param traffic_class: label of the calls in metrics and queues.
     :param priority: lower is served first when calls wait.
+    :param kind: what may be repeated; empty when the method says it.
+    :param split: services with their weights, among which the calls are divided.
+    :param target_latency_ms: time within which an answer is of full use, 0 for none.
     """
 
     name: str
@@ -68,6 +82,16 @@
     traffic_class: str = "default"
     priority: int = 0
     policy_keys: dict[str, int] = {}
+    kind: str = ""
+    split: tuple[SplitPart, ...] = ()
+    target_latency_ms: int = 0
+
+    @property
+    def services(self) -> tuple[str, ...]:
+        """Names of the services that may take the route's calls."""
+        if self.split:
+            return tuple(part.service for part in self.split)
+        return (self.service,)
 
 
 class Override(NamedTuple):
--- a/burdockdock/coordination/membership.py
+++ b/burdockdock/coordination/membership.py
@@ -27,6 +27,7 @@
     :param service: name of the backend server's service, empty without one.
     :param service_version: the backend server's version.
     :param slots: calls that the backend server runs at a time.
+    :param platform_lost: the platform does not answer this member.
     """
 
     node_id: str
@@ -41,6 +42,7 @@
     service: str = ""
     service_version: str = ""
     slots: int = 0
+    platform_lost: bool = False
 
     @property
     def takes_work(self) -> bool:
--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -15,20 +15,27 @@
     CurlClient,
     Transfer,
 )
+from burdockdock.gate.headers import OWN_HEADERS, CallHeaders
+from burdockdock.logs import log_event
 from burdockdock.metrics import Metrics
 from burdockdock.protocol.calls import AnswerHead, CallRequest
 
-TIMEOUT_HEADER = "X-Burdockdock-Timeout-Ms"
-REQUEST_ID_HEADER = "X-Burdockdock-Request-Id"
 _SHED_STATUSES = frozenset({429, 503})
 _DEFAULT_SLOTS = 8
 _MIN_MARGIN_S = 0.001
+# Other nodes learn within this that the backend server leaves; what is on its way
+# until then is still served.
+_LEAVE_NOTICE_S = 1.0
+_MISDIRECTED = 421
 _CURL_DEFAULT_HEADERS = ("Accept", "User-Agent", "Expect")
 _METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
 
 
 class BackendServer(NamedTuple):
-    """What a backend server announced of itself."""
+    """What a backend server announced of itself.
+
+    :param instance_id: names one start of it, empty where it has no such name.
+    """
 
     service: str
     version: str
@@ -36,6 +43,7 @@
     port: int
     slots: int = _DEFAULT_SLOTS
     health_path: str = "/health"
+    instance_id: str = ""
 
 
 class CallResult(NamedTuple):
@@ -88,8 +96,11 @@
         clock: Clock,
         metrics: Metrics,
         observe: Callable[[CallResult], None] = lambda _: None,
+        headers: CallHeaders = OWN_HEADERS,
     ) -> None:
         self._clock = clock
+        self._headers = headers
+        self._closes_at_s = float("inf")
         self._metrics = metrics
         self._observe = observe
         self._client = CurlClient()
@@ -113,10 +124,22 @@
         """Calls that run or wait here."""
         return self._limiter.in_use + self._limiter.queued
 
-    def announce(self, backend: BackendServer) -> None:
-        """Take in what the backend server says of itself."""
+    @property
+    def running(self) -> int:
+        """Calls that run or wait here, until their answers have been passed on."""
+        return self._running
+
+    def announce(self, backend: BackendServer, *, leaving: bool = False) -> None:
+        """Take in what the backend server says of itself.
+
+        :param leaving: it takes no new calls from soon on.
+        """
         self._backend = backend
         self._limiter.resize(backend.slots)
+        if not leaving:
+            self._closes_at_s = float("inf")
+        elif self._closes_at_s == float("inf"):
+            self._closes_at_s = self._clock.monotonic() + _LEAVE_NOTICE_S
 
     def start_draining(self) -> None:
         """Refuse new calls from now on."""
@@ -148,12 +171,12 @@
         if refusal is None:
             refusal = self._claim(request, deadline_s)
         if refusal is not None:
-            self._refused(refusal, stream)
+            self._refused(request, refusal, stream)
             return
         refusal = await self._acquire(request, deadline_s)
         if refusal is not None:
             self._dedupe.release(request.request_id)
-            self._refused(refusal, stream)
+            self._refused(request, refusal, stream)
             return
         try:
             await self._call_backend(request, stream, deadline_s)
@@ -163,6 +186,7 @@
     async def _acquire(self, request: CallRequest, deadline_s: float) -> Failure | None:
         """Wait for a slot for as long as there is time to use it."""
         start_by_s = deadline_s - self._typical.needed_s(request.route)
+        start_by_s = min(start_by_s, self._closes_at_s)
         if start_by_s <= self._clock.monotonic():
             self._typical.refused(request.route)
             return Failure(Verdict.NOT_RUN, "too_little_time")
@@ -189,14 +213,26 @@
     def _refuse(self, request: CallRequest) -> Failure | None:
         if self._draining:
             return Failure(Verdict.NOT_RUN, "draining")
+        if self._clock.monotonic() >= self._closes_at_s:
+            return Failure(Verdict.NOT_RUN, "backend_leaving")
         if self._backend is None or self._backend.service != request.service:
             return Failure(
                 Verdict.NOT_RUN, "not_here", f"{request.service} does not run here"
             )
         return None
 
-    def _refused(self, refusal: Failure, stream: CallStream) -> None:
+    def _refused(
+        self, request: CallRequest, refusal: Failure, stream: CallStream
+    ) -> None:
         self._metrics.count("gate_refusals", label=refusal.reason)
+        log_event(
+            "gate.refused",
+            request=request.request_id,
+            route=request.route,
+            reason=refusal.reason,
+            load=self.load,
+            left_ms=request.time_left_ms,
+        )
         stream.fail(refusal)
 
     async def _call_backend(
@@ -209,6 +245,9 @@
         upload = self._start_upload(request, stream, transfer)
         try:
             head = await transfer.head()
+            if not isinstance(head, Failure):
+                wrong = check_answer(self._headers, request, head)
+                head = head if wrong is None else wrong
             if isinstance(head, Failure):
                 verdict = head.verdict
                 self._end_without_answer(request, stream, head, started_s)
@@ -221,9 +260,25 @@
                 upload.cancel()
             if verdict is not Verdict.RAN and not transfer.sent:
                 verdict = Verdict.NOT_RUN
+            self._log_end(request, verdict, started_s)
             transfer.cancel()
             self._finish_id(request, verdict)
 
+    def _log_end(
+        self, request: CallRequest, verdict: Verdict, started_s: float
+    ) -> None:
+        backend = self._backend
+        log_event(
+            "gate.ended",
+            request=request.request_id,
+            route=request.route,
+            instance=backend.instance_id if backend else "",
+            verdict=verdict.name.lower(),
+            seconds_s=self._clock.monotonic() - started_s,
+            in_use=self._limiter.in_use,
+            queued=self._limiter.queued,
+        )
+
     def _finish_id(self, request: CallRequest, verdict: Verdict) -> None:
         """Keep the id of what may have run; a refused one may be sent again."""
         if verdict is Verdict.NOT_RUN:
@@ -263,7 +318,15 @@
         started_s: float,
     ) -> None:
         self._metrics.count("gate_failures", label=failure.reason)
-        self._record(request, started_s, status=0, complete=False)
+        log_event(
+            "gate.failed",
+            request=request.request_id,
+            reason=failure.reason,
+            verdict=failure.verdict.name.lower(),
+            detail=failure.detail,
+        )
+        status = 503 if failure.verdict is Verdict.NOT_RUN else 0
+        self._record(request, started_s, status=status, complete=False)
         stream.fail(failure)
 
     def _record(
@@ -271,7 +334,7 @@
     ) -> None:
         seconds_s = self._clock.monotonic() - started_s
         shed = status in _SHED_STATUSES
-        failed = not complete or (status >= 500 and not shed)
+        failed = not shed and (not complete or status >= 500)
         if not failed and not shed:
             self._typical.record(request.route, seconds_s)
         self._metrics.record_latency(
@@ -297,9 +360,13 @@
         left_s = max(_MIN_MARGIN_S, deadline_s - self._clock.monotonic())
         left_ms = int(left_s * 1000)
         backend = self._backend
+        names = self._headers
         headers = _curl_headers(request)
-        headers.append(f"{TIMEOUT_HEADER}: {left_ms}")
-        headers.append(f"{REQUEST_ID_HEADER}: {request.request_id}")
+        headers.append(f"{names.timeout}: {left_ms}")
+        if not names.callers_request_id:
+            headers.append(f"{names.request_id}: {request.request_id}")
+        if names.expected_instance and backend.instance_id:
+            headers.append(f"{names.expected_instance}: {backend.instance_id}")
         return BackendRequest(
             method=request.method,
             url=f"http://{backend.host}:{backend.port}{request.target}",
@@ -311,6 +378,25 @@
         )
 
 
+def check_answer(
+    names: CallHeaders, request: CallRequest, head: BackendHead
+) -> Failure | None:
+    """Return why an answer is not the backend server's answer to this request."""
+    values = {name.lower(): value for name, value in head.headers}
+    echoed = values.get(names.request_id.lower())
+    if names.callers_request_id and echoed not in (None, request.request_id):
+        return Failure(Verdict.MAY_HAVE_RUN, "other_requests_answer", echoed)
+    if names.not_run and names.not_run.lower() in values:
+        return Failure(Verdict.NOT_RUN, "backend_refused", f"status {head.status}")
+    if names.expected_instance and head.status == _MISDIRECTED:
+        return Failure(Verdict.NOT_RUN, "other_instance")
+    if not names.signature or not 200 <= head.status < 300:
+        return None
+    if names.signature.lower() not in values or "content-encoding" in values:
+        return Failure(Verdict.MAY_HAVE_RUN, "not_the_backends_answer")
+    return None
+
+
 def _curl_headers(request: CallRequest) -> list[str]:
     """Return the request's headers, and none of those that libcurl would add."""
     headers = [
--- /dev/null
+++ b/burdockdock/node/announcements.py
@@ -0,0 +1,148 @@
+"""What the backend server beside a node says of itself, and when it fell silent."""
+
+import asyncio
+from collections.abc import Callable
+from enum import StrEnum
+from typing import NamedTuple
+
+from burdockdock.clock import Clock
+from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.gate.gate import BackendServer, Gate
+from burdockdock.logs import log_event
+
+# Reason of a refusal that only says that a newer message was heard already.
+LATE = "late"
+_SILENCE_S = 4.0
+_CHECK_S = 0.5
+
+
+class BackendState(StrEnum):
+    """Whether a backend server takes work."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class Announcement(NamedTuple):
+    """One message of a backend server about itself.
+
+    :param sequence: grows with each message of one start; 0 where none is kept.
+    :param started_ms: Unix milliseconds of its start, 0 where it is not told.
+    :param cold_s: how much longer it is slow after its start.
+    """
+
+    backend: BackendServer
+    state: BackendState
+    sequence: int = 0
+    started_ms: int = 0
+    cold_s: float = 0.0
+
+
+class BackendWatch:
+    """Keeps what the backend server said last, and passes on what is new in it.
+
+    :param change_own: changes this node's own entry in the membership.
+    :param on_start: called when another start of a backend server is heard of.
+    :param expected: service and address that the settings name, None for any.
+    """
+
+    def __init__(
+        self,
+        *,
+        gate: Gate,
+        clock: Clock,
+        change_own: Callable[..., None],
+        on_start: Callable[[], None],
+        expected: tuple[str, str, int] | None = None,
+    ) -> None:
+        self._gate = gate
+        self._clock = clock
+        self._change_own = change_own
+        self._on_start = on_start
+        self._expected = expected
+        self._last: Announcement | None = None
+        self._heard_s = float("-inf")
+        self._told: dict[str, object] = {}
+
+    def take(self, announcement: Announcement) -> Failure | None:
+        """Take in an announcement; return why it was not believed."""
+        refusal = self._check(announcement)
+        if refusal is not None:
+            log_event(
+                "backend.announcement_refused",
+                instance=announcement.backend.instance_id,
+                reason=refusal.reason,
+                detail=refusal.detail,
+            )
+            return refusal
+        last = self._last
+        self._heard_s = self._clock.monotonic()
+        self._last = announcement
+        if last is None or _start_of(last) != _start_of(announcement):
+            self._on_start()
+        self._pass_on(announcement)
+        return None
+
+    def leave(self, instance_id: str) -> None:
+        """Take in that an instance has left; its later messages are not believed."""
+        last = self._last
+        if last is None or last.backend.instance_id != instance_id:
+            log_event("backend.unknown_left", instance=instance_id)
+            return
+        self._last = last._replace(state=BackendState.GONE)
+        self._pass_on(self._last)
+
+    async def run(self) -> None:
+        """Take a backend server that fell silent out of service, for ever."""
+        while True:
+            await asyncio.sleep(_CHECK_S)
+            silent_s = self._clock.monotonic() - self._heard_s
+            if self._told.get("ready") and silent_s > _SILENCE_S:
+                log_event("backend.silent", silent_s=silent_s)
+                self._change(ready=False)
+
+    def _check(self, announcement: Announcement) -> Failure | None:
+        backend = announcement.backend
+        place = (backend.service, backend.host, backend.port)
+        if self._expected is not None and place != self._expected:
+            return Failure(Verdict.NOT_RUN, "other_backend_server", str(place))
+        last = self._last
+        if last is None or not announcement.sequence:
+            return None
+        if announcement.started_ms < last.started_ms:
+            return Failure(Verdict.NOT_RUN, "earlier_start", "a newer one was heard")
+        if _start_of(last) != _start_of(announcement):
+            return None
+        if announcement.sequence <= last.sequence:
+            return Failure(
+                Verdict.NOT_RUN, LATE, f"{announcement.sequence} <= {last.sequence}"
+            )
+        if last.state is BackendState.GONE:
+            return Failure(Verdict.NOT_RUN, "gone", "this start of it has left")
+        return None
+
+    def _pass_on(self, announcement: Announcement) -> None:
+        """Let the gate and the members know."""
+        backend = announcement.backend
+        ready = announcement.state is BackendState.READY
+        self._gate.announce(backend, leaving=not ready)
+        self._change(
+            service=backend.service,
+            service_version=backend.version,
+            slots=backend.slots,
+            ready=ready,
+        )
+
+    def _change(self, **told: object) -> None:
+        if {**self._told, **told} == self._told:
+            return
+        self._told.update(told)
+        state = self._last.state.value if self._last else "unknown"
+        instance = self._last.backend.instance_id if self._last else ""
+        log_event("backend.changed", instance=instance, state=state, **self._told)
+        self._change_own(**told)
+
+
+def _start_of(announcement: Announcement) -> tuple[str, int]:
+    return announcement.backend.instance_id, announcement.started_ms
--- a/burdockdock/node/bootstrap.py
+++ b/burdockdock/node/bootstrap.py
@@ -6,10 +6,10 @@
 from burdockdock.coordination.membership import MembershipTable
 from burdockdock.coordination.verdict import Failure
 from burdockdock.logs import log_event
-from burdockdock.node.relay import ROSTER_PREFIX, PlatformReader
+from burdockdock.node.relay import PlatformReader
+from burdockdock.node.roster import Roster
 from burdockdock.overlay.datagrams import Address
 from burdockdock.overlay.sync import SyncClient
-from burdockdock.platform_api.client import PlatformClient
 
 _PEERS_WANTED = 3
 _RETRY_S = 0.5
@@ -25,14 +25,14 @@
     def __init__(
         self,
         *,
-        platform: PlatformClient,
+        roster: Roster,
         reader: PlatformReader,
         sync: SyncClient,
         membership: MembershipTable,
         seeds: tuple[Address, ...],
         rng: random.Random,
     ) -> None:
-        self._platform = platform
+        self._roster = roster
         self._reader = reader
         self._sync = sync
         self._membership = membership
@@ -46,14 +46,26 @@
         only ever move up, so that the highest of them is kept.
         """
         while True:
+            entered = await self._roster.enter()
             addresses = await self._addresses()
-            reached = await self._sync_with_some(addresses or [])
+            reached = await self._sync_with_some(addresses)
             fresh = await self._reader.refresh()
-            if fresh or reached >= min(2, max(1, len(self._seeds))):
-                log_event("node.joined", peers=reached, platform=fresh)
+            peers = len(self._sync.peers)
+            if fresh or peers >= self._peers_to_trust():
+                log_event(
+                    "node.joined",
+                    reached=reached,
+                    peers=peers,
+                    platform=fresh,
+                    in_roster=entered is None,
+                )
                 return
             await asyncio.sleep(_RETRY_S * self._rng.uniform(1.0, 2.0))
 
+    def _peers_to_trust(self) -> int:
+        """Return how many peers stand in for a platform that does not answer."""
+        return min(2, max(1, len(self._seeds)))
+
     async def run(self) -> None:
         """Join again whenever this node is alone or lost most others."""
         largest = 1
@@ -61,23 +73,19 @@
             await asyncio.sleep(_REJOIN_INTERVAL_S * self._rng.uniform(0.8, 1.2))
             count = len(self._membership.live())
             if count == 1 or count < largest / 2:
-                addresses = await self._addresses()
-                reached = await self._sync_with_some(addresses or [])
+                reached = await self._sync_with_some(await self._addresses())
                 log_event("node.rejoined", peers=reached, members=count)
             # Let the mark sink, so that a fleet that shrank is not knocked for ever.
             largest = max(count, int(largest * 0.9))
 
-    async def _addresses(self) -> list[Address] | None:
-        """Return peers' addresses from the settings and the platform's roster."""
+    async def _addresses(self) -> list[Address]:
+        """Return peers' addresses from the settings and the roster."""
         own = (self._membership.own.host, self._membership.own.port)
-        addresses = list(self._seeds)
-        found = await self._platform.list(ROSTER_PREFIX)
-        if not isinstance(found, Failure):
-            for entry in found.objects:
-                addresses += [(h, p) for h, p in entry.value["addresses"]]
-        addresses = [address for address in dict.fromkeys(addresses) if address != own]
-        self._rng.shuffle(addresses)
-        return addresses
+        found = await self._roster.addresses()
+        listed = [] if isinstance(found, Failure) else found
+        addresses = dict.fromkeys([*self._seeds, *listed])
+        addresses.pop(own, None)
+        return list(addresses)
 
     async def _sync_with_some(self, addresses: list[Address]) -> int:
         """Exchange state with a few of the addresses; return how many answered."""
--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -4,6 +4,8 @@
 import random
 import signal
 
+from tornado.httpserver import HTTPServer
+
 from burdockdock.clock import Clock, SystemClock
 from burdockdock.coordination.membership import Member, MembershipTable, MemberState
 from burdockdock.coordination.ranking import MemberRanking
@@ -11,14 +13,17 @@
 from burdockdock.gate.gate import BackendServer, CallResult, Gate
 from burdockdock.logs import log_event
 from burdockdock.metrics import Metrics
+from burdockdock.node.announcements import Announcement, BackendState, BackendWatch
 from burdockdock.node.bootstrap import Bootstrap
 from burdockdock.node.config_state import CONFIG_KEY, ConfigState
+from burdockdock.node.interface import OWN_INTERFACE, BackendActions, Interface
 from burdockdock.node.notices import tell_in_force, tell_late
 from burdockdock.node.notifier import Notifier
 from burdockdock.node.operator_api import OperatorActions, serve_operators
 from burdockdock.node.peer_server import PeerServer
 from burdockdock.node.relay import PlatformReader, Relay
 from burdockdock.node.rollouts import RolloutPart
+from burdockdock.node.roster import Roster
 from burdockdock.node.settings import NodeSettings
 from burdockdock.node.status import (
     ControlBytes,
@@ -41,23 +46,32 @@
 from burdockdock.proxy.peer_link import PeerLinks
 
 _LEAVE_SPREAD_S = 1.0
-_BACKEND_SILENCE_S = 4.0
-_BACKEND_CHECK_S = 0.5
+# Those who ask for readiness once a second send no new calls after two misses.
+_LEAVE_READINESS_S = 3.0
+# What closing takes, before the kill.
+_CLOSE_S = 0.5
 
 
 class Node:
     """Builds the parts of a node, runs them, and stops them gracefully."""
 
-    def __init__(self, settings: NodeSettings, *, clock: Clock | None = None) -> None:
+    def __init__(
+        self,
+        settings: NodeSettings,
+        *,
+        clock: Clock | None = None,
+        interface: Interface = OWN_INTERFACE,
+    ) -> None:
         self._settings = settings
+        self._interface = interface
         self._clock = clock or SystemClock()
         self._rng = random.Random()
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
-        self._backend_heard_s = float("-inf")
         incarnation = int(self._clock.now().timestamp() * 1000)
         self.metrics = Metrics()
         self._identity = PeerIdentity(settings.mesh, settings.name, incarnation)
+        self._caller_server: HTTPServer | None = None
         self._build_state(incarnation)
         self._build_overlay()
         self._build_calls()
@@ -139,6 +153,7 @@
             clock=self._clock,
             metrics=self.metrics,
             observe=self._observe,
+            headers=self._interface.headers,
         )
         self.links = PeerLinks(self._identity, count=self.metrics.count)
         self._endpoints = Endpoints(
@@ -164,6 +179,9 @@
             forwarder=forwarder,
             clock=self._clock,
             metrics=self.metrics,
+            rng=self._rng,
+            own_service=self._own_service,
+            headers=self._interface.headers,
         )
         self.membership.subscribe(self._on_member)
 
@@ -171,25 +189,33 @@
         settings = self._settings
         holder = f"{settings.name}/{self._identity.incarnation}"
         self.platform = PlatformClient(
-            settings.platform_url, name=settings.name, clock=self._clock
+            settings.platform_url,
+            name=settings.name,
+            clock=self._clock,
+            dialect=self._interface.dialect,
+            count=self.metrics.count,
         )
+        orders = self._interface.orders
         self._reader = PlatformReader(
             self.platform,
+            source=self._interface.source,
+            orders=None if orders is None else orders.read,
             records=self.records,
             spread=self.spreader.start_record,
-            rng=self._rng,
         )
+        roster = Roster(self.platform, own=self.membership.own, rng=self._rng)
         self._relay = Relay(
             platform=self.platform,
             reader=self._reader,
+            roster=roster,
             membership=self.membership,
             ranking=self.ranking,
             clock=self._clock,
-            holder=holder,
             rng=self._rng,
+            change_own=self._change_own,
         )
         self._bootstrap = Bootstrap(
-            platform=self.platform,
+            roster=roster,
             reader=self._reader,
             sync=self.sync,
             membership=self.membership,
@@ -206,6 +232,14 @@
             holder=holder,
             spread=self.spreader.start_record,
             notifier=self._notifier,
+            orders=orders,
+        )
+        self._backend = BackendWatch(
+            gate=self.gate,
+            clock=self._clock,
+            change_own=self._change_own,
+            on_start=self.rollouts.backend_started,
+            expected=_expected_backend(settings),
         )
 
     async def start(self) -> None:
@@ -226,6 +260,7 @@
         host, port = settings.peers
         await self.datagrams.open(host, port)
         self._peer_server.listen(port, address=host, backlog=1024)
+        self._serve_backend_server()
         await self._bootstrap.join()
         self.spreader.start_member(self.membership.own)
         self._start_tasks()
@@ -251,6 +286,29 @@
             config_version=self.config.snapshot.version,
         )
 
+    def _serve_backend_server(self) -> None:
+        """Listen for the backend server and for the question of readiness.
+
+        Both are answered while this node still joins: what a backend server says
+        meanwhile is not lost, and the answer is that this node is not ready.
+        """
+        interface, settings = self._interface, self._settings
+        self._small_servers = []
+        if interface.serve_announcements and settings.announcements[1]:
+            actions = BackendActions(self._backend.take, self._backend.leave)
+            self._small_servers.append(
+                interface.serve_announcements(actions, *settings.announcements)
+            )
+        if interface.serve_readiness and settings.readiness[1]:
+            self._small_servers.append(
+                interface.serve_readiness(self.is_ready, *settings.readiness)
+            )
+
+    def is_ready(self) -> bool:
+        """Tell whether this node takes calls."""
+        serving = self._caller_server is not None and not self.context.draining
+        return serving and self.config.snapshot.version > 0
+
     def _start_tasks(self) -> None:
         loops = {
             "failure_detector": self.detector.run,
@@ -258,7 +316,7 @@
             "relay": self._relay.run,
             "rejoin": self._bootstrap.run,
             "rollouts": self.rollouts.run,
-            "backend_watch": self._watch_backend,
+            "backend_watch": self._backend.run,
         }
         self._tasks = [
             asyncio.create_task(supervise(name, loop)) for name, loop in loops.items()
@@ -266,27 +324,39 @@
 
     async def drain(self) -> None:
         """Say that this node leaves, finish what it has, then stop."""
+        started_s = self._clock.monotonic()
         log_event("node.draining", calls=self.context.open_calls)
         self._change_own(leaving=True)
         self.context.draining = True
         # Until everyone knows, calls still arrive and are still served.
-        await asyncio.sleep(_LEAVE_SPREAD_S)
+        asked = self._settings.readiness[1] > 0
+        await asyncio.sleep(_LEAVE_READINESS_S if asked else _LEAVE_SPREAD_S)
         self._caller_server.stop()
         self.gate.start_draining()
+        timeout_s = self._drain_timeout_s(self._clock.monotonic() - started_s)
         try:
-            async with asyncio.timeout(self._settings.drain_timeout_s):
+            async with asyncio.timeout(timeout_s):
                 await self.gate.wait_idle()
                 while self.context.open_calls:
                     await asyncio.sleep(0.02)
         except TimeoutError:
             log_event("node.drain_timeout", calls=self.context.open_calls)
-        await self._relay.release()
         await self.close()
         log_event("node.stopped")
 
+    def _drain_timeout_s(self, passed_s: float) -> float:
+        """Return how long calls in flight may still take, short of the kill."""
+        timeout_s = self._settings.drain_timeout_s
+        if self._settings.grace_period_s:
+            left_s = self._settings.grace_period_s - passed_s - _CLOSE_S
+            timeout_s = min(timeout_s, left_s)
+        return max(0.0, timeout_s)
+
     async def close(self) -> None:
         """Close every connection at once, without draining."""
         self._operator_server.stop()
+        for server in self._small_servers:
+            server.stop()
         await self._caller_server.close_all_connections()
         for task in self._tasks:
             task.cancel()
@@ -298,30 +368,13 @@
         self.datagrams.close()
 
     def _announce(self, backend: BackendServer, draining: bool) -> None:
-        """Take in the backend server's announcement, and tell what is new in it."""
-        self._backend_heard_s = self._clock.monotonic()
-        self.gate.announce(backend)
-        own = self.membership.own
-        ready = not draining
-        known = (own.service, own.service_version, own.slots, own.ready)
-        told = (backend.service, backend.version, backend.slots, ready)
-        if known != told:
-            self.rollouts.backend_started()
-            self._change_own(
-                service=backend.service,
-                service_version=backend.version,
-                slots=backend.slots,
-                ready=ready,
-            )
+        """Take in an announcement at the operators' address."""
+        state = BackendState.DRAINING if draining else BackendState.READY
+        self._backend.take(Announcement(backend, state))
 
-    async def _watch_backend(self) -> None:
-        """Take a backend server that fell silent out of service."""
-        while True:
-            await asyncio.sleep(_BACKEND_CHECK_S)
-            silent_s = self._clock.monotonic() - self._backend_heard_s
-            if self.membership.own.ready and silent_s > _BACKEND_SILENCE_S:
-                log_event("backend.silent", silent_s=silent_s)
-                self._change_own(ready=False)
+    def _own_service(self) -> str:
+        """Return the service beside this node, also before it announced itself."""
+        return self._settings.backend_service or self.membership.own.service
 
     def _change_own(self, **changes: object) -> None:
         member = self.membership.update_own(**changes)
@@ -381,3 +434,10 @@
             sync_sent=self.sync.sent_bytes + server.sync_sent_bytes,
             sync_received=self.sync.received_bytes + server.sync_received_bytes,
         )
+
+
+def _expected_backend(settings: NodeSettings) -> tuple[str, str, int] | None:
+    """Return the service and address that announcements must name."""
+    if not settings.backend_service:
+        return None
+    return (settings.backend_service, *settings.backend_address)
--- a/burdockdock/node/relay.py
+++ b/burdockdock/node/relay.py
@@ -1,42 +1,43 @@
-"""Relays: the few nodes of each availability zone that watch the platform."""
+"""Relays: the few nodes that watch the platform for all others."""
 
 import asyncio
 import random
 from collections.abc import Callable
 
 from burdockdock.clock import Clock
-from burdockdock.configuration.acceptance import HEAD_KEY, head_from, read_document
-from burdockdock.coordination.lease import Lease
-from burdockdock.coordination.membership import MembershipTable
+from burdockdock.configuration.source import UNREADABLE, ConfigSource
+from burdockdock.coordination.membership import Member, MembershipTable
 from burdockdock.coordination.ranking import MemberRanking
 from burdockdock.coordination.records import Record, RecordStore
 from burdockdock.coordination.verdict import Failure
 from burdockdock.logs import log_event
 from burdockdock.node.config_state import CONFIG_KEY
+from burdockdock.node.roster import Roster
 from burdockdock.platform_api.client import (
-    Conflict,
     PlatformClient,
     PlatformObject,
     WatchResult,
 )
 from burdockdock.rollout.model import ROLLOUT_PREFIX, rollout_from
+from burdockdock.rollout.orders import ORDER_PREFIX, OrderReader
 
-RELAYS_PER_ZONE = 2
-ROSTER_PREFIX = "roster/"
-_LEASE_PREFIX = "leases/relay/"
-_RENEW_INTERVAL_S = 3.0
-_SEEK_INTERVAL_S = 5.0
-_LEASE_TERM_S = 10.0
+_FEWEST_RELAYS = 3
+_ROLE_INTERVAL_S = 0.5
 _ROSTER_INTERVAL_S = 15.0
-_READ_DELAY_S = 0.4
-_ROSTER_LENGTH = 8
-_CANDIDATES = 3
+# A connection that went silent is noticed after this and the call's timeout.
+_WATCH_S = 4.0
+# Versions that follow each other faster are read together.
+_WATCH_PAUSE_S = 0.2
+_FAILURES_TO_BE_LOST = 2
 _RELAY_SALT = "relay"
 
 
 class PlatformReader:
     """Fetches what the platform holds and hands it to the overlay.
 
+    :param source: where the configuration stands.
+    :param orders: reads operators' orders of rollouts, None when the platform
+        holds rollouts in our own form only.
     :param spread: stores a record and sends it to every node.
     """
 
@@ -44,146 +45,150 @@
         self,
         platform: PlatformClient,
         *,
+        source: ConfigSource,
+        orders: OrderReader | None,
         records: RecordStore,
         spread: Callable[[Record], None],
-        rng: random.Random,
     ) -> None:
         self._platform = platform
+        self._source = source
+        self._orders = orders
         self._records = records
-        self._rng = rng
         self._spread = spread
         self._reading = asyncio.Lock()
 
+    @property
+    def watched(self) -> tuple[str, ...]:
+        """Prefixes whose changes must be learned from the platform."""
+        followed = ROLLOUT_PREFIX if self._orders is None else ORDER_PREFIX
+        return (self._source.key.partition("/")[0] + "/", followed)
+
     async def refresh(self) -> bool:
         """Read the configuration's head and all rollouts.
 
         :returns: whether the platform answered.
         """
-        head = await self._platform.read(HEAD_KEY)
+        head = await self._platform.read(self._source.key)
         if isinstance(head, Failure):
             return False
         if not await self.take_in([head]):
             return False
-        found = await self._platform.list(ROLLOUT_PREFIX)
-        if isinstance(found, Failure):
-            return False
-        return await self.take_in(found.objects)
-
-    async def take_in(
-        self, objects: list[PlatformObject], *, delay_s: float = 0.0
-    ) -> bool:
+        prefixes = [ROLLOUT_PREFIX] + ([ORDER_PREFIX] if self._orders else [])
+        for prefix in prefixes:
+            found = await self._platform.list(prefix)
+            if isinstance(found, Failure):
+                return False
+            if not await self.take_in(found.objects):
+                return False
+        return True
+
+    async def take_in(self, objects: list[PlatformObject]) -> bool:
         """Spread what is newer than the records.
 
-        :param delay_s: bound of a random delay in which another node's spread may
-            make the reading of a configuration needless.
-        :returns: False if a part of it could not be read.
+        :returns: False if a part of it must be read again.
         """
         complete = True
         for found in objects:
-            if found.key == HEAD_KEY and found.version:
-                complete &= await self._take_head(found, delay_s)
-            elif found.key.startswith(ROLLOUT_PREFIX):
+            if found.key == self._source.key and found.version:
+                complete &= await self._take_head(found)
+            elif found.key.startswith(ROLLOUT_PREFIX) and found.version:
                 rollout = rollout_from(found.value)
                 self._spread(Record(found.key, found.version, rollout.encode()))
+            elif found.key.startswith(ORDER_PREFIX) and self._orders is not None:
+                self._take_order(found)
         return complete
 
-    async def _take_head(self, found: PlatformObject, delay_s: float) -> bool:
+    def _take_order(self, found: PlatformObject) -> None:
+        order = self._orders(found)
+        if isinstance(order, Failure):
+            log_event("order.unreadable", key=found.key, reason=order.detail)
+            return
+        # An order that was deleted has no version of its own.
+        version = found.version or self._records.version(found.key) + 1
+        self._spread(Record(found.key, version, order.encode()))
+
+    async def _take_head(self, found: PlatformObject) -> bool:
         async with self._reading:
-            head = head_from(found)
-            await asyncio.sleep(self._rng.uniform(0.0, delay_s))
-            if head.version <= self._records.version(CONFIG_KEY):
+            version = self._source.version_of(found)
+            if version <= self._records.version(CONFIG_KEY):
                 return True
-            document = await read_document(self._platform, head)
+            document = await self._source.read(self._platform, found)
             if isinstance(document, Failure):
-                return await self._is_superseded(head.version)
-            self._spread(Record(CONFIG_KEY, head.version, document.encode()))
+                log_event("config.unread", version=version, reason=document.reason)
+                return document.reason == UNREADABLE or self._is_superseded(version)
+            self._spread(Record(CONFIG_KEY, version, document.encode()))
             return True
 
-    async def _is_superseded(self, version: int) -> bool:
+    def _is_superseded(self, version: int) -> bool:
         """Tell whether a newer version arrived while this one was being read."""
         return self._records.version(CONFIG_KEY) > version
 
 
 class Relay:
-    """Watches the platform while holding one of its zone's relay leases."""
+    """Watches the platform while this node is among the first by rank.
+
+    The role needs no lease: two relays that watch the same do no harm, and a rank is
+    known at once where a dead holder's lease would have to lapse first.
+
+    :param change_own: changes this node's own entry in the membership.
+    """
 
     def __init__(
         self,
         *,
         platform: PlatformClient,
         reader: PlatformReader,
+        roster: Roster,
         membership: MembershipTable,
         ranking: MemberRanking,
         clock: Clock,
-        holder: str,
         rng: random.Random,
+        change_own: Callable[..., None],
     ) -> None:
         self._platform = platform
         self._reader = reader
+        self._roster = roster
         self._membership = membership
         self._ranking = ranking
         self._clock = clock
         self._rng = rng
-        zone = membership.own.availability_zone
-        self._zone = zone
-        self._leases = [
-            Lease(
-                platform,
-                f"{_LEASE_PREFIX}{zone}/{slot}",
-                holder=holder,
-                clock=clock,
-                term_s=_LEASE_TERM_S,
-            )
-            for slot in range(RELAYS_PER_ZONE)
-        ]
-        self._roster_written_s = float("-inf")
+        self._change_own = change_own
+        self._zone = membership.own.availability_zone
+        self._roster_due_s = clock.monotonic() + _ROSTER_INTERVAL_S
 
     @property
     def is_relay(self) -> bool:
-        """Whether this node holds a lease now."""
-        return any(lease.is_held() for lease in self._leases)
+        """Whether this node is one of those that watch the platform."""
+        own_id = self._membership.own.node_id
+        return own_id in relays(self._ranking)
 
     async def run(self) -> None:
-        """Keep or seek a lease, and watch while holding one, for ever."""
+        """Watch while this node is a relay, for ever."""
         watch: asyncio.Task[None] | None = None
         try:
             while True:
-                await self._maintain()
-                if self.is_relay and (watch is None or watch.done()):
+                # A node that lost the platform goes on asking, to notice its return.
+                wanted = self.is_relay or self._membership.own.platform_lost
+                if wanted and (watch is None or watch.done()):
                     log_event("relay.started", availability_zone=self._zone)
                     watch = asyncio.create_task(self._watch())
-                elif not self.is_relay and watch is not None:
+                elif not wanted and watch is not None:
+                    log_event("relay.stopped", availability_zone=self._zone)
                     watch.cancel()
                     watch = None
-                await self._write_roster()
-                interval_s = _RENEW_INTERVAL_S if self.is_relay else _SEEK_INTERVAL_S
-                await asyncio.sleep(interval_s * self._rng.uniform(0.8, 1.0))
+                self._tell_reach()
+                await self._renew_roster()
+                await asyncio.sleep(_ROLE_INTERVAL_S * self._rng.uniform(0.8, 1.2))
         finally:
             if watch is not None:
                 watch.cancel()
 
-    async def release(self) -> None:
-        """Give the leases up before a planned stop."""
-        for lease in self._leases:
-            await lease.release()
-
-    async def _maintain(self) -> None:
-        """Renew the held lease; seek one only as one of the zone's candidates."""
-        for lease in self._leases:
-            if lease.is_held():
-                await lease.maintain()
-                return
-        if not self._is_candidate():
-            return
-        for lease in self._leases:
-            if await lease.maintain():
-                return
-
-    def _is_candidate(self) -> bool:
-        """Only the first by rank ask, so that calls don't grow with the zone."""
-        order = self._ranking.in_zone(_RELAY_SALT, self._zone)
-        staying = [m.node_id for m in order if not m.leaving]
-        return self._membership.own.node_id in staying[:_CANDIDATES]
+    def _tell_reach(self) -> None:
+        """Let others take the role while the platform does not answer this node."""
+        failures = self._platform.failures_in_row
+        lost = self._membership.own.platform_lost
+        if (failures >= _FAILURES_TO_BE_LOST) != lost and (failures == 0 or not lost):
+            self._change_own(platform_lost=not lost)
 
     async def _watch(self) -> None:
         """Follow the changes of configuration and rollouts."""
@@ -195,7 +200,7 @@
     async def _follow(self) -> None:
         tasks = [
             asyncio.create_task(self._follow_prefix(prefix))
-            for prefix in (HEAD_KEY, ROLLOUT_PREFIX)
+            for prefix in self._reader.watched
         ]
         try:
             await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
@@ -207,25 +212,42 @@
         """Watch one prefix until a call fails."""
         found = await self._platform.list(prefix)
         while isinstance(found, WatchResult):
-            if not await self._reader.take_in(found.objects, delay_s=_READ_DELAY_S):
+            if not await self._reader.take_in(found.objects):
                 return
-            found = await self._platform.watch(prefix, after=found.revision)
+            if found.objects:
+                await asyncio.sleep(_WATCH_PAUSE_S)
+            found = await self._platform.watch(
+                prefix, after=found.revision, wait_s=_WATCH_S
+            )
+        log_event("watch.ended", prefix=prefix, reason=found.reason)
 
-    async def _write_roster(self) -> None:
+    async def _renew_roster(self) -> None:
         """Keep a few addresses of the zone where starting nodes find them."""
         now_s = self._clock.monotonic()
-        due = now_s - self._roster_written_s >= _ROSTER_INTERVAL_S
-        if not self.is_relay or not due:
-            return
-        live = self._ranking.zones()[self._zone]
-        chosen = self._rng.sample(live, min(_ROSTER_LENGTH, len(live)))
-        addresses = sorted([m.host, m.port] for m in chosen)
-        key = ROSTER_PREFIX + self._zone
-        found = await self._platform.read(key)
-        if isinstance(found, Failure):
+        if now_s < self._roster_due_s or not self._is_first_of_zone():
             return
-        result = await self._platform.write_once(
-            key, expected_version=found.version, value={"addresses": addresses}
-        )
-        if result or isinstance(result, Conflict):
-            self._roster_written_s = now_s
+        self._roster_due_s = now_s + _ROSTER_INTERVAL_S
+        await self._roster.renew(self._ranking.zones()[self._zone])
+
+    def _is_first_of_zone(self) -> bool:
+        order = _reaching(self._ranking.in_zone(_RELAY_SALT, self._zone))
+        return bool(order) and order[0].node_id == self._membership.own.node_id
+
+
+def relays(ranking: MemberRanking) -> set[str]:
+    """Return the ids of the members that watch: one a zone, and a few at least."""
+    firsts = {
+        order[0].node_id
+        for zone in ranking.zones()
+        if (order := _reaching(ranking.in_zone(_RELAY_SALT, zone)))
+    }
+    for member in _reaching(ranking.everywhere(_RELAY_SALT)):
+        if len(firsts) >= _FEWEST_RELAYS:
+            break
+        firsts.add(member.node_id)
+    return firsts
+
+
+def _reaching(order: list[Member]) -> list[Member]:
+    """Return the members that stay and that the platform answers."""
+    return [m for m in order if not m.leaving and not m.platform_lost]
--- a/burdockdock/node/rollouts.py
+++ b/burdockdock/node/rollouts.py
@@ -9,6 +9,7 @@
 from burdockdock.coordination.records import Record, RecordStore
 from burdockdock.gate.gate import BackendServer, CallResult
 from burdockdock.node.notifier import Notifier
+from burdockdock.node.supervise import supervise
 from burdockdock.overlay.datagrams import Address, Datagrams
 from burdockdock.platform_api.client import PlatformClient
 from burdockdock.protocol import Message
@@ -20,6 +21,7 @@
     unpack_rows,
 )
 from burdockdock.rollout.model import Rollout
+from burdockdock.rollout.orders import OrderBook, OrderClerk, OrderForms
 from burdockdock.rollout.owner import OwnerParts, RolloutOwners, RolloutView, candidates
 
 _SEND_INTERVAL_S = 0.25
@@ -42,6 +44,7 @@
         holder: str,
         spread: Callable[[Record], None],
         notifier: Notifier,
+        orders: OrderForms | None = None,
     ) -> None:
         self._membership = membership
         self._ranking = ranking
@@ -51,6 +54,18 @@
         self._started_s = clock.monotonic()
         self._notifier = notifier
         self.view = RolloutView(records)
+        self._clerk = None
+        if orders is not None:
+            self._clerk = OrderClerk(
+                platform=platform,
+                book=OrderBook(records),
+                forms=orders,
+                membership=membership,
+                clock=clock,
+                may_act=self._is_candidate,
+                rollout_of=self.view.get,
+                spread=spread,
+            )
         self._owners = RolloutOwners(
             OwnerParts(
                 view=self.view,
@@ -60,20 +75,23 @@
                 clock=clock,
                 holder=holder,
                 spread=spread,
-                notify=self._tell_end if notifier.enabled else None,
+                notify=self._tell_end if self._has_listeners else None,
             )
         )
         datagrams.on("evidence", self._on_evidence)
 
     async def run(self) -> None:
         """Send evidence and own rollouts, for ever."""
-        owners = asyncio.create_task(self._owners.run())
+        tasks = [asyncio.create_task(supervise("owners", self._owners.run))]
+        if self._clerk is not None:
+            tasks.append(asyncio.create_task(supervise("orders", self._clerk.run)))
         try:
             while True:
                 await asyncio.sleep(_SEND_INTERVAL_S)
                 self._send_evidence()
         finally:
-            owners.cancel()
+            for task in tasks:
+                task.cancel()
 
     def close(self) -> None:
         """Stop owning rollouts."""
@@ -91,8 +109,20 @@
         cold = self._clock.monotonic() - self._started_s < _COLD_S
         self._collector.add(result, version=backend.version, cold=cold)
 
+    @property
+    def _has_listeners(self) -> bool:
+        return self._notifier.enabled or self._clerk is not None
+
+    def _is_candidate(self, service: str) -> bool:
+        own_id = self._membership.own.node_id
+        return own_id in [m.node_id for m in candidates(self._ranking, service)]
+
     async def _tell_end(self, rollout: Rollout) -> bool:
-        """Tell the operators how a rollout ended."""
+        """Tell the operators how a rollout ended; return whether all know."""
+        if self._clerk is not None and not await self._clerk.tell_end(rollout):
+            return False
+        if not self._notifier.enabled:
+            return True
         return await self._notifier.post(
             f"{rollout.rollout_id}/{rollout.phase.value}",
             "move",
--- a/burdockdock/node/settings.py
+++ b/burdockdock/node/settings.py
@@ -2,6 +2,7 @@
 
 import configparser
 import ipaddress
+import re
 from pathlib import Path
 from typing import NamedTuple
 
@@ -10,12 +11,16 @@
 
 _KEYS = {
     "node": {"name", "mesh", "region", "availability_zone"},
-    "listen": {"callers", "peers", "operators"},
-    "platform": {"url"},
+    "listen": {"callers", "peers", "operators", "announcements", "readiness"},
+    "platform": {"url", "form"},
     "peers": {"seeds"},
-    "limits": {"drain_timeout_s"},
+    "backend_server": {"service", "address"},
+    "limits": {"drain_timeout_s", "grace_period"},
     "operators": {"notify_url"},
 }
+FORMS = ("own", "objects")
+_DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
+_NOWHERE: Address = ("", 0)
 _REQUIRED = {
     "node": ("name", "mesh", "region", "availability_zone"),
     "listen": ("callers", "peers", "operators"),
@@ -32,6 +37,12 @@
     :param seeds: peers to try when the platform does not answer.
     :param drain_timeout_s: longest time a stop waits for calls in flight.
     :param notify_url: where ends of moves are posted, empty for nowhere.
+    :param platform_form: what the platform, callers and backend servers speak.
+    :param announcements: address for the backend server alone, port 0 for none.
+    :param readiness: address of the question whether the node takes calls.
+    :param backend_service: service beside this node, empty to believe any.
+    :param backend_address: where that service listens.
+    :param grace_period_s: seconds from the stop signal to the kill, 0 for no kill.
     """
 
     name: str
@@ -45,6 +56,12 @@
     seeds: tuple[Address, ...] = ()
     drain_timeout_s: float = 60.0
     notify_url: str = ""
+    platform_form: str = "own"
+    announcements: Address = _NOWHERE
+    readiness: Address = _NOWHERE
+    backend_service: str = ""
+    backend_address: Address = _NOWHERE
+    grace_period_s: float = 0.0
 
 
 def read_settings(path: Path) -> NodeSettings | list[Problem]:
@@ -82,6 +99,12 @@
         seeds=reader.addresses("peers", "seeds"),
         drain_timeout_s=reader.number("limits", "drain_timeout_s", 60.0, 0, 86_400),
         notify_url=reader.url("operators", "notify_url"),
+        platform_form=reader.choice("platform", "form", FORMS),
+        announcements=reader.address("listen", "announcements"),
+        readiness=reader.address("listen", "readiness"),
+        backend_service=reader.text("backend_server", "service"),
+        backend_address=reader.address("backend_server", "address"),
+        grace_period_s=reader.duration_s("limits", "grace_period"),
     )
     return reader.problems or settings
 
@@ -151,6 +174,26 @@
             return default
         return value
 
+    def choice(self, section: str, key: str, allowed: tuple[str, ...]) -> str:
+        """Return one of the allowed words, by default the first."""
+        text = self.text(section, key) or allowed[0]
+        if text not in allowed:
+            self._problem(section, key, f"give one of {', '.join(allowed)}")
+        return text
+
+    def duration_s(self, section: str, key: str) -> float:
+        """Return a time such as ``1500ms`` or ``6s`` in seconds, 0 when absent."""
+        text = self.text(section, key)
+        if not text:
+            return 0.0
+        match = _DURATION.fullmatch(text)
+        if match is None:
+            self._problem(
+                section, key, f"give a time such as 1500ms or 6s, not {text!r}"
+            )
+            return 0.0
+        return float(match[1]) / (1000 if match[2] == "ms" else 1)
+
     def _address(self, section: str, key: str, text: str) -> Address:
         host, _, port = text.rpartition(":")
         try:
--- a/burdockdock/overlay/failure_detector.py
+++ b/burdockdock/overlay/failure_detector.py
@@ -42,12 +42,16 @@
 
 
 class PeerDigest(NamedTuple):
-    """What a peer's message says of its state."""
+    """What a peer's message says of its state.
+
+    :param address: where it came from; the peer may not be a member yet.
+    """
 
     node_id: str
     member_digest: int
     record_digest: int
     record_sum: int
+    address: Address
 
 
 class FailureDetector:
@@ -225,11 +229,11 @@
         }
 
     def _on_ping(self, ping: Message, address: Address) -> None:
-        self._take_in(ping)
+        self._take_in(ping, address)
         self._datagrams.send(address, "ack", **self._state_fields(ping.sequence))
 
     def _on_ack(self, ack: Message, address: Address) -> None:
-        self._take_in(ack)
+        self._take_in(ack, address)
         future = self._acks.get(ack.sequence)
         if future is not None and not future.done():
             future.set_result(None)
@@ -248,13 +252,17 @@
         loop.call_later(self._timing.period_s, self._relayed.pop, self._sequence, None)
         self._send_ping((target.host, target.port), self._sequence)
 
-    def _take_in(self, state: Message) -> None:
+    def _take_in(self, state: Message, address: Address) -> None:
         for packed in state.members:
             rumour = unpack_member(packed)
             if self._membership.merge(rumour):
                 self._gossip.add(rumour)
         self._on_digest(
             PeerDigest(
-                state.nodeId, state.memberDigest, state.recordDigest, state.recordSum
+                state.nodeId,
+                state.memberDigest,
+                state.recordDigest,
+                state.recordSum,
+                address,
             )
         )
--- a/burdockdock/overlay/sync.py
+++ b/burdockdock/overlay/sync.py
@@ -92,6 +92,8 @@
 class SyncClient:
     """Fetches what this node lacks from other nodes.
 
+    ``peers`` holds the ids of the nodes that an exchange was completed with.
+
     :param pass_on: called with each record that was new, and with the version that
         it replaced.
     """
@@ -118,6 +120,7 @@
         self._pulling: asyncio.Task[None] | None = None
         self._wanted_whole: set[str] = set()
         self._last_member_sync_s = float("-inf")
+        self.peers: set[str] = set()
         self.sent_bytes = 0
         self.received_bytes = 0
 
@@ -166,9 +169,7 @@
         await asyncio.sleep(_SETTLE_S * self._rng.uniform(0.5, 1.5))
         if (self._records.digest, self._membership.digest) != before:
             return
-        member = self._membership.get(digest.node_id)
-        if member is not None:
-            await self._pull(member)
+        await self.sync_with(*digest.address)
 
     async def _pull(self, member: Member) -> None:
         await self.sync_with(member.host, member.port)
@@ -188,6 +189,7 @@
             if differing:
                 pushed = self._membership.in_buckets(differing)
                 await self._ask(connection, members=False, pushed=pushed)
+            self.peers.add(peer.node_id)
             return peer
         finally:
             connection.close()
--- /dev/null
+++ b/burdockdock/platform/headers.py
@@ -0,0 +1,17 @@
+"""Names of the headers that callers and backend servers use on the platform."""
+
+from burdockdock.gate.headers import CallHeaders
+
+HEADERS = CallHeaders(
+    request_id="Request-Id",
+    callers_request_id=True,
+    timeout="Deadline-Ms",
+    tenant="",
+    # No header names a repeated request: each attempt of a client has its own id.
+    idempotency_key="",
+    depth="",
+    caller_service="Caller-Service",
+    expected_instance="Expected-Instance",
+    not_run="Not-Executed",
+    signature="Response-Signature",
+)
--- a/burdockdock/platform_api/client.py
+++ b/burdockdock/platform_api/client.py
@@ -4,8 +4,8 @@
 import json
 import random
 import uuid
+from collections.abc import Callable
 from typing import Any, NamedTuple
-from urllib.parse import quote, urlencode
 
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPError, HTTPRequest
@@ -13,20 +13,24 @@
 from burdockdock.clock import Clock
 from burdockdock.coordination.backoff import full_jitter
 from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.logs import log_event
+from burdockdock.platform_api.dialect import (
+    OWN_DIALECT,
+    ApiCall,
+    Dialect,
+    PlatformObject,
+    WatchResult,
+)
 
 MAX_VALUE_BYTES = 1_000_000
 _BACKOFF_BASE_S = 0.1
 _BACKOFF_CAP_S = 5.0
 _CONNECT_TIMEOUT_S = 1.0
 _MAX_CLIENTS = 64
-
-
-class PlatformObject(NamedTuple):
-    """One object; version 0 stands for one that does not exist."""
-
-    key: str
-    version: int
-    value: dict[str, Any]
+_REFUSED = frozenset({429, 503})
+_ANSWERED = frozenset({200, 201, 204, 404, 409})
+_HISTORY_GONE = 410
+_BAD_FORM = (KeyError, TypeError, ValueError, AttributeError)
 
 
 class Conflict(NamedTuple):
@@ -39,19 +43,14 @@
         return False
 
 
-class WatchResult(NamedTuple):
-    """Objects changed after a revision, and the revision to go on from."""
-
-    revision: int
-    objects: list[PlatformObject]
-
-
 class PlatformClient:
     """Calls the platform; every method returns a result or a Failure.
 
     :param url: base address of the object API.
     :param name: this client's name, told with each call.
     :param timeout_s: bound of one call in seconds.
+    :param dialect: the form of the object API.
+    :param count: called with a counter's name and label for each call.
     """
 
     def __init__(
@@ -62,13 +61,18 @@
         clock: Clock,
         rng: random.Random | None = None,
         timeout_s: float = 2.0,
+        dialect: Dialect = OWN_DIALECT,
+        count: Callable[..., None] = lambda name, *, label: None,
     ) -> None:
         self._url = url.rstrip("/")
         self._name = name
         self._clock = clock
         self._rng = rng or random.Random()
         self._timeout_s = timeout_s
+        self._dialect = dialect
+        self._count = count
         self._http: CurlAsyncHTTPClient | None = None
+        self._lost_at_s: float | None = None
         self.failures_in_row = 0
 
     def new_token(self) -> str:
@@ -77,17 +81,26 @@
 
     async def read(self, key: str) -> PlatformObject | Failure:
         """Read an object; a missing one has version 0 and an empty value."""
-        reply = await self._call("GET", f"/objects/{quote(key)}")
+        reply = await self._call(self._dialect.read(key), label="read")
         if not isinstance(reply, _Reply):
             return reply
         if reply.status == 404:
             return PlatformObject(key, 0, {})
-        return _object_from(reply.body)
+        return self._decode(lambda: self._dialect.object_from(key, reply.body))
 
     async def list(self, prefix: str) -> WatchResult | Failure:
         """Read all objects under a prefix, with the revision to watch from."""
-        reply = await self._call("GET", f"/list?{urlencode({'prefix': prefix})}")
-        return _watch_from(reply)
+        objects: list[PlatformObject] = []
+        page = ""
+        while True:
+            call = self._dialect.list(prefix, page)
+            found = await self._changes(call, self._dialect.list_from, prefix, "list")
+            if isinstance(found, Failure):
+                return found
+            objects += found.objects
+            page = found.next_page
+            if not page:
+                return found._replace(objects=objects)
 
     async def watch(
         self, prefix: str, *, after: int, wait_s: float = 25.0
@@ -97,11 +110,13 @@
         :param after: revision of the last list or watch.
         :param wait_s: seconds the platform holds the call.
         """
-        query = urlencode({"prefix": prefix, "after": after, "wait_s": wait_s})
-        reply = await self._call(
-            "GET", f"/watch?{query}", timeout_s=wait_s + self._timeout_s
+        return await self._changes(
+            self._dialect.watch(prefix, after, wait_s),
+            self._dialect.watch_from,
+            prefix,
+            "watch",
+            timeout_s=wait_s + self._timeout_s,
         )
-        return _watch_from(reply)
 
     async def write_once(
         self, key: str, *, expected_version: int, value: dict[str, Any]
@@ -112,16 +127,19 @@
         :returns: the object as written, a Conflict, or a Failure whose verdict says
             whether the write may have taken effect.
         """
-        body = json.dumps(value, separators=(",", ":")).encode()
-        if len(body) > MAX_VALUE_BYTES:
-            return Failure(Verdict.NOT_RUN, "too_large", f"{len(body)} bytes")
-        path = f"/objects/{quote(key)}?if_version={expected_version}"
-        reply = await self._call("PUT", path, body=body)
-        if not isinstance(reply, _Reply):
-            return reply
-        if reply.status == 409:
-            return Conflict(_object_from(reply.body))
-        return PlatformObject(key, reply.body["version"], value)
+        call = self._dialect.write(key, expected_version, value)
+        return await self._write(key, call, value, label="write")
+
+    async def write_status(
+        self, key: str, *, expected_version: int, status: dict[str, Any]
+    ) -> PlatformObject | Conflict | Failure:
+        """Replace the status of an object that somebody else wrote.
+
+        :param expected_version: the object's version.
+        :returns: as :meth:`write_once`.
+        """
+        call = self._dialect.write_status(key, expected_version, status)
+        return await self._write(key, call, {}, label="write_status")
 
     async def update(
         self,
@@ -163,7 +181,7 @@
 
     async def delete(self, key: str) -> bool | Failure:
         """Delete an object whatever its version; one that is absent is fine."""
-        reply = await self._call("DELETE", f"/objects/{quote(key)}")
+        reply = await self._call(self._dialect.delete(key), label="delete")
         return True if isinstance(reply, _Reply) else reply
 
     async def pause_after_failure(self) -> None:
@@ -183,19 +201,61 @@
             attempt, base_s=_BACKOFF_BASE_S, cap_s=_BACKOFF_CAP_S, rng=self._rng
         )
 
-    async def _call(
+    async def _changes(
         self,
-        method: str,
-        path: str,
+        call: ApiCall,
+        read: Callable[[str, Any], WatchResult],
+        prefix: str,
+        label: str,
         *,
-        body: bytes | None = None,
         timeout_s: float | None = None,
+    ) -> WatchResult | Failure:
+        """Make a call that answers with objects under a prefix."""
+        reply = await self._call(call, label=label, timeout_s=timeout_s)
+        if not isinstance(reply, _Reply):
+            return reply
+        return self._decode(lambda: read(prefix, reply.body))
+
+    async def _write(
+        self, key: str, call: ApiCall, value: dict[str, Any], *, label: str
+    ) -> PlatformObject | Conflict | Failure:
+        if call.body is not None and len(call.body) > MAX_VALUE_BYTES:
+            return Failure(Verdict.NOT_RUN, "too_large", f"{len(call.body)} bytes")
+        reply = await self._call(call, label=label)
+        if not isinstance(reply, _Reply):
+            return reply
+        if reply.status == 404:
+            return Conflict(PlatformObject(key, 0, {}))
+        if reply.status == 409:
+            return await self._conflict(key, reply)
+        return self._decode(lambda: self._dialect.written_from(key, reply.body, value))
+
+    async def _conflict(self, key: str, reply: "_Reply") -> Conflict | Failure:
+        """Return what stands in a write's way; read it if the answer lacks it."""
+        try:
+            return Conflict(self._dialect.object_from(key, reply.body))
+        except _BAD_FORM:
+            found = await self.read(key)
+        if isinstance(found, Failure):
+            return found._replace(verdict=Verdict.NOT_RUN)
+        return Conflict(found)
+
+    def _decode(self, read: Callable[[], Any]) -> Any:
+        """Read an answer; one of an unexpected form is a failure."""
+        try:
+            return read()
+        except _BAD_FORM as error:
+            return self._fail(Verdict.MAY_HAVE_RUN, f"unexpected form: {error!r}")
+
+    async def _call(
+        self, call: ApiCall, *, label: str, timeout_s: float | None = None
     ) -> "_Reply | Failure":
+        self._count("platform_calls", label=label)
         request = HTTPRequest(
-            self._url + path,
-            method=method,
-            body=body,
-            headers={"X-Client": self._name},
+            self._url + call.path,
+            method=call.method,
+            body=call.body,
+            headers={"X-Client": self._name, "Content-Type": "application/json"},
             connect_timeout=_CONNECT_TIMEOUT_S,
             request_timeout=timeout_s or self._timeout_s,
         )
@@ -205,41 +265,48 @@
             return self._fail(Verdict.MAY_HAVE_RUN, str(error))
         if response.code == 599:
             return self._fail(Verdict.MAY_HAVE_RUN, str(response.error))
-        if response.code == 503:
-            return self._fail(Verdict.NOT_RUN, "the platform refused the call")
+        if response.code in _REFUSED:
+            return self._fail(
+                Verdict.NOT_RUN, f"the platform refused the call: {response.code}"
+            )
         if response.code == 413:
             return Failure(Verdict.NOT_RUN, "too_large", "refused by the platform")
+        if response.code == _HISTORY_GONE:
+            self._note_answer()
+            return Failure(Verdict.NOT_RUN, "history_gone", "list again")
         return self._parse(response.code, response.body)
 
     def _parse(self, status: int, body: bytes) -> "_Reply | Failure":
+        if status not in _ANSWERED:
+            return self._fail(Verdict.MAY_HAVE_RUN, f"status {status}: {body[:200]!r}")
         try:
-            reply = _Reply(status, json.loads(body))
+            reply = _Reply(status, json.loads(body) if body else {})
         except ValueError:
-            return self._fail(Verdict.MAY_HAVE_RUN, f"status {status} without JSON")
-        if status not in (200, 404, 409):
-            return self._fail(Verdict.MAY_HAVE_RUN, f"status {status}")
-        self.failures_in_row = 0
+            if status == 200:
+                return self._fail(Verdict.MAY_HAVE_RUN, f"status {status} without JSON")
+            reply = _Reply(status, {})
+        self._note_answer()
         return reply
 
+    def _note_answer(self) -> None:
+        self.failures_in_row = 0
+        if self._lost_at_s is not None:
+            away_s = self._clock.monotonic() - self._lost_at_s
+            self._lost_at_s = None
+            log_event("platform.regained", away_s=away_s)
+
     def _fail(self, verdict: Verdict, detail: str) -> Failure:
         self.failures_in_row += 1
+        self._count("platform_failures", label=verdict.name.lower())
+        if self._lost_at_s is None:
+            self._lost_at_s = self._clock.monotonic()
+            log_event("platform.lost", reason=detail)
         return Failure(verdict, "platform_unavailable", detail)
 
 
 class _Reply(NamedTuple):
     status: int
-    body: dict[str, Any]
-
-
-def _object_from(body: dict[str, Any]) -> PlatformObject:
-    return PlatformObject(body["key"], body["version"], body.get("value") or {})
-
-
-def _watch_from(reply: "_Reply | Failure") -> WatchResult | Failure:
-    if not isinstance(reply, _Reply):
-        return reply
-    objects = [_object_from(item) for item in reply.body["objects"]]
-    return WatchResult(reply.body["revision"], objects)
+    body: Any
 
 
 def _own_write(conflict: Conflict, token: str) -> PlatformObject | None:
--- a/burdockdock/protocol/members.py
+++ b/burdockdock/protocol/members.py
@@ -22,6 +22,7 @@
         "service": member.service,
         "serviceVersion": member.service_version,
         "slots": member.slots,
+        "platformLost": member.platform_lost,
     }
 
 
@@ -43,6 +44,7 @@
         service=packed.service,
         service_version=packed.serviceVersion,
         slots=packed.slots,
+        platform_lost=packed.platformLost,
     )
 
 
--- a/burdockdock/protocol/messages.capnp
+++ b/burdockdock/protocol/messages.capnp
@@ -120,6 +120,7 @@
   service @9 :Text;
   serviceVersion @10 :Text;
   slots @11 :UInt32;
+  platformLost @12 :Bool;
 }
 
 struct Ping {
--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -7,6 +7,7 @@
 from burdockdock.coordination.backoff import RetryBudget
 from burdockdock.coordination.membership import Member
 from burdockdock.coordination.verdict import Failure, Verdict, may_retry
+from burdockdock.logs import log_event
 from burdockdock.metrics import Metrics
 from burdockdock.protocol import WindowClosed
 from burdockdock.protocol.calls import AnswerHead, CallRequest
@@ -19,6 +20,11 @@
 _ANSWER_LOST = "answer_lost"
 _NO_BACKEND_SERVER = "no_backend_server"
 _SHED_STATUSES = frozenset({429, 503})
+# Reason of a refusal that the backend server itself made; all other refusals as not
+# run come from nodes, before anything reached a backend server.
+_BACKEND_REFUSED = "backend_refused"
+# Other nodes asked after one that refused or is gone.
+_MAX_MOVES = 3
 # Refusals that say something about load or a planned stop, not about faults.
 _HEALTHY_REFUSALS = frozenset(
     {
@@ -28,6 +34,9 @@
         "draining",
         "deadline_passed",
         "too_little_time",
+        "backend_leaving",
+        "not_here",
+        _BACKEND_REFUSED,
     }
 )
 
@@ -106,17 +115,19 @@
         body = _ReplayableBody(caller, call.request.body_length)
         if call.request.body_length != 0:
             await body.read_first()
-        excluded: frozenset[str] = frozenset()
+        tried = _Tried(call.retries, _MAX_MOVES)
         worst = Verdict.NOT_RUN
-        for attempts_left in range(call.retries, -1, -1):
-            outcome = await self._attempt(call, caller, body, excluded)
+        while True:
+            outcome = await self._attempt(call, caller, body, tried.node_ids)
             if outcome is None:
                 return None
-            excluded |= {outcome.node_id}
             failure = outcome.failure
             worst = max(worst, failure.verdict)
-            if not self._should_retry(call, body, failure, attempts_left):
+            self._log_attempt(call, outcome)
+            following = tried.after(outcome)
+            if following is None or not self._may_go_on(call, body, outcome):
                 break
+            tried = following
             self._metrics.count("retries", label=failure.reason)
         # What an earlier attempt may have done holds whatever the last one did.
         return failure._replace(verdict=worst)
@@ -244,20 +255,33 @@
                 return
             await caller.send_body(piece)
 
-    def _should_retry(
-        self,
-        call: Call,
-        body: "_ReplayableBody",
-        failure: Failure,
-        attempts_left: int,
+    def _may_go_on(
+        self, call: Call, body: "_ReplayableBody", outcome: "_AttemptFailure"
     ) -> bool:
+        """Tell whether a further attempt is right, and spend the budget for it.
+
+        A refusal by a node costs the backend servers nothing, so that it needs no
+        budget.
+        """
+        failure = outcome.failure
         return (
-            attempts_left > 0
-            and failure.reason != _NO_BACKEND_SERVER
+            failure.reason != _NO_BACKEND_SERVER
             and may_retry(failure, idempotent=call.request.idempotent)
             and body.replayable
             and self._left_ms(call) > 0
-            and self._budget.try_spend()
+            and (outcome.refused_by_node or self._budget.try_spend())
+        )
+
+    def _log_attempt(self, call: Call, outcome: "_AttemptFailure") -> None:
+        log_event(
+            "call.attempt_failed",
+            request=call.request.request_id,
+            service=call.request.service,
+            node_tried=outcome.node_id,
+            verdict=outcome.failure.verdict.name.lower(),
+            reason=outcome.failure.reason,
+            detail=outcome.failure.detail,
+            left_ms=self._left_ms(call),
         )
 
     def _left_ms(self, call: Call) -> int:
@@ -268,6 +292,35 @@
     node_id: str
     failure: Failure
 
+    @property
+    def refused_by_node(self) -> bool:
+        """Whether the request never came as far as a backend server."""
+        refused = self.failure.verdict is Verdict.NOT_RUN
+        return refused and self.failure.reason != _BACKEND_REFUSED
+
+
+class _Tried(NamedTuple):
+    """What may still be tried for a call.
+
+    :param retries_left: backend servers that may still be sent the request.
+    :param moves_left: nodes that may still be asked after refusals by nodes.
+    """
+
+    retries_left: int
+    moves_left: int
+    node_ids: frozenset[str] = frozenset()
+
+    def after(self, outcome: _AttemptFailure) -> "_Tried | None":
+        """Return what is left after an attempt, None for nothing."""
+        node_ids = self.node_ids | {outcome.node_id}
+        if outcome.refused_by_node:
+            if not self.moves_left or outcome.node_id in self.node_ids:
+                return None
+            return self._replace(moves_left=self.moves_left - 1, node_ids=node_ids)
+        if not self.retries_left:
+            return None
+        return self._replace(retries_left=self.retries_left - 1, node_ids=node_ids)
+
 
 class _ReplayableBody:
     """A request's body of which the beginning can be sent again."""
--- a/burdockdock/proxy/listener.py
+++ b/burdockdock/proxy/listener.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 import uuid
 from collections.abc import Callable
 
@@ -17,18 +18,16 @@
 from tornado.iostream import StreamClosedError
 
 from burdockdock.clock import Clock
-from burdockdock.configuration.lookup import find_route, policy_for
-from burdockdock.configuration.model import Snapshot
+from burdockdock.configuration.lookup import draw_service, find_route, policy_for
+from burdockdock.configuration.model import Route, Snapshot
 from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.gate.headers import OWN_HEADERS, CallHeaders
+from burdockdock.logs import log_event
 from burdockdock.metrics import Metrics
 from burdockdock.protocol.calls import AnswerHead, CallRequest, Headers
 from burdockdock.proxy.forwarder import Call, Forwarder
 
-TENANT_HEADER = "X-Tenant"
-IDEMPOTENCY_HEADER = "Idempotency-Key"
-TIMEOUT_HEADER = "X-Burdockdock-Timeout-Ms"
 VERDICT_HEADER = "X-Burdockdock-Verdict"
-DEPTH_HEADER = "X-Burdockdock-Depth"
 MAX_HEADER_BYTES = 64 * 1024
 MAX_BODY_BYTES = 1 << 40
 _BUFFER_BYTES = 256 * 1024
@@ -47,9 +46,8 @@
         "expect",
     }
 )
-_REPLACED_HEADERS = frozenset(
-    name.lower() for name in (TIMEOUT_HEADER, DEPTH_HEADER, "X-Burdockdock-Request-Id")
-)
+_NON_IDEMPOTENT = "non_idempotent"
+_DEFAULT_TENANT = "default"
 _STATUS_OF_VERDICT = {
     Verdict.NOT_RUN: 503,
     Verdict.MAY_HAVE_RUN: 502,
@@ -67,12 +65,18 @@
     502: "Bad Gateway",
     503: "Service Unavailable",
 }
-_RETRY_AFTER_S = 1
+# Callers come back spread over this span.
+_RETRY_AFTER_MIN_S = 0.05
+_RETRY_AFTER_MAX_S = 0.4
 _MAX_DEPTH = 32
 
 
 class CallContext:
-    """What the listener needs to know of its node."""
+    """What the listener needs to know of its node.
+
+    :param own_service: returns the service of the backend server beside this node.
+    :param headers: names of the headers of calls.
+    """
 
     def __init__(
         self,
@@ -83,8 +87,15 @@
         forwarder: Forwarder,
         clock: Clock,
         metrics: Metrics,
+        rng: random.Random,
+        own_service: Callable[[], str] = lambda: "",
+        headers: CallHeaders = OWN_HEADERS,
     ) -> None:
         self.node_id = node_id
+        self.rng = rng
+        self.own_service = own_service
+        self.headers = headers
+        self.replaced_headers = _replaced_headers(headers)
         self.availability_zone = availability_zone
         self.snapshot = snapshot
         self.forwarder = forwarder
@@ -134,6 +145,7 @@
         self._answer_started = False
         self._answer_ended = False
         self._method = ""
+        self._status = 0
 
     def headers_received(
         self, start_line: RequestStartLine, headers: HTTPHeaders
@@ -178,6 +190,7 @@
     async def send_head(self, head: AnswerHead) -> None:
         """Begin the answer, with all of its body if that is there already."""
         self._answer_started = True
+        self._status = head.status
         headers = _answer_headers(head, self._method)
         if self._context.draining:
             headers["Connection"] = "close"
@@ -214,34 +227,52 @@
     async def _run(self, start_line: RequestStartLine, headers: HTTPHeaders) -> None:
         context = self._context
         started_s = context.clock.monotonic()
-        tenant = headers.get(TENANT_HEADER, "default")
-        traffic_class = "none"
+        call = _make_call(context, start_line, headers)
         try:
-            call = _make_call(context, start_line, headers, tenant)
             if isinstance(call, Failure):
                 failure: Failure | None = call
             else:
-                traffic_class = call.request.traffic_class
                 failure = await context.forwarder.forward(call, _CallerAdapter(self))
             if failure is not None:
                 await self._refuse(failure)
+            self._log_end(call, headers, failure, started_s)
         except asyncio.CancelledError:
             context.metrics.count("calls_abandoned")
+            abandoned = Failure(Verdict.MAY_HAVE_RUN, "caller_left")
+            self._log_end(call, headers, abandoned, started_s)
         finally:
             context.open_calls -= 1
-            context.metrics.record_latency(
-                "call",
-                context.clock.monotonic() - started_s,
-                tenant=tenant,
-                traffic_class=traffic_class,
-            )
+            _record_latency(context, call, started_s)
+
+    def _log_end(
+        self,
+        call: Call | Failure,
+        headers: HTTPHeaders,
+        failure: Failure | None,
+        started_s: float,
+    ) -> None:
+        """Write down how a call ended and what decided it."""
+        context = self._context
+        request = None if isinstance(call, Failure) else call.request
+        request_id = headers.get(context.headers.request_id, "")
+        log_event(
+            "call.ended",
+            request=request.request_id if request else request_id,
+            route=request.route if request else "",
+            service=request.service if request else "",
+            config_version=context.snapshot().version,
+            status=self._status,
+            verdict="" if failure is None else failure.verdict.name.lower(),
+            reason="" if failure is None else failure.reason,
+            detail="" if failure is None else failure.detail,
+            allowed_ms=request.time_left_ms if request else 0,
+            seconds_s=context.clock.monotonic() - started_s,
+        )
 
     async def _refuse(self, failure: Failure) -> None:
         """Tell the caller the verdict and the reason."""
         self._context.metrics.count("call_failures", label=failure.reason)
-        status = _STATUS_OF_REASON.get(
-            failure.reason, _STATUS_OF_VERDICT[failure.verdict]
-        )
+        status = _status_of(failure)
         verdict = failure.verdict.name.lower()
         body = json.dumps(
             {"verdict": verdict, "reason": failure.reason, "detail": failure.detail}
@@ -252,7 +283,8 @@
             (VERDICT_HEADER, verdict),
         ]
         if failure.verdict is Verdict.NOT_RUN:
-            headers.append(("Retry-After", str(_RETRY_AFTER_S)))
+            after_s = self._context.rng.uniform(_RETRY_AFTER_MIN_S, _RETRY_AFTER_MAX_S)
+            headers.append(("Retry-After", f"{after_s:.3f}"))
         phrase = _REASON_PHRASES.get(status, "Gateway Timeout")
         await self.send_head(AnswerHead(status, phrase, tuple(headers)))
         await self.send_body(body)
@@ -275,42 +307,45 @@
 
 
 def _make_call(
-    context: CallContext,
-    start_line: RequestStartLine,
-    headers: HTTPHeaders,
-    tenant: str,
+    context: CallContext, start_line: RequestStartLine, headers: HTTPHeaders
 ) -> Call | Failure:
     """Find the route of a request and build its call."""
     snapshot = context.snapshot()
+    if not snapshot.version:
+        return Failure(Verdict.NOT_RUN, "no_configuration", "none is known yet")
     path = start_line.path.partition("?")[0]
     route = find_route(snapshot, host=headers.get("Host", ""), path=path)
     if route is None:
         return Failure(Verdict.NOT_RUN, "no_route", f"no route for {path}")
-    depth = _integer(headers.get(DEPTH_HEADER), 0)
+    names = context.headers
+    depth = _integer(headers.get(names.depth), 0) if names.depth else 0
     if depth >= _MAX_DEPTH:
         return Failure(Verdict.NOT_RUN, "too_deep", f"{depth} calls deep")
+    service = draw_service(route, rng=context.rng)
     policy = policy_for(
         snapshot,
         route,
+        service=service,
         availability_zone=context.availability_zone,
         node_id=context.node_id,
         now=context.clock.now(),
     )
-    timeout_ms = _integer(headers.get(TIMEOUT_HEADER), policy.timeout_ms)
+    timeout_ms = _integer(headers.get(names.timeout), policy.timeout_ms)
     timeout_ms = min(timeout_ms, policy.timeout_ms)
-    idempotent = start_line.method in _IDEMPOTENT_METHODS
-    key = None if idempotent else headers.get(IDEMPOTENCY_HEADER)
+    idempotent = _is_idempotent(route, start_line.method)
+    tenant = headers.get(names.tenant, _DEFAULT_TENANT)
+    key = None if idempotent else headers.get(names.idempotency_key)
     request = CallRequest(
-        request_id=f"{tenant}/{key}" if key else uuid.uuid4().hex,
+        request_id=_request_id(names, headers, tenant, key),
         tenant=tenant,
         traffic_class=route.traffic_class,
         route=route.name,
-        service=route.service,
+        service=service,
         time_left_ms=timeout_ms,
         idempotent=idempotent,
         method=start_line.method,
         target=start_line.path,
-        headers=_request_headers(headers, depth),
+        headers=_request_headers(context, headers, depth),
         body_length=_body_length(headers),
         priority=route.priority,
         queue_length=policy.queue_length,
@@ -322,20 +357,73 @@
     return Call(request, deadline_s, retries, request.request_id if key else "")
 
 
+def _is_idempotent(route: Route, method: str) -> bool:
+    """Tell whether a request may run more than once; the route's kind goes first."""
+    if route.kind:
+        return route.kind != _NON_IDEMPOTENT
+    return method in _IDEMPOTENT_METHODS
+
+
+def _request_id(
+    names: CallHeaders, headers: HTTPHeaders, tenant: str, key: str | None
+) -> str:
+    if key:
+        return f"{tenant}/{key}"
+    given = headers.get(names.request_id) if names.callers_request_id else None
+    return given or uuid.uuid4().hex
+
+
+def _status_of(failure: Failure) -> int:
+    """Return the status that promises no more than the verdict does."""
+    if failure.verdict is Verdict.NOT_RUN and failure.reason != "no_route":
+        return 503
+    return _STATUS_OF_REASON.get(failure.reason, _STATUS_OF_VERDICT[failure.verdict])
+
+
+def _record_latency(
+    context: CallContext, call: Call | Failure, started_s: float
+) -> None:
+    request = None if isinstance(call, Failure) else call.request
+    context.metrics.record_latency(
+        "call",
+        context.clock.monotonic() - started_s,
+        tenant=request.tenant if request else _DEFAULT_TENANT,
+        traffic_class=request.traffic_class if request else "none",
+    )
+
+
+def _replaced_headers(names: CallHeaders) -> frozenset[str]:
+    """Return the headers that nodes set themselves, whatever a caller sent."""
+    replaced = {
+        names.timeout,
+        names.depth,
+        names.caller_service,
+        names.expected_instance,
+    }
+    if not names.callers_request_id:
+        replaced.add(names.request_id)
+    return frozenset(name.lower() for name in replaced if name)
+
+
 def _body_length(headers: HTTPHeaders) -> int:
     if "chunked" in headers.get("Transfer-Encoding", "").lower():
         return -1
     return _integer(headers.get("Content-Length"), 0)
 
 
-def _request_headers(headers: HTTPHeaders, depth: int) -> Headers:
-    dropped = _hop_headers(headers) | _REPLACED_HEADERS
+def _request_headers(context: CallContext, headers: HTTPHeaders, depth: int) -> Headers:
+    names = context.headers
+    dropped = _hop_headers(headers) | context.replaced_headers
     kept = [
         (name, value)
         for name, value in headers.get_all()
         if name.lower() not in dropped
     ]
-    return (*kept, (DEPTH_HEADER, str(depth + 1)))
+    if names.depth:
+        kept.append((names.depth, str(depth + 1)))
+    if names.caller_service:
+        kept.append((names.caller_service, context.own_service()))
+    return tuple(kept)
 
 
 def _answer_headers(head: AnswerHead, method: str) -> HTTPHeaders:
