Take in changed settings, log to standard output without waiting, tests of the adapter

Change: settings are read again on SIGHUP or when the file changed, whole or not at all; SIGHUP is ignored until then; lines are written in pieces that a pipe takes at once, and dropped lines are counted; kept connections are used for 5 s at most, and libcurl may send an idempotent request without a body again.

--- a/burdockdock/cli/node.py
+++ b/burdockdock/cli/node.py
@@ -35,7 +35,7 @@
     """Run one node beside a backend server."""
     settings = _read_or_exit(path)
     start_logging(node=settings.name)
-    asyncio.run(_run(settings))
+    asyncio.run(_run(settings, path))
 
 
 @click.group()
@@ -58,7 +58,7 @@
     click.echo(text, nl=False)
 
 
-async def _run(settings: NodeSettings) -> None:
+async def _run(settings: NodeSettings, path: Path) -> None:
     from burdockdock.node.node import Node
 
     # A full collection would hold up every call in flight, so that the young
@@ -66,7 +66,8 @@
     gc.set_threshold(_GC_YOUNG_OBJECTS, _GC_MIDDLE_RUNS, _GC_OLD_RUNS)
     # What the imports made stays for good; the collector need not look at it.
     gc.freeze()
-    await Node(settings, interface=_interface_of(settings)).run()
+    interface = _interface_of(settings)
+    await Node(settings, interface=interface, settings_path=path).run()
 
 
 def _interface_of(settings: NodeSettings) -> "Interface":
--- a/burdockdock/gate/curl_client.py
+++ b/burdockdock/gate/curl_client.py
@@ -10,6 +10,9 @@
 
 _PAUSE_ABOVE_BYTES = 256 * 1024
 _CONNECT_TIMEOUT_MS = 1000
+# A kept connection is not used again after this, before a backend server that says
+# nothing of its own limit might close it.
+_MAX_IDLE_S = 5
 _STOP_POLLING = pycurl.POLL_REMOVE
 # Errors of which libcurl knows that no byte of the request was sent.
 _NOT_SENT_ERRORS = {
@@ -253,6 +256,7 @@
         easy.setopt(pycurl.HTTPHEADER, request.headers)
         easy.setopt(pycurl.CONNECTTIMEOUT_MS, _CONNECT_TIMEOUT_MS)
         easy.setopt(pycurl.TIMEOUT_MS, max(1, request.timeout_ms))
+        easy.setopt(pycurl.MAXAGE_CONN, _MAX_IDLE_S)
         easy.setopt(pycurl.HEADERFUNCTION, self._on_header)
         easy.setopt(pycurl.WRITEFUNCTION, self._on_body)
         easy.setopt(pycurl.PREREQFUNCTION, self._before_send)
--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -129,13 +129,13 @@
         """Calls that run or wait here, until their answers have been passed on."""
         return self._running
 
-    def announce(self, backend: BackendServer, *, leaving: bool = False) -> None:
-        """Take in what the backend server says of itself.
-
-        :param leaving: it takes no new calls from soon on.
-        """
+    def announce(self, backend: BackendServer) -> None:
+        """Take in what the backend server says of itself."""
         self._backend = backend
         self._limiter.resize(backend.slots)
+
+    def set_leaving(self, leaving: bool) -> None:
+        """Take in whether the backend server takes no new calls from soon on."""
         if not leaving:
             self._closes_at_s = float("inf")
         elif self._closes_at_s == float("inf"):
@@ -374,10 +374,15 @@
             body_length=request.body_length,
             timeout_ms=left_ms,
             fresh_connection=not request.idempotent,
-            resend_allowed=self.resend_allowed,
+            resend_allowed=self.resend_allowed or _may_be_resent(request),
         )
 
 
+def _may_be_resent(request: CallRequest) -> bool:
+    """Tell whether libcurl may send again on finding a kept connection dead."""
+    return request.idempotent and not request.body_length
+
+
 def check_answer(
     names: CallHeaders, request: CallRequest, head: BackendHead
 ) -> Failure | None:
--- a/burdockdock/logs.py
+++ b/burdockdock/logs.py
@@ -1,11 +1,19 @@
 """Structured logs: one line of key=value pairs for each eliot event."""
 
+import asyncio
+import atexit
 import json
+import os
+import select
 import sys
-from typing import Any, TextIO
+import time
+from collections import deque
+from typing import Any
 
 import eliot
 
+_FLUSH_INTERVAL_S = 0.02
+_MAX_KEPT_BYTES = 256 * 1024
 _HIDDEN_KEYS = frozenset({"task_uuid", "task_level", "message_type", "timestamp"})
 
 
@@ -25,20 +33,85 @@
     return " ".join(pairs)
 
 
-def start_logging(*, stream: TextIO | None = None, **common: str) -> None:
-    """Write every eliot event to a stream as one line.
+class LineWriter:
+    """Writes lines to a file descriptor, and never waits for its reader.
 
-    :param stream: where lines go, standard error by default.
-    :param common: pairs that stand in every line, such as ``node``.
-    """
-    target = stream or sys.stderr
+    Lines are collected for a moment and written in pieces that fit into a pipe at
+    once. What a slow reader leaves no room for is dropped, and the number of lines
+    dropped is written once there is room again.
 
-    def write_line(event: dict[str, Any]) -> None:
-        target.write(render_event(event) + "\n")
-        target.flush()
+    :param fd: the descriptor.
+    """
 
+    def __init__(self, fd: int) -> None:
+        self._fd = fd
+        self._poll = select.poll()
+        self._poll.register(fd, select.POLLOUT)
+        self._lines: deque[bytes] = deque()
+        self._kept_bytes = 0
+        self._timer: asyncio.TimerHandle | None = None
+        self.dropped = 0
+
+    def write(self, line: str) -> None:
+        """Queue a line, given without its line feed."""
+        data = line.encode() + b"\n"
+        if self._kept_bytes + len(data) > _MAX_KEPT_BYTES:
+            self.dropped += 1
+        else:
+            self._lines.append(data)
+            self._kept_bytes += len(data)
+        if self._timer is None:
+            self._flush_later()
+
+    def flush(self) -> None:
+        """Write as much as there is room for."""
+        self._timer = None
+        if self.dropped and self._kept_bytes < _MAX_KEPT_BYTES // 2:
+            self._tell_dropped()
+        while self._lines and self._poll.poll(0):
+            os.write(self._fd, self._take_piece())
+        if self._lines:
+            self._flush_later()
+
+    def _take_piece(self) -> bytes:
+        """Return whole lines that a pipe takes at once, or one longer line's start."""
+        piece = self._lines.popleft()
+        if len(piece) > select.PIPE_BUF:
+            self._lines.appendleft(piece[select.PIPE_BUF :])
+            piece = piece[: select.PIPE_BUF]
+        while self._lines and len(piece) + len(self._lines[0]) <= select.PIPE_BUF:
+            piece += self._lines.popleft()
+        self._kept_bytes -= len(piece)
+        return piece
+
+    def _tell_dropped(self) -> None:
+        line = f"time_s={time.time():.6f} event=logs.dropped lines={self.dropped}\n"
+        self.dropped = 0
+        self._lines.append(line.encode())
+        self._kept_bytes += len(line)
+
+    def _flush_later(self) -> None:
+        """Flush soon; at once where no loop runs, such as at start and end."""
+        try:
+            loop = asyncio.get_running_loop()
+        except RuntimeError:
+            if self._poll.poll(0):
+                self.flush()
+            return
+        self._timer = loop.call_later(_FLUSH_INTERVAL_S, self.flush)
+
+
+def start_logging(*, fd: int | None = None, **common: str) -> LineWriter:
+    """Write every eliot event to a file descriptor as one line.
+
+    :param fd: where lines go, standard output by default.
+    :param common: pairs that stand in every line, such as ``node``.
+    """
+    writer = LineWriter(sys.stdout.fileno() if fd is None else fd)
     eliot.add_global_fields(**common)
-    eliot.add_destinations(write_line)
+    eliot.add_destinations(lambda event: writer.write(render_event(event)))
+    atexit.register(writer.flush)
+    return writer
 
 
 def log_event(name: str, **pairs: Any) -> None:
--- a/burdockdock/node/announcements.py
+++ b/burdockdock/node/announcements.py
@@ -126,7 +126,8 @@
         """Let the gate and the members know."""
         backend = announcement.backend
         ready = announcement.state is BackendState.READY
-        self._gate.announce(backend, leaving=not ready)
+        self._gate.announce(backend)
+        self._gate.set_leaving(not ready)
         self._change(
             service=backend.service,
             service_version=backend.version,
--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import signal
+from pathlib import Path
 
 from tornado.httpserver import HTTPServer
 
@@ -22,6 +23,7 @@
 from burdockdock.node.operator_api import OperatorActions, serve_operators
 from burdockdock.node.peer_server import PeerServer
 from burdockdock.node.relay import PlatformReader, Relay
+from burdockdock.node.reload import SettingsWatch
 from burdockdock.node.rollouts import RolloutPart
 from burdockdock.node.roster import Roster
 from burdockdock.node.settings import NodeSettings
@@ -61,8 +63,10 @@
         *,
         clock: Clock | None = None,
         interface: Interface = OWN_INTERFACE,
+        settings_path: Path | None = None,
     ) -> None:
         self._settings = settings
+        self._settings_path = settings_path
         self._interface = interface
         self._clock = clock or SystemClock()
         self._rng = random.Random()
@@ -82,7 +86,16 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop)
-        await self.start()
+        if self._settings_path is not None:
+            self._watch_settings(self._settings_path, loop)
+        joined = asyncio.create_task(self.start())
+        stopped = asyncio.create_task(self._stopping.wait())
+        await asyncio.wait({joined, stopped}, return_when=asyncio.FIRST_COMPLETED)
+        if not joined.done():
+            log_event("node.stopped", reason="stopped before it joined")
+            joined.cancel()
+            return
+        await joined
         await self._stopping.wait()
         await self.drain()
 
@@ -90,6 +103,16 @@
         """Begin a graceful stop."""
         self._stopping.set()
 
+    def _watch_settings(self, path: Path, loop: asyncio.AbstractEventLoop) -> None:
+        """Take in a changed settings file, with or without a signal."""
+        watch = SettingsWatch(path, self._settings, apply=self._apply_settings)
+        loop.add_signal_handler(signal.SIGHUP, watch.signal)
+        task = asyncio.create_task(supervise("settings", watch.run))
+        self._tasks.append(task)
+
+    def _apply_settings(self, settings: NodeSettings) -> None:
+        self._settings = settings
+
     def _build_state(self, incarnation: int) -> None:
         settings = self._settings
         own = Member(
@@ -318,7 +341,7 @@
             "rollouts": self.rollouts.run,
             "backend_watch": self._backend.run,
         }
-        self._tasks = [
+        self._tasks += [
             asyncio.create_task(supervise(name, loop)) for name, loop in loops.items()
         ]
 
--- a/burdockdock/node/roster.py
+++ b/burdockdock/node/roster.py
@@ -89,8 +89,9 @@
 
 def _addresses_in(value: dict[str, Any]) -> list[Address]:
     """Read the addresses of an entry; what is no address is left out."""
+    listed = value.get("addresses")
     found = []
-    for item in value.get("addresses") or ():
+    for item in listed if isinstance(listed, list) else ():
         if isinstance(item, list) and len(item) == 2:
             host, port = item
             if isinstance(host, str) and isinstance(port, int):
--- /dev/null
+++ b/tests/platform/test_configuration.py
@@ -0,0 +1,95 @@
+"""Tests of the operator's configuration, decoded into sections."""
+
+import random
+from collections import Counter
+
+import testtools
+
+from burdockdock.configuration.checks import build_snapshot
+from burdockdock.configuration.lookup import draw_service, find_route, policy_for
+from burdockdock.coordination.verdict import Failure
+from burdockdock.platform.configuration import SOURCE
+from burdockdock.platform_api import PlatformObject
+from tests.support import async_test
+
+_COLUMNS = [
+    "name",
+    "hostname",
+    "path-prefix",
+    "kind",
+    "timeout",
+    "target-latency",
+    "priority",
+    "traffic-split",
+    "max-attempts",
+    "service",
+]
+_SPLIT = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
+
+
+def _spec() -> dict:
+    return {
+        "version": "r7",
+        "routes": {
+            "columns": _COLUMNS,
+            "rows": [
+                ["r1", "h.example", "/x/", "idempotent", "1200ms", "600ms", 2]
+                + [_SPLIT, 2, None],
+                ["r2", "h.example", "/x/y/", "non_idempotent", "1.5s", None, 1]
+                + [None, 1, "b"],
+            ],
+        },
+        "services": {
+            "columns": ["name", "health-path"],
+            "rows": [["a", "/health"], ["b", "/health"]],
+        },
+        "limits": {"idle-timeout": "15000ms"},
+    }
+
+
+class ConfigurationTest(testtools.TestCase):
+    """Tests of decoding a whole configuration."""
+
+    async def _snapshot(self, spec: dict):
+        document = await SOURCE.read(None, PlatformObject("config/main", 9, spec))
+        return build_snapshot(document.sections, version=document.version)
+
+    @async_test
+    async def test_routes_keep_what_the_operator_wrote(self) -> None:
+        snapshot = await self._snapshot(_spec())
+        self.assertEqual(7, snapshot.version)
+        long = find_route(snapshot, host="h.example", path="/x/y/z")
+        short = find_route(snapshot, host="H.example:80", path="/x/q")
+        self.assertEqual(("r2", "r1"), (long.name, short.name))
+        self.assertEqual(("non_idempotent", 1), (long.kind, long.priority))
+        policy = policy_for(
+            snapshot, long, availability_zone="z", node_id="n", now=None
+        )
+        self.assertEqual((1500, 0), (policy.timeout_ms, policy.retries))
+        self.assertEqual(600, short.target_latency_ms)
+        self.assertIsNone(find_route(snapshot, host="h.example", path="/x"))
+        self.assertIsNone(find_route(snapshot, host="other.example", path="/x/"))
+
+    @async_test
+    async def test_a_split_keeps_its_weights(self) -> None:
+        snapshot = await self._snapshot(_spec())
+        route = find_route(snapshot, host="h.example", path="/x/")
+        rng = random.Random(1)
+        drawn = Counter(draw_service(route, rng=rng) for _ in range(2000))
+        self.assertAlmostEqual(0.1, drawn["b"] / 2000, delta=0.02)
+
+    @async_test
+    async def test_what_cannot_be_read_is_refused_whole(self) -> None:
+        for break_it in (
+            lambda spec: spec.pop("version"),
+            lambda spec: spec.update(version="7"),
+            lambda spec: spec.pop("services"),
+            lambda spec: spec["routes"]["rows"][0].pop(),
+            lambda spec: spec["routes"]["rows"][0].__setitem__(4, "soon"),
+            lambda spec: spec["routes"]["rows"][0].__setitem__(2, None),
+        ):
+            spec = _spec()
+            break_it(spec)
+            found = await SOURCE.read(None, PlatformObject("config/main", 9, spec))
+            self.assertIsInstance(found, Failure)
+            self.assertEqual("config_unreadable", found.reason)
