--- a/burdockdock/node/relay.py
+++ b/burdockdock/node/relay.py
@@ -25,7 +25,7 @@
 _ROLE_INTERVAL_S = 0.5
 _ROSTER_INTERVAL_S = 15.0
 # A connection that went silent is noticed after this and the call's timeout.
-_WATCH_S = 4.0
+_WATCH_S = 2.0
 # Versions that follow each other faster are read together.
 _WATCH_PAUSE_S = 0.2
 _FAILURES_TO_BE_LOST = 2
--- a/burdockdock/overlay/sync.py
+++ b/burdockdock/overlay/sync.py
@@ -26,6 +26,7 @@
 )
 
 _TIMEOUT_S = 5.0
+_CONNECT_TIMEOUT_S = 1.0
 _SETTLE_S = 0.2
 _MEMBER_SYNC_INTERVAL_S = 5.0
 _BYTES_PER_S = 4_000_000
@@ -175,7 +176,8 @@
         await self.sync_with(member.host, member.port)
 
     async def _exchange(self, host: str, port: int) -> PeerIdentity | Failure:
-        stream = await self._tcp.connect(host, port)
+        async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+            stream = await self._tcp.connect(host, port)
         connection = FrameConnection(stream)
         try:
             peer = await greet(connection, self._own)
--- a/burdockdock/proxy/listener.py
+++ b/burdockdock/proxy/listener.py
@@ -153,6 +153,8 @@
         """Start the call."""
         self._method = start_line.method
         self._context.open_calls += 1
+        # Without this, tornado tells of a closed connection only while it reads.
+        self._connection.set_close_callback(self.on_connection_close)
         self._task = asyncio.create_task(self._run(start_line, headers))
 
     def data_received(self, chunk: bytes) -> "asyncio.Future[None] | None":
--- a/tests/proxy/test_whole_path.py
+++ b/tests/proxy/test_whole_path.py
@@ -169,6 +169,21 @@
                 else:
                     self.fail("the call was not refused")
 
+    @async_test
+    async def test_a_caller_that_left_ends_the_backend_servers_work(self) -> None:
+        async with running_fleet("a", "b") as fleet:
+            await fleet.apply()
+            await fleet.add_backend("b", latency_ms=15_000.0)
+            port = int(fleet.callers["a"].rpartition(":")[2])
+            gate = fleet.nodes["b"].gate
+            for method in ("GET", "POST"):
+                _, writer = await asyncio.open_connection("127.0.0.1", port)
+                head = f"{method} /x HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"
+                writer.write(head.encode())
+                await eventually(lambda: gate.running == 1)
+                writer.close()
+                await eventually(lambda: gate.running == 0, patience_s=10.0)
+
     @async_test
     async def test_draining_backend_server_gets_no_new_work(self) -> None:
         async with running_fleet("a", "b", "c") as fleet:
