Place calls by expected finish, ask for a free slot before waiting for one

Ruled out: sending load to all nodes all the time (its cost grows with the square of the fleet); caps by count alone (backend servers differ in speed by three). Change: gates tell with each answer how long calls of the route run and what share of them failed; the balancer picks where a call ends first, its own VM and zone first by their cost, large answers near; a call asks three nodes for a free slot and only then waits; a gate refuses at once what can't start in time, serves those first that can still be on target, and refuses late ones once enough others wait. The test of the codec names bounds for the new field.

--- a/burdockdock/coordination/limiter.py
+++ b/burdockdock/coordination/limiter.py
@@ -1,16 +1,21 @@
 """Admission to a fixed number of slots with a short queue by deadline."""
 
 import asyncio
-import heapq
 import itertools
 from typing import NamedTuple
 
 from burdockdock.clock import Clock
 from burdockdock.coordination.verdict import Failure, Verdict
 
+# Requests waiting in time, for each slot, that take up what would be left for others.
+_ENOUGH_IN_TIME = 0.5
+
 
 class _Waiter(NamedTuple):
-    """A queued request; ordered by class, tenant's use, then deadline."""
+    """A queued request; ordered by class, tenant's use, then deadline.
+
+    :param target_s: when it must start for an answer of full value.
+    """
 
     priority: int
     tenant_load: int
@@ -18,6 +23,7 @@
     sequence: int
     tenant: str
     future: "asyncio.Future[Failure | None]"
+    target_s: float
 
 
 class SlotLimiter:
@@ -50,6 +56,12 @@
         """Requests that wait for a slot."""
         return len(self._waiters)
 
+    def ahead_of(self, priority: int) -> int:
+        """Return how many releases a new request of a priority would wait for."""
+        waiting = sum(w.priority <= priority for w in self._waiters)
+        free = self._slots - self._in_use
+        return max(0, waiting + 1 - free)
+
     def resize(self, slots: int) -> None:
         """Change the number of slots; those in use are never taken away."""
         self._slots = max(1, slots)
@@ -62,21 +74,30 @@
         deadline_s: float,
         priority: int = 0,
         queue_length: int = 32,
+        target_s: float = float("inf"),
     ) -> Failure | None:
         """Wait for a slot until the deadline.
 
+        Requests that can't start by their target any more go last, and are refused
+        once enough others wait that still can.
+
         :param priority: lower goes first.
-        :param queue_length: requests that may wait at a time.
+        :param queue_length: requests that may wait at a time; 0 to take a free slot
+            or none.
         :param deadline_s: monotonic seconds.
+        :param target_s: when it must start for an answer of full value, in monotonic
+            seconds.
         :returns: None with a slot held, else the refusal.
         """
         if self._in_use < self._slots and not self._waiters:
             self._take(tenant)
             return None
+        if not queue_length:
+            return Failure(Verdict.NOT_RUN, "queue_full")
         refusal = self._refuse_queueing(tenant, queue_length)
         if refusal is not None:
             return refusal
-        return await self._wait(tenant, deadline_s, priority)
+        return await self._wait(tenant, deadline_s, priority, target_s)
 
     def release(self, tenant: str) -> None:
         """Give a slot back."""
@@ -113,15 +134,15 @@
         return True
 
     async def _wait(
-        self, tenant: str, deadline_s: float, priority: int
+        self, tenant: str, deadline_s: float, priority: int, target_s: float
     ) -> Failure | None:
         future: asyncio.Future[Failure | None]
         future = asyncio.get_running_loop().create_future()
         load = self._tenant_in_use.get(tenant, 0) + self._tenant_waiting.get(tenant, 0)
         waiter = _Waiter(
-            priority, load, deadline_s, next(self._sequence), tenant, future
+            priority, load, deadline_s, next(self._sequence), tenant, future, target_s
         )
-        heapq.heappush(self._waiters, waiter)
+        self._waiters.append(waiter)
         self._tenant_waiting[tenant] = self._tenant_waiting.get(tenant, 0) + 1
         try:
             async with asyncio.timeout(deadline_s - self._clock.monotonic()):
@@ -141,17 +162,28 @@
     def _forget(self, waiter: _Waiter) -> None:
         if waiter in self._waiters:
             self._waiters.remove(waiter)
-            heapq.heapify(self._waiters)
             self._leave_queue(waiter.tenant)
 
     def _hand_out(self) -> None:
         while self._waiters and self._in_use < self._slots:
-            waiter = heapq.heappop(self._waiters)
-            self._leave_queue(waiter.tenant)
+            now_s = self._clock.monotonic()
+            waiter = min(self._waiters, key=lambda w: (w.target_s < now_s, w))
+            self._forget(waiter)
             if waiter.future.done():
                 continue
             self._take(waiter.tenant)
             waiter.future.set_result(None)
+            self._refuse_late(now_s)
+
+    def _refuse_late(self, now_s: float) -> None:
+        """Refuse those past their target when enough others wait that are not."""
+        late = [w for w in self._waiters if w.target_s < now_s]
+        if len(self._waiters) - len(late) < self._slots * _ENOUGH_IN_TIME:
+            return
+        for waiter in late:
+            self._forget(waiter)
+            if not waiter.future.done():
+                waiter.future.set_result(Failure(Verdict.NOT_RUN, "too_late_to_wait"))
 
     def _take(self, tenant: str) -> None:
         self._in_use += 1
--- a/burdockdock/coordination/typical.py
+++ b/burdockdock/coordination/typical.py
@@ -23,6 +23,10 @@
         elif len(self._means_s) < _MAX_KINDS:
             self._means_s[kind] = seconds_s
 
+    def mean_s(self, kind: str) -> float:
+        """Return the mean seconds of a kind, 0 when none was recorded."""
+        return self._means_s.get(kind, 0.0)
+
     def needed_s(self, kind: str) -> float:
         """Return the seconds that a request should have left when it starts."""
         mean_s = self._means_s.get(kind)
--- a/burdockdock/gate/call_server.py
+++ b/burdockdock/gate/call_server.py
@@ -61,7 +61,11 @@
         if call_id in self._streams:
             return
         stream = _ServedCall(
-            call_id, self._connection, self._gate, idempotent=request.idempotent
+            call_id,
+            self._connection,
+            self._gate,
+            route=request.route,
+            idempotent=request.idempotent,
         )
         if len(self._streams) >= _MAX_CALLS:
             stream.fail(Failure(Verdict.NOT_RUN, "too_many_calls"))
@@ -119,10 +123,12 @@
         connection: FrameConnection,
         gate: Gate,
         *,
+        route: str,
         idempotent: bool,
     ) -> None:
         self.window = SendWindow()
         self.idempotent = idempotent
+        self._route = route
         self._call_id = call_id
         self._connection = connection
         self._gate = gate
@@ -156,7 +162,12 @@
     def fail(self, failure: Failure) -> None:
         """End the call without a whole answer."""
         self._connection.send(
-            frame_failure(self._call_id, failure, load=self._gate.load)
+            frame_failure(
+                self._call_id,
+                failure,
+                load=self._gate.load,
+                results=self._gate.results(self._route),
+            )
         )
 
     def close(self) -> None:
--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -18,7 +18,7 @@
 from burdockdock.gate.headers import OWN_HEADERS, CallHeaders
 from burdockdock.logs import log_event
 from burdockdock.metrics import Metrics
-from burdockdock.protocol.calls import AnswerHead, CallRequest
+from burdockdock.protocol.calls import AnswerHead, CallRequest, GateResults
 
 _SHED_STATUSES = frozenset({429, 503})
 _DEFAULT_SLOTS = 8
@@ -27,6 +27,8 @@
 # until then is still served.
 _LEAVE_NOTICE_S = 1.0
 _MISDIRECTED = 421
+# Weight of one result in the share of failed calls: about the last ten count.
+_FAILURE_WEIGHT = 0.1
 _CURL_DEFAULT_HEADERS = ("Accept", "User-Agent", "Expect")
 _METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
 
@@ -110,6 +112,7 @@
         self._backend: BackendServer | None = None
         self.resend_allowed = False
         self._draining = False
+        self._failed_share = 0.0
         self._running = 0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -124,6 +127,10 @@
         """Calls that run or wait here."""
         return self._limiter.in_use + self._limiter.queued
 
+    def results(self, route: str) -> GateResults:
+        """Return what callers' nodes need to know of this gate's latest calls."""
+        return GateResults(self._typical.mean_s(route), self._failed_share)
+
     @property
     def running(self) -> int:
         """Calls that run or wait here, until their answers have been passed on."""
@@ -187,15 +194,18 @@
         """Wait for a slot for as long as there is time to use it."""
         start_by_s = deadline_s - self._typical.needed_s(request.route)
         start_by_s = min(start_by_s, self._closes_at_s)
-        if start_by_s <= self._clock.monotonic():
+        now_s = self._clock.monotonic()
+        wait_s = self._expected_wait_s(request)
+        if request.queue_length and start_by_s <= now_s + wait_s:
             self._typical.refused(request.route)
-            return Failure(Verdict.NOT_RUN, "too_little_time")
+            return Failure(Verdict.NOT_RUN, "too_little_time", f"wait {wait_s:.3f} s")
         try:
             refusal = await self._limiter.acquire(
                 tenant=request.tenant,
                 deadline_s=start_by_s,
                 priority=request.priority,
                 queue_length=request.queue_length,
+                target_s=self._start_for_target_s(request, now_s),
             )
         except asyncio.CancelledError:
             self._dedupe.finish(request.request_id, Verdict.NOT_RUN)
@@ -204,6 +214,19 @@
             self._typical.refused(request.route)
         return refusal
 
+    def _expected_wait_s(self, request: CallRequest) -> float:
+        """Return how long a request would wait for a slot, by the work ahead of it."""
+        ahead = self._limiter.ahead_of(request.priority)
+        service_s = self._typical.mean_s(request.route)
+        return ahead * service_s / self._limiter.slots
+
+    def _start_for_target_s(self, request: CallRequest, now_s: float) -> float:
+        """Return when a request must start for an answer of full value."""
+        if not request.target_left_ms:
+            return float("inf")
+        left_s = request.target_left_ms / 1000
+        return now_s + left_s - self._typical.mean_s(request.route)
+
     def _claim(self, request: CallRequest, deadline_s: float) -> Failure | None:
         """Claim the id; an idempotent request may run again and needs none."""
         if request.idempotent:
@@ -253,7 +276,7 @@
                 self._end_without_answer(request, stream, head, started_s)
                 return
             verdict = Verdict.RAN
-            complete = await self._relay(transfer, head, stream)
+            complete = await self._relay(request, transfer, head, stream)
             self._record(request, started_s, status=head.status, complete=complete)
         finally:
             if upload is not None:
@@ -294,12 +317,24 @@
         return asyncio.create_task(_upload(request, stream, transfer))
 
     async def _relay(
-        self, transfer: Transfer, head: BackendHead, stream: CallStream
+        self,
+        request: CallRequest,
+        transfer: Transfer,
+        head: BackendHead,
+        stream: CallStream,
     ) -> bool:
         """Pass the answer on; return whether it was whole."""
         data, ended = transfer.take_ready_body()
         stream.send_head(
-            AnswerHead(head.status, head.reason, head.headers, data, ended, self.load)
+            AnswerHead(
+                head.status,
+                head.reason,
+                head.headers,
+                data,
+                ended,
+                self.load,
+                self.results(request.route),
+            )
         )
         while not ended:
             piece = await transfer.read_body()
@@ -335,6 +370,8 @@
         seconds_s = self._clock.monotonic() - started_s
         shed = status in _SHED_STATUSES
         failed = not shed and (not complete or status >= 500)
+        wrong = 1.0 if failed or shed else 0.0
+        self._failed_share += _FAILURE_WEIGHT * (wrong - self._failed_share)
         if not failed and not shed:
             self._typical.record(request.route, seconds_s)
         self._metrics.record_latency(
--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -188,6 +188,7 @@
             region=settings.region,
             clock=self._clock,
             rng=self._rng,
+            node_id=settings.name,
         )
         forwarder = Forwarder(
             links=self.links,
--- a/burdockdock/protocol/calls.py
+++ b/burdockdock/protocol/calls.py
@@ -8,6 +8,17 @@
 Headers = tuple[tuple[str, str], ...]
 
 
+class GateResults(NamedTuple):
+    """What a gate tells of its latest calls with each answer.
+
+    :param service_s: mean seconds that calls of the same route run, 0 when unknown.
+    :param failed_share: share of its latest calls that failed, from 0 to 1.
+    """
+
+    service_s: float = 0.0
+    failed_share: float = 0.0
+
+
 class CallRequest(NamedTuple):
     """A request as it travels from the caller's node to the backend server's.
 
@@ -16,6 +27,8 @@
     :param body_length: bytes of the whole body, -1 when not known.
     :param body: the first bytes of the body.
     :param end: whether ``body`` is all of it.
+    :param target_left_ms: until the answer loses value, 0 where that never happens;
+        negative when it has.
     """
 
     request_id: str
@@ -33,12 +46,14 @@
     end: bool = True
     priority: int = 0
     queue_length: int = 32
+    target_left_ms: int = 0
 
 
 class AnswerHead(NamedTuple):
     """The beginning of a backend server's answer.
 
     :param load: calls running and waiting at the backend server's node.
+    :param results: what that node tells of its latest calls.
     """
 
     status: int
@@ -47,6 +62,7 @@
     body: bytes = b""
     end: bool = False
     load: int = 0
+    results: GateResults = GateResults()
 
 
 def frame_call_start(call_id: int, request: CallRequest) -> bytes:
@@ -69,6 +85,7 @@
         end=request.end,
         priority=request.priority,
         queueLength=request.queue_length,
+        targetLeftMs=request.target_left_ms,
     )
 
 
@@ -91,6 +108,7 @@
         end=start.end,
         priority=start.priority,
         queue_length=start.queueLength,
+        target_left_ms=start.targetLeftMs,
     )
 
 
@@ -105,6 +123,7 @@
         body=head.body,
         end=head.end,
         load=head.load,
+        **_pack_results(head.results),
     )
 
 
@@ -118,10 +137,17 @@
         body=head.body,
         end=head.end,
         load=head.load,
+        results=_unpack_results(head),
     )
 
 
-def frame_failure(call_id: int, failure: Failure, *, load: int) -> bytes:
+def frame_failure(
+    call_id: int,
+    failure: Failure,
+    *,
+    load: int,
+    results: GateResults | None = None,
+) -> bytes:
     """Return the frame that ends a call without an answer."""
     return frame(
         "callFailed",
@@ -130,6 +156,7 @@
         reason=failure.reason,
         detail=failure.detail,
         load=load,
+        **_pack_results(results or GateResults()),
     )
 
 
@@ -139,6 +166,22 @@
     return Failure(Verdict(failed.verdict), failed.reason, failed.detail)
 
 
+def read_failure_results(message: Message) -> GateResults:
+    """Read what the gate tells of its latest calls with a failure."""
+    return _unpack_results(message.callFailed)
+
+
+def _pack_results(results: GateResults) -> dict[str, int]:
+    return {
+        "serviceUs": int(results.service_s * 1_000_000),
+        "failedPermille": int(results.failed_share * 1000),
+    }
+
+
+def _unpack_results(packed: Message) -> GateResults:
+    return GateResults(packed.serviceUs / 1_000_000, packed.failedPermille / 1000)
+
+
 def _pack_headers(headers: Headers) -> str:
     """Join headers into one text; a value holds no line feed."""
     return "\n".join(f"{name}:{value}" for name, value in headers)
--- a/burdockdock/protocol/messages.capnp
+++ b/burdockdock/protocol/messages.capnp
@@ -64,6 +64,7 @@
   end @13 :Bool;
   priority @14 :UInt8;
   queueLength @15 :UInt32;
+  targetLeftMs @16 :Int32;
 }
 
 struct Body {
@@ -85,6 +86,8 @@
   body @4 :Data;
   end @5 :Bool;
   load @6 :UInt32;
+  serviceUs @7 :UInt32;
+  failedPermille @8 :UInt16;
 }
 
 struct CallFailed {
@@ -93,6 +96,8 @@
   reason @2 :Text;
   detail @3 :Text;
   load @4 :UInt32;
+  serviceUs @5 :UInt32;
+  failedPermille @6 :UInt16;
 }
 
 struct OutcomeQuery {
--- a/burdockdock/proxy/balancer.py
+++ b/burdockdock/proxy/balancer.py
@@ -7,13 +7,39 @@
 
 from burdockdock.clock import Clock
 from burdockdock.coordination.membership import Member
+from burdockdock.protocol.calls import GateResults
 
 _EJECTION_BASE_S = 2.0
 _EJECTION_CAP_S = 30.0
 _FAILURES_TO_EJECT = 5
 _MAX_EJECTED_SHARE = 0.5
-_SPILL_LOAD = 0.8
 _LOAD_FRESH_S = 2.0
+# Where no gate told how long calls run.
+_UNKNOWN_SERVICE_S = 0.1
+# Backend servers slow down as they fill up: at full load by this share.
+_CROWDING = 0.15
+# A failed attempt costs about another one, and a budget that all calls share.
+_FAILURE_COST = 4.0
+# Differences below this share are no reason to send all calls to one place.
+_JITTER = 0.05
+
+
+class Distances(NamedTuple):
+    """What an attempt beyond this node's own VM costs, in seconds of a call's time.
+
+    :param zone_s: to another node of the availability zone.
+    :param region_s: to another availability zone.
+    :param far_s: to another region.
+    """
+
+    zone_s: float = 0.002
+    region_s: float = 0.02
+    far_s: float = 0.1
+
+
+NEAR_CALLS = Distances()
+# Large answers cost the network between availability zones far more than time.
+LARGE_ANSWERS = Distances(region_s=0.3, far_s=1.0)
 
 
 class _Health(NamedTuple):
@@ -24,16 +50,22 @@
     ejected_until_s: float = 0.0
 
 
-class _Load(NamedTuple):
-    """Load that a backend server's node told with its last answer."""
+class _Told(NamedTuple):
+    """What a backend server's node told with an answer."""
 
     calls: int
+    results: GateResults
     told_at_s: float
 
 
 class Balancer:
-    """Picks by two random choices on load, own availability zone first.
+    """Picks the member where a call is expected to end first.
 
+    It answers loads under which backend servers differ in speed and are full in turn:
+    the time at a member is what its gate tells of its calls, longer by those that
+    wait there, by its failures, and by the distance.
+
+    :param node_id: this node's own, empty where it has no backend server.
     :param availability_zone: this node's own.
     :param region: this node's own.
     """
@@ -45,17 +77,23 @@
         region: str,
         clock: Clock,
         rng: random.Random,
+        node_id: str = "",
     ) -> None:
+        self._node_id = node_id
         self._availability_zone = availability_zone
         self._region = region
         self._clock = clock
         self._rng = rng
         self._in_flight: dict[str, int] = defaultdict(int)
-        self._told: dict[str, _Load] = {}
+        self._told: dict[str, _Told] = {}
         self._health: dict[str, _Health] = {}
 
     def pick(
-        self, members: Iterable[Member], *, excluded: frozenset[str] = frozenset()
+        self,
+        members: Iterable[Member],
+        *,
+        excluded: frozenset[str] = frozenset(),
+        distances: Distances = NEAR_CALLS,
     ) -> Member | None:
         """Return the member to send an attempt to.
 
@@ -64,21 +102,30 @@
         """
         members = list(members)
         untried = [m for m in members if m.node_id not in excluded]
-        candidates = untried or members
-        candidates = self._without_ejected(candidates)
-        for near in self._by_distance(candidates):
-            choice = self._better_of_two(near)
-            if choice is not None and self.utilization(choice) < _SPILL_LOAD:
-                return choice
-        return self._better_of_two(candidates)
+        candidates = self._without_ejected(untried or members)
+        usual_s = self._usual_service_s(candidates)
+        return min(
+            candidates,
+            key=lambda m: self._expected_s(m, usual_s, distances),
+            default=None,
+        )
 
     def started(self, node_id: str) -> None:
         """Count an attempt in flight."""
         self._in_flight[node_id] += 1
 
-    def tell_load(self, node_id: str, calls: int) -> None:
-        """Take in the load that a backend server's node told."""
-        self._told[node_id] = _Load(calls, self._clock.monotonic())
+    def tell_load(
+        self, node_id: str, calls: int, results: GateResults | None = None
+    ) -> None:
+        """Take in what a backend server's node told of its load.
+
+        :param calls: calls that run and wait there.
+        """
+        results = results or GateResults()
+        known = self._told.get(node_id)
+        if not results.service_s and known is not None:
+            results = results._replace(service_s=known.results.service_s)
+        self._told[node_id] = _Told(calls, results, self._clock.monotonic())
 
     def finished(self, node_id: str, *, failed: bool) -> None:
         """Take in how an attempt ended.
@@ -95,30 +142,49 @@
         self._told.pop(node_id, None)
         self._health.pop(node_id, None)
 
-    def utilization(self, member: Member) -> float:
-        """Return the load of a member as a share of its slots."""
+    def calls_at(self, member: Member) -> int:
+        """Return how many calls a member has, as far as this node knows."""
         calls = self._in_flight.get(member.node_id, 0)
         told = self._told.get(member.node_id)
         if told is not None:
             fresh = self._clock.monotonic() - told.told_at_s < _LOAD_FRESH_S
             calls = max(calls, told.calls) if fresh else calls
-        return calls / max(1, member.slots)
+        return calls
 
     def is_ejected(self, node_id: str) -> bool:
         """Tell whether a member is left out for its failures."""
         health = self._health.get(node_id)
         return health is not None and (self._clock.monotonic() < health.ejected_until_s)
 
-    def _better_of_two(self, members: list[Member]) -> Member | None:
-        if len(members) < 2:
-            return members[0] if members else None
-        first, second = self._rng.sample(members, 2)
-        return min(first, second, key=self.utilization)
-
-    def _by_distance(self, members: list[Member]) -> list[list[Member]]:
-        zone = [m for m in members if m.availability_zone == self._availability_zone]
-        region = [m for m in members if m.region == self._region]
-        return [zone, region]
+    def _expected_s(
+        self, member: Member, usual_s: float, distances: Distances
+    ) -> float:
+        """Return how long an attempt at a member is expected to take."""
+        told = self._told.get(member.node_id)
+        results = told.results if told is not None else GateResults()
+        slots = max(1, member.slots)
+        utilization = self.calls_at(member) / slots
+        waiting = max(0.0, utilization + 1 / slots - 1.0)
+        expected_s = results.service_s or usual_s
+        expected_s *= 1.0 + waiting + _CROWDING * min(1.0, utilization)
+        expected_s *= 1.0 + _FAILURE_COST * results.failed_share
+        expected_s += self._distance_s(member, distances)
+        return expected_s * self._rng.uniform(1.0 - _JITTER, 1.0 + _JITTER)
+
+    def _usual_service_s(self, members: list[Member]) -> float:
+        """Return the mean time told, for members that told none yet."""
+        told = [self._told[m.node_id] for m in members if m.node_id in self._told]
+        known = [entry.results.service_s for entry in told if entry.results.service_s]
+        return sum(known) / len(known) if known else _UNKNOWN_SERVICE_S
+
+    def _distance_s(self, member: Member, distances: Distances) -> float:
+        if member.node_id == self._node_id:
+            return 0.0
+        if member.availability_zone == self._availability_zone:
+            return distances.zone_s
+        if member.region == self._region:
+            return distances.region_s
+        return distances.far_s
 
     def _without_ejected(self, members: list[Member]) -> list[Member]:
         """Leave out ejected members, but never more than a share of them."""
--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -11,7 +11,7 @@
 from burdockdock.metrics import Metrics
 from burdockdock.protocol import WindowClosed
 from burdockdock.protocol.calls import AnswerHead, CallRequest
-from burdockdock.proxy.balancer import Balancer
+from burdockdock.proxy.balancer import LARGE_ANSWERS, Balancer
 from burdockdock.proxy.endpoints import Endpoints
 from burdockdock.proxy.peer_link import PeerLink, PeerLinks, RemoteCall
 
@@ -23,8 +23,11 @@
 # Reason of a refusal that the backend server itself made; all other refusals as not
 # run come from nodes, before anything reached a backend server.
 _BACKEND_REFUSED = "backend_refused"
+# Nodes asked for a free slot before the call waits for one.
+_FREE_SLOT_TRIES = 3
 # Other nodes asked after one that refused or is gone.
-_MAX_MOVES = 3
+_MAX_MOVES = 4
+_FULL = "queue_full"
 # Refusals that say something about load or a planned stop, not about faults.
 _HEALTHY_REFUSALS = frozenset(
     {
@@ -71,12 +74,16 @@
     :param deadline_s: monotonic seconds.
     :param retries: further attempts allowed.
     :param key: the caller's own idempotency key, empty without one.
+    :param target_s: when the answer loses value, in monotonic seconds; 0 for never.
+    :param large_answer: the answer is large enough to prefer near backend servers.
     """
 
     request: CallRequest
     deadline_s: float
     retries: int
     key: str = ""
+    target_s: float = 0.0
+    large_answer: bool = False
 
 
 class _Attempt(NamedTuple):
@@ -115,19 +122,20 @@
         body = _ReplayableBody(caller, call.request.body_length)
         if call.request.body_length != 0:
             await body.read_first()
-        tried = _Tried(call.retries, _MAX_MOVES)
+        tried = _Tried(call.retries, _MAX_MOVES, _FREE_SLOT_TRIES)
         worst = Verdict.NOT_RUN
         while True:
-            outcome = await self._attempt(call, caller, body, tried.node_ids)
+            outcome = await self._attempt(call, caller, body, tried)
             if outcome is None:
                 return None
             failure = outcome.failure
             worst = max(worst, failure.verdict)
             self._log_attempt(call, outcome)
             following = tried.after(outcome)
-            if following is None or not self._may_go_on(call, body, outcome):
+            attempts_left = 0 if following is None else 1
+            if not self._should_retry(call, body, failure, attempts_left):
                 break
-            tried = following
+            tried = following or tried
             self._metrics.count("retries", label=failure.reason)
         # What an earlier attempt may have done holds whatever the last one did.
         return failure._replace(verdict=worst)
@@ -137,9 +145,9 @@
         call: Call,
         caller: Caller,
         body: "_ReplayableBody",
-        excluded: frozenset[str],
+        tried: "_Tried",
     ) -> "_AttemptFailure | None":
-        member = self._pick(call, excluded)
+        member = self._pick(call, tried)
         if member is None:
             detail = f"no backend server of {call.request.service} takes calls now"
             failure = Failure(Verdict.NOT_RUN, _NO_BACKEND_SERVER, detail)
@@ -147,7 +155,10 @@
         self._balancer.started(member.node_id)
         failed = True
         try:
-            result = await self._run_on(member, call, caller, body)
+            may_wait = (
+                call.key != "" or not tried.free_slots_left or not body.replayable
+            )
+            result = await self._run_on(member, call, caller, body, may_wait=may_wait)
             failed = _is_fault(result)
         finally:
             self._balancer.finished(member.node_id, failed=failed)
@@ -155,16 +166,31 @@
             return _AttemptFailure(member.node_id, result)
         return None
 
-    def _pick(self, call: Call, excluded: frozenset[str]) -> Member | None:
+    def _pick(self, call: Call, tried: "_Tried") -> Member | None:
         """Choose by load; a caller's key always goes where it is remembered."""
         service = call.request.service
         if call.key:
             return self._endpoints.home_of(service, call.key)
-        return self._balancer.pick(self._endpoints.for_call(service), excluded=excluded)
+        members = self._endpoints.for_call(service)
+        if call.large_answer:
+            return self._balancer.pick(
+                members, excluded=tried.excluded, distances=LARGE_ANSWERS
+            )
+        return self._balancer.pick(members, excluded=tried.excluded)
 
     async def _run_on(
-        self, member: Member, call: Call, caller: Caller, body: "_ReplayableBody"
+        self,
+        member: Member,
+        call: Call,
+        caller: Caller,
+        body: "_ReplayableBody",
+        *,
+        may_wait: bool,
     ) -> AnswerHead | Failure:
+        """Send a call to one node.
+
+        :param may_wait: whether it may wait there, or must find a slot free.
+        """
         link = self._links.open_link(member.host, member.port)
         if link is None:
             found = await self._links.get(member.host, member.port)
@@ -177,7 +203,11 @@
         if left_ms <= 0:
             return Failure(Verdict.NOT_RUN, "deadline_passed")
         request = call.request._replace(
-            time_left_ms=left_ms, body=body.start, end=body.start_is_all
+            time_left_ms=left_ms,
+            target_left_ms=self._target_left_ms(call),
+            queue_length=call.request.queue_length if may_wait else 0,
+            body=body.start,
+            end=body.start_is_all,
         )
         attempt = _Attempt(member, link, link.start(request))
         return await self._follow(attempt, call, caller, body)
@@ -192,8 +222,11 @@
         try:
             head = await self._head_in_time(attempt.remote, call)
             if isinstance(head, Failure):
+                refusal = attempt.remote.refusal
+                if refusal is not None:
+                    self._balancer.tell_load(attempt.member.node_id, *refusal)
                 return await self._settle(attempt, call, head)
-            self._balancer.tell_load(attempt.member.node_id, head.load)
+            self._balancer.tell_load(attempt.member.node_id, head.load, head.results)
             await self._relay(attempt.remote, head, caller)
             return head
         finally:
@@ -255,21 +288,25 @@
                 return
             await caller.send_body(piece)
 
-    def _may_go_on(
-        self, call: Call, body: "_ReplayableBody", outcome: "_AttemptFailure"
+    def _should_retry(
+        self,
+        call: Call,
+        body: "_ReplayableBody",
+        failure: Failure,
+        attempts_left: int,
     ) -> bool:
         """Tell whether a further attempt is right, and spend the budget for it.
 
         A refusal by a node costs the backend servers nothing, so that it needs no
         budget.
         """
-        failure = outcome.failure
         return (
-            failure.reason != _NO_BACKEND_SERVER
+            attempts_left > 0
+            and failure.reason != _NO_BACKEND_SERVER
             and may_retry(failure, idempotent=call.request.idempotent)
             and body.replayable
             and self._left_ms(call) > 0
-            and (outcome.refused_by_node or self._budget.try_spend())
+            and (_is_refused_by_node(failure) or self._budget.try_spend())
         )
 
     def _log_attempt(self, call: Call, outcome: "_AttemptFailure") -> None:
@@ -284,6 +321,12 @@
             left_ms=self._left_ms(call),
         )
 
+    def _target_left_ms(self, call: Call) -> int:
+        """Return the time left to the target, never the 0 that means none."""
+        if not call.target_s:
+            return 0
+        return int((call.target_s - self._clock.monotonic()) * 1000) or -1
+
     def _left_ms(self, call: Call) -> int:
         return int((call.deadline_s - self._clock.monotonic()) * 1000)
 
@@ -292,35 +335,52 @@
     node_id: str
     failure: Failure
 
-    @property
-    def refused_by_node(self) -> bool:
-        """Whether the request never came as far as a backend server."""
-        refused = self.failure.verdict is Verdict.NOT_RUN
-        return refused and self.failure.reason != _BACKEND_REFUSED
-
 
 class _Tried(NamedTuple):
     """What may still be tried for a call.
 
+    While slots are free somewhere, asking a few nodes for one costs far less time
+    than waiting at the first; only then the call waits where it ends soonest.
+
     :param retries_left: backend servers that may still be sent the request.
     :param moves_left: nodes that may still be asked after refusals by nodes.
+    :param free_slots_left: nodes that may still be asked for a free slot.
+    :param node_ids: nodes not to be tried again.
+    :param full_ids: nodes that had no free slot.
     """
 
     retries_left: int
     moves_left: int
+    free_slots_left: int
     node_ids: frozenset[str] = frozenset()
+    full_ids: frozenset[str] = frozenset()
+
+    @property
+    def excluded(self) -> frozenset[str]:
+        """Nodes that are not asked now."""
+        return self.node_ids | self.full_ids
 
     def after(self, outcome: _AttemptFailure) -> "_Tried | None":
         """Return what is left after an attempt, None for nothing."""
-        node_ids = self.node_ids | {outcome.node_id}
-        if outcome.refused_by_node:
-            if not self.moves_left or outcome.node_id in self.node_ids:
+        node_id = outcome.node_id
+        if outcome.failure.reason == _FULL and self.free_slots_left:
+            return self._after_full(node_id)
+        node_ids = self.node_ids | {node_id}
+        if _is_refused_by_node(outcome.failure):
+            if not self.moves_left or node_id in self.node_ids:
                 return None
             return self._replace(moves_left=self.moves_left - 1, node_ids=node_ids)
         if not self.retries_left:
             return None
         return self._replace(retries_left=self.retries_left - 1, node_ids=node_ids)
 
+    def _after_full(self, node_id: str) -> "_Tried":
+        """Ask another node, or let the call wait when all that were asked are full."""
+        left = self.free_slots_left - 1
+        if not left or node_id in self.full_ids:
+            return self._replace(free_slots_left=0, full_ids=frozenset())
+        return self._replace(free_slots_left=left, full_ids=self.full_ids | {node_id})
+
 
 class _ReplayableBody:
     """A request's body of which the beginning can be sent again."""
@@ -351,6 +411,11 @@
                 return
 
 
+def _is_refused_by_node(failure: Failure) -> bool:
+    """Tell whether the request never came as far as a backend server."""
+    return failure.verdict is Verdict.NOT_RUN and failure.reason != _BACKEND_REFUSED
+
+
 def _is_fault(result: AnswerHead | Failure) -> bool:
     """Tell whether a result speaks against the backend server's health."""
     if isinstance(result, Failure):
--- a/burdockdock/proxy/listener.py
+++ b/burdockdock/proxy/listener.py
@@ -47,6 +47,7 @@
     }
 )
 _NON_IDEMPOTENT = "non_idempotent"
+_DOWNLOAD = "download"
 _DEFAULT_TENANT = "default"
 _STATUS_OF_VERDICT = {
     Verdict.NOT_RUN: 503,
@@ -356,7 +357,15 @@
     # otherwise the attempts would multiply with the depth.
     retries = policy.retries if depth == 0 else min(policy.retries, 1)
     deadline_s = context.clock.monotonic() + timeout_ms / 1000
-    return Call(request, deadline_s, retries, request.request_id if key else "")
+    target_s = deadline_s - (timeout_ms - route.target_latency_ms) / 1000
+    return Call(
+        request,
+        deadline_s,
+        retries,
+        key=request.request_id if key else "",
+        target_s=target_s if route.target_latency_ms else 0.0,
+        large_answer=route.kind == _DOWNLOAD,
+    )
 
 
 def _is_idempotent(route: Route, method: str) -> bool:
--- a/burdockdock/proxy/peer_link.py
+++ b/burdockdock/proxy/peer_link.py
@@ -4,6 +4,7 @@
 import itertools
 from collections import deque
 from collections.abc import Awaitable, Callable
+from typing import NamedTuple
 
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpclient import TCPClient
@@ -19,9 +20,11 @@
 from burdockdock.protocol.calls import (
     AnswerHead,
     CallRequest,
+    GateResults,
     frame_call_start,
     read_answer_head,
     read_failure,
+    read_failure_results,
 )
 from burdockdock.protocol.codec import frame
 from burdockdock.protocol.handshake import PeerIdentity, greet
@@ -30,8 +33,21 @@
 LINK_BROKEN = Failure(Verdict.MAY_HAVE_RUN, "peer_connection_broken")
 
 
+class GateState(NamedTuple):
+    """What another node told of its gate.
+
+    :param calls: calls that run and wait there.
+    """
+
+    calls: int
+    results: GateResults
+
+
 class RemoteCall:
-    """One attempt of a call at another node."""
+    """One attempt of a call at another node.
+
+    ``refusal`` is what that node told of itself when it refused or failed the call.
+    """
 
     def __init__(self, call_id: int, link: "PeerLink") -> None:
         self._call_id = call_id
@@ -42,6 +58,7 @@
         self._pieces: deque[bytes] = deque()
         self._ended = False
         self._failure: Failure | None = None
+        self.refusal: GateState | None = None
         self._arrived = asyncio.Event()
 
     async def head(self) -> AnswerHead | Failure:
@@ -195,6 +212,9 @@
         elif kind == "callFailed":
             call = self._call(message.callFailed.callId)
             if call is not None:
+                call.refusal = GateState(
+                    message.callFailed.load, read_failure_results(message)
+                )
                 call.receive_failure(read_failure(message))
         elif kind == "credit":
             call = self._calls.get(message.credit.callId)
--- a/tests/protocol/test_codec.py
+++ b/tests/protocol/test_codec.py
@@ -47,6 +47,7 @@
             end=st.booleans(),
             priority=st.integers(0, 9),
             queue_length=st.integers(0, 10_000),
+            target_left_ms=st.integers(-(2**31), 2**31 - 1),
         )
     )
     def test_request_survives_the_way(self, request: CallRequest) -> None:
