Fetch from several peers at once; tell every member of a small fleet directly

Ruled out: a lost watch; eleven nodes had the version within 30 ms of each other. Change: up to three fetches run beside each other, their failures are logged; up to 32 members hear of a record from whoever starts it, besides the trees.

--- a/burdockdock/overlay/spread.py
+++ b/burdockdock/overlay/spread.py
@@ -16,6 +16,8 @@
     unpack_record,
 )
 
+# A fleet so small that whoever starts a message sends it to everyone.
+_SMALL_FLEET = 32
 _TREE_SALTS = ("first", "second")
 _MAX_VALUE_BYTES = MAX_DATAGRAM_BYTES - 200
 
@@ -146,7 +148,14 @@
         return codec.apply_delta(record)
 
     def _origin_targets(self) -> list[Member]:
-        """Return the first members of every zone in both trees, and the children."""
+        """Return the first members of every zone in both trees, and the children.
+
+        In a small fleet these are all members: who has just started may not stand in
+        everyone's trees yet.
+        """
+        live = self._membership.live()
+        if len(live) <= _SMALL_FLEET:
+            return self._without_own(live)
         targets = []
         for salt in _TREE_SALTS:
             zones = self._ranking.zones()
--- a/burdockdock/overlay/sync.py
+++ b/burdockdock/overlay/sync.py
@@ -13,6 +13,8 @@
 from burdockdock.coordination.membership import Member, MembershipTable
 from burdockdock.coordination.records import Record, RecordStore
 from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.logs import log_event
+from burdockdock.overlay.datagrams import Address
 from burdockdock.overlay.failure_detector import PeerDigest
 from burdockdock.overlay.spread import DeltaCodec
 from burdockdock.protocol import MALFORMED, FrameConnection, Message
@@ -26,6 +28,7 @@
 )
 
 _TIMEOUT_S = 5.0
+_MAX_PULLS = 3
 _CONNECT_TIMEOUT_S = 1.0
 _SETTLE_S = 0.2
 _MEMBER_SYNC_INTERVAL_S = 5.0
@@ -118,7 +121,7 @@
         self._clock = clock
         self._rng = rng
         self._tcp = TCPClient()
-        self._pulling: asyncio.Task[None] | None = None
+        self._pulling: dict[Address, asyncio.Task[None]] = {}
         self._wanted_whole: set[str] = set()
         self._last_member_sync_s = float("-inf")
         self.peers: set[str] = set()
@@ -136,44 +139,54 @@
             return Failure(Verdict.MAY_HAVE_RUN, "sync_failed", str(error))
 
     def pull_from(self, node_id: str) -> None:
-        """Fetch the records of a member in the background, one fetch at a time."""
+        """Fetch the records of a member in the background."""
         member = self._membership.get(node_id)
-        if member is None or self._is_pulling():
-            return
-        self._pulling = asyncio.create_task(self._pull(member))
+        if member is not None:
+            self._start_pull((member.host, member.port), settle_s=0.0)
 
     def compare(self, digest: PeerDigest) -> None:
         """Fetch from a peer whose digest shows that this node lacks something."""
-        if self._is_pulling():
-            return
         if digest.record_digest != self._records.digest:
             behind = digest.record_sum >= self._records.version_sum
             if behind:
-                self._pulling = asyncio.create_task(self._pull_if_still(digest))
+                self._pull_if_still(digest)
         elif digest.member_digest != self._membership.digest:
             now_s = self._clock.monotonic()
             if now_s - self._last_member_sync_s >= _MEMBER_SYNC_INTERVAL_S:
                 self._last_member_sync_s = now_s
-                self._pulling = asyncio.create_task(self._pull_if_still(digest))
+                self._pull_if_still(digest)
 
     def close(self) -> None:
-        """Stop a fetch that is under way."""
-        if self._pulling is not None:
-            self._pulling.cancel()
+        """Stop the fetches that are under way."""
+        for task in self._pulling.values():
+            task.cancel()
 
-    def _is_pulling(self) -> bool:
-        return self._pulling is not None and not self._pulling.done()
-
-    async def _pull_if_still(self, digest: PeerDigest) -> None:
+    def _pull_if_still(self, digest: PeerDigest) -> None:
         """Wait for news on its way, then fetch if nothing changed meanwhile."""
-        before = (self._records.digest, self._membership.digest)
-        await asyncio.sleep(_SETTLE_S * self._rng.uniform(0.5, 1.5))
-        if (self._records.digest, self._membership.digest) != before:
+        settle_s = _SETTLE_S * self._rng.uniform(0.5, 1.5)
+        self._start_pull(digest.address, settle_s=settle_s)
+
+    def _start_pull(self, address: Address, *, settle_s: float) -> None:
+        """Start a fetch; a peer that does not answer holds no other fetch up."""
+        if address in self._pulling or len(self._pulling) >= _MAX_PULLS:
             return
-        await self.sync_with(*digest.address)
+        task = asyncio.create_task(self._pull(address, settle_s))
+        self._pulling[address] = task
+        task.add_done_callback(lambda _: self._pulling.pop(address, None))
 
-    async def _pull(self, member: Member) -> None:
-        await self.sync_with(member.host, member.port)
+    async def _pull(self, address: Address, settle_s: float) -> None:
+        before = (self._records.digest, self._membership.digest)
+        await asyncio.sleep(settle_s)
+        if settle_s and (self._records.digest, self._membership.digest) != before:
+            return
+        result = await self.sync_with(*address)
+        if isinstance(result, Failure):
+            log_event(
+                "sync.failed",
+                peer=f"{address[0]}:{address[1]}",
+                reason=result.reason,
+                detail=result.detail,
+            )
 
     async def _exchange(self, host: str, port: int) -> PeerIdentity | Failure:
         async with asyncio.timeout(_CONNECT_TIMEOUT_S):
