--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -90,6 +90,7 @@
     measurements against a version without it.
 
     :param observe: told the result of every call that reached the backend server.
+    :param is_stopped: tells whether the backend server's version takes no calls.
     """
 
     def __init__(
@@ -99,7 +100,9 @@
         metrics: Metrics,
         observe: Callable[[CallResult], None] = lambda _: None,
         headers: CallHeaders = OWN_HEADERS,
+        is_stopped: Callable[[BackendServer], bool] = lambda _: False,
     ) -> None:
+        self._is_stopped = is_stopped
         self._clock = clock
         self._headers = headers
         self._closes_at_s = float("inf")
@@ -242,6 +245,8 @@
             return Failure(
                 Verdict.NOT_RUN, "not_here", f"{request.service} does not run here"
             )
+        if self._is_stopped(self._backend):
+            return Failure(Verdict.NOT_RUN, "version_stopped", self._backend.version)
         return None
 
     def _refused(
--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -178,6 +178,7 @@
             metrics=self.metrics,
             observe=self._observe,
             headers=self._interface.headers,
+            is_stopped=lambda b: self.rollouts.is_stopped(b.service, b.version),
         )
         self.links = PeerLinks(self._identity, count=self.metrics.count)
         self._endpoints = Endpoints(
@@ -418,13 +419,11 @@
         return accepted
 
     def _weights_of(self, service: str) -> dict[str, float]:
-        weights = self.rollouts.view.weights(service)
-        if weights:
-            return weights
         found = self.config.snapshot.services.get(service)
-        if found is not None and found.initial_version:
+        known = self.rollouts.view.get(service) is not None
+        if not known and found is not None and found.initial_version:
             return {found.initial_version: 1.0}
-        return {}
+        return self.rollouts.weights(service, self._endpoints.of_service(service))
 
     def _observe(self, result: CallResult) -> None:
         backend = self.gate.backend
--- a/burdockdock/node/rollouts.py
+++ b/burdockdock/node/rollouts.py
@@ -1,10 +1,10 @@
 """A node's part in rollouts: evidence from its gate, and ownership."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from burdockdock.clock import Clock
-from burdockdock.coordination.membership import MembershipTable
+from burdockdock.coordination.membership import Member, MembershipTable
 from burdockdock.coordination.ranking import MemberRanking
 from burdockdock.coordination.records import Record, RecordStore
 from burdockdock.gate.gate import BackendServer, CallResult
@@ -20,6 +20,7 @@
     pack_rows,
     unpack_rows,
 )
+from burdockdock.rollout.incumbent import incumbent_weights
 from burdockdock.rollout.model import Rollout
 from burdockdock.rollout.orders import OrderBook, OrderClerk, OrderForms
 from burdockdock.rollout.owner import OwnerParts, RolloutOwners, RolloutView, candidates
@@ -54,11 +55,12 @@
         self._started_s = clock.monotonic()
         self._notifier = notifier
         self.view = RolloutView(records)
+        self._book = OrderBook(records)
         self._clerk = None
         if orders is not None:
             self._clerk = OrderClerk(
                 platform=platform,
-                book=OrderBook(records),
+                book=self._book,
                 forms=orders,
                 membership=membership,
                 clock=clock,
@@ -97,6 +99,23 @@
         """Stop owning rollouts."""
         self._owners.close()
 
+    def weights(self, service: str, members: Iterable[Member]) -> dict[str, float]:
+        """Return the traffic weights of a service's versions.
+
+        :param members: the service's members that take calls.
+        """
+        weights = self.view.weights(service)
+        if weights:
+            return weights
+        order = self._book.get(service)
+        ordered = order.to_version if order is not None and order.open else ""
+        return incumbent_weights(members, ordered_version=ordered)
+
+    def is_stopped(self, service: str, version: str) -> bool:
+        """Tell whether a rollout has taken all calls from a version."""
+        weights = self.view.weights(service)
+        return bool(weights) and not weights.get(version)
+
     def backend_started(self) -> None:
         """Note that the backend server is cold from now on for a while."""
         self._started_s = self._clock.monotonic()
--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -39,6 +39,7 @@
         "too_little_time",
         "backend_leaving",
         "not_here",
+        "version_stopped",
         _BACKEND_REFUSED,
     }
 )
--- a/burdockdock/rollout/orders.py
+++ b/burdockdock/rollout/orders.py
@@ -19,7 +19,10 @@
 ORDER_PREFIX = "orders/"
 _TICK_S = 0.25
 # The end must be written, and be read there, before the order's time is over.
-_END_MARGIN_S = 1.0
+_END_MARGIN_S = 3.5
+# After the last share, calls still run at the old version; its backend servers may
+# be stopped as soon as the end is told.
+_OLD_CALLS_S = 2.0
 _PLATFORM_PAUSE_S = 1.0
 
 
@@ -121,6 +124,7 @@
         self._may_act = may_act
         self._rollout_of = rollout_of
         self._spread = spread
+        self._done_at_s: dict[str, float] = {}
 
     async def run(self) -> None:
         """Start a rollout for each open order, for ever."""
@@ -135,8 +139,16 @@
         order = self._book.get(rollout.service)
         if order is None or order.withdrawn or order.to_version != rollout.to_version:
             return True
+        if rollout.phase is Phase.DONE and self._old_calls_run(rollout):
+            return False
         return await self._write_status(rollout)
 
+    def _old_calls_run(self, rollout: Rollout) -> bool:
+        """Tell whether calls may still run at the version that was left."""
+        now_s = self._clock.monotonic()
+        done_at_s = self._done_at_s.setdefault(rollout.rollout_id, now_s)
+        return now_s - done_at_s < _OLD_CALLS_S
+
     async def _take_up(self, order: Order) -> None:
         """Start the rollout, unless it runs already or its end is being told."""
         if self._is_under_way(self._rollout_of(order.service), order):
--- a/tests/rollout/test_orders.py
+++ b/tests/rollout/test_orders.py
@@ -93,6 +93,12 @@
             task.cancel()
 
 
+async def _wait_for_old_calls(clerk: OrderClerk, ended: Rollout) -> None:
+    """Wait until no call can run at the old version any more."""
+    while clerk._old_calls_run(ended):
+        await asyncio.sleep(0.1)
+
+
 class OrderClerkTest(testtools.TestCase):
     """Tests of starting rollouts and telling how they ended."""
 
@@ -122,6 +128,7 @@
         self.assertTrue(await clerk.tell_end(ended))
         self.assertEqual("rolled_back", desk.status()["state"])
         done = ended._replace(phase=Phase.DONE)
+        await _wait_for_old_calls(clerk, done)
         self.assertTrue(await clerk.tell_end(done))
         self.assertEqual("rolled_back", desk.status()["state"])
         self.assertFalse((await desk.tell(records)).open)
@@ -134,6 +141,7 @@
         await desk.order(records)
         await eventually(desk.status)
         ended = await desk.end(Phase.DONE)
+        await _wait_for_old_calls(clerk, ended)
         desk.store.lose_answers = 1
         self.assertFalse(await clerk.tell_end(ended))
         self.assertEqual("succeeded", desk.status()["state"])
@@ -147,6 +155,7 @@
         await desk.order(records)
         await eventually(desk.status)
         ended = await desk.end(Phase.DONE)
+        await _wait_for_old_calls(clerk, ended)
         await clerk.tell_end(ended)
         await desk.order(records, **{"target-version": "v3"})
         await eventually(lambda: (desk.status() or {}).get("target-version") == "v3")
@@ -154,6 +163,17 @@
         self.assertEqual((2, "v2"), (rollout.number, rollout.from_version))
         desk.close()
 
+    @async_test
+    async def test_the_end_is_not_told_while_old_calls_may_run(self) -> None:
+        desk = _Desk()
+        clerk, records = desk.clerk()
+        await desk.order(records)
+        await eventually(desk.status)
+        ended = await desk.end(Phase.DONE)
+        self.assertFalse(await clerk.tell_end(ended))
+        self.assertEqual("running", desk.status()["state"])
+        desk.close()
+
     @async_test
     async def test_orders_that_cannot_be_read_are_refused(self) -> None:
         desk = _Desk()
