Refuse what a stopping node can't finish; share unchanged sections; large answers stay near

Change: 4 s after the signal calls are refused as not run; unchanged sections are the same objects in all kept versions; a large answer waits in its zone unless that takes 0.45 s longer.

--- a/burdockdock/configuration/checks.py
+++ b/burdockdock/configuration/checks.py
@@ -104,7 +104,11 @@
                 )
 
     def snapshot(self, sections: Sections, version: int) -> Snapshot:
-        """Return what was built."""
+        """Return what was built.
+
+        Sections that did not change are the very objects of the previous snapshot, so
+        that versions kept beside each other share them.
+        """
         return Snapshot(
             version=version,
             digest=self._digest,
@@ -112,7 +116,7 @@
             services=self._services,
             routes=self._routes,
             overrides=self._overrides,
-            sections=sections,
+            sections={name: self._parts[name].pairs for name in sections},
             parts=self._parts,
         )
 
--- a/burdockdock/node/config_state.py
+++ b/burdockdock/node/config_state.py
@@ -49,6 +49,7 @@
         if isinstance(built, list):
             self._refuse(record.version, str(built[0]))
             return False
+        document = document._replace(sections=built.sections)
         self._document = document
         self._recent[record.version] = document
         if len(self._recent) > _KEPT_DOCUMENTS:
--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -50,6 +50,8 @@
 _LEAVE_SPREAD_S = 1.0
 # Those who ask for readiness once a second send no new calls after two misses.
 _LEAVE_READINESS_S = 3.0
+# Calls that arrive on kept connections are still taken for this long.
+_LAST_CALLS_S = 1.0
 # What closing takes, before the kill.
 _CLOSE_S = 0.5
 
@@ -359,6 +361,8 @@
         await asyncio.sleep(_LEAVE_READINESS_S if asked else _LEAVE_SPREAD_S)
         self._caller_server.stop()
         self.gate.start_draining()
+        loop = asyncio.get_running_loop()
+        loop.call_later(_LAST_CALLS_S, self._refuse_calls)
         timeout_s = self._drain_timeout_s(self._clock.monotonic() - started_s)
         try:
             async with asyncio.timeout(timeout_s):
@@ -370,6 +374,9 @@
         await self.close()
         log_event("node.stopped")
 
+    def _refuse_calls(self) -> None:
+        self.context.refusing = True
+
     def _drain_timeout_s(self, passed_s: float) -> float:
         """Return how long calls in flight may still take, short of the kill."""
         timeout_s = self._settings.drain_timeout_s
--- a/burdockdock/proxy/balancer.py
+++ b/burdockdock/proxy/balancer.py
@@ -39,7 +39,7 @@
 
 NEAR_CALLS = Distances()
 # Large answers cost the network between availability zones far more than time.
-LARGE_ANSWERS = Distances(region_s=0.3, far_s=1.0)
+LARGE_ANSWERS = Distances(region_s=0.45, far_s=1.0)
 
 
 class _Health(NamedTuple):
--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -123,7 +123,9 @@
         body = _ReplayableBody(caller, call.request.body_length)
         if call.request.body_length != 0:
             await body.read_first()
-        tried = _Tried(call.retries, _MAX_MOVES, _FREE_SLOT_TRIES)
+        # A large answer waits for a near backend server rather than come from afar.
+        free_slots = 0 if call.large_answer else _FREE_SLOT_TRIES
+        tried = _Tried(call.retries, _MAX_MOVES, free_slots)
         worst = Verdict.NOT_RUN
         while True:
             outcome = await self._attempt(call, caller, body, tried)
--- a/burdockdock/proxy/listener.py
+++ b/burdockdock/proxy/listener.py
@@ -75,6 +75,9 @@
 class CallContext:
     """What the listener needs to know of its node.
 
+    ``draining`` asks callers to go elsewhere with their next calls, ``refusing``
+    refuses calls that could not end before this node does.
+
     :param own_service: returns the service of the backend server beside this node.
     :param headers: names of the headers of calls.
     """
@@ -103,6 +106,7 @@
         self.clock = clock
         self.metrics = metrics
         self.draining = False
+        self.refusing = False
         self.open_calls = 0
 
 
@@ -313,6 +317,8 @@
     context: CallContext, start_line: RequestStartLine, headers: HTTPHeaders
 ) -> Call | Failure:
     """Find the route of a request and build its call."""
+    if context.refusing:
+        return Failure(Verdict.NOT_RUN, "node_stopping")
     snapshot = context.snapshot()
     if not snapshot.version:
         return Failure(Verdict.NOT_RUN, "no_configuration", "none is known yet")
