--- a/tests/coordination/test_limiter.py
+++ b/tests/coordination/test_limiter.py
@@ -51,6 +51,60 @@
         self.assertEqual("queue_timeout", refusal.reason)
         self.assertEqual(0, limiter.queued)
 
+    @async_test
+    async def test_one_that_wants_a_free_slot_only_pushes_nobody_out(self) -> None:
+        limiter = SlotLimiter(slots=1, clock=SystemClock())
+        deadline_s = SystemClock().monotonic() + 60
+        await limiter.acquire(tenant="a", deadline_s=deadline_s)
+        waiting = [
+            asyncio.create_task(limiter.acquire(tenant="a", deadline_s=deadline_s))
+            for _ in range(3)
+        ]
+        await asyncio.sleep(0)
+        refusal = await limiter.acquire(
+            tenant="b", deadline_s=deadline_s, queue_length=0
+        )
+        self.assertEqual("queue_full", refusal.reason)
+        self.assertEqual(3, limiter.queued)
+        for task in waiting:
+            task.cancel()
+
+    @async_test
+    async def test_those_still_on_target_go_first_and_late_ones_leave(self) -> None:
+        clock = ManualClock()
+        limiter = SlotLimiter(slots=1, clock=clock)
+        await limiter.acquire(tenant="t", deadline_s=99)
+
+        def wait(target_s: float) -> asyncio.Task:
+            return asyncio.create_task(
+                limiter.acquire(tenant="t", deadline_s=99, target_s=target_s)
+            )
+
+        late = [wait(1.0), wait(1.0)]
+        await asyncio.sleep(0)
+        in_time = [wait(9.0), wait(9.0)]
+        await asyncio.sleep(0)
+        clock.advance(2.0)
+        limiter.release("t")
+        refusals = await asyncio.gather(*late)
+        self.assertEqual(["too_late_to_wait"] * 2, [r.reason for r in refusals])
+        self.assertIsNone(await in_time[0])
+        limiter.release("t")
+        self.assertIsNone(await in_time[1])
+
+    @async_test
+    async def test_a_late_one_is_served_while_nobody_else_waits(self) -> None:
+        clock = ManualClock()
+        limiter = SlotLimiter(slots=1, clock=clock)
+        await limiter.acquire(tenant="t", deadline_s=99)
+        late = asyncio.create_task(
+            limiter.acquire(tenant="t", deadline_s=99, target_s=1.0)
+        )
+        await asyncio.sleep(0)
+        clock.advance(2.0)
+        limiter.release("t")
+        self.assertIsNone(await late)
+
     @async_test
     async def test_noisy_tenant_leaves_room_in_the_queue(self) -> None:
         limiter = SlotLimiter(slots=1, clock=SystemClock())
--- /dev/null
+++ b/tests/gate/test_gate.py
@@ -0,0 +1,95 @@
+"""Tests of what a gate refuses, and of which answers it believes."""
+
+import asyncio
+
+import testtools
+
+from burdockdock.clock import ManualClock
+from burdockdock.coordination.verdict import Verdict
+from burdockdock.gate.curl_client import BackendHead
+from burdockdock.gate.gate import BackendServer, Gate, check_answer
+from burdockdock.metrics import Metrics
+from burdockdock.platform.headers import HEADERS
+from burdockdock.protocol.calls import CallRequest
+from tests.support import async_test
+
+_REQUEST = CallRequest("id-1", "t", "c", "r", "work", 1000, True, "GET", "/", ())
+
+
+class _Stream:
+    """Keeps how a call ended."""
+
+    def __init__(self) -> None:
+        self.failure = None
+
+    def fail(self, failure: object) -> None:
+        """Keep the failure."""
+        self.failure = failure
+
+
+class GateRefusalTest(testtools.TestCase):
+    """Tests of a backend server that leaves or whose version was stopped."""
+
+    async def _refusal(self, gate: Gate) -> str:
+        stream = _Stream()
+        await gate.run(_REQUEST, stream)
+        self.assertIs(Verdict.NOT_RUN, stream.failure.verdict)
+        return stream.failure.reason
+
+    @async_test
+    async def test_one_that_leaves_gets_nothing_once_others_heard_of_it(self) -> None:
+        clock = ManualClock()
+        gate = Gate(clock=clock, metrics=Metrics())
+        gate.announce(BackendServer("work", "1", "127.0.0.1", 1, 1))
+        gate.set_leaving(True)
+        clock.advance(1.0)
+        self.assertEqual("backend_leaving", await self._refusal(gate))
+        gate.set_leaving(True)
+        self.assertEqual("backend_leaving", await self._refusal(gate))
+
+    @async_test
+    async def test_a_stopped_version_gets_nothing(self) -> None:
+        gate = Gate(
+            clock=ManualClock(),
+            metrics=Metrics(),
+            is_stopped=lambda b: b.version == "2",
+        )
+        gate.announce(BackendServer("work", "2", "127.0.0.1", 1, 1))
+        self.assertEqual("version_stopped", await self._refusal(gate))
+
+    @async_test
+    async def test_what_cannot_start_in_time_is_refused_at_once(self) -> None:
+        gate = Gate(clock=ManualClock(), metrics=Metrics())
+        gate.announce(BackendServer("work", "1", "127.0.0.1", 1, 1))
+        gate._typical.record("r", 0.6)
+        await gate._limiter.acquire(tenant="t", deadline_s=99.0)
+        async with asyncio.timeout(5):
+            self.assertEqual("too_little_time", await self._refusal(gate))
+
+
+class CheckAnswerTest(testtools.TestCase):
+    """Tests of answers that are not the backend server's to this request."""
+
+    def _verdict(self, status: int, **headers: str) -> Verdict | None:
+        pairs = {"Request-Id": "id-1", "Response-Signature": "s"}
+        pairs.update({k.replace("_", "-"): v for k, v in headers.items()})
+        head = BackendHead(status, "", tuple((k, v) for k, v in pairs.items() if v))
+        found = check_answer(HEADERS, _REQUEST, head)
+        return None if found is None else found.verdict
+
+    def test_its_own_answers_are_believed(self) -> None:
+        for status in (200, 204, 404, 500, 503, 504):
+            self.assertIsNone(self._verdict(status))
+        self.assertIsNone(self._verdict(500, Response_Signature=""))
+
+    def test_only_a_stated_refusal_means_that_it_has_not_run(self) -> None:
+        self.assertIs(Verdict.NOT_RUN, self._verdict(503, Not_Executed="1"))
+        self.assertIs(Verdict.NOT_RUN, self._verdict(421, Instance_Id="i-2"))
+        self.assertIs(Verdict.NOT_RUN, self._verdict(400, Not_Executed="1"))
+
+    def test_a_success_must_be_signed_whole_and_for_this_request(self) -> None:
+        doubtful = Verdict.MAY_HAVE_RUN
+        self.assertIs(doubtful, self._verdict(200, Response_Signature=""))
+        self.assertIs(doubtful, self._verdict(200, Content_Encoding="gzip"))
+        self.assertIs(doubtful, self._verdict(200, Request_Id="id-0"))
+        self.assertIs(doubtful, self._verdict(500, Request_Id="id-0"))
