--- a/burdockdock/cli/main.py
+++ b/burdockdock/cli/main.py
@@ -1,18 +1,44 @@
 """The command line."""
 
+from importlib import import_module
+
 import click
 
 from burdockdock import __version__
-from burdockdock.cli.config import config
-from burdockdock.cli.demo import demo
-from burdockdock.cli.exception import exception
-from burdockdock.cli.move import move
-from burdockdock.cli.node import node, settings
-from burdockdock.cli.standin import standin
-from burdockdock.cli.status import status
-
 
-@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+# Where each command stands. Its module is imported when it runs, so that a node does
+# not keep the other commands in memory.
+_MODULES = {
+    "node": "node",
+    "settings": "node",
+    "config": "config",
+    "exception": "exception",
+    "move": "move",
+    "status": "status",
+    "logs": "logs",
+    "demo": "demo",
+    "standin": "standin",
+}
+
+
+class _CommandsOnDemand(click.Group):
+    """A group whose commands are imported when they are asked for."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        """Return the names of all commands."""
+        return list(_MODULES)
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        """Import a command."""
+        if cmd_name not in _MODULES:
+            return None
+        module = import_module(f"burdockdock.cli.{_MODULES[cmd_name]}")
+        return getattr(module, cmd_name)
+
+
+@click.group(
+    cls=_CommandsOnDemand, context_settings={"help_option_names": ["-h", "--help"]}
+)
 @click.version_option(__version__, prog_name="burdockdock")
 def main() -> None:
     """Distribute configuration to every proxy of a service mesh.
@@ -22,8 +48,5 @@
     """
 
 
-for command in (node, settings, config, exception, move, status, demo, standin):
-    main.add_command(command)
-
 if __name__ == "__main__":
     main()
