End a call that waited in vain; refuse late calls as soon as one in time waits

Ruled out: refusing at arrival what would be late (it may still be of use when the load sinks). Change: after a wait in vain a call asks two more nodes for a free slot, and ends as not run; late calls leave a queue when a tenth as many as slots wait in time.

--- a/burdockdock/coordination/limiter.py
+++ b/burdockdock/coordination/limiter.py
@@ -8,7 +8,7 @@
 from burdockdock.coordination.verdict import Failure, Verdict
 
 # Requests waiting in time, for each slot, that take up what would be left for others.
-_ENOUGH_IN_TIME = 0.5
+_ENOUGH_IN_TIME = 0.1
 
 
 class _Waiter(NamedTuple):
--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -28,6 +28,9 @@
 # Other nodes asked after one that refused or is gone.
 _MAX_MOVES = 4
 _FULL = "queue_full"
+# Refusals of calls that waited in vain: they don't wait again elsewhere.
+_WAITED_REASONS = frozenset({"too_late_to_wait", "queue_timeout"})
+_FREE_SLOT_TRIES_AFTER_WAIT = 2
 # Refusals that say something about load or a planned stop, not about faults.
 _HEALTHY_REFUSALS = frozenset(
     {
@@ -350,6 +353,7 @@
     :param free_slots_left: nodes that may still be asked for a free slot.
     :param node_ids: nodes not to be tried again.
     :param full_ids: nodes that had no free slot.
+    :param waited: the call waited in vain, and takes a free slot only.
     """
 
     retries_left: int
@@ -357,6 +361,7 @@
     free_slots_left: int
     node_ids: frozenset[str] = frozenset()
     full_ids: frozenset[str] = frozenset()
+    waited: bool = False
 
     @property
     def excluded(self) -> frozenset[str]:
@@ -368,6 +373,8 @@
         node_id = outcome.node_id
         if outcome.failure.reason == _FULL and self.free_slots_left:
             return self._after_full(node_id)
+        if outcome.failure.reason in _WAITED_REASONS:
+            return self._after_wait(node_id)
         node_ids = self.node_ids | {node_id}
         if _is_refused_by_node(outcome.failure):
             if not self.moves_left or node_id in self.node_ids:
@@ -377,10 +384,22 @@
             return None
         return self._replace(retries_left=self.retries_left - 1, node_ids=node_ids)
 
-    def _after_full(self, node_id: str) -> "_Tried":
+    def _after_wait(self, node_id: str) -> "_Tried | None":
+        """Ask a few more nodes for a free slot after a wait in vain."""
+        if self.waited:
+            return None
+        return self._replace(
+            free_slots_left=_FREE_SLOT_TRIES_AFTER_WAIT,
+            full_ids=frozenset({node_id}),
+            waited=True,
+        )
+
+    def _after_full(self, node_id: str) -> "_Tried | None":
         """Ask another node, or let the call wait when all that were asked are full."""
         left = self.free_slots_left - 1
         if not left or node_id in self.full_ids:
+            if self.waited:
+                return None
             return self._replace(free_slots_left=0, full_ids=frozenset())
         return self._replace(free_slots_left=left, full_ids=self.full_ids | {node_id})
 
--- a/tests/proxy/test_placement.py
+++ b/tests/proxy/test_placement.py
@@ -164,6 +164,14 @@
         self.assertEqual((1, 0), (tried.retries_left, tried.moves_left))
         self.assertIsNone(self._after(tried, "c", Verdict.NOT_RUN, "draining"))
 
+    def test_a_call_that_waited_in_vain_takes_a_free_slot_or_ends(self) -> None:
+        tried = _Tried(1, 4, 0)
+        tried = self._after(tried, "a", Verdict.NOT_RUN, "too_late_to_wait")
+        self.assertEqual(({"a"}, 2), (set(tried.excluded), tried.free_slots_left))
+        tried = self._after(tried, "b", Verdict.NOT_RUN, "queue_full")
+        self.assertEqual(1, tried.free_slots_left)
+        self.assertIsNone(self._after(tried, "c", Verdict.NOT_RUN, "queue_full"))
+
     def test_each_backend_server_that_was_sent_it_counts(self) -> None:
         tried = _Tried(1, 4, 3)
         tried = self._after(tried, "a", Verdict.NOT_RUN, "backend_refused")
