--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -186,15 +186,15 @@
             "one probe a second, rumours on probes, two trees, digests",
         ),
         Row(
-            "relay, 2 a zone",
-            "as a member, and a lease",
+            "relay, 1 a zone, 3 at least",
+            "as a member",
             f"{figures.control_bytes_per_s('relays'):.0f} bytes/s sent",
             f"{_percent(figures.cpu_share('relays'))} of a core",
             f"{_megabytes(figures.memory_bytes('relays'))} in all",
             f"{reads / ZONES:.2f} reads, "
             f"{calls.get('PUT objects', 0) / ZONES:.2f} writes, "
             f"{calls.get('GET watch', 0) / ZONES:.2f} watches a second and zone",
-            "lease by conditional update, watch, wait for the overlay before reading",
+            "first by rank, watch; figures from two a zone that also held leases",
         ),
         Row(
             "move owner, 1 a move",
--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -15,6 +15,7 @@
     CurlClient,
     Transfer,
 )
+from burdockdock.gate.exchange import check_answer, curl_headers
 from burdockdock.gate.headers import OWN_HEADERS, CallHeaders
 from burdockdock.logs import log_event
 from burdockdock.metrics import Metrics
@@ -26,11 +27,8 @@
 # Other nodes learn within this that the backend server leaves; what is on its way
 # until then is still served.
 _LEAVE_NOTICE_S = 1.0
-_MISDIRECTED = 421
 # Weight of one result in the share of failed calls: about the last ten count.
 _FAILURE_WEIGHT = 0.1
-_CURL_DEFAULT_HEADERS = ("Accept", "User-Agent", "Expect")
-_METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
 
 
 class BackendServer(NamedTuple):
@@ -403,7 +401,7 @@
         left_ms = int(left_s * 1000)
         backend = self._backend
         names = self._headers
-        headers = _curl_headers(request)
+        headers = curl_headers(request)
         headers.append(f"{names.timeout}: {left_ms}")
         if not names.callers_request_id:
             headers.append(f"{names.request_id}: {request.request_id}")
@@ -425,39 +423,6 @@
     return request.idempotent and not request.body_length
 
 
-def check_answer(
-    names: CallHeaders, request: CallRequest, head: BackendHead
-) -> Failure | None:
-    """Return why an answer is not the backend server's answer to this request."""
-    values = {name.lower(): value for name, value in head.headers}
-    echoed = values.get(names.request_id.lower())
-    if names.callers_request_id and echoed not in (None, request.request_id):
-        return Failure(Verdict.MAY_HAVE_RUN, "other_requests_answer", echoed)
-    if names.not_run and names.not_run.lower() in values:
-        return Failure(Verdict.NOT_RUN, "backend_refused", f"status {head.status}")
-    if names.expected_instance and head.status == _MISDIRECTED:
-        return Failure(Verdict.NOT_RUN, "other_instance")
-    if not names.signature or not 200 <= head.status < 300:
-        return None
-    if names.signature.lower() not in values or "content-encoding" in values:
-        return Failure(Verdict.MAY_HAVE_RUN, "not_the_backends_answer")
-    return None
-
-
-def _curl_headers(request: CallRequest) -> list[str]:
-    """Return the request's headers, and none of those that libcurl would add."""
-    headers = [
-        f"{name}: {value}" if value else f"{name};" for name, value in request.headers
-    ]
-    present = {name.lower() for name, _ in request.headers}
-    for name in _CURL_DEFAULT_HEADERS:
-        if name.lower() not in present:
-            headers.append(f"{name}:")
-    if not request.body_length and request.method in _METHODS_WITH_BODY:
-        headers.append("Content-Length: 0")
-    return headers
-
-
 async def _upload(request: CallRequest, stream: CallStream, transfer: Transfer) -> None:
     """Pass the request's body to the backend server as fast as it takes it."""
     data, end = request.body, request.end
--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -43,8 +43,9 @@
 from burdockdock.protocol.handshake import PeerIdentity
 from burdockdock.proxy.balancer import Balancer
 from burdockdock.proxy.endpoints import Endpoints
+from burdockdock.proxy.context import CallContext
 from burdockdock.proxy.forwarder import Forwarder
-from burdockdock.proxy.listener import CallContext, serve_callers
+from burdockdock.proxy.listener import serve_callers
 from burdockdock.proxy.peer_link import PeerLinks
 
 _LEAVE_SPREAD_S = 1.0
--- /dev/null
+++ b/burdockdock/proxy/call_factory.py
@@ -0,0 +1,150 @@
+"""Building a call from a caller's request: route, policy, deadline and headers."""
+
+import uuid
+
+from tornado.httputil import HTTPHeaders, RequestStartLine
+
+from burdockdock.configuration.lookup import draw_service, find_route, policy_for
+from burdockdock.configuration.model import Route
+from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.gate.headers import CallHeaders
+from burdockdock.protocol.calls import CallRequest, Headers
+from burdockdock.proxy.context import CallContext
+from burdockdock.proxy.forwarder import Call
+
+DEFAULT_TENANT = "default"
+_IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS", "TRACE"})
+_HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
+    }
+)
+_NON_IDEMPOTENT = "non_idempotent"
+_DOWNLOAD = "download"
+_MAX_DEPTH = 32
+
+
+def make_call(
+    context: CallContext, start_line: RequestStartLine, headers: HTTPHeaders
+) -> Call | Failure:
+    """Find the route of a request and build its call."""
+    if context.refusing:
+        return Failure(Verdict.NOT_RUN, "node_stopping")
+    snapshot = context.snapshot()
+    if not snapshot.version:
+        return Failure(Verdict.NOT_RUN, "no_configuration", "none is known yet")
+    path = start_line.path.partition("?")[0]
+    route = find_route(snapshot, host=headers.get("Host", ""), path=path)
+    if route is None:
+        return Failure(Verdict.NOT_RUN, "no_route", f"no route for {path}")
+    names = context.headers
+    depth = _integer(headers.get(names.depth), 0) if names.depth else 0
+    if depth >= _MAX_DEPTH:
+        return Failure(Verdict.NOT_RUN, "too_deep", f"{depth} calls deep")
+    service = draw_service(route, rng=context.rng)
+    policy = policy_for(
+        snapshot,
+        route,
+        service=service,
+        availability_zone=context.availability_zone,
+        node_id=context.node_id,
+        now=context.clock.now(),
+    )
+    timeout_ms = _integer(headers.get(names.timeout), policy.timeout_ms)
+    timeout_ms = min(timeout_ms, policy.timeout_ms)
+    idempotent = _is_idempotent(route, start_line.method)
+    tenant = headers.get(names.tenant, DEFAULT_TENANT)
+    key = None if idempotent else headers.get(names.idempotency_key)
+    request = CallRequest(
+        request_id=_request_id(names, headers, tenant, key),
+        tenant=tenant,
+        traffic_class=route.traffic_class,
+        route=route.name,
+        service=service,
+        time_left_ms=timeout_ms,
+        idempotent=idempotent,
+        method=start_line.method,
+        target=start_line.path,
+        headers=_request_headers(context, headers, depth),
+        body_length=_body_length(headers),
+        priority=route.priority,
+        queue_length=policy.queue_length,
+    )
+    # Only the first node of a chain retries after a failure that may have run;
+    # otherwise the attempts would multiply with the depth.
+    retries = policy.retries if depth == 0 else min(policy.retries, 1)
+    deadline_s = context.clock.monotonic() + timeout_ms / 1000
+    target_s = deadline_s - (timeout_ms - route.target_latency_ms) / 1000
+    return Call(
+        request,
+        deadline_s,
+        retries,
+        key=request.request_id if key else "",
+        target_s=target_s if route.target_latency_ms else 0.0,
+        large_answer=route.kind == _DOWNLOAD,
+    )
+
+
+def _is_idempotent(route: Route, method: str) -> bool:
+    """Tell whether a request may run more than once; the route's kind goes first."""
+    if route.kind:
+        return route.kind != _NON_IDEMPOTENT
+    return method in _IDEMPOTENT_METHODS
+
+
+def _request_id(
+    names: CallHeaders, headers: HTTPHeaders, tenant: str, key: str | None
+) -> str:
+    if key:
+        return f"{tenant}/{key}"
+    given = headers.get(names.request_id) if names.callers_request_id else None
+    return given or uuid.uuid4().hex
+
+
+def _body_length(headers: HTTPHeaders) -> int:
+    if "chunked" in headers.get("Transfer-Encoding", "").lower():
+        return -1
+    return _integer(headers.get("Content-Length"), 0)
+
+
+def _request_headers(context: CallContext, headers: HTTPHeaders, depth: int) -> Headers:
+    names = context.headers
+    dropped = _hop_headers(headers) | context.replaced_headers
+    kept = [
+        (name, value)
+        for name, value in headers.get_all()
+        if name.lower() not in dropped
+    ]
+    if names.depth:
+        kept.append((names.depth, str(depth + 1)))
+    if names.caller_service:
+        kept.append((names.caller_service, context.own_service()))
+    return tuple(kept)
+
+
+def _hop_headers(headers: HTTPHeaders) -> frozenset[str]:
+    """Return the headers that are for one connection only."""
+    return hop_names(headers.get("Connection", ""))
+
+
+def hop_names(named: str) -> frozenset[str]:
+    """Return the fixed names and those that a Connection header names."""
+    lower = named.lower()
+    if lower in ("", "close", "keep-alive"):
+        return _HOP_HEADERS
+    return _HOP_HEADERS | {name.strip() for name in lower.split(",")}
+
+
+def _integer(text: str | None, default: int) -> int:
+    if text is not None and text.isascii() and text.isdecimal():
+        return int(text)
+    return default
--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -11,6 +11,14 @@
 from burdockdock.metrics import Metrics
 from burdockdock.protocol import WindowClosed
 from burdockdock.protocol.calls import AnswerHead, CallRequest
+from burdockdock.proxy.attempts import (
+    BACKEND_REFUSED,
+    FREE_SLOT_TRIES,
+    MAX_MOVES,
+    AttemptFailure,
+    Tried,
+    is_refused_by_node,
+)
 from burdockdock.proxy.balancer import LARGE_ANSWERS, Balancer
 from burdockdock.proxy.endpoints import Endpoints
 from burdockdock.proxy.peer_link import PeerLink, PeerLinks, RemoteCall
@@ -20,17 +28,6 @@
 _ANSWER_LOST = "answer_lost"
 _NO_BACKEND_SERVER = "no_backend_server"
 _SHED_STATUSES = frozenset({429, 503})
-# Reason of a refusal that the backend server itself made; all other refusals as not
-# run come from nodes, before anything reached a backend server.
-_BACKEND_REFUSED = "backend_refused"
-# Nodes asked for a free slot before the call waits for one.
-_FREE_SLOT_TRIES = 3
-# Other nodes asked after one that refused or is gone.
-_MAX_MOVES = 4
-_FULL = "queue_full"
-# Refusals of calls that waited in vain: they don't wait again elsewhere.
-_WAITED_REASONS = frozenset({"too_late_to_wait", "queue_timeout"})
-_FREE_SLOT_TRIES_AFTER_WAIT = 2
 # Refusals that say something about load or a planned stop, not about faults.
 _HEALTHY_REFUSALS = frozenset(
     {
@@ -43,7 +40,7 @@
         "backend_leaving",
         "not_here",
         "version_stopped",
-        _BACKEND_REFUSED,
+        BACKEND_REFUSED,
     }
 )
 
@@ -127,8 +124,8 @@
         if call.request.body_length != 0:
             await body.read_first()
         # A large answer waits for a near backend server rather than come from afar.
-        free_slots = 0 if call.large_answer else _FREE_SLOT_TRIES
-        tried = _Tried(call.retries, _MAX_MOVES, free_slots)
+        free_slots = 0 if call.large_answer else FREE_SLOT_TRIES
+        tried = Tried(call.retries, MAX_MOVES, free_slots)
         worst = Verdict.NOT_RUN
         while True:
             outcome = await self._attempt(call, caller, body, tried)
@@ -151,13 +148,13 @@
         call: Call,
         caller: Caller,
         body: "_ReplayableBody",
-        tried: "_Tried",
-    ) -> "_AttemptFailure | None":
+        tried: Tried,
+    ) -> AttemptFailure | None:
         member = self._pick(call, tried)
         if member is None:
             detail = f"no backend server of {call.request.service} takes calls now"
             failure = Failure(Verdict.NOT_RUN, _NO_BACKEND_SERVER, detail)
-            return _AttemptFailure("", failure)
+            return AttemptFailure("", failure)
         self._balancer.started(member.node_id)
         failed = True
         try:
@@ -169,10 +166,10 @@
         finally:
             self._balancer.finished(member.node_id, failed=failed)
         if isinstance(result, Failure):
-            return _AttemptFailure(member.node_id, result)
+            return AttemptFailure(member.node_id, result)
         return None
 
-    def _pick(self, call: Call, tried: "_Tried") -> Member | None:
+    def _pick(self, call: Call, tried: Tried) -> Member | None:
         """Choose by load; a caller's key always goes where it is remembered."""
         service = call.request.service
         if call.key:
@@ -312,10 +309,10 @@
             and may_retry(failure, idempotent=call.request.idempotent)
             and body.replayable
             and self._left_ms(call) > 0
-            and (_is_refused_by_node(failure) or self._budget.try_spend())
+            and (is_refused_by_node(failure) or self._budget.try_spend())
         )
 
-    def _log_attempt(self, call: Call, outcome: "_AttemptFailure") -> None:
+    def _log_attempt(self, call: Call, outcome: AttemptFailure) -> None:
         log_event(
             "call.attempt_failed",
             request=call.request.request_id,
@@ -337,73 +334,6 @@
         return int((call.deadline_s - self._clock.monotonic()) * 1000)
 
 
-class _AttemptFailure(NamedTuple):
-    node_id: str
-    failure: Failure
-
-
-class _Tried(NamedTuple):
-    """What may still be tried for a call.
-
-    While slots are free somewhere, asking a few nodes for one costs far less time
-    than waiting at the first; only then the call waits where it ends soonest.
-
-    :param retries_left: backend servers that may still be sent the request.
-    :param moves_left: nodes that may still be asked after refusals by nodes.
-    :param free_slots_left: nodes that may still be asked for a free slot.
-    :param node_ids: nodes not to be tried again.
-    :param full_ids: nodes that had no free slot.
-    :param waited: the call waited in vain, and takes a free slot only.
-    """
-
-    retries_left: int
-    moves_left: int
-    free_slots_left: int
-    node_ids: frozenset[str] = frozenset()
-    full_ids: frozenset[str] = frozenset()
-    waited: bool = False
-
-    @property
-    def excluded(self) -> frozenset[str]:
-        """Nodes that are not asked now."""
-        return self.node_ids | self.full_ids
-
-    def after(self, outcome: _AttemptFailure) -> "_Tried | None":
-        """Return what is left after an attempt, None for nothing."""
-        node_id = outcome.node_id
-        if outcome.failure.reason == _FULL and self.free_slots_left:
-            return self._after_full(node_id)
-        if outcome.failure.reason in _WAITED_REASONS:
-            return self._after_wait(node_id)
-        node_ids = self.node_ids | {node_id}
-        if _is_refused_by_node(outcome.failure):
-            if not self.moves_left or node_id in self.node_ids:
-                return None
-            return self._replace(moves_left=self.moves_left - 1, node_ids=node_ids)
-        if not self.retries_left:
-            return None
-        return self._replace(retries_left=self.retries_left - 1, node_ids=node_ids)
-
-    def _after_wait(self, node_id: str) -> "_Tried | None":
-        """Ask a few more nodes for a free slot after a wait in vain."""
-        if self.waited:
-            return None
-        return self._replace(
-            free_slots_left=_FREE_SLOT_TRIES_AFTER_WAIT,
-            full_ids=frozenset({node_id}),
-            waited=True,
-        )
-
-    def _after_full(self, node_id: str) -> "_Tried | None":
-        """Ask another node, or let the call wait when all that were asked are full."""
-        left = self.free_slots_left - 1
-        if not left or node_id in self.full_ids:
-            if self.waited:
-                return None
-            return self._replace(free_slots_left=0, full_ids=frozenset())
-        return self._replace(free_slots_left=left, full_ids=self.full_ids | {node_id})
-
-
 class _ReplayableBody:
     """A request's body of which the beginning can be sent again."""
 
@@ -433,11 +363,6 @@
                 return
 
 
-def _is_refused_by_node(failure: Failure) -> bool:
-    """Tell whether the request never came as far as a backend server."""
-    return failure.verdict is Verdict.NOT_RUN and failure.reason != _BACKEND_REFUSED
-
-
 def _is_fault(result: AnswerHead | Failure) -> bool:
     """Tell whether a result speaks against the backend server's health."""
     if isinstance(result, Failure):
--- a/burdockdock/proxy/listener.py
+++ b/burdockdock/proxy/listener.py
@@ -2,9 +2,6 @@
 
 import asyncio
 import json
-import random
-import uuid
-from collections.abc import Callable
 
 from tornado.httpserver import HTTPServer
 from tornado.httputil import (
@@ -17,38 +14,17 @@
 )
 from tornado.iostream import StreamClosedError
 
-from burdockdock.clock import Clock
-from burdockdock.configuration.lookup import draw_service, find_route, policy_for
-from burdockdock.configuration.model import Route, Snapshot
 from burdockdock.coordination.verdict import Failure, Verdict
-from burdockdock.gate.headers import OWN_HEADERS, CallHeaders
 from burdockdock.logs import log_event
-from burdockdock.metrics import Metrics
-from burdockdock.protocol.calls import AnswerHead, CallRequest, Headers
-from burdockdock.proxy.forwarder import Call, Forwarder
+from burdockdock.protocol.calls import AnswerHead
+from burdockdock.proxy.call_factory import DEFAULT_TENANT, hop_names, make_call
+from burdockdock.proxy.context import CallContext
+from burdockdock.proxy.forwarder import Call
 
 VERDICT_HEADER = "X-Burdockdock-Verdict"
 MAX_HEADER_BYTES = 64 * 1024
 MAX_BODY_BYTES = 1 << 40
 _BUFFER_BYTES = 256 * 1024
-_IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS", "TRACE"})
-_HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "expect",
-    }
-)
-_NON_IDEMPOTENT = "non_idempotent"
-_DOWNLOAD = "download"
-_DEFAULT_TENANT = "default"
 _STATUS_OF_VERDICT = {
     Verdict.NOT_RUN: 503,
     Verdict.MAY_HAVE_RUN: 502,
@@ -69,45 +45,6 @@
 # Callers come back spread over this span.
 _RETRY_AFTER_MIN_S = 0.05
 _RETRY_AFTER_MAX_S = 0.4
-_MAX_DEPTH = 32
-
-
-class CallContext:
-    """What the listener needs to know of its node.
-
-    ``draining`` asks callers to go elsewhere with their next calls, ``refusing``
-    refuses calls that could not end before this node does.
-
-    :param own_service: returns the service of the backend server beside this node.
-    :param headers: names of the headers of calls.
-    """
-
-    def __init__(
-        self,
-        *,
-        node_id: str,
-        availability_zone: str,
-        snapshot: Callable[[], Snapshot],
-        forwarder: Forwarder,
-        clock: Clock,
-        metrics: Metrics,
-        rng: random.Random,
-        own_service: Callable[[], str] = lambda: "",
-        headers: CallHeaders = OWN_HEADERS,
-    ) -> None:
-        self.node_id = node_id
-        self.rng = rng
-        self.own_service = own_service
-        self.headers = headers
-        self.replaced_headers = _replaced_headers(headers)
-        self.availability_zone = availability_zone
-        self.snapshot = snapshot
-        self.forwarder = forwarder
-        self.clock = clock
-        self.metrics = metrics
-        self.draining = False
-        self.refusing = False
-        self.open_calls = 0
 
 
 class Listener(HTTPServerConnectionDelegate):
@@ -234,7 +171,7 @@
     async def _run(self, start_line: RequestStartLine, headers: HTTPHeaders) -> None:
         context = self._context
         started_s = context.clock.monotonic()
-        call = _make_call(context, start_line, headers)
+        call = make_call(context, start_line, headers)
         try:
             if isinstance(call, Failure):
                 failure: Failure | None = call
@@ -313,83 +250,6 @@
         self.break_off = side.break_off
 
 
-def _make_call(
-    context: CallContext, start_line: RequestStartLine, headers: HTTPHeaders
-) -> Call | Failure:
-    """Find the route of a request and build its call."""
-    if context.refusing:
-        return Failure(Verdict.NOT_RUN, "node_stopping")
-    snapshot = context.snapshot()
-    if not snapshot.version:
-        return Failure(Verdict.NOT_RUN, "no_configuration", "none is known yet")
-    path = start_line.path.partition("?")[0]
-    route = find_route(snapshot, host=headers.get("Host", ""), path=path)
-    if route is None:
-        return Failure(Verdict.NOT_RUN, "no_route", f"no route for {path}")
-    names = context.headers
-    depth = _integer(headers.get(names.depth), 0) if names.depth else 0
-    if depth >= _MAX_DEPTH:
-        return Failure(Verdict.NOT_RUN, "too_deep", f"{depth} calls deep")
-    service = draw_service(route, rng=context.rng)
-    policy = policy_for(
-        snapshot,
-        route,
-        service=service,
-        availability_zone=context.availability_zone,
-        node_id=context.node_id,
-        now=context.clock.now(),
-    )
-    timeout_ms = _integer(headers.get(names.timeout), policy.timeout_ms)
-    timeout_ms = min(timeout_ms, policy.timeout_ms)
-    idempotent = _is_idempotent(route, start_line.method)
-    tenant = headers.get(names.tenant, _DEFAULT_TENANT)
-    key = None if idempotent else headers.get(names.idempotency_key)
-    request = CallRequest(
-        request_id=_request_id(names, headers, tenant, key),
-        tenant=tenant,
-        traffic_class=route.traffic_class,
-        route=route.name,
-        service=service,
-        time_left_ms=timeout_ms,
-        idempotent=idempotent,
-        method=start_line.method,
-        target=start_line.path,
-        headers=_request_headers(context, headers, depth),
-        body_length=_body_length(headers),
-        priority=route.priority,
-        queue_length=policy.queue_length,
-    )
-    # Only the first node of a chain retries after a failure that may have run;
-    # otherwise the attempts would multiply with the depth.
-    retries = policy.retries if depth == 0 else min(policy.retries, 1)
-    deadline_s = context.clock.monotonic() + timeout_ms / 1000
-    target_s = deadline_s - (timeout_ms - route.target_latency_ms) / 1000
-    return Call(
-        request,
-        deadline_s,
-        retries,
-        key=request.request_id if key else "",
-        target_s=target_s if route.target_latency_ms else 0.0,
-        large_answer=route.kind == _DOWNLOAD,
-    )
-
-
-def _is_idempotent(route: Route, method: str) -> bool:
-    """Tell whether a request may run more than once; the route's kind goes first."""
-    if route.kind:
-        return route.kind != _NON_IDEMPOTENT
-    return method in _IDEMPOTENT_METHODS
-
-
-def _request_id(
-    names: CallHeaders, headers: HTTPHeaders, tenant: str, key: str | None
-) -> str:
-    if key:
-        return f"{tenant}/{key}"
-    given = headers.get(names.request_id) if names.callers_request_id else None
-    return given or uuid.uuid4().hex
-
-
 def _status_of(failure: Failure) -> int:
     """Return the status that promises no more than the verdict does."""
     if failure.verdict is Verdict.NOT_RUN and failure.reason != "no_route":
@@ -404,48 +264,14 @@
     context.metrics.record_latency(
         "call",
         context.clock.monotonic() - started_s,
-        tenant=request.tenant if request else _DEFAULT_TENANT,
+        tenant=request.tenant if request else DEFAULT_TENANT,
         traffic_class=request.traffic_class if request else "none",
     )
 
 
-def _replaced_headers(names: CallHeaders) -> frozenset[str]:
-    """Return the headers that nodes set themselves, whatever a caller sent."""
-    replaced = {
-        names.timeout,
-        names.depth,
-        names.caller_service,
-        names.expected_instance,
-    }
-    if not names.callers_request_id:
-        replaced.add(names.request_id)
-    return frozenset(name.lower() for name in replaced if name)
-
-
-def _body_length(headers: HTTPHeaders) -> int:
-    if "chunked" in headers.get("Transfer-Encoding", "").lower():
-        return -1
-    return _integer(headers.get("Content-Length"), 0)
-
-
-def _request_headers(context: CallContext, headers: HTTPHeaders, depth: int) -> Headers:
-    names = context.headers
-    dropped = _hop_headers(headers) | context.replaced_headers
-    kept = [
-        (name, value)
-        for name, value in headers.get_all()
-        if name.lower() not in dropped
-    ]
-    if names.depth:
-        kept.append((names.depth, str(depth + 1)))
-    if names.caller_service:
-        kept.append((names.caller_service, context.own_service()))
-    return tuple(kept)
-
-
 def _answer_headers(head: AnswerHead, method: str) -> HTTPHeaders:
     named = next((v for n, v in head.headers if n.lower() == "connection"), "")
-    dropped = _hop_names(named)
+    dropped = hop_names(named)
     kept = HTTPHeaders()
     for name, value in head.headers:
         if name.lower() not in dropped:
@@ -454,22 +280,3 @@
         # Tornado would end the answer with an empty chunk.
         kept["Transfer-Encoding"] = "chunked"
     return kept
-
-
-def _hop_headers(headers: HTTPHeaders) -> frozenset[str]:
-    """Return the headers that are for one connection only."""
-    return _hop_names(headers.get("Connection", ""))
-
-
-def _hop_names(named: str) -> frozenset[str]:
-    """Return the fixed names and those that a Connection header names."""
-    lower = named.lower()
-    if lower in ("", "close", "keep-alive"):
-        return _HOP_HEADERS
-    return _HOP_HEADERS | {name.strip() for name in lower.split(",")}
-
-
-def _integer(text: str | None, default: int) -> int:
-    if text is not None and text.isascii() and text.isdecimal():
-        return int(text)
-    return default
