--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -42,8 +42,8 @@
 from burdockdock.platform_api.client import PlatformClient
 from burdockdock.protocol.handshake import PeerIdentity
 from burdockdock.proxy.balancer import Balancer
-from burdockdock.proxy.endpoints import Endpoints
 from burdockdock.proxy.context import CallContext
+from burdockdock.proxy.endpoints import Endpoints
 from burdockdock.proxy.forwarder import Forwarder
 from burdockdock.proxy.listener import serve_callers
 from burdockdock.proxy.peer_link import PeerLinks
