--- a/burdockdock/node/relay.py
+++ b/burdockdock/node/relay.py
@@ -23,12 +23,13 @@
 
 _FEWEST_RELAYS = 3
 _ROLE_INTERVAL_S = 0.5
+# Changes of the membership that come together are looked at once.
+_ROLE_PAUSE_S = 0.1
 _ROSTER_INTERVAL_S = 15.0
 # A connection that went silent is noticed after this and the call's timeout.
-_WATCH_S = 2.0
+_WATCH_S = 2.4
 # Versions that follow each other faster are read together.
 _WATCH_PAUSE_S = 0.2
-_FAILURES_TO_BE_LOST = 2
 _RELAY_SALT = "relay"
 
 
@@ -155,6 +156,8 @@
         self._change_own = change_own
         self._zone = membership.own.availability_zone
         self._roster_due_s = clock.monotonic() + _ROSTER_INTERVAL_S
+        self._members_changed = asyncio.Event()
+        membership.subscribe(lambda _new, _known: self._members_changed.set())
 
     @property
     def is_relay(self) -> bool:
@@ -176,25 +179,36 @@
                     log_event("relay.stopped", availability_zone=self._zone)
                     watch.cancel()
                     watch = None
-                self._tell_reach()
                 await self._renew_roster()
-                await asyncio.sleep(_ROLE_INTERVAL_S * self._rng.uniform(0.8, 1.2))
+                await self._wait_for_members()
         finally:
             if watch is not None:
                 watch.cancel()
 
+    async def _wait_for_members(self) -> None:
+        """Wait until the members changed, for a while at most."""
+        self._members_changed.clear()
+        await asyncio.sleep(_ROLE_PAUSE_S)
+        try:
+            async with asyncio.timeout(_ROLE_INTERVAL_S * self._rng.uniform(0.8, 1.2)):
+                await self._members_changed.wait()
+        except TimeoutError:
+            return
+
     def _tell_reach(self) -> None:
         """Let others take the role while the platform does not answer this node."""
-        failures = self._platform.failures_in_row
-        lost = self._membership.own.platform_lost
-        if (failures >= _FAILURES_TO_BE_LOST) != lost and (failures == 0 or not lost):
-            self._change_own(platform_lost=not lost)
+        lost = self._platform.failures_in_row > 0
+        if lost != self._membership.own.platform_lost:
+            self._change_own(platform_lost=lost)
 
     async def _watch(self) -> None:
         """Follow the changes of configuration and rollouts."""
         while True:
-            if await self._reader.refresh():
+            complete = await self._reader.refresh()
+            self._tell_reach()
+            if complete:
                 await self._follow()
+                self._tell_reach()
             await self._platform.pause_after_failure()
 
     async def _follow(self) -> None:
@@ -211,16 +225,30 @@
     async def _follow_prefix(self, prefix: str) -> None:
         """Watch one prefix until a call fails."""
         found = await self._platform.list(prefix)
+        wait_s = self._first_wait_s()
         while isinstance(found, WatchResult):
             if not await self._reader.take_in(found.objects):
                 return
             if found.objects:
                 await asyncio.sleep(_WATCH_PAUSE_S)
+                wait_s = self._first_wait_s()
             found = await self._platform.watch(
-                prefix, after=found.revision, wait_s=_WATCH_S
+                prefix, after=found.revision, wait_s=wait_s
             )
+            wait_s = _WATCH_S
         log_event("watch.ended", prefix=prefix, reason=found.reason)
 
+    def _first_wait_s(self) -> float:
+        """Return how long to wait in the first watch after news.
+
+        Relays begin to watch together, at a change. They end at different times, so
+        that one of them soon notices when the platform is lost to all of them.
+        """
+        order = sorted(relays(self._ranking))
+        own_id = self._membership.own.node_id
+        place = order.index(own_id) + 1 if own_id in order else len(order)
+        return _WATCH_S * place / max(1, len(order))
+
     async def _renew_roster(self) -> None:
         """Keep a few addresses of the zone where starting nodes find them."""
         now_s = self._clock.monotonic()
--- a/burdockdock/platform_api/client.py
+++ b/burdockdock/platform_api/client.py
@@ -28,8 +28,8 @@
 _BACKOFF_CAP_S = 5.0
 _CONNECT_TIMEOUT_S = 1.0
 # A watch that is not answered this long after its wait has lost its connection.
-_WATCH_MARGIN_S = 0.7
-_MAX_CLIENTS = 64
+_WATCH_MARGIN_S = 0.5
+_MAX_CLIENTS = 16
 _REFUSED = frozenset({429, 503})
 _ANSWERED = frozenset({200, 201, 204, 404, 409})
 _HISTORY_GONE = 410
@@ -264,7 +264,9 @@
             prepare_curl_callback=_open_connection if self.failures_in_row else None,
         )
         try:
-            response = await self._client().fetch(request, raise_error=False)
+            # A caller that gives up must not make tornado log the answer it missed.
+            answer = self._client().fetch(request, raise_error=False)
+            response = await asyncio.shield(answer)
         except (HTTPError, OSError) as error:
             return self._fail(Verdict.MAY_HAVE_RUN, str(error))
         if response.code == 599:
