Split the gate, the callers' side and the node by job

Change: moves only. gate.model (types), gate.results (times and failures told to callers' nodes), gate.exchange (the request too), proxy.call (the call and its body), node.draining (the graceful stop), the byte counts in node.status. Tests of these packages pass.

--- a/burdockdock/gate/exchange.py
+++ b/burdockdock/gate/exchange.py
@@ -1,13 +1,15 @@
 """Headers of requests to a backend server, and which of its answers are believed."""
 
 from burdockdock.coordination.verdict import Failure, Verdict
-from burdockdock.gate.curl_client import BackendHead
+from burdockdock.gate.curl_client import BackendHead, BackendRequest
 from burdockdock.gate.headers import CallHeaders
+from burdockdock.gate.model import BackendServer
 from burdockdock.protocol.calls import CallRequest
 
 _CURL_DEFAULT_HEADERS = ("Accept", "User-Agent", "Expect")
 _METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
 _MISDIRECTED = 421
+_SHORTEST_S = 0.001
 
 
 def check_answer(
@@ -29,7 +31,43 @@
     return None
 
 
-def curl_headers(request: CallRequest) -> list[str]:
+def backend_request(
+    names: CallHeaders,
+    request: CallRequest,
+    backend: BackendServer,
+    *,
+    left_s: float,
+    resend_allowed: bool,
+) -> BackendRequest:
+    """Make the request to the backend server.
+
+    :param left_s: seconds until the call's deadline.
+    :param resend_allowed: let libcurl resend whatever the request's kind.
+    """
+    left_ms = int(max(_SHORTEST_S, left_s) * 1000)
+    headers = _curl_headers(request)
+    headers.append(f"{names.timeout}: {left_ms}")
+    if not names.callers_request_id:
+        headers.append(f"{names.request_id}: {request.request_id}")
+    if names.expected_instance and backend.instance_id:
+        headers.append(f"{names.expected_instance}: {backend.instance_id}")
+    return BackendRequest(
+        method=request.method,
+        url=f"http://{backend.host}:{backend.port}{request.target}",
+        headers=headers,
+        body_length=request.body_length,
+        timeout_ms=left_ms,
+        fresh_connection=not request.idempotent,
+        resend_allowed=resend_allowed or _may_be_resent(request),
+    )
+
+
+def _may_be_resent(request: CallRequest) -> bool:
+    """Tell whether libcurl may send again on finding a kept connection dead."""
+    return request.idempotent and not request.body_length
+
+
+def _curl_headers(request: CallRequest) -> list[str]:
     """Return the request's headers, and none of those that libcurl would add."""
     headers = [
         f"{name}: {value}" if value else f"{name};" for name, value in request.headers
--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import NamedTuple, Protocol
 
 from burdockdock.clock import Clock
 from burdockdock.coordination.dedupe import DedupeTable
@@ -11,74 +10,25 @@
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.gate.curl_client import (
     BackendHead,
-    BackendRequest,
     CurlClient,
     Transfer,
 )
-from burdockdock.gate.exchange import check_answer, curl_headers
+from burdockdock.gate.exchange import backend_request, check_answer
 from burdockdock.gate.headers import OWN_HEADERS, CallHeaders
+from burdockdock.gate.model import (
+    DEFAULT_SLOTS,
+    BackendServer,
+    CallResult,
+    CallStream,
+)
+from burdockdock.gate.results import LatestResults
 from burdockdock.logs import log_event
 from burdockdock.metrics import Metrics
 from burdockdock.protocol.calls import AnswerHead, CallRequest, GateResults
 
-_SHED_STATUSES = frozenset({429, 503})
-_DEFAULT_SLOTS = 8
-_MIN_MARGIN_S = 0.001
 # Other nodes learn within this that the backend server leaves; what is on its way
 # until then is still served.
 _LEAVE_NOTICE_S = 1.0
-# Weight of one result in the share of failed calls: about the last ten count.
-_FAILURE_WEIGHT = 0.1
-
-
-class BackendServer(NamedTuple):
-    """What a backend server announced of itself.
-
-    :param instance_id: names one start of it, empty where it has no such name.
-    """
-
-    service: str
-    version: str
-    host: str
-    port: int
-    slots: int = _DEFAULT_SLOTS
-    health_path: str = "/health"
-    instance_id: str = ""
-
-
-class CallResult(NamedTuple):
-    """What one call showed of the backend server's version.
-
-    :param failed: the version's own fault, not the caller's nor a shed call.
-    :param shed: the backend server refused for load.
-    """
-
-    route: str
-    tenant: str
-    traffic_class: str
-    seconds_s: float
-    failed: bool
-    shed: bool
-
-
-class CallStream(Protocol):
-    """The other end of a call: the node of the caller."""
-
-    async def read_body(self) -> tuple[bytes, bool]:
-        """Return the next piece of the request's body and whether it ends."""
-        ...
-
-    def send_head(self, head: AnswerHead) -> None:
-        """Begin the answer."""
-        ...
-
-    async def send_body(self, data: bytes, *, end: bool) -> None:
-        """Send a piece of the answer's body."""
-        ...
-
-    def fail(self, failure: Failure) -> None:
-        """End the call without a whole answer."""
-        ...
 
 
 class Gate:
@@ -105,15 +55,16 @@
         self._headers = headers
         self._closes_at_s = float("inf")
         self._metrics = metrics
-        self._observe = observe
         self._client = CurlClient()
-        self._limiter = SlotLimiter(slots=_DEFAULT_SLOTS, clock=clock)
+        self._limiter = SlotLimiter(slots=DEFAULT_SLOTS, clock=clock)
         self._dedupe = DedupeTable(clock=clock)
         self._typical = TypicalTimes()
+        self._results = LatestResults(
+            typical=self._typical, metrics=metrics, observe=observe
+        )
         self._backend: BackendServer | None = None
         self.resend_allowed = False
         self._draining = False
-        self._failed_share = 0.0
         self._running = 0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -130,7 +81,7 @@
 
     def results(self, route: str) -> GateResults:
         """Return what callers' nodes need to know of this gate's latest calls."""
-        return GateResults(self._typical.mean_s(route), self._failed_share)
+        return self._results.of_route(route)
 
     @property
     def running(self) -> int:
@@ -266,7 +217,15 @@
     ) -> None:
         """Send the request; from the first byte on it may have run."""
         started_s = self._clock.monotonic()
-        transfer = self._client.start(self._backend_request(request, deadline_s))
+        transfer = self._client.start(
+            backend_request(
+                self._headers,
+                request,
+                self._backend,
+                left_s=deadline_s - started_s,
+                resend_allowed=self.resend_allowed,
+            )
+        )
         verdict = Verdict.MAY_HAVE_RUN
         upload = self._start_upload(request, stream, transfer)
         try:
@@ -371,56 +330,7 @@
         self, request: CallRequest, started_s: float, *, status: int, complete: bool
     ) -> None:
         seconds_s = self._clock.monotonic() - started_s
-        shed = status in _SHED_STATUSES
-        failed = not shed and (not complete or status >= 500)
-        wrong = 1.0 if failed or shed else 0.0
-        self._failed_share += _FAILURE_WEIGHT * (wrong - self._failed_share)
-        if not failed and not shed:
-            self._typical.record(request.route, seconds_s)
-        self._metrics.record_latency(
-            "backend",
-            seconds_s,
-            tenant=request.tenant,
-            traffic_class=request.traffic_class,
-        )
-        self._observe(
-            CallResult(
-                request.route,
-                request.tenant,
-                request.traffic_class,
-                seconds_s,
-                failed,
-                shed,
-            )
-        )
-
-    def _backend_request(
-        self, request: CallRequest, deadline_s: float
-    ) -> BackendRequest:
-        left_s = max(_MIN_MARGIN_S, deadline_s - self._clock.monotonic())
-        left_ms = int(left_s * 1000)
-        backend = self._backend
-        names = self._headers
-        headers = curl_headers(request)
-        headers.append(f"{names.timeout}: {left_ms}")
-        if not names.callers_request_id:
-            headers.append(f"{names.request_id}: {request.request_id}")
-        if names.expected_instance and backend.instance_id:
-            headers.append(f"{names.expected_instance}: {backend.instance_id}")
-        return BackendRequest(
-            method=request.method,
-            url=f"http://{backend.host}:{backend.port}{request.target}",
-            headers=headers,
-            body_length=request.body_length,
-            timeout_ms=left_ms,
-            fresh_connection=not request.idempotent,
-            resend_allowed=self.resend_allowed or _may_be_resent(request),
-        )
-
-
-def _may_be_resent(request: CallRequest) -> bool:
-    """Tell whether libcurl may send again on finding a kept connection dead."""
-    return request.idempotent and not request.body_length
+        self._results.record(request, seconds_s, status=status, complete=complete)
 
 
 async def _upload(request: CallRequest, stream: CallStream, transfer: Transfer) -> None:
--- /dev/null
+++ b/burdockdock/gate/results.py
@@ -0,0 +1,67 @@
+"""What the latest calls showed of a backend server."""
+
+from collections.abc import Callable
+
+from burdockdock.coordination.typical import TypicalTimes
+from burdockdock.gate.model import CallResult
+from burdockdock.metrics import Metrics
+from burdockdock.protocol.calls import CallRequest, GateResults
+
+_SHED_STATUSES = frozenset({429, 503})
+# Weight of one result in the share of failed calls: about the last ten count.
+_FAILURE_WEIGHT = 0.1
+
+
+class LatestResults:
+    """Times and failures of the calls that reached the backend server.
+
+    :param typical: kept up to date with the times of calls that ended well.
+    :param observe: told each result.
+    """
+
+    def __init__(
+        self,
+        *,
+        typical: TypicalTimes,
+        metrics: Metrics,
+        observe: Callable[[CallResult], None],
+    ) -> None:
+        self._typical = typical
+        self._metrics = metrics
+        self._observe = observe
+        self._failed_share = 0.0
+
+    def of_route(self, route: str) -> GateResults:
+        """Return what callers' nodes need to know."""
+        return GateResults(self._typical.mean_s(route), self._failed_share)
+
+    def record(
+        self, request: CallRequest, seconds_s: float, *, status: int, complete: bool
+    ) -> None:
+        """Take in how a call ended.
+
+        :param status: of the answer, 0 without one.
+        :param complete: whether the whole answer was passed on.
+        """
+        shed = status in _SHED_STATUSES
+        failed = not shed and (not complete or status >= 500)
+        wrong = 1.0 if failed or shed else 0.0
+        self._failed_share += _FAILURE_WEIGHT * (wrong - self._failed_share)
+        if not failed and not shed:
+            self._typical.record(request.route, seconds_s)
+        self._metrics.record_latency(
+            "backend",
+            seconds_s,
+            tenant=request.tenant,
+            traffic_class=request.traffic_class,
+        )
+        self._observe(
+            CallResult(
+                request.route,
+                request.tenant,
+                request.traffic_class,
+                seconds_s,
+                failed,
+                shed,
+            )
+        )
--- a/burdockdock/node/announcements.py
+++ b/burdockdock/node/announcements.py
@@ -7,7 +7,8 @@
 
 from burdockdock.clock import Clock
 from burdockdock.coordination.verdict import Failure, Verdict
-from burdockdock.gate.gate import BackendServer, Gate
+from burdockdock.gate.gate import Gate
+from burdockdock.gate.model import BackendServer
 from burdockdock.logs import log_event
 
 # Reason of a refusal that only says that a newer message was heard already.
--- /dev/null
+++ b/burdockdock/node/draining.py
@@ -0,0 +1,81 @@
+"""The graceful stop of a node: no call is cut, and none is taken that can't end."""
+
+import asyncio
+from typing import NamedTuple
+
+from tornado.httpserver import HTTPServer
+
+from burdockdock.clock import Clock
+from burdockdock.gate.gate import Gate
+from burdockdock.logs import log_event
+from burdockdock.node.settings import NodeSettings
+from burdockdock.proxy.context import CallContext
+
+# What other nodes need to hear of it.
+_LEAVE_SPREAD_S = 1.0
+# Those who ask for readiness once a second send no new calls after two misses.
+_LEAVE_READINESS_S = 3.0
+# Calls that arrive on kept connections are still taken for this long.
+_LAST_CALLS_S = 1.0
+# What closing takes, before the kill.
+_CLOSE_S = 0.5
+_POLL_S = 0.02
+
+
+class DrainTiming(NamedTuple):
+    """Times of a graceful stop.
+
+    :param notice_s: until everyone knows; calls still arrive and are served.
+    :param longest_s: from the stop signal to the last answer.
+    :param last_calls_s: how long the calls left may take after the notice.
+    """
+
+    notice_s: float
+    longest_s: float
+    last_calls_s: float
+
+
+def drain_timing(settings: NodeSettings) -> DrainTiming:
+    """Return the times for a node's settings."""
+    asked = settings.readiness[1] > 0
+    grace_s = settings.grace_period_s or float("inf")
+    return DrainTiming(
+        notice_s=_LEAVE_READINESS_S if asked else _LEAVE_SPREAD_S,
+        longest_s=grace_s - _CLOSE_S,
+        last_calls_s=settings.drain_timeout_s,
+    )
+
+
+async def drain(
+    context: CallContext,
+    gate: Gate,
+    callers: HTTPServer,
+    *,
+    timing: DrainTiming,
+    clock: Clock,
+) -> None:
+    """Send callers elsewhere, then finish the calls that this node has.
+
+    :param callers: the server that takes callers' connections.
+    """
+    started_s = clock.monotonic()
+    log_event("node.draining", calls=context.open_calls)
+    context.draining = True
+    await asyncio.sleep(timing.notice_s)
+    callers.stop()
+    gate.start_draining()
+    loop = asyncio.get_running_loop()
+    loop.call_later(_LAST_CALLS_S, _refuse_calls, context)
+    left_s = timing.longest_s - (clock.monotonic() - started_s)
+    timeout_s = max(0.0, min(timing.last_calls_s, left_s))
+    try:
+        async with asyncio.timeout(timeout_s):
+            await gate.wait_idle()
+            while context.open_calls:
+                await asyncio.sleep(_POLL_S)
+    except TimeoutError:
+        log_event("node.drain_timeout", calls=context.open_calls)
+
+
+def _refuse_calls(context: CallContext) -> None:
+    context.refusing = True
--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -11,12 +11,14 @@
 from burdockdock.coordination.membership import Member, MembershipTable, MemberState
 from burdockdock.coordination.ranking import MemberRanking
 from burdockdock.coordination.records import Record, RecordStore
-from burdockdock.gate.gate import BackendServer, CallResult, Gate
+from burdockdock.gate.gate import Gate
+from burdockdock.gate.model import BackendServer, CallResult
 from burdockdock.logs import log_event
 from burdockdock.metrics import Metrics
 from burdockdock.node.announcements import Announcement, BackendState, BackendWatch
 from burdockdock.node.bootstrap import Bootstrap
 from burdockdock.node.config_state import CONFIG_KEY, ConfigState
+from burdockdock.node.draining import drain, drain_timing
 from burdockdock.node.interface import OWN_INTERFACE, BackendActions, Interface
 from burdockdock.node.notices import tell_in_force, tell_late
 from burdockdock.node.notifier import Notifier
@@ -28,8 +30,8 @@
 from burdockdock.node.roster import Roster
 from burdockdock.node.settings import NodeSettings
 from burdockdock.node.status import (
-    ControlBytes,
     StatusReport,
+    report_bytes,
     report_fleet,
     report_move,
 )
@@ -48,14 +50,6 @@
 from burdockdock.proxy.listener import serve_callers
 from burdockdock.proxy.peer_link import PeerLinks
 
-_LEAVE_SPREAD_S = 1.0
-# Those who ask for readiness once a second send no new calls after two misses.
-_LEAVE_READINESS_S = 3.0
-# Calls that arrive on kept connections are still taken for this long.
-_LAST_CALLS_S = 1.0
-# What closing takes, before the kill.
-_CLOSE_S = 0.5
-
 
 class Node:
     """Builds the parts of a node, runs them, and stops them gracefully."""
@@ -353,39 +347,17 @@
 
     async def drain(self) -> None:
         """Say that this node leaves, finish what it has, then stop."""
-        started_s = self._clock.monotonic()
-        log_event("node.draining", calls=self.context.open_calls)
         self._change_own(leaving=True)
-        self.context.draining = True
-        # Until everyone knows, calls still arrive and are still served.
-        asked = self._settings.readiness[1] > 0
-        await asyncio.sleep(_LEAVE_READINESS_S if asked else _LEAVE_SPREAD_S)
-        self._caller_server.stop()
-        self.gate.start_draining()
-        loop = asyncio.get_running_loop()
-        loop.call_later(_LAST_CALLS_S, self._refuse_calls)
-        timeout_s = self._drain_timeout_s(self._clock.monotonic() - started_s)
-        try:
-            async with asyncio.timeout(timeout_s):
-                await self.gate.wait_idle()
-                while self.context.open_calls:
-                    await asyncio.sleep(0.02)
-        except TimeoutError:
-            log_event("node.drain_timeout", calls=self.context.open_calls)
+        await drain(
+            self.context,
+            self.gate,
+            self._caller_server,
+            timing=drain_timing(self._settings),
+            clock=self._clock,
+        )
         await self.close()
         log_event("node.stopped")
 
-    def _refuse_calls(self) -> None:
-        self.context.refusing = True
-
-    def _drain_timeout_s(self, passed_s: float) -> float:
-        """Return how long calls in flight may still take, short of the kill."""
-        timeout_s = self._settings.drain_timeout_s
-        if self._settings.grace_period_s:
-            left_s = self._settings.grace_period_s - passed_s - _CLOSE_S
-            timeout_s = min(timeout_s, left_s)
-        return max(0.0, timeout_s)
-
     async def close(self) -> None:
         """Close every connection at once, without draining."""
         self._operator_server.stop()
@@ -455,16 +427,7 @@
             platform_failures_in_row=self.platform.failures_in_row,
             fleet=report_fleet(await self.applied.status()),
             moves=[report_move(rollout) for rollout in self.rollouts.view.all()],
-            control_bytes=self._control_bytes(),
-        )
-
-    def _control_bytes(self) -> ControlBytes:
-        server = self._peer_server
-        return ControlBytes(
-            datagrams_sent=self.datagrams.sent_bytes,
-            datagrams_received=self.datagrams.received_bytes,
-            sync_sent=self.sync.sent_bytes + server.sync_sent_bytes,
-            sync_received=self.sync.received_bytes + server.sync_received_bytes,
+            control_bytes=report_bytes(self.datagrams, self.sync, self._peer_server),
         )
 
 
--- a/burdockdock/node/operator_api.py
+++ b/burdockdock/node/operator_api.py
@@ -7,7 +7,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
-from burdockdock.gate.gate import BackendServer
+from burdockdock.gate.model import BackendServer
 from burdockdock.metrics import Metrics
 from burdockdock.node.status import StatusReport
 
--- a/burdockdock/node/rollouts.py
+++ b/burdockdock/node/rollouts.py
@@ -7,7 +7,7 @@
 from burdockdock.coordination.membership import Member, MembershipTable
 from burdockdock.coordination.ranking import MemberRanking
 from burdockdock.coordination.records import Record, RecordStore
-from burdockdock.gate.gate import BackendServer, CallResult
+from burdockdock.gate.model import BackendServer, CallResult
 from burdockdock.node.notifier import Notifier
 from burdockdock.node.supervise import supervise
 from burdockdock.overlay.datagrams import Address, Datagrams
--- a/burdockdock/node/status.py
+++ b/burdockdock/node/status.py
@@ -2,7 +2,10 @@
 
 from typing import TypedDict
 
+from burdockdock.node.peer_server import PeerServer
 from burdockdock.overlay.applied import AppliedState, FleetStatus
+from burdockdock.overlay.datagrams import Datagrams
+from burdockdock.overlay.sync import SyncClient
 from burdockdock.rollout.model import Rollout
 
 
@@ -88,3 +91,15 @@
     return MoveReport(
         service=rollout.service, phase=rollout.phase.value, share=rollout.share
     )
+
+
+def report_bytes(
+    datagrams: Datagrams, sync: SyncClient, server: PeerServer
+) -> ControlBytes:
+    """Return the overlay's bytes for a status report."""
+    return ControlBytes(
+        datagrams_sent=datagrams.sent_bytes,
+        datagrams_received=datagrams.received_bytes,
+        sync_sent=sync.sent_bytes + server.sync_sent_bytes,
+        sync_received=sync.received_bytes + server.sync_received_bytes,
+    )
--- a/burdockdock/platform/announcements.py
+++ b/burdockdock/platform/announcements.py
@@ -8,7 +8,7 @@
 from tornado.web import Application, RequestHandler
 
 from burdockdock.coordination.verdict import Failure, Verdict
-from burdockdock.gate.gate import BackendServer
+from burdockdock.gate.model import BackendServer
 from burdockdock.logs import log_event
 from burdockdock.node.announcements import LATE, Announcement, BackendState
 from burdockdock.node.interface import BackendActions
--- a/burdockdock/proxy/call_factory.py
+++ b/burdockdock/proxy/call_factory.py
@@ -9,8 +9,8 @@
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.gate.headers import CallHeaders
 from burdockdock.protocol.calls import CallRequest, Headers
+from burdockdock.proxy.call import Call
 from burdockdock.proxy.context import CallContext
-from burdockdock.proxy.forwarder import Call
 
 DEFAULT_TENANT = "default"
 _IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS", "TRACE"})
--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -1,7 +1,7 @@
 """Carries one call to a backend server, with retries that never run it twice."""
 
 import asyncio
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
 
 from burdockdock.clock import Clock
 from burdockdock.coordination.backoff import RetryBudget
@@ -9,8 +9,7 @@
 from burdockdock.coordination.verdict import Failure, Verdict, may_retry
 from burdockdock.logs import log_event
 from burdockdock.metrics import Metrics
-from burdockdock.protocol import WindowClosed
-from burdockdock.protocol.calls import AnswerHead, CallRequest
+from burdockdock.protocol.calls import AnswerHead
 from burdockdock.proxy.attempts import (
     BACKEND_REFUSED,
     FREE_SLOT_TRIES,
@@ -20,10 +19,10 @@
     is_refused_by_node,
 )
 from burdockdock.proxy.balancer import LARGE_ANSWERS, Balancer
+from burdockdock.proxy.call import Call, Caller, ReplayableBody
 from burdockdock.proxy.endpoints import Endpoints
 from burdockdock.proxy.peer_link import PeerLink, PeerLinks, RemoteCall
 
-_REPLAY_BYTES = 64 * 1024
 _OUTCOME_INTERVAL_S = 0.02
 _ANSWER_LOST = "answer_lost"
 _NO_BACKEND_SERVER = "no_backend_server"
@@ -45,48 +44,6 @@
 )
 
 
-class Caller(Protocol):
-    """The side of the caller."""
-
-    async def read_body(self) -> tuple[bytes, bool]:
-        """Return the next piece of the request's body and whether it ends."""
-        ...
-
-    async def send_head(self, head: AnswerHead) -> None:
-        """Begin the answer."""
-        ...
-
-    async def send_body(self, data: bytes) -> None:
-        """Send a piece of the answer once there is room for it."""
-        ...
-
-    def finish(self) -> None:
-        """End a whole answer."""
-        ...
-
-    def break_off(self) -> None:
-        """Break the connection, so that a partial answer can't pass for a whole."""
-        ...
-
-
-class Call(NamedTuple):
-    """A call as the listener hands it over.
-
-    :param deadline_s: monotonic seconds.
-    :param retries: further attempts allowed.
-    :param key: the caller's own idempotency key, empty without one.
-    :param target_s: when the answer loses value, in monotonic seconds; 0 for never.
-    :param large_answer: the answer is large enough to prefer near backend servers.
-    """
-
-    request: CallRequest
-    deadline_s: float
-    retries: int
-    key: str = ""
-    target_s: float = 0.0
-    large_answer: bool = False
-
-
 class _Attempt(NamedTuple):
     member: Member
     link: PeerLink
@@ -120,7 +77,7 @@
             else a failure of which the caller was not told yet.
         """
         self._budget.record_call()
-        body = _ReplayableBody(caller, call.request.body_length)
+        body = ReplayableBody(caller, call.request.body_length)
         if call.request.body_length != 0:
             await body.read_first()
         # A large answer waits for a near backend server rather than come from afar.
@@ -147,7 +104,7 @@
         self,
         call: Call,
         caller: Caller,
-        body: "_ReplayableBody",
+        body: ReplayableBody,
         tried: Tried,
     ) -> AttemptFailure | None:
         member = self._pick(call, tried)
@@ -186,7 +143,7 @@
         member: Member,
         call: Call,
         caller: Caller,
-        body: "_ReplayableBody",
+        body: ReplayableBody,
         *,
         may_wait: bool,
     ) -> AnswerHead | Failure:
@@ -216,7 +173,7 @@
         return await self._follow(attempt, call, caller, body)
 
     async def _follow(
-        self, attempt: _Attempt, call: Call, caller: Caller, body: "_ReplayableBody"
+        self, attempt: _Attempt, call: Call, caller: Caller, body: ReplayableBody
     ) -> AnswerHead | Failure:
         """Send the rest of the body while waiting for the answer."""
         upload = None
@@ -294,7 +251,7 @@
     def _should_retry(
         self,
         call: Call,
-        body: "_ReplayableBody",
+        body: ReplayableBody,
         failure: Failure,
         attempts_left: int,
     ) -> bool:
@@ -334,35 +291,6 @@
         return int((call.deadline_s - self._clock.monotonic()) * 1000)
 
 
-class _ReplayableBody:
-    """A request's body of which the beginning can be sent again."""
-
-    def __init__(self, caller: Caller, length: int) -> None:
-        self._caller = caller
-        self._length = length
-        self.start = b""
-        self.start_is_all = True
-        self.replayable = True
-
-    async def read_first(self) -> None:
-        """Read all of a short body, or the first piece of another."""
-        self.start, self.start_is_all = await self._caller.read_body()
-        while not self.start_is_all and 0 < self._length <= _REPLAY_BYTES:
-            data, self.start_is_all = await self._caller.read_body()
-            self.start += data
-
-    async def send_rest(self, remote: RemoteCall) -> None:
-        """Send what comes after the beginning; it can't be sent again."""
-        end = False
-        while not end:
-            data, end = await self._caller.read_body()
-            self.replayable = False
-            try:
-                await remote.send_body(data, end=end)
-            except WindowClosed:
-                return
-
-
 def _is_fault(result: AnswerHead | Failure) -> bool:
     """Tell whether a result speaks against the backend server's health."""
     if isinstance(result, Failure):
--- a/burdockdock/proxy/listener.py
+++ b/burdockdock/proxy/listener.py
@@ -17,9 +17,9 @@
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.logs import log_event
 from burdockdock.protocol.calls import AnswerHead
+from burdockdock.proxy.call import Call
 from burdockdock.proxy.call_factory import DEFAULT_TENANT, hop_names, make_call
 from burdockdock.proxy.context import CallContext
-from burdockdock.proxy.forwarder import Call
 
 VERDICT_HEADER = "X-Burdockdock-Verdict"
 MAX_HEADER_BYTES = 64 * 1024
--- a/burdockdock/rollout/evidence.py
+++ b/burdockdock/rollout/evidence.py
@@ -4,7 +4,7 @@
 from collections import defaultdict
 from typing import NamedTuple
 
-from burdockdock.gate.gate import CallResult
+from burdockdock.gate.model import CallResult
 from burdockdock.protocol import Message
 
 _BUCKETS_PER_OCTAVE = 8
--- a/tests/gate/test_gate.py
+++ b/tests/gate/test_gate.py
@@ -8,7 +8,8 @@
 from burdockdock.coordination.verdict import Verdict
 from burdockdock.gate.curl_client import BackendHead
 from burdockdock.gate.exchange import check_answer
-from burdockdock.gate.gate import BackendServer, Gate
+from burdockdock.gate.gate import Gate
+from burdockdock.gate.model import BackendServer
 from burdockdock.metrics import Metrics
 from burdockdock.platform.headers import HEADERS
 from burdockdock.protocol.calls import CallRequest
--- a/tests/node/test_announcements.py
+++ b/tests/node/test_announcements.py
@@ -5,7 +5,7 @@
 import testtools
 
 from burdockdock.clock import ManualClock
-from burdockdock.gate.gate import BackendServer
+from burdockdock.gate.model import BackendServer
 from burdockdock.node.announcements import Announcement, BackendState, BackendWatch
 
 _PLACE = ("work", "10.0.0.9", 8080)
--- a/tests/proxy/fault_matrix.py
+++ b/tests/proxy/fault_matrix.py
@@ -15,7 +15,7 @@
 
 from burdockdock.coordination.membership import Member
 from burdockdock.coordination.verdict import Failure, Verdict
-from burdockdock.gate.gate import BackendServer
+from burdockdock.gate.model import BackendServer
 from tests.fleet import CONFIG, HOST, Fleet, running_fleet
 from tests.relay import Moment, Relay
 from tests.support import eventually
