Show a fault under load to few calls; soak beside the old version

Its calls were spread over seven backend servers, so that none had more than three at a time before the share was a half; from four at a time on a third of them failed (log of 180 calls, by calls in use at the gate). And the demonstration took a good move back: while soaking, no call went to the old version, and a slow machine looked like a slow version. Ruled out: slow spread of the abort (40 ms), evidence that came late (0.25 s). Change: with a share of a quarter or less, a new version's calls go to as few of its backend servers as the share fills, others at each share. A tenth of the calls stays at the old version while the new one soaks; slowness without a comparison counts only after 200 calls in a row without one. Tests: four of placement, two of the judge; the one of a slow machine while soaking fails without the change.

--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -179,7 +179,10 @@
         )
         self.links = PeerLinks(self._identity, count=self.metrics.count)
         self._endpoints = Endpoints(
-            self.membership, weights_of=self._weights_of, rng=self._rng
+            self.membership,
+            weights_of=self._weights_of,
+            rng=self._rng,
+            new_version_of=lambda service: self.rollouts.new_version(service),
         )
         balancer = Balancer(
             availability_zone=settings.availability_zone,
--- a/burdockdock/node/rollouts.py
+++ b/burdockdock/node/rollouts.py
@@ -111,6 +111,11 @@
         ordered = order.to_version if order is not None and order.open else ""
         return incumbent_weights(members, ordered_version=ordered)
 
+    def new_version(self, service: str) -> str:
+        """Return the version that a service is being moved to, empty without one."""
+        rollout = self.view.get(service)
+        return "" if rollout is None or rollout.phase.final else rollout.to_version
+
     def is_stopped(self, service: str, version: str) -> bool:
         """Tell whether a rollout has taken all calls from a version."""
         weights = self.view.weights(service)
--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -131,7 +131,7 @@
         service = call.request.service
         if call.key:
             return self._endpoints.home_of(service, call.key)
-        members = self._endpoints.for_call(service)
+        members = self._endpoints.for_call(service, full=tried.excluded)
         if call.large_answer:
             return self._balancer.pick(
                 members, excluded=tried.excluded, distances=LARGE_ANSWERS
--- a/burdockdock/rollout/judge.py
+++ b/burdockdock/rollout/judge.py
@@ -27,6 +27,8 @@
 _MAX_RATE = 0.9
 # Without the old version beside it, a slow machine looks like a slow version, so
 # that only a gross slowness counts then; the comparison found the others before.
+# As many calls in a row have had none of the old version's beside them.
+_CALLS_ALONE = 200
 _ACCEPTED_SLOW = 0.3
 _REJECTED_SLOW = 0.7
 
@@ -59,6 +61,7 @@
         self.slow_rate = RateTest()
         self._reference = HdrHistogram(1, _HIGHEST_US, _SIGNIFICANT_DIGITS)
         self._old = Counts()
+        self._calls_alone = 0
 
     def update(self, new: EvidenceRow, old: EvidenceRow) -> None:
         """Take in one interval's results of both versions."""
@@ -105,7 +108,8 @@
         new_counts = _slow_counts(new, limit_us)
         old_counts = _slow_counts(old, limit_us)
         self.slowness.update(new=new_counts, old=old_counts)
-        if not old_counts.calls:
+        self._calls_alone = 0 if old.calls else self._calls_alone + new.calls
+        if self._calls_alone > _CALLS_ALONE:
             self.slow_rate.update(
                 new_counts,
                 accepted_rate=_ACCEPTED_SLOW,
--- a/burdockdock/rollout/model.py
+++ b/burdockdock/rollout/model.py
@@ -7,6 +7,9 @@
 
 ROLLOUT_PREFIX = "rollouts/"
 ABORT_PREFIX = "abort/"
+# The rest goes on at the old version, so that a disturbance that hits both while the
+# new one soaks is not taken for its fault.
+SOAKING_SHARE = 0.9
 
 
 class Phase(StrEnum):
@@ -74,7 +77,11 @@
         change = PhaseChange(
             phase.value, now.isoformat(timespec="milliseconds"), reason
         )
-        share = {Phase.DONE: 1.0, Phase.SOAKING: 1.0, Phase.ROLLED_BACK: 0.0}
+        share = {
+            Phase.DONE: 1.0,
+            Phase.SOAKING: SOAKING_SHARE,
+            Phase.ROLLED_BACK: 0.0,
+        }
         return self._replace(
             phase=phase,
             share=share.get(phase, self.share),
--- a/tests/proxy/test_endpoints.py
+++ b/tests/proxy/test_endpoints.py
@@ -70,6 +70,59 @@
         self.assertTrue(400 < drawn.count("b") < 600, drawn.count("b"))
 
 
+class CanaryTest(testtools.TestCase):
+    """Tests of the few backend servers that take a new version's first calls."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        own = Member("own", "h", 1, "r", "z1", 1)
+        self.table = MembershipTable(own, clock=ManualClock())
+        for i in range(7):
+            self.table.merge(_member(f"old-{i}"))
+            self.table.merge(_member(f"new-{i}", service_version="2"))
+        self.share = 0.0
+        self.endpoints = Endpoints(
+            self.table,
+            weights_of=lambda _: {"1": 1.0 - self.share, "2": self.share},
+            rng=random.Random(1),
+            new_version_of=lambda _: "2",
+        )
+
+    def _new_ids(self, *, calls: int = 400, **options: object) -> set[str]:
+        """Return the members of the new version that may take some of the calls."""
+        drawn = [self.endpoints.for_call("desk", **options) for _ in range(calls)]
+        return {m.node_id for ms in drawn for m in ms if m.service_version == "2"}
+
+    def test_a_small_share_loads_its_members_as_the_whole_would(self) -> None:
+        for self.share in (0.01, 0.02, 0.05, 0.1, 0.25):
+            count = len(self._new_ids())
+            self.assertEqual(1 if self.share <= 0.1 else 2, count)
+            if self.share >= 0.1:
+                self.assertGreaterEqual(self.share / count, 0.7 / 7)
+        self.share = 0.5
+        self.assertEqual(7, len(self._new_ids()))
+
+    def test_other_members_stand_for_the_version_at_each_share(self) -> None:
+        seen = set()
+        for self.share in (0.01, 0.02, 0.05, 0.1, 0.25):
+            seen |= self._new_ids()
+        self.assertGreaterEqual(len(seen), 3)
+
+    def test_a_call_without_room_there_goes_to_the_others(self) -> None:
+        self.share = 0.1
+        first = self._new_ids()
+        self.assertEqual(1, len(first))
+        self.assertEqual(7, len(self._new_ids(full=frozenset(first))))
+
+    def test_the_old_version_and_callers_keys_are_spread_as_before(self) -> None:
+        self.share = 0.1
+        members = [self.endpoints.for_call("desk") for _ in range(50)]
+        old = [ms for ms in members if ms[0].service_version == "1"]
+        self.assertEqual({7}, {len(ms) for ms in old})
+        keys = [self.endpoints.home_of("desk", f"k{i}").node_id for i in range(900)]
+        self.assertEqual(7, len({n for n in keys if n.startswith("new")}))
+
+
 class BalancerTest(testtools.TestCase):
     """Tests of the balancer."""
 
--- a/tests/rollout/test_policy.py
+++ b/tests/rollout/test_policy.py
@@ -9,7 +9,7 @@
 
 from burdockdock.rollout.evidence import EvidenceKey, EvidenceRow, bucket_of
 from burdockdock.rollout.judge import Judge, Judgement
-from burdockdock.rollout.model import Phase, Rollout, decode_rollout
+from burdockdock.rollout.model import SOAKING_SHARE, Phase, Rollout, decode_rollout
 from burdockdock.rollout.policy import Facts, next_state
 
 START = datetime(2026, 1, 1, tzinfo=UTC)
@@ -150,6 +150,30 @@
         for seed in range(20):
             self.assertEqual("", self._judge(seed).fault)
 
+    def test_a_slow_machine_while_the_new_version_soaks_is_not_its_fault(self) -> None:
+        new_calls = round(40 * SOAKING_SHARE)
+        for seed in range(20):
+            rng = random.Random(seed)
+            judge = Judge(from_version="1", to_version="2")
+            for interval in range(80):
+                # Short intervals in which no call drew the old version.
+                old_calls = 0 if interval % 4 else 4 * (40 - new_calls)
+                slow = 4.0 if interval >= 40 else 1.0
+                old = _rows(rng, old_calls, "1", slow=slow) if old_calls else {}
+                judge.update({**old, **_rows(rng, new_calls, "2", slow=slow)})
+                self.assertEqual("", judge.judgement().fault, seed)
+
+    def test_a_version_that_is_slow_only_at_full_load_is_found(self) -> None:
+        new_calls = round(40 * SOAKING_SHARE)
+        for seed in range(20):
+            rng = random.Random(seed)
+            judge = Judge(from_version="1", to_version="2")
+            for interval in range(80):
+                slow = 2.5 if interval > 40 else 1.0
+                old = _rows(rng, 40 - new_calls, "1")
+                judge.update({**old, **_rows(rng, new_calls, "2", slow=slow)})
+            self.assertIn("slower", judge.judgement().fault, seed)
+
     def test_failing_and_slow_versions_are_found(self) -> None:
         for seed in range(10):
             self.assertIn("failures", self._judge(seed, fail=0.05).fault)
