Keep one retry budget for the fleet, and one for each service

Cause: each of 13 nodes could save up 10 retries, 130 in all, where the users allow 64 beyond the share; and calls to a busy service paid for retries at a small one. Ruled out: a counter that all nodes share (a message for each retry). Change: the reserve is divided by the number of nodes, budgets are kept by service, share and reserve are settings ([limits] retry_share, retry_reserve). Half of both is used: what a repeated call's backend server calls again counts as well. Tests: a fleet of 3, 13 and 40 nodes; one service's calls pay for no other's retries.

--- a/burdockdock/coordination/__init__.py
+++ b/burdockdock/coordination/__init__.py
@@ -1,6 +1,11 @@
 """Parts that coordinate processes, usable without the daemon."""
 
-from burdockdock.coordination.backoff import RetryBudget, TokenBucket, full_jitter
+from burdockdock.coordination.backoff import (
+    FleetRetryBudget,
+    RetryBudget,
+    TokenBucket,
+    full_jitter,
+)
 from burdockdock.coordination.dedupe import DedupeTable
 from burdockdock.coordination.lease import Lease
 from burdockdock.coordination.limiter import SlotLimiter
@@ -23,6 +28,7 @@
     "RateTest",
     "Record",
     "RecordStore",
+    "FleetRetryBudget",
     "RetryBudget",
     "SlotLimiter",
     "TokenBucket",
--- a/burdockdock/coordination/backoff.py
+++ b/burdockdock/coordination/backoff.py
@@ -1,6 +1,7 @@
 """Delays and budgets for retries."""
 
 import random
+from collections.abc import Callable
 
 from burdockdock.clock import Clock
 
@@ -32,6 +33,11 @@
         self._reserve = reserve
         self._balance = reserve
 
+    def resize(self, reserve: float) -> None:
+        """Change the number of retries that may be saved up."""
+        self._reserve = reserve
+        self._balance = min(self._balance, reserve)
+
     def record_call(self) -> None:
         """Earn a share of one retry for a first attempt."""
         self._balance = min(self._reserve, self._balance + self._share)
@@ -44,6 +50,41 @@
         return True
 
 
+class FleetRetryBudget:
+    """This node's part of the retries that a whole fleet may make.
+
+    Each service has its own, so that many calls to one pay for no retries at another.
+    What may be saved up is divided by the number of nodes; they need not talk.
+
+    :param share: retries earned by each call.
+    :param reserve: retries that the whole fleet may save up for a service.
+    :param nodes: returns the number of nodes.
+    """
+
+    def __init__(
+        self, *, share: float, reserve: float, nodes: Callable[[], int]
+    ) -> None:
+        self._share = share
+        self._reserve = reserve
+        self._nodes = nodes
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def record_call(self, service: str) -> None:
+        """Earn a share of one retry for a first attempt."""
+        part = max(1.0, self._reserve / max(1, self._nodes()))
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = RetryBudget(share=self._share, reserve=part)
+            self._budgets[service] = budget
+        budget.resize(part)
+        budget.record_call()
+
+    def try_spend(self, service: str) -> bool:
+        """Spend one retry if the service's budget holds one."""
+        budget = self._budgets.get(service)
+        return budget is not None and budget.try_spend()
+
+
 class TokenBucket:
     """Limits a rate, such as that of handshakes.
 
--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -8,6 +8,7 @@
 from tornado.httpserver import HTTPServer
 
 from burdockdock.clock import Clock, SystemClock
+from burdockdock.coordination.backoff import FleetRetryBudget
 from burdockdock.coordination.membership import Member, MembershipTable, MemberState
 from burdockdock.coordination.ranking import MemberRanking
 from burdockdock.coordination.records import Record, RecordStore
@@ -50,6 +51,9 @@
 from burdockdock.proxy.listener import serve_callers
 from burdockdock.proxy.peer_link import PeerLinks
 
+# The rest is for the calls that a repeated call's backend server makes again.
+_RETRY_PART = 0.5
+
 
 class Node:
     """Builds the parts of a node, runs them, and stops them gracefully."""
@@ -197,6 +201,11 @@
             balancer=balancer,
             clock=self._clock,
             metrics=self.metrics,
+            retry_budget=FleetRetryBudget(
+                share=settings.retry_share * _RETRY_PART,
+                reserve=settings.retry_reserve * _RETRY_PART,
+                nodes=lambda: len(self.membership),
+            ),
         )
         self.context = CallContext(
             node_id=settings.name,
--- a/burdockdock/node/settings.py
+++ b/burdockdock/node/settings.py
@@ -15,11 +15,13 @@
     "platform": {"url", "form"},
     "peers": {"seeds"},
     "backend_server": {"service", "address"},
-    "limits": {"drain_timeout_s", "grace_period"},
+    "limits": {"drain_timeout_s", "grace_period", "retry_share", "retry_reserve"},
     "operators": {"notify_url"},
 }
 FORMS = ("own", "objects")
 _DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
+DEFAULT_RETRY_SHARE = 0.2
+DEFAULT_RETRY_RESERVE = 100.0
 _NOWHERE: Address = ("", 0)
 _REQUIRED = {
     "node": ("name", "mesh", "region", "availability_zone"),
@@ -43,6 +45,8 @@
     :param backend_service: service beside this node, empty to believe any.
     :param backend_address: where that service listens.
     :param grace_period_s: seconds from the stop signal to the kill, 0 for no kill.
+    :param retry_share: retries at backend servers for each call, of all nodes.
+    :param retry_reserve: retries that all nodes together may make beyond that share.
     """
 
     name: str
@@ -62,6 +66,8 @@
     backend_service: str = ""
     backend_address: Address = _NOWHERE
     grace_period_s: float = 0.0
+    retry_share: float = DEFAULT_RETRY_SHARE
+    retry_reserve: float = DEFAULT_RETRY_RESERVE
 
 
 def read_settings(path: Path) -> NodeSettings | list[Problem]:
@@ -105,6 +111,10 @@
         backend_service=reader.text("backend_server", "service"),
         backend_address=reader.address("backend_server", "address"),
         grace_period_s=reader.duration_s("limits", "grace_period"),
+        retry_share=reader.number("limits", "retry_share", DEFAULT_RETRY_SHARE, 0, 1),
+        retry_reserve=reader.number(
+            "limits", "retry_reserve", DEFAULT_RETRY_RESERVE, 0, 1_000_000
+        ),
     )
     return reader.problems or settings
 
--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from burdockdock.clock import Clock
-from burdockdock.coordination.backoff import RetryBudget
+from burdockdock.coordination.backoff import FleetRetryBudget
 from burdockdock.coordination.membership import Member
 from burdockdock.coordination.verdict import Failure, Verdict, may_retry
 from burdockdock.logs import log_event
@@ -61,14 +61,14 @@
         balancer: Balancer,
         clock: Clock,
         metrics: Metrics,
-        retry_budget: RetryBudget | None = None,
+        retry_budget: FleetRetryBudget,
     ) -> None:
         self._links = links
         self._endpoints = endpoints
         self._balancer = balancer
         self._clock = clock
         self._metrics = metrics
-        self._budget = retry_budget or RetryBudget()
+        self._budget = retry_budget
 
     async def forward(self, call: Call, caller: Caller) -> Failure | None:
         """Carry a call to its answer.
@@ -76,7 +76,7 @@
         :returns: None when the answer was passed on whole or broken off visibly,
             else a failure of which the caller was not told yet.
         """
-        self._budget.record_call()
+        self._budget.record_call(call.request.service)
         body = ReplayableBody(caller, call.request.body_length)
         if call.request.body_length != 0:
             await body.read_first()
@@ -266,7 +266,10 @@
             and may_retry(failure, idempotent=call.request.idempotent)
             and body.replayable
             and self._left_ms(call) > 0
-            and (is_refused_by_node(failure) or self._budget.try_spend())
+            and (
+                is_refused_by_node(failure)
+                or self._budget.try_spend(call.request.service)
+            )
         )
 
     def _log_attempt(self, call: Call, outcome: AttemptFailure) -> None:
--- a/tests/coordination/test_tree.py
+++ b/tests/coordination/test_tree.py
@@ -5,7 +5,12 @@
 import testtools
 
 from burdockdock.clock import ManualClock
-from burdockdock.coordination.backoff import RetryBudget, TokenBucket, full_jitter
+from burdockdock.coordination.backoff import (
+    FleetRetryBudget,
+    RetryBudget,
+    TokenBucket,
+    full_jitter,
+)
 from burdockdock.coordination.tree import children, entries, rank
 
 
@@ -70,6 +75,27 @@
             spent += budget.try_spend()
         self.assertLessEqual(spent, 105)
 
+    def test_a_fleet_keeps_one_budget_without_talking(self) -> None:
+        for nodes in (3, 13, 40):
+            share, reserve = 0.1, 40.0
+            fleet = [
+                FleetRetryBudget(share=share, reserve=reserve, nodes=lambda n=nodes: n)
+                for _ in range(nodes)
+            ]
+            calls, spent = 10 * nodes, 0
+            for budget in fleet * 10:
+                budget.record_call("desk")
+                spent += budget.try_spend("desk") + budget.try_spend("desk")
+            self.assertLessEqual(spent, calls * share + max(reserve, nodes))
+
+    def test_calls_to_one_service_pay_for_no_retries_at_another(self) -> None:
+        budget = FleetRetryBudget(share=0.1, reserve=3.0, nodes=lambda: 1)
+        for _ in range(1000):
+            budget.record_call("desk")
+        budget.record_call("vault")
+        self.assertEqual(3, sum(budget.try_spend("vault") for _ in range(50)))
+        self.assertFalse(budget.try_spend("never called"))
+
     def test_bucket_refills_with_time(self) -> None:
         clock = ManualClock()
         bucket = TokenBucket(rate_per_s=10, burst=2, clock=clock)
