Count suspended time, silence in the backend server's own intervals, and its cold time

Change: the clock counts suspended time; three intervals of silence, 4 s at least ([backend_server] announce_interval); cold time as announced, 3 s where it is not.

--- a/burdockdock/clock.py
+++ b/burdockdock/clock.py
@@ -21,8 +21,11 @@
     """The clock of this machine."""
 
     def monotonic(self) -> float:
-        """Return the machine's monotonic time in seconds."""
-        return time.monotonic()
+        """Return the machine's monotonic time in seconds.
+
+        Time during which the machine was suspended counts: a lease ends in it too.
+        """
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def now(self) -> datetime:
         """Return the machine's wall-clock time in UTC."""
--- a/burdockdock/node/announcements.py
+++ b/burdockdock/node/announcements.py
@@ -13,7 +13,9 @@
 
 # Reason of a refusal that only says that a newer message was heard already.
 LATE = "late"
-_SILENCE_S = 4.0
+# Announcements may be seconds late; that many in a row are never lost by chance.
+_SHORTEST_SILENCE_S = 4.0
+_SILENT_INTERVALS = 3
 _CHECK_S = 0.5
 
 
@@ -30,21 +32,23 @@
 
     :param sequence: grows with each message of one start; 0 where none is kept.
     :param started_ms: Unix milliseconds of its start, 0 where it is not told.
-    :param cold_s: how much longer it is slow after its start.
+    :param cold_s: how much longer it is slow after its start, None where not told.
     """
 
     backend: BackendServer
     state: BackendState
     sequence: int = 0
     started_ms: int = 0
-    cold_s: float = 0.0
+    cold_s: float | None = None
 
 
 class BackendWatch:
     """Keeps what the backend server said last, and passes on what is new in it.
 
     :param change_own: changes this node's own entry in the membership.
-    :param on_start: called when another start of a backend server is heard of.
+    :param on_start: called when another start of a backend server is heard of, with
+        the seconds that it stays slow.
+    :param interval_s: seconds between its announcements, 0 where not known.
     :param expected: service and address that the settings name, None for any.
     """
 
@@ -54,7 +58,8 @@
         gate: Gate,
         clock: Clock,
         change_own: Callable[..., None],
-        on_start: Callable[[], None],
+        on_start: Callable[[float | None], None],
+        interval_s: float = 0.0,
         expected: tuple[str, str, int] | None = None,
     ) -> None:
         self._gate = gate
@@ -62,6 +67,7 @@
         self._change_own = change_own
         self._on_start = on_start
         self._expected = expected
+        self._silence_s = max(_SHORTEST_SILENCE_S, _SILENT_INTERVALS * interval_s)
         self._last: Announcement | None = None
         self._heard_s = float("-inf")
         self._told: dict[str, object] = {}
@@ -81,7 +87,7 @@
         self._heard_s = self._clock.monotonic()
         self._last = announcement
         if last is None or _start_of(last) != _start_of(announcement):
-            self._on_start()
+            self._on_start(announcement.cold_s)
         self._pass_on(announcement)
         return None
 
@@ -98,10 +104,14 @@
         """Take a backend server that fell silent out of service, for ever."""
         while True:
             await asyncio.sleep(_CHECK_S)
-            silent_s = self._clock.monotonic() - self._heard_s
-            if self._told.get("ready") and silent_s > _SILENCE_S:
-                log_event("backend.silent", silent_s=silent_s)
-                self._change(ready=False)
+            self.check_silence()
+
+    def check_silence(self) -> None:
+        """Take the backend server out of service if it fell silent."""
+        silent_s = self._clock.monotonic() - self._heard_s
+        if self._told.get("ready") and silent_s > self._silence_s:
+            log_event("backend.silent", silent_s=silent_s, limit_s=self._silence_s)
+            self._change(ready=False)
 
     def _check(self, announcement: Announcement) -> Failure | None:
         backend = announcement.backend
--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -274,6 +274,7 @@
             clock=self._clock,
             change_own=self._change_own,
             on_start=self.rollouts.backend_started,
+            interval_s=settings.announce_interval_s,
             expected=_expected_backend(settings),
         )
 
--- a/burdockdock/node/rollouts.py
+++ b/burdockdock/node/rollouts.py
@@ -27,7 +27,8 @@
 
 _SEND_INTERVAL_S = 0.25
 _ROWS_PER_MESSAGE = 8
-_COLD_S = 3.0
+# Where a backend server does not tell how long it is slow after its start.
+_UNKNOWN_COLD_S = 3.0
 
 
 class RolloutPart:
@@ -52,7 +53,7 @@
         self._datagrams = datagrams
         self._clock = clock
         self._collector = EvidenceCollector()
-        self._started_s = clock.monotonic()
+        self._warm_at_s = clock.monotonic() + _UNKNOWN_COLD_S
         self._notifier = notifier
         self.view = RolloutView(records)
         self._book = OrderBook(records)
@@ -121,16 +122,17 @@
         weights = self.view.weights(service)
         return bool(weights) and not weights.get(version)
 
-    def backend_started(self) -> None:
-        """Note that the backend server is cold from now on for a while."""
-        self._started_s = self._clock.monotonic()
+    def backend_started(self, cold_s: float | None) -> None:
+        """Note how long the backend server is slow from now on, if it told that."""
+        wait_s = _UNKNOWN_COLD_S if cold_s is None else cold_s
+        self._warm_at_s = self._clock.monotonic() + wait_s
 
     def observe(self, result: CallResult, backend: BackendServer) -> None:
         """Take in one result of the gate, if its service is being moved."""
         rollout = self.view.get(backend.service)
         if rollout is None or rollout.phase.final:
             return
-        cold = self._clock.monotonic() - self._started_s < _COLD_S
+        cold = self._clock.monotonic() < self._warm_at_s
         self._collector.add(result, version=backend.version, cold=cold)
 
     @property
--- a/burdockdock/node/settings.py
+++ b/burdockdock/node/settings.py
@@ -14,7 +14,7 @@
     "listen": {"callers", "peers", "operators", "announcements", "readiness"},
     "platform": {"url", "form"},
     "peers": {"seeds"},
-    "backend_server": {"service", "address"},
+    "backend_server": {"service", "address", "announce_interval"},
     "limits": {"drain_timeout_s", "grace_period", "retry_share", "retry_reserve"},
     "operators": {"notify_url"},
 }
@@ -44,6 +44,8 @@
     :param readiness: address of the question whether the node takes calls.
     :param backend_service: service beside this node, empty to believe any.
     :param backend_address: where that service listens.
+    :param announce_interval_s: seconds between the announcements of that service, 0
+        where not known.
     :param grace_period_s: seconds from the stop signal to the kill, 0 for no kill.
     :param retry_share: retries at backend servers for each call, of all nodes.
     :param retry_reserve: retries that all nodes together may make beyond that share.
@@ -65,6 +67,7 @@
     readiness: Address = _NOWHERE
     backend_service: str = ""
     backend_address: Address = _NOWHERE
+    announce_interval_s: float = 0.0
     grace_period_s: float = 0.0
     retry_share: float = DEFAULT_RETRY_SHARE
     retry_reserve: float = DEFAULT_RETRY_RESERVE
@@ -110,6 +113,7 @@
         readiness=reader.address("listen", "readiness"),
         backend_service=reader.text("backend_server", "service"),
         backend_address=reader.address("backend_server", "address"),
+        announce_interval_s=reader.duration_s("backend_server", "announce_interval"),
         grace_period_s=reader.duration_s("limits", "grace_period"),
         retry_share=reader.number("limits", "retry_share", DEFAULT_RETRY_SHARE, 0, 1),
         retry_reserve=reader.number(
