Ask the old version's gates whether they are idle before the end is told

Cause: the end of a good rollout was written a fixed 2 s after the last share, whether calls still ran at the old version (they are lost then) or none did. Ruled out: a query to each gate (an exchange a rollout; a node that can't be reached needs a rule all the same). Change: a node says in its own entry that its backend server's version takes no calls and none runs; the end waits for all of them, for 2.5 s at most, and logs whom it did not wait for. The entry of a member grows by one bit; older nodes read it as false. Tests: the end waits for each gate; a silent one holds it up for a while only. The first fails without the change.

--- a/burdockdock/coordination/membership.py
+++ b/burdockdock/coordination/membership.py
@@ -28,6 +28,7 @@
     :param service_version: the backend server's version.
     :param slots: calls that the backend server runs at a time.
     :param platform_lost: the platform does not answer this member.
+    :param stopped: its backend server's version takes no calls, and none runs there.
     """
 
     node_id: str
@@ -43,6 +44,7 @@
     service_version: str = ""
     slots: int = 0
     platform_lost: bool = False
+    stopped: bool = False
 
     @property
     def takes_work(self) -> bool:
--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -267,6 +267,8 @@
             holder=holder,
             spread=self.spreader.start_record,
             notifier=self._notifier,
+            change_own=self._change_own,
+            running=lambda: self.gate.running,
             orders=orders,
         )
         self._backend = BackendWatch(
--- a/burdockdock/node/rollouts.py
+++ b/burdockdock/node/rollouts.py
@@ -32,7 +32,11 @@
 
 
 class RolloutPart:
-    """Sends this gate's results to the candidates for owner, and may be one."""
+    """Sends this gate's results to the candidates for owner, and may be one.
+
+    :param change_own: changes this node's own entry in the membership.
+    :param running: returns how many calls the gate has.
+    """
 
     def __init__(
         self,
@@ -46,8 +50,12 @@
         holder: str,
         spread: Callable[[Record], None],
         notifier: Notifier,
+        change_own: Callable[..., None],
+        running: Callable[[], int],
         orders: OrderForms | None = None,
     ) -> None:
+        self._change_own = change_own
+        self._running = running
         self._membership = membership
         self._ranking = ranking
         self._datagrams = datagrams
@@ -92,6 +100,7 @@
             while True:
                 await asyncio.sleep(_SEND_INTERVAL_S)
                 self._send_evidence()
+                self._tell_stopped()
         finally:
             for task in tasks:
                 task.cancel()
@@ -168,6 +177,14 @@
         for start in range(0, len(items), _ROWS_PER_MESSAGE):
             self._send_rows(service, dict(items[start : start + _ROWS_PER_MESSAGE]))
 
+    def _tell_stopped(self) -> None:
+        """Tell when the version beside this node takes no calls and none runs."""
+        own = self._membership.own
+        refused = self.is_stopped(own.service, own.service_version)
+        stopped = refused and not self._running()
+        if stopped != own.stopped:
+            self._change_own(stopped=stopped)
+
     def _send_rows(self, service: str, rows: dict[EvidenceKey, EvidenceRow]) -> None:
         own_id = self._membership.own.node_id
         for member in candidates(self._ranking, service):
--- a/burdockdock/protocol/members.py
+++ b/burdockdock/protocol/members.py
@@ -23,6 +23,7 @@
         "serviceVersion": member.service_version,
         "slots": member.slots,
         "platformLost": member.platform_lost,
+        "stopped": member.stopped,
     }
 
 
@@ -45,6 +46,7 @@
         service_version=packed.serviceVersion,
         slots=packed.slots,
         platform_lost=packed.platformLost,
+        stopped=packed.stopped,
     )
 
 
--- a/burdockdock/protocol/messages.capnp
+++ b/burdockdock/protocol/messages.capnp
@@ -126,6 +126,7 @@
   serviceVersion @10 :Text;
   slots @11 :UInt32;
   platformLost @12 :Bool;
+  stopped @13 :Bool;
 }
 
 struct Ping {
--- a/burdockdock/rollout/orders.py
+++ b/burdockdock/rollout/orders.py
@@ -20,9 +20,10 @@
 _TICK_S = 0.25
 # The end must be written, and be read there, before the order's time is over.
 _END_MARGIN_S = 3.5
-# After the last share, calls still run at the old version; its backend servers may
-# be stopped as soon as the end is told.
-_OLD_CALLS_S = 2.0
+# Calls still run at the old version when it takes no more, and its backend servers may
+# be stopped as soon as the end is told. A node that does not say that it is idle holds
+# the end up for so long, which leaves time to write it.
+_LONGEST_IDLE_WAIT_S = 2.5
 _PLATFORM_PAUSE_S = 1.0
 
 
@@ -147,7 +148,25 @@
         """Tell whether calls may still run at the version that was left."""
         now_s = self._clock.monotonic()
         done_at_s = self._done_at_s.setdefault(rollout.rollout_id, now_s)
-        return now_s - done_at_s < _OLD_CALLS_S
+        waited_s = now_s - done_at_s
+        busy = [
+            m.node_id
+            for m in self._membership.live()
+            if m.service == rollout.service
+            and m.service_version == rollout.from_version
+            and not m.stopped
+        ]
+        if busy and waited_s < _LONGEST_IDLE_WAIT_S:
+            return True
+        log_event(
+            "order.old_version_idle",
+            service=rollout.service,
+            version=rollout.from_version,
+            waited_s=waited_s,
+            not_idle=len(busy),
+            first_not_idle=busy[0] if busy else "",
+        )
+        return False
 
     async def _take_up(self, order: Order) -> None:
         """Start the rollout, unless it runs already or its end is being told."""
--- a/tests/rollout/test_orders.py
+++ b/tests/rollout/test_orders.py
@@ -29,6 +29,21 @@
     )._replace(service_version=version)
 
 
+class _Clock(SystemClock):
+    """The machine's clock, which a test may set forward."""
+
+    def __init__(self) -> None:
+        self._ahead_s = 0.0
+
+    def advance(self, seconds_s: float) -> None:
+        """Set the monotonic clock forward."""
+        self._ahead_s += seconds_s
+
+    def monotonic(self) -> float:
+        """Return monotonic seconds."""
+        return super().monotonic() + self._ahead_s
+
+
 class _Desk:
     """A store with one order, and nodes that act on it."""
 
@@ -36,7 +51,7 @@
         self.store = PublishedStore()
         port = free_port()
         self.store.serve(_HOST, port)
-        self.clock = SystemClock()
+        self.clock = _Clock()
         self.platform = PlatformClient(
             f"http://{_HOST}:{port}", name="n", clock=self.clock, dialect=DIALECT
         )
@@ -47,6 +62,7 @@
         membership = MembershipTable(_member("a", "v1", 9), clock=self.clock)
         membership.merge(_member("b", "v1", 9))
         membership.merge(_member("c", "v2", 90))
+        self.membership = membership
         records = RecordStore()
         clerk = OrderClerk(
             platform=self.platform,
@@ -174,6 +190,41 @@
         self.assertEqual("running", desk.status()["state"])
         desk.close()
 
+    @async_test
+    async def test_the_end_is_told_once_every_old_gate_is_idle(self) -> None:
+        desk = _Desk()
+        clerk, records = desk.clerk()
+        await desk.order(records)
+        await eventually(desk.status)
+        ended = await desk.end(Phase.DONE)
+        old = [m for m in desk.membership.live() if m.service_version == "v1"]
+        self.assertNotEqual([], old)
+        for member in old:
+            self.assertFalse(await clerk.tell_end(ended))
+            if member == desk.membership.own:
+                desk.membership.update_own(stopped=True)
+                continue
+            desk.membership.merge(
+                member._replace(incarnation=member.incarnation + 1, stopped=True)
+            )
+        self.assertTrue(await clerk.tell_end(ended))
+        self.assertEqual("succeeded", desk.status()["state"])
+        desk.close()
+
+    @async_test
+    async def test_a_gate_that_says_nothing_holds_the_end_up_for_a_while(self) -> None:
+        desk = _Desk()
+        clerk, records = desk.clerk()
+        await desk.order(records)
+        await eventually(desk.status)
+        ended = await desk.end(Phase.DONE)
+        self.assertFalse(await clerk.tell_end(ended))
+        desk.clock.advance(2.4)
+        self.assertFalse(await clerk.tell_end(ended))
+        desk.clock.advance(0.2)
+        self.assertTrue(await clerk.tell_end(ended))
+        desk.close()
+
     @async_test
     async def test_orders_that_cannot_be_read_are_refused(self) -> None:
         desk = _Desk()
