Let one peer lead a starting node to the others while the platform is away

Ruled out: peers that did not answer; a slow start (announcements taken after 0.1 s). Change: members that are known already are asked too, at once. A node that nobody knew before still waits for the store.

--- a/burdockdock/node/bootstrap.py
+++ b/burdockdock/node/bootstrap.py
@@ -1,6 +1,7 @@
 """How a starting node finds its peers and the newest state."""
 
 import asyncio
+import math
 import random
 
 from burdockdock.coordination.membership import MembershipTable
@@ -59,7 +60,7 @@
             if fresh or peers >= self._peers_to_trust():
                 log_event("node.joined", peers=peers, platform=fresh)
                 return
-            await asyncio.sleep(_RETRY_S * self._rng.uniform(1.0, 2.0))
+            await self._wait_for_peer(_RETRY_S * self._rng.uniform(1.0, 2.0))
 
     async def run(self) -> None:
         """Join again whenever this node is alone or lost most others."""
@@ -101,17 +102,30 @@
             in_roster=refusal is None,
         )
 
+    async def _wait_for_peer(self, longest_s: float) -> None:
+        """Wait before the next try, until a peer that knew this node finds it."""
+        known = len(self._sync.peers)
+        for _ in range(math.ceil(longest_s / _POLL_S)):
+            await asyncio.sleep(_POLL_S)
+            if len(self._sync.peers) > known:
+                return
+
     def _peers_to_trust(self) -> int:
         """Return how many peers stand in for a platform that does not answer."""
         others = len(self._membership.live()) - 1
         return min(2, max(1, len(self._seeds), others))
 
     async def _addresses(self) -> list[Address]:
-        """Return peers' addresses from the settings and the roster."""
+        """Return peers' addresses from the settings, the roster and the members.
+
+        One peer is enough to know the members, when the roster can't be read.
+        """
         own = (self._membership.own.host, self._membership.own.port)
         found = await self._roster.addresses()
         listed = [] if isinstance(found, Failure) else found
-        addresses = dict.fromkeys([*self._seeds, *listed])
+        members = [(m.host, m.port) for m in self._membership.live()]
+        self._rng.shuffle(members)
+        addresses = dict.fromkeys([*self._seeds, *listed, *members])
         addresses.pop(own, None)
         return list(addresses)
 
