Use three quarters of the retries that the users allow

Their backend servers lose about a fifth of all answers for 4 to 6 s; at 123 calls a second that is 133 retries in 6 s, where half of the budget gave 103. Change: 0.75 in place of 0.5.

--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -52,7 +52,7 @@
 from burdockdock.proxy.peer_link import PeerLinks
 
 # The rest is for the calls that a repeated call's backend server makes again.
-_RETRY_PART = 0.5
+_RETRY_PART = 0.75
 
 
 class Node:
