Compose a node from its sides: overlay, platform, callers

Change: moves only: node.overlay_parts, node.platform_side, node.callers_side, interface.serve_backend_server, announcements.expected_backend, rollout.owner.is_candidate. Tests of node, platform, rollout and architecture pass.

--- a/burdockdock/node/announcements.py
+++ b/burdockdock/node/announcements.py
@@ -10,6 +10,7 @@
 from burdockdock.gate.gate import Gate
 from burdockdock.gate.model import BackendServer
 from burdockdock.logs import log_event
+from burdockdock.node.settings import NodeSettings
 
 # Reason of a refusal that only says that a newer message was heard already.
 LATE = "late"
@@ -158,3 +159,10 @@
 
 def _start_of(announcement: Announcement) -> tuple[str, int]:
     return announcement.backend.instance_id, announcement.started_ms
+
+
+def expected_backend(settings: NodeSettings) -> tuple[str, str, int] | None:
+    """Return the service and address that announcements must name."""
+    if not settings.backend_service:
+        return None
+    return (settings.backend_service, *settings.backend_address)
--- a/burdockdock/node/interface.py
+++ b/burdockdock/node/interface.py
@@ -9,6 +9,7 @@
 from burdockdock.coordination.verdict import Failure
 from burdockdock.gate.headers import OWN_HEADERS, CallHeaders
 from burdockdock.node.announcements import Announcement
+from burdockdock.node.settings import NodeSettings
 from burdockdock.platform_api.dialect import OWN_DIALECT, Dialect
 from burdockdock.rollout.orders import OrderForms
 
@@ -49,3 +50,22 @@
 
 
 OWN_INTERFACE = Interface()
+
+
+def serve_backend_server(
+    interface: Interface,
+    settings: NodeSettings,
+    *,
+    actions: BackendActions,
+    is_ready: Callable[[], bool],
+) -> list[HTTPServer]:
+    """Listen for the backend server, and for the question of readiness.
+
+    Both are answered while a node still joins: the answer is that it is not ready.
+    """
+    servers = []
+    if interface.serve_announcements and settings.announcements[1]:
+        servers.append(interface.serve_announcements(actions, *settings.announcements))
+    if interface.serve_readiness and settings.readiness[1]:
+        servers.append(interface.serve_readiness(is_ready, *settings.readiness))
+    return servers
--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -8,7 +8,6 @@
 from tornado.httpserver import HTTPServer
 
 from burdockdock.clock import Clock, SystemClock
-from burdockdock.coordination.backoff import FleetRetryBudget
 from burdockdock.coordination.membership import Member, MembershipTable, MemberState
 from burdockdock.coordination.ranking import MemberRanking
 from burdockdock.coordination.records import Record, RecordStore
@@ -16,19 +15,28 @@
 from burdockdock.gate.model import BackendServer, CallResult
 from burdockdock.logs import log_event
 from burdockdock.metrics import Metrics
-from burdockdock.node.announcements import Announcement, BackendState, BackendWatch
-from burdockdock.node.bootstrap import Bootstrap
+from burdockdock.node.announcements import (
+    Announcement,
+    BackendState,
+    BackendWatch,
+    expected_backend,
+)
+from burdockdock.node.callers_side import build_context
 from burdockdock.node.config_state import CONFIG_KEY, ConfigState
 from burdockdock.node.draining import drain, drain_timing
-from burdockdock.node.interface import OWN_INTERFACE, BackendActions, Interface
-from burdockdock.node.notices import tell_in_force, tell_late
+from burdockdock.node.interface import (
+    OWN_INTERFACE,
+    BackendActions,
+    Interface,
+    serve_backend_server,
+)
 from burdockdock.node.notifier import Notifier
 from burdockdock.node.operator_api import OperatorActions, serve_operators
+from burdockdock.node.overlay_parts import build_overlay
 from burdockdock.node.peer_server import PeerServer
-from burdockdock.node.relay import PlatformReader, Relay
+from burdockdock.node.platform_side import build_platform_side
 from burdockdock.node.reload import SettingsWatch
 from burdockdock.node.rollouts import RolloutPart
-from burdockdock.node.roster import Roster
 from burdockdock.node.settings import NodeSettings
 from burdockdock.node.status import (
     StatusReport,
@@ -37,23 +45,13 @@
     report_move,
 )
 from burdockdock.node.supervise import supervise
-from burdockdock.overlay.applied import AppliedTracker
-from burdockdock.overlay.datagrams import Datagrams
-from burdockdock.overlay.failure_detector import FailureDetector
-from burdockdock.overlay.spread import Spreader
-from burdockdock.overlay.sync import SyncClient, SyncServer
+from burdockdock.overlay.sync import SyncServer
 from burdockdock.platform_api.client import PlatformClient
 from burdockdock.protocol.handshake import PeerIdentity
-from burdockdock.proxy.balancer import Balancer
-from burdockdock.proxy.context import CallContext
 from burdockdock.proxy.endpoints import Endpoints
-from burdockdock.proxy.forwarder import Forwarder
 from burdockdock.proxy.listener import serve_callers
 from burdockdock.proxy.peer_link import PeerLinks
 
-# The rest is for the calls that a repeated call's backend server makes again.
-_RETRY_PART = 0.75
-
 
 class Node:
     """Builds the parts of a node, runs them, and stops them gracefully."""
@@ -133,47 +131,22 @@
     def _build_overlay(self) -> None:
         settings = self._settings
         self._notifier = Notifier(settings.notify_url, rng=self._rng)
-        self.datagrams = Datagrams(settings.mesh, count=self.metrics.count)
-        self.spreader = Spreader(
-            membership=self.membership,
-            ranking=self.ranking,
-            records=self.records,
-            datagrams=self.datagrams,
-            deltas=self._deltas,
-            pull=lambda node_id: self.sync.pull_from(node_id),
-        )
-        self.sync = SyncClient(
+        parts = build_overlay(
+            settings.mesh,
             own=self._identity,
             membership=self.membership,
+            ranking=self.ranking,
             records=self.records,
+            config=self.config,
             deltas=self._deltas,
-            pass_on=lambda record, before: self.spreader.pass_on_record(
-                record, base_version=before
-            ),
-            clock=self._clock,
-            rng=self._rng,
-        )
-        self.detector = FailureDetector(
-            membership=self.membership,
-            records=self.records,
-            datagrams=self.datagrams,
             clock=self._clock,
             rng=self._rng,
-            on_digest=self.sync.compare,
-        )
-        self.records.subscribe(lambda _: self.detector.tell_news())
-        self.applied = AppliedTracker(
-            membership=self.membership,
-            ranking=self.ranking,
-            datagrams=self.datagrams,
-            clock=self._clock,
-            own_state=self.config.applied_state,
-            on_in_force=tell_in_force(self._notifier),
-            on_late=tell_late(self._notifier),
+            metrics=self.metrics,
+            notifier=self._notifier,
         )
+        self.datagrams, self.spreader, self.sync, self.detector, self.applied = parts
 
     def _build_calls(self) -> None:
-        settings = self._settings
         self.gate = Gate(
             clock=self._clock,
             metrics=self.metrics,
@@ -181,42 +154,24 @@
             headers=self._interface.headers,
             is_stopped=lambda b: self.rollouts.is_stopped(b.service, b.version),
         )
-        self.links = PeerLinks(self._identity, count=self.metrics.count)
         self._endpoints = Endpoints(
             self.membership,
             weights_of=self._weights_of,
             rng=self._rng,
             new_version_of=lambda service: self.rollouts.new_version(service),
         )
-        balancer = Balancer(
-            availability_zone=settings.availability_zone,
-            region=settings.region,
-            clock=self._clock,
-            rng=self._rng,
-            node_id=settings.name,
-        )
-        forwarder = Forwarder(
+        self.links = PeerLinks(self._identity, count=self.metrics.count)
+        self.context = build_context(
+            self._settings,
             links=self.links,
             endpoints=self._endpoints,
-            balancer=balancer,
-            clock=self._clock,
-            metrics=self.metrics,
-            retry_budget=FleetRetryBudget(
-                share=settings.retry_share * _RETRY_PART,
-                reserve=settings.retry_reserve * _RETRY_PART,
-                nodes=lambda: len(self.membership),
-            ),
-        )
-        self.context = CallContext(
-            node_id=settings.name,
-            availability_zone=settings.availability_zone,
+            nodes=lambda: len(self.membership),
             snapshot=lambda: self.config.snapshot,
-            forwarder=forwarder,
-            clock=self._clock,
-            metrics=self.metrics,
-            rng=self._rng,
             own_service=self._own_service,
             headers=self._interface.headers,
+            clock=self._clock,
+            rng=self._rng,
+            metrics=self.metrics,
         )
         self.membership.subscribe(self._on_member)
 
@@ -230,33 +185,19 @@
             dialect=self._interface.dialect,
             count=self.metrics.count,
         )
-        orders = self._interface.orders
-        self._reader = PlatformReader(
+        self._reader, self._relay, self._bootstrap = build_platform_side(
             self.platform,
-            source=self._interface.source,
-            orders=None if orders is None else orders.read,
+            interface=self._interface,
+            sync=self.sync,
             records=self.records,
             spread=self.spreader.start_record,
-        )
-        roster = Roster(self.platform, own=self.membership.own, rng=self._rng)
-        self._relay = Relay(
-            platform=self.platform,
-            reader=self._reader,
-            roster=roster,
             membership=self.membership,
             ranking=self.ranking,
+            seeds=settings.seeds,
             clock=self._clock,
             rng=self._rng,
             change_own=self._change_own,
         )
-        self._bootstrap = Bootstrap(
-            roster=roster,
-            reader=self._reader,
-            sync=self.sync,
-            membership=self.membership,
-            seeds=settings.seeds,
-            rng=self._rng,
-        )
         self.rollouts = RolloutPart(
             records=self.records,
             membership=self.membership,
@@ -269,7 +210,7 @@
             notifier=self._notifier,
             change_own=self._change_own,
             running=lambda: self.gate.running,
-            orders=orders,
+            orders=self._interface.orders,
         )
         self._backend = BackendWatch(
             gate=self.gate,
@@ -277,7 +218,7 @@
             change_own=self._change_own,
             on_start=self.rollouts.backend_started,
             interval_s=settings.announce_interval_s,
-            expected=_expected_backend(settings),
+            expected=expected_backend(settings),
         )
 
     async def start(self) -> None:
@@ -298,7 +239,13 @@
         host, port = settings.peers
         await self.datagrams.open(host, port)
         self._peer_server.listen(port, address=host, backlog=1024)
-        self._serve_backend_server()
+        # What a backend server says while this node joins is not lost.
+        self._small_servers = serve_backend_server(
+            self._interface,
+            settings,
+            actions=BackendActions(self._backend.take, self._backend.leave),
+            is_ready=self.is_ready,
+        )
         await self._bootstrap.join()
         self.spreader.start_member(self.membership.own)
         self._start_tasks()
@@ -324,24 +271,6 @@
             config_version=self.config.snapshot.version,
         )
 
-    def _serve_backend_server(self) -> None:
-        """Listen for the backend server and for the question of readiness.
-
-        Both are answered while this node still joins: what a backend server says
-        meanwhile is not lost, and the answer is that this node is not ready.
-        """
-        interface, settings = self._interface, self._settings
-        self._small_servers = []
-        if interface.serve_announcements and settings.announcements[1]:
-            actions = BackendActions(self._backend.take, self._backend.leave)
-            self._small_servers.append(
-                interface.serve_announcements(actions, *settings.announcements)
-            )
-        if interface.serve_readiness and settings.readiness[1]:
-            self._small_servers.append(
-                interface.serve_readiness(self.is_ready, *settings.readiness)
-            )
-
     def is_ready(self) -> bool:
         """Tell whether this node takes calls."""
         serving = self._caller_server is not None and not self.context.draining
@@ -444,10 +373,3 @@
             moves=[report_move(rollout) for rollout in self.rollouts.view.all()],
             control_bytes=report_bytes(self.datagrams, self.sync, self._peer_server),
         )
-
-
-def _expected_backend(settings: NodeSettings) -> tuple[str, str, int] | None:
-    """Return the service and address that announcements must name."""
-    if not settings.backend_service:
-        return None
-    return (settings.backend_service, *settings.backend_address)
--- /dev/null
+++ b/burdockdock/node/platform_side.py
@@ -0,0 +1,73 @@
+"""Composition of a node's side towards the platform."""
+
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+from burdockdock.clock import Clock
+from burdockdock.coordination.membership import MembershipTable
+from burdockdock.coordination.ranking import MemberRanking
+from burdockdock.coordination.records import Record, RecordStore
+from burdockdock.node.bootstrap import Bootstrap
+from burdockdock.node.interface import Interface
+from burdockdock.node.relay import PlatformReader, Relay
+from burdockdock.node.roster import Roster
+from burdockdock.overlay.datagrams import Address
+from burdockdock.overlay.sync import SyncClient
+from burdockdock.platform_api.client import PlatformClient
+
+
+class PlatformSide(NamedTuple):
+    """The parts that read the platform and find other nodes there."""
+
+    reader: PlatformReader
+    relay: Relay
+    bootstrap: Bootstrap
+
+
+def build_platform_side(
+    platform: PlatformClient,
+    *,
+    interface: Interface,
+    sync: SyncClient,
+    records: RecordStore,
+    spread: Callable[[Record], None],
+    membership: MembershipTable,
+    ranking: MemberRanking,
+    seeds: tuple[Address, ...],
+    clock: Clock,
+    rng: random.Random,
+    change_own: Callable[..., None],
+) -> PlatformSide:
+    """Build the parts and connect them.
+
+    :param spread: stores a record and sends it to every node.
+    :param change_own: changes this node's own entry in the membership.
+    """
+    reader = PlatformReader(
+        platform,
+        source=interface.source,
+        orders=None if interface.orders is None else interface.orders.read,
+        records=records,
+        spread=spread,
+    )
+    roster = Roster(platform, own=membership.own, rng=rng)
+    relay = Relay(
+        platform=platform,
+        reader=reader,
+        roster=roster,
+        membership=membership,
+        ranking=ranking,
+        clock=clock,
+        rng=rng,
+        change_own=change_own,
+    )
+    bootstrap = Bootstrap(
+        roster=roster,
+        reader=reader,
+        sync=sync,
+        membership=membership,
+        seeds=seeds,
+        rng=rng,
+    )
+    return PlatformSide(reader, relay, bootstrap)
--- a/burdockdock/node/rollouts.py
+++ b/burdockdock/node/rollouts.py
@@ -23,7 +23,13 @@
 from burdockdock.rollout.incumbent import incumbent_weights
 from burdockdock.rollout.model import Rollout
 from burdockdock.rollout.orders import OrderBook, OrderClerk, OrderForms
-from burdockdock.rollout.owner import OwnerParts, RolloutOwners, RolloutView, candidates
+from burdockdock.rollout.owner import (
+    OwnerParts,
+    RolloutOwners,
+    RolloutView,
+    candidates,
+    is_candidate,
+)
 
 _SEND_INTERVAL_S = 0.25
 _ROWS_PER_MESSAGE = 8
@@ -149,8 +155,7 @@
         return self._notifier.enabled or self._clerk is not None
 
     def _is_candidate(self, service: str) -> bool:
-        own_id = self._membership.own.node_id
-        return own_id in [m.node_id for m in candidates(self._ranking, service)]
+        return is_candidate(service, self._membership, self._ranking)
 
     async def _tell_end(self, rollout: Rollout) -> bool:
         """Tell the operators how a rollout ended; return whether all know."""
--- a/burdockdock/proxy/attempts.py
+++ b/burdockdock/proxy/attempts.py
@@ -18,6 +18,8 @@
 
 
 class AttemptFailure(NamedTuple):
+    """A failed attempt and the node that it went to, empty without one."""
+
     node_id: str
     failure: Failure
 
--- a/burdockdock/rollout/owner.py
+++ b/burdockdock/rollout/owner.py
@@ -46,6 +46,14 @@
     return list(itertools.islice(staying, CANDIDATES))
 
 
+def is_candidate(
+    service: str, membership: MembershipTable, ranking: MemberRanking
+) -> bool:
+    """Tell whether this node may own a service's rollouts."""
+    own_id = membership.own.node_id
+    return any(m.node_id == own_id for m in candidates(ranking, service))
+
+
 class RolloutView:
     """What this node knows of rollouts, from the records."""
 
@@ -140,7 +148,10 @@
         return {
             rollout.service
             for rollout in self._parts.view.all()
-            if self._is_open(rollout) and self._is_candidate(rollout.service)
+            if self._is_open(rollout)
+            and is_candidate(
+                rollout.service, self._parts.membership, self._parts.ranking
+            )
         }
 
     def _is_open(self, rollout: Rollout) -> bool:
@@ -148,10 +159,6 @@
         untold = self._parts.notify is not None and not rollout.notified
         return not rollout.phase.final or untold
 
-    def _is_candidate(self, service: str) -> bool:
-        own_id = self._parts.membership.own.node_id
-        return own_id in [m.node_id for m in candidates(self._parts.ranking, service)]
-
     def _start(self, service: str) -> None:
         inbox: list[dict[EvidenceKey, EvidenceRow]] = []
         self._inboxes[service] = inbox
