Judge a relay's reach by its own reading alone

Cause: found on rereading: a lease call that failed while the relay's reading went well marked the node as cut off from the platform until its next failed watch; and a change of the members during a write of the roster was seen half a second late. Change: reach follows from the reading; the members' event is cleared before they are looked at. Test: fails without the change.

--- a/burdockdock/node/relay.py
+++ b/burdockdock/node/relay.py
@@ -174,6 +174,7 @@
         watch: asyncio.Task[None] | None = None
         try:
             while True:
+                self._members_changed.clear()
                 # A node that lost the platform goes on asking, to notice its return.
                 wanted = self.is_relay or self._membership.own.platform_lost
                 if wanted and (watch is None or watch.done()):
@@ -191,7 +192,6 @@
 
     async def _wait_for_members(self) -> None:
         """Wait until the members changed, for a while at most."""
-        self._members_changed.clear()
         await asyncio.sleep(_ROLE_PAUSE_S)
         try:
             async with asyncio.timeout(_ROLE_INTERVAL_S * self._rng.uniform(0.8, 1.2)):
@@ -199,9 +199,8 @@
         except TimeoutError:
             return
 
-    def _tell_reach(self) -> None:
+    def _tell_reach(self, *, lost: bool) -> None:
         """Let others take the role while the platform does not answer this node."""
-        lost = self._platform.failures_in_row > 0
         if lost != self._membership.own.platform_lost:
             self._change_own(platform_lost=lost)
 
@@ -209,10 +208,11 @@
         """Follow the changes of configuration and rollouts."""
         while True:
             complete = await self._reader.refresh()
-            self._tell_reach()
+            # Other calls of this node may have failed meanwhile.
+            self._tell_reach(lost=not complete and self._platform.failures_in_row > 0)
             if complete:
                 await self._follow()
-                self._tell_reach()
+                self._tell_reach(lost=self._platform.failures_in_row > 0)
             await self._platform.pause_after_failure()
 
     async def _follow(self) -> None:
--- a/burdockdock/rollout/judge.py
+++ b/burdockdock/rollout/judge.py
@@ -25,9 +25,9 @@
 _ACCEPTED_FAILURES_FACTOR = 3
 _REJECTED_FAILURES_FACTOR = 8
 _MAX_RATE = 0.9
-# Without the old version beside it, a slow machine looks like a slow version, so
-# that only a gross slowness counts then; the comparison found the others before.
-# As many calls in a row have had none of the old version's beside them.
+# Calls in a row with none of the old version's beside them, after which the new one is
+# judged alone. A slow machine looks like a slow version then, so that only a gross
+# slowness counts; the comparison found the others before.
 _CALLS_ALONE = 200
 _ACCEPTED_SLOW = 0.3
 _REJECTED_SLOW = 0.7
--- a/tests/node/test_relay.py
+++ b/tests/node/test_relay.py
@@ -145,6 +145,15 @@
         self.assertEqual(1, node.platform.failures_in_row)
         task.cancel()
 
+    @async_test
+    async def test_another_call_that_failed_does_not_give_the_role_away(self) -> None:
+        node = next(n for n in (_Node(i) for i in range(6)) if n.relay.is_relay)
+        node.platform.failures_in_row = 1
+        task = asyncio.create_task(node.relay.run())
+        await eventually(lambda: len(node.platform.waits_s) > 1)
+        self.assertFalse(node.membership.own.platform_lost)
+        task.cancel()
+
     @async_test
     async def test_the_next_by_rank_begins_as_soon_as_it_hears(self) -> None:
         # Only what it hears can wake it.
