--- a/burdockdock/cli/node.py
+++ b/burdockdock/cli/node.py
@@ -59,6 +59,7 @@
 
 
 async def _run(settings: NodeSettings, path: Path) -> None:
+    from burdockdock.node.lifecycle import run_node
     from burdockdock.node.node import Node
 
     # A full collection would hold up every call in flight, so that the young
@@ -67,7 +68,8 @@
     # What the imports made stays for good; the collector need not look at it.
     gc.freeze()
     interface = _interface_of(settings)
-    await Node(settings, interface=interface, settings_path=path).run()
+    node = Node(settings, interface=interface)
+    await run_node(node, settings=settings, path=path)
 
 
 def _interface_of(settings: NodeSettings) -> "Interface":
--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import random
-import signal
-from pathlib import Path
 
 from tornado.httpserver import HTTPServer
 
@@ -35,7 +33,6 @@
 from burdockdock.node.overlay_parts import build_overlay
 from burdockdock.node.peer_server import PeerServer
 from burdockdock.node.platform_side import build_platform_side
-from burdockdock.node.reload import SettingsWatch
 from burdockdock.node.rollouts import RolloutPart
 from burdockdock.node.settings import NodeSettings
 from burdockdock.node.status import (
@@ -54,7 +51,10 @@
 
 
 class Node:
-    """Builds the parts of a node, runs them, and stops them gracefully."""
+    """Builds the parts of a node, runs them, and stops them gracefully.
+
+    ``stopping`` is set when a graceful stop was asked for.
+    """
 
     def __init__(
         self,
@@ -62,14 +62,12 @@
         *,
         clock: Clock | None = None,
         interface: Interface = OWN_INTERFACE,
-        settings_path: Path | None = None,
     ) -> None:
         self._settings = settings
-        self._settings_path = settings_path
         self._interface = interface
         self._clock = clock or SystemClock()
         self._rng = random.Random()
-        self._stopping = asyncio.Event()
+        self.stopping = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         incarnation = int(self._clock.now().timestamp() * 1000)
         self.metrics = Metrics()
@@ -80,36 +78,12 @@
         self._build_calls()
         self._build_control()
 
-    async def run(self) -> None:
-        """Run until a stop signal or an operator's order, then drain."""
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.stop)
-        if self._settings_path is not None:
-            self._watch_settings(self._settings_path, loop)
-        joined = asyncio.create_task(self.start())
-        stopped = asyncio.create_task(self._stopping.wait())
-        await asyncio.wait({joined, stopped}, return_when=asyncio.FIRST_COMPLETED)
-        if not joined.done():
-            log_event("node.stopped", reason="stopped before it joined")
-            joined.cancel()
-            return
-        await joined
-        await self._stopping.wait()
-        await self.drain()
-
     def stop(self) -> None:
         """Begin a graceful stop."""
-        self._stopping.set()
-
-    def _watch_settings(self, path: Path, loop: asyncio.AbstractEventLoop) -> None:
-        """Take in a changed settings file, with or without a signal."""
-        watch = SettingsWatch(path, self._settings, apply=self._apply_settings)
-        loop.add_signal_handler(signal.SIGHUP, watch.signal)
-        task = asyncio.create_task(supervise("settings", watch.run))
-        self._tasks.append(task)
+        self.stopping.set()
 
-    def _apply_settings(self, settings: NodeSettings) -> None:
+    def apply_settings(self, settings: NodeSettings) -> None:
+        """Take in changed settings; most of them hold from the next start on."""
         self._settings = settings
 
     def _build_state(self, incarnation: int) -> None:
