Pass no call on between the last answer and the close of a stopping node

Ruled out: a call cut by the time limit (none was open); an answer lost on the way. Change: refusals begin with the end of the last call, and 50 ms are left for them to go out.

--- a/burdockdock/node/draining.py
+++ b/burdockdock/node/draining.py
@@ -20,6 +20,8 @@
 # What closing takes, before the kill.
 _CLOSE_S = 0.5
 _POLL_S = 0.02
+# Calls that crossed the close still get their refusals within this.
+_LAST_REFUSALS_S = 0.05
 
 
 class DrainTiming(NamedTuple):
@@ -75,6 +77,10 @@
                 await asyncio.sleep(_POLL_S)
     except TimeoutError:
         log_event("node.drain_timeout", calls=context.open_calls)
+    # A call that is read from now on would be cut by the close: it gets its refusal,
+    # and is passed on to nobody.
+    context.refusing = True
+    await asyncio.sleep(_LAST_REFUSALS_S)
 
 
 def _refuse_calls(context: CallContext) -> None:
