Let tests of an order's end share their way to it

Cause: three tests of the end of a rollout began with the same four lines. Ruled out: the sides that a node is composed of, and its settings, which look alike in shape only: each passes its own parts on.

--- a/tests/rollout/test_orders.py
+++ b/tests/rollout/test_orders.py
@@ -99,6 +99,13 @@
         )
         return ended
 
+    async def done(self) -> tuple[OrderClerk, Rollout]:
+        """Let a node take up an order, and its rollout be done."""
+        clerk, records = self.clerk()
+        await self.order(records)
+        await eventually(self.status)
+        return clerk, await self.end(Phase.DONE)
+
     def status(self) -> dict:
         """Return the status that stands in the order."""
         return self.store.get("rollouts", "work")["status"]
@@ -182,10 +189,7 @@
     @async_test
     async def test_the_end_is_not_told_while_old_calls_may_run(self) -> None:
         desk = _Desk()
-        clerk, records = desk.clerk()
-        await desk.order(records)
-        await eventually(desk.status)
-        ended = await desk.end(Phase.DONE)
+        clerk, ended = await desk.done()
         self.assertFalse(await clerk.tell_end(ended))
         self.assertEqual("running", desk.status()["state"])
         desk.close()
@@ -193,10 +197,7 @@
     @async_test
     async def test_the_end_is_told_once_every_old_gate_is_idle(self) -> None:
         desk = _Desk()
-        clerk, records = desk.clerk()
-        await desk.order(records)
-        await eventually(desk.status)
-        ended = await desk.end(Phase.DONE)
+        clerk, ended = await desk.done()
         old = [m for m in desk.membership.live() if m.service_version == "v1"]
         self.assertNotEqual([], old)
         for member in old:
@@ -214,10 +215,7 @@
     @async_test
     async def test_a_gate_that_says_nothing_holds_the_end_up_for_a_while(self) -> None:
         desk = _Desk()
-        clerk, records = desk.clerk()
-        await desk.order(records)
-        await eventually(desk.status)
-        ended = await desk.end(Phase.DONE)
+        clerk, ended = await desk.done()
         self.assertFalse(await clerk.tell_end(ended))
         desk.clock.advance(1.65)
         self.assertFalse(await clerk.tell_end(ended))
