Say in the log who ended a connection between nodes, and which answers it cut

Callers' answers were cut, and calls ended with peer_connection_broken between live nodes, without a line that says why: errors of a connection were swallowed, a suspicion left no trace, and an answer broken off in its middle was only counted. Change: link.ended (peer, reason, calls cut), peer.malformed, member.believed (written by the node that found it out itself), call.answer_broken_off with the request's id. One line for an event that is rare, none for a call that ends well. No logic is changed.

--- a/burdockdock/node/peer_server.py
+++ b/burdockdock/node/peer_server.py
@@ -10,6 +10,7 @@
 from burdockdock.coordination.verdict import Failure
 from burdockdock.gate.call_server import CallServer
 from burdockdock.gate.gate import Gate
+from burdockdock.logs import log_event
 from burdockdock.metrics import Metrics
 from burdockdock.overlay.sync import SyncServer
 from burdockdock.protocol import (
@@ -55,8 +56,11 @@
         self._connections.add(connection)
         try:
             await self._serve(connection)
-        except (ValueError, *MALFORMED):
+        except (ValueError, *MALFORMED) as error:
             self._metrics.count("peer_connections_malformed")
+            log_event(
+                "peer.malformed", peer=f"{address[0]}:{address[1]}", detail=str(error)
+            )
         finally:
             connection.close()
             self._connections.discard(connection)
--- a/burdockdock/overlay/failure_detector.py
+++ b/burdockdock/overlay/failure_detector.py
@@ -17,6 +17,7 @@
     MemberState,
 )
 from burdockdock.coordination.records import RecordStore
+from burdockdock.logs import log_event
 from burdockdock.overlay.datagrams import Address, Datagrams
 from burdockdock.overlay.gossip import GossipQueue
 from burdockdock.protocol import Message
@@ -226,6 +227,12 @@
         What came along the trees or by an exchange is on its way to them already.
         """
         if member is not None:
+            log_event(
+                "member.believed",
+                member=member.node_id,
+                state=member.state.name.lower(),
+                incarnation=member.incarnation,
+            )
             self._gossip.add(member)
 
     def _expect_ack(self) -> tuple[int, "asyncio.Future[None]"]:
--- a/burdockdock/protocol/connection.py
+++ b/burdockdock/protocol/connection.py
@@ -30,6 +30,11 @@
         """Whether the connection is closed."""
         return self._stream.closed()
 
+    @property
+    def error(self) -> str:
+        """Why the connection ended, empty where it was closed in order."""
+        return str(self._stream.error or "")
+
     async def read(self) -> Message | None:
         """Return the next message, None at the end of the connection.
 
--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -187,7 +187,7 @@
                     self._balancer.tell_load(attempt.member.node_id, *refusal)
                 return await self._settle(attempt, call, head)
             self._balancer.tell_load(attempt.member.node_id, head.load, head.results)
-            await self._relay(attempt.remote, head, caller)
+            await self._relay(attempt, call, head, caller)
             return head
         finally:
             if upload is not None:
@@ -234,13 +234,13 @@
         return None if outcome.reason == "peer_connection_broken" else outcome
 
     async def _relay(
-        self, remote: RemoteCall, head: AnswerHead, caller: Caller
+        self, attempt: _Attempt, call: Call, head: AnswerHead, caller: Caller
     ) -> None:
         await caller.send_head(head)
         while True:
-            piece = await remote.read_body()
+            piece = await attempt.remote.read_body()
             if isinstance(piece, Failure):
-                self._metrics.count("answers_broken_off", label=piece.reason)
+                self._log_broken_off(call, attempt.member, piece)
                 caller.break_off()
                 return
             if piece is None:
@@ -272,6 +272,18 @@
             )
         )
 
+    def _log_broken_off(self, call: Call, member: Member, failure: Failure) -> None:
+        self._metrics.count("answers_broken_off", label=failure.reason)
+        log_event(
+            "call.answer_broken_off",
+            request=call.request.request_id,
+            service=call.request.service,
+            node_tried=member.node_id,
+            reason=failure.reason,
+            detail=failure.detail,
+            left_ms=self._left_ms(call),
+        )
+
     def _log_attempt(self, call: Call, outcome: AttemptFailure) -> None:
         log_event(
             "call.attempt_failed",
--- a/burdockdock/proxy/peer_link.py
+++ b/burdockdock/proxy/peer_link.py
@@ -10,6 +10,7 @@
 from tornado.tcpclient import TCPClient
 
 from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.logs import log_event
 from burdockdock.protocol import (
     MALFORMED,
     FrameConnection,
@@ -183,20 +184,25 @@
         """Drop what still arrives for a call."""
         self._calls.pop(call_id, None)
 
-    def close(self) -> None:
-        """Close the connection."""
+    def close(self, reason: str) -> None:
+        """Close the connection.
+
+        :param reason: why, for the log.
+        """
         self._connection.close()
         self._reader.cancel()
-        self._break_calls()
+        self._break_calls(reason)
 
     async def _read(self) -> None:
+        reason = "closed_by_peer"
         try:
             while (message := await self._connection.read()) is not None:
                 self._handle(message)
-        except MALFORMED:
-            pass
+        except MALFORMED as error:
+            reason = f"malformed: {error}"
+        reason = self._connection.error or reason
         self._connection.close()
-        self._break_calls()
+        self._break_calls(reason)
 
     def _handle(self, message: Message) -> None:
         kind = message.which()
@@ -241,7 +247,13 @@
             self._count_late()
         return call
 
-    def _break_calls(self) -> None:
+    def _break_calls(self, reason: str) -> None:
+        log_event(
+            "link.ended",
+            peer=self.peer.node_id,
+            reason=reason,
+            calls=len(self._calls),
+        )
         for call in list(self._calls.values()):
             call.receive_failure(LINK_BROKEN)
         self._calls.clear()
@@ -289,13 +301,13 @@
         for task in list(self._opening.values()):
             task.cancel()
         for link in self._links.values():
-            link.close()
+            link.close("node_stopped")
 
     def drop(self, host: str, port: int) -> None:
         """Close the connection to an address, such as a dead node's."""
         link = self._links.pop((host, port), None)
         if link is not None:
-            link.close()
+            link.close("dropped")
 
     async def _open(self, host: str, port: int) -> PeerLink | Failure:
         try:
