Let running answers end by themselves when their node is believed dead or moved

Cause: each change of belief about a node closed the connection to it at once, with all calls on it: on dead, on a move, on the death of another node that once had the address; and on a move it closed the connection to the new place, not to the old one. Why live nodes are taken for dead is a fault of its own. Ruled out: messages that can't be read, closes by the other node (no such line). Change: PeerLinks.retire: no new call on that connection, which closes with its last one. A node that is really gone ends calls by the connection's end or their deadlines, which come before a death is confirmed (5 s after the first missed probe).

--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -329,10 +329,14 @@
             self.rollouts.observe(result, backend)
 
     def _on_member(self, member: Member, known: Member | None) -> None:
-        """Close connections to a node that died or was replaced."""
-        replaced = known is not None and known.host != member.host
-        if member.state is MemberState.DEAD or replaced:
-            self.links.drop(member.host, member.port)
+        """Start no more calls on connections to a node that died or moved."""
+        place = (member.host, member.port)
+        if known is not None and (known.host, known.port) != place:
+            self.links.retire(
+                known.node_id, known.host, known.port, reason="member_moved"
+            )
+        if member.state is MemberState.DEAD:
+            self.links.retire(member.node_id, *place, reason="member_dead")
 
     async def _status(self) -> StatusReport:
         return StatusReport(
--- a/burdockdock/proxy/peer_link.py
+++ b/burdockdock/proxy/peer_link.py
@@ -140,6 +140,7 @@
         self._ids = itertools.count(1)
         self._calls: dict[int, RemoteCall] = {}
         self._queries: dict[int, asyncio.Future[Failure]] = {}
+        self._retired_for = ""
         self._reader = asyncio.create_task(self._read())
 
     @property
@@ -175,6 +176,7 @@
             return await future
         finally:
             del self._queries[query_id]
+            self._close_if_unused()
 
     def send(self, data: bytes) -> None:
         """Send a frame."""
@@ -183,6 +185,15 @@
     def forget(self, call_id: int) -> None:
         """Drop what still arrives for a call."""
         self._calls.pop(call_id, None)
+        self._close_if_unused()
+
+    def retire(self, reason: str) -> None:
+        """Close the connection as soon as nothing runs on it.
+
+        :param reason: why, for the log.
+        """
+        self._retired_for = reason
+        self._close_if_unused()
 
     def close(self, reason: str) -> None:
         """Close the connection.
@@ -247,6 +258,11 @@
             self._count_late()
         return call
 
+    def _close_if_unused(self) -> None:
+        unused = not self._calls and not self._queries
+        if self._retired_for and unused and not self.closed:
+            self.close(self._retired_for)
+
     def _break_calls(self, reason: str) -> None:
         log_event(
             "link.ended",
@@ -275,6 +291,7 @@
         self._own = own
         self._count = count
         self._links: dict[tuple[str, int], PeerLink] = {}
+        self._retired: list[PeerLink] = []
         self._opening: dict[tuple[str, int], asyncio.Task[PeerLink | Failure]] = {}
         self.connect: Callable[[str, int], Awaitable[IOStream]] = TCPClient().connect
 
@@ -300,14 +317,24 @@
         """Close every connection."""
         for task in list(self._opening.values()):
             task.cancel()
-        for link in self._links.values():
+        for link in (*self._links.values(), *self._retired):
             link.close("node_stopped")
 
-    def drop(self, host: str, port: int) -> None:
-        """Close the connection to an address, such as a dead node's."""
-        link = self._links.pop((host, port), None)
-        if link is not None:
-            link.close("dropped")
+    def retire(self, node_id: str, host: str, port: int, *, reason: str) -> None:
+        """Start no more calls on the connection to a node at an address.
+
+        What is believed of a node may be wrong, so that it ends no call: those that
+        run end by their answers, their deadlines, or the connection's own end.
+
+        :param reason: why, for the log.
+        """
+        link = self._links.get((host, port))
+        if link is None or link.peer.node_id != node_id:
+            return
+        del self._links[host, port]
+        self._retired = [known for known in self._retired if not known.closed]
+        self._retired.append(link)
+        link.retire(reason)
 
     async def _open(self, host: str, port: int) -> PeerLink | Failure:
         try:
