Let every answer leave before a stopping node closes its connections

Callers could see: an answer from another node cut when the node that sends it stops; a call taken after the stop signal cut at the end of the grace time while it waited at a gate. Cause: the stop counted a call as ended when its last bytes were queued for the other node, and closed the connection with them; it took calls for 4 s after the signal with their full deadlines (up to 5.3 s on the grown sites), and cut what was open at 5.5 s. Change: the stop waits until answers to other nodes have left, within the grace time; deadlines of calls taken while stopping end before it; after the notice a call takes a free slot or is refused as not run.

--- a/burdockdock/node/draining.py
+++ b/burdockdock/node/draining.py
@@ -1,6 +1,7 @@
 """The graceful stop of a node: no call is cut, and none is taken that can't end."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 from tornado.httpserver import HTTPServer
@@ -19,6 +20,8 @@
 _LAST_CALLS_S = 1.0
 # What closing takes, before the kill.
 _CLOSE_S = 0.5
+# What the last answers take on their way, before the close.
+_LAST_ANSWERS_S = 0.4
 _POLL_S = 0.02
 # Calls that crossed the close still get their refusals within this.
 _LAST_REFUSALS_S = 0.05
@@ -28,11 +31,13 @@
     """Times of a graceful stop.
 
     :param notice_s: until everyone knows; calls still arrive and are served.
-    :param longest_s: from the stop signal to the last answer.
+    :param answer_s: from the stop signal until every call has its answer.
+    :param longest_s: from the stop signal to the close.
     :param last_calls_s: how long the calls left may take after the notice.
     """
 
     notice_s: float
+    answer_s: float
     longest_s: float
     last_calls_s: float
 
@@ -40,10 +45,11 @@
 def drain_timing(settings: NodeSettings) -> DrainTiming:
     """Return the times for a node's settings."""
     asked = settings.readiness[1] > 0
-    grace_s = settings.grace_period_s or float("inf")
+    longest_s = (settings.grace_period_s or float("inf")) - _CLOSE_S
     return DrainTiming(
         notice_s=_LEAVE_READINESS_S if asked else _LEAVE_SPREAD_S,
-        longest_s=grace_s - _CLOSE_S,
+        answer_s=longest_s - _LAST_ANSWERS_S,
+        longest_s=longest_s,
         last_calls_s=settings.drain_timeout_s,
     )
 
@@ -53,19 +59,23 @@
     gate: Gate,
     callers: HTTPServer,
     *,
+    flush: Callable[[], Awaitable[None]],
     timing: DrainTiming,
     clock: Clock,
 ) -> None:
     """Send callers elsewhere, then finish the calls that this node has.
 
     :param callers: the server that takes callers' connections.
+    :param flush: waits until the answers to other nodes have left.
     """
     started_s = clock.monotonic()
     log_event("node.draining", calls=context.open_calls)
+    context.answer_by_s = started_s + timing.answer_s
     context.draining = True
     await asyncio.sleep(timing.notice_s)
     callers.stop()
     gate.start_draining()
+    context.may_wait = False
     loop = asyncio.get_running_loop()
     loop.call_later(_LAST_CALLS_S, _refuse_calls, context)
     left_s = timing.longest_s - (clock.monotonic() - started_s)
@@ -73,14 +83,23 @@
     try:
         async with asyncio.timeout(timeout_s):
             await gate.wait_idle()
-            while context.open_calls:
-                await asyncio.sleep(_POLL_S)
+            await _wait_for_answers(context)
+            # A call that is read from now on would be cut by the close: it gets its
+            # refusal, and is passed on to nobody.
+            context.refusing = True
+            await asyncio.sleep(_LAST_REFUSALS_S)
+            await _wait_for_answers(context)
+            await flush()
     except TimeoutError:
-        log_event("node.drain_timeout", calls=context.open_calls)
-    # A call that is read from now on would be cut by the close: it gets its refusal,
-    # and is passed on to nobody.
-    context.refusing = True
-    await asyncio.sleep(_LAST_REFUSALS_S)
+        context.refusing = True
+        log_event(
+            "node.drain_timeout", calls=context.open_calls, gate_calls=gate.running
+        )
+
+
+async def _wait_for_answers(context: CallContext) -> None:
+    while context.open_calls:
+        await asyncio.sleep(_POLL_S)
 
 
 def _refuse_calls(context: CallContext) -> None:
--- a/burdockdock/node/peer_server.py
+++ b/burdockdock/node/peer_server.py
@@ -65,6 +65,11 @@
             connection.close()
             self._connections.discard(connection)
 
+    async def flush(self) -> None:
+        """Wait until all answers to other nodes have left."""
+        connections = list(self._connections)
+        await asyncio.gather(*(connection.flush() for connection in connections))
+
     def close(self) -> None:
         """Stop listening and close every connection."""
         self.stop()
--- a/burdockdock/protocol/connection.py
+++ b/burdockdock/protocol/connection.py
@@ -63,8 +63,15 @@
         if not future.done():
             future.add_done_callback(_ignore_result)
 
+    async def flush(self) -> None:
+        """Wait until all that was sent has left, or the connection has ended."""
+        try:
+            await self._stream.write(b"")
+        except StreamClosedError:
+            return
+
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection; what has not left yet is lost."""
         self._stream.close()
 
     def _take_frame(self) -> bytes | None:
--- a/burdockdock/proxy/attempts.py
+++ b/burdockdock/proxy/attempts.py
@@ -35,7 +35,8 @@
     :param free_slots_left: nodes that may still be asked for a free slot.
     :param node_ids: nodes not to be tried again.
     :param full_ids: nodes that had no free slot.
-    :param waited: the call waited in vain, and takes a free slot only.
+    :param may_not_wait: the call waited in vain or has no time to wait, and takes a
+        free slot only.
     """
 
     retries_left: int
@@ -43,7 +44,7 @@
     free_slots_left: int
     node_ids: frozenset[str] = frozenset()
     full_ids: frozenset[str] = frozenset()
-    waited: bool = False
+    may_not_wait: bool = False
 
     @property
     def excluded(self) -> frozenset[str]:
@@ -68,19 +69,19 @@
 
     def _after_wait(self, node_id: str) -> "Tried | None":
         """Ask a few more nodes for a free slot after a wait in vain."""
-        if self.waited:
+        if self.may_not_wait:
             return None
         return self._replace(
             free_slots_left=_FREE_SLOT_TRIES_AFTER_WAIT,
             full_ids=frozenset({node_id}),
-            waited=True,
+            may_not_wait=True,
         )
 
     def _after_full(self, node_id: str) -> "Tried | None":
         """Ask another node, or let the call wait when all that were asked are full."""
         left = self.free_slots_left - 1
         if not left or node_id in self.full_ids:
-            if self.waited:
+            if self.may_not_wait:
                 return None
             return self._replace(free_slots_left=0, full_ids=frozenset())
         return self._replace(free_slots_left=left, full_ids=self.full_ids | {node_id})
--- a/burdockdock/proxy/call.py
+++ b/burdockdock/proxy/call.py
@@ -41,6 +41,7 @@
     :param key: the caller's own idempotency key, empty without one.
     :param target_s: when the answer loses value, in monotonic seconds; 0 for never.
     :param large_answer: the answer is large enough to prefer near backend servers.
+    :param may_wait: whether it may wait for a slot at a gate.
     """
 
     request: CallRequest
@@ -49,6 +50,7 @@
     key: str = ""
     target_s: float = 0.0
     large_answer: bool = False
+    may_wait: bool = True
 
 
 class ReplayableBody:
--- a/burdockdock/proxy/call_factory.py
+++ b/burdockdock/proxy/call_factory.py
@@ -60,7 +60,10 @@
         now=context.clock.now(),
     )
     timeout_ms = _integer(headers.get(names.timeout), policy.timeout_ms)
-    timeout_ms = min(timeout_ms, policy.timeout_ms)
+    now_s = context.clock.monotonic()
+    timeout_ms = _before_stop(context, min(timeout_ms, policy.timeout_ms), now_s)
+    if not timeout_ms:
+        return Failure(Verdict.NOT_RUN, "node_stopping")
     idempotent = _is_idempotent(route, start_line.method)
     tenant = headers.get(names.tenant, DEFAULT_TENANT)
     key = None if idempotent else headers.get(names.idempotency_key)
@@ -82,7 +85,7 @@
     # Only the first node of a chain retries after a failure that may have run;
     # otherwise the attempts would multiply with the depth.
     retries = policy.retries if depth == 0 else min(policy.retries, 1)
-    deadline_s = context.clock.monotonic() + timeout_ms / 1000
+    deadline_s = now_s + timeout_ms / 1000
     target_s = deadline_s - (timeout_ms - route.target_latency_ms) / 1000
     return Call(
         request,
@@ -91,9 +94,16 @@
         key=request.request_id if key else "",
         target_s=target_s if route.target_latency_ms else 0.0,
         large_answer=route.kind == _DOWNLOAD,
+        may_wait=context.may_wait,
     )
 
 
+def _before_stop(context: CallContext, timeout_ms: int, now_s: float) -> int:
+    """Return the milliseconds that are left to a call; a stopping node has few."""
+    left_ms = max(0.0, context.answer_by_s - now_s) * 1000
+    return int(min(timeout_ms, left_ms))
+
+
 def _is_idempotent(route: Route, method: str) -> bool:
     """Tell whether a request may run more than once; the route's kind goes first."""
     if route.kind:
--- a/burdockdock/proxy/context.py
+++ b/burdockdock/proxy/context.py
@@ -14,7 +14,9 @@
     """What the listener needs to know of its node.
 
     ``draining`` asks callers to go elsewhere with their next calls, ``refusing``
-    refuses calls that could not end before this node does.
+    refuses calls that could not end before this node does. ``answer_by_s`` bounds the
+    deadlines of calls, in monotonic seconds; without ``may_wait`` a call finds a slot
+    free or is refused.
 
     :param own_service: returns the service of the backend server beside this node.
     :param headers: names of the headers of calls.
@@ -45,6 +47,8 @@
         self.metrics = metrics
         self.draining = False
         self.refusing = False
+        self.answer_by_s = float("inf")
+        self.may_wait = True
         self.open_calls = 0
 
 
--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -81,8 +81,10 @@
         if call.request.body_length != 0:
             await body.read_first()
         # A large answer waits for a near backend server rather than come from afar.
-        free_slots = 0 if call.large_answer else FREE_SLOT_TRIES
-        tried = Tried(call.retries, MAX_MOVES, free_slots)
+        free_slots = 0 if call.large_answer and call.may_wait else FREE_SLOT_TRIES
+        tried = Tried(
+            call.retries, MAX_MOVES, free_slots, may_not_wait=not call.may_wait
+        )
         worst = Verdict.NOT_RUN
         while True:
             outcome = await self._attempt(call, caller, body, tried)
--- a/tests/node/test_draining.py
+++ b/tests/node/test_draining.py
@@ -1,6 +1,7 @@
 """Tests of the graceful stop of a node."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from types import SimpleNamespace
 
 import testtools
@@ -10,7 +11,7 @@
 from burdockdock.node.draining import DrainTiming, drain
 from tests.support import async_test
 
-_TIMING = DrainTiming(notice_s=0.0, longest_s=30.0, last_calls_s=30.0)
+_TIMING = DrainTiming(notice_s=0.0, answer_s=29.0, longest_s=30.0, last_calls_s=30.0)
 
 
 class _Gate:
@@ -18,6 +19,7 @@
 
     def __init__(self) -> None:
         self.draining = False
+        self.running = 0
         self.idle = asyncio.Event()
 
     def start_draining(self) -> None:
@@ -37,7 +39,27 @@
 
 
 def _context(*, open_calls: int) -> SimpleNamespace:
-    return SimpleNamespace(open_calls=open_calls, draining=False, refusing=False)
+    return SimpleNamespace(
+        open_calls=open_calls, draining=False, refusing=False, may_wait=True
+    )
+
+
+async def _nothing_to_flush() -> None:
+    """Stand for answers that have all left."""
+
+
+def _stopping(
+    context: SimpleNamespace,
+    gate: _Gate,
+    *,
+    flush: Callable[[], Awaitable[None]] = _nothing_to_flush,
+    timing: DrainTiming = _TIMING,
+) -> asyncio.Task[None]:
+    """Begin a graceful stop."""
+    stop = drain(
+        context, gate, _Callers(), flush=flush, timing=timing, clock=SystemClock()
+    )
+    return asyncio.create_task(stop)
 
 
 class DrainTest(testtools.TestCase):
@@ -51,9 +73,7 @@
     @async_test
     async def test_no_call_is_passed_on_once_the_last_one_ended(self) -> None:
         context, gate = _context(open_calls=1), _Gate()
-        stopping = asyncio.create_task(
-            drain(context, gate, _Callers(), timing=_TIMING, clock=SystemClock())
-        )
+        stopping = _stopping(context, gate)
         gate.idle.set()
         await asyncio.sleep(0.1)
         self.assertFalse(context.refusing)
@@ -65,12 +85,51 @@
     @async_test
     async def test_calls_on_kept_connections_are_served_until_then(self) -> None:
         context, gate = _context(open_calls=0), _Gate()
-        stopping = asyncio.create_task(
-            drain(context, gate, _Callers(), timing=_TIMING, clock=SystemClock())
-        )
+        stopping = _stopping(context, gate)
         await asyncio.sleep(0.1)
         self.assertEqual((True, False), (context.draining, context.refusing))
         self.assertTrue(gate.draining)
         gate.idle.set()
         async with asyncio.timeout(20):
             await stopping
+
+    @async_test
+    async def test_answers_to_other_nodes_have_left_before_the_close(self) -> None:
+        context, gate = _context(open_calls=0), _Gate()
+        left = asyncio.Event()
+        stopping = _stopping(context, gate, flush=left.wait)
+        gate.idle.set()
+        await asyncio.sleep(0.2)
+        self.assertFalse(stopping.done())
+        left.set()
+        async with asyncio.timeout(20):
+            await stopping
+
+    @async_test
+    async def test_a_receiver_that_takes_nothing_does_not_hold_the_stop(self) -> None:
+        context, gate = _context(open_calls=0), _Gate()
+        gate.idle.set()
+        timing = _TIMING._replace(longest_s=0.3)
+        stopping = _stopping(context, gate, flush=asyncio.Event().wait, timing=timing)
+        async with asyncio.timeout(20):
+            await stopping
+        self.assertTrue(context.refusing)
+
+    @async_test
+    async def test_calls_get_their_answers_before_the_close(self) -> None:
+        context, gate = _context(open_calls=0), _Gate()
+        gate.idle.set()
+        clock = SystemClock()
+        before_s = clock.monotonic()
+        await _stopping(context, gate)
+        self.assertTrue(before_s < context.answer_by_s < before_s + _TIMING.longest_s)
+
+    @async_test
+    async def test_calls_after_the_notice_take_a_free_slot_or_none(self) -> None:
+        context, gate = _context(open_calls=0), _Gate()
+        stopping = _stopping(context, gate)
+        self.assertTrue(context.may_wait)
+        await asyncio.sleep(0.1)
+        self.assertFalse(context.may_wait)
+        gate.idle.set()
+        await stopping
