Pass a member's refutation on in place of the rumour that it refutes

Cause: a member that heard of a suspicion of itself refuted it, and then queued the rumour that it had just refuted in place of the refutation: the suspect itself spread the suspicion, and the refutation reached others only by the exchange of digests, every 5 s. A node whose accusation was older than the refutation got no answer at all. Change: merge returns the entry that should go on: the rumour, or this member's own entry where the rumour is wrong about it. Test: test_a_refutation_goes_on_in_place_of_the_rumour.

--- a/burdockdock/coordination/membership.py
+++ b/burdockdock/coordination/membership.py
@@ -123,20 +123,21 @@
         self._store(updated)
         return updated
 
-    def merge(self, rumour: Member) -> bool:
+    def merge(self, rumour: Member) -> Member | None:
         """Take in what another node says of a member.
 
         A rumour about this node itself is refuted by a higher incarnation.
 
-        :returns: whether the table changed, so that the rumour should go on.
+        :returns: the entry that should go on: the rumour if it was news, this node's
+            own entry in place of one that is wrong about it, else None.
         """
         if rumour.node_id == self._own_id:
             return self._refute(rumour)
         known = self._members.get(rumour.node_id)
         if known is not None and _order(rumour) <= _order(known):
-            return False
+            return None
         self._store(rumour)
-        return True
+        return rumour
 
     def suspect(self, node_id: str) -> Member | None:
         """Mark a member that did not answer as suspect."""
@@ -164,12 +165,15 @@
             self._bucket_digests[bucket_of(node_id)] ^= _fingerprint(member)
         return len(old)
 
-    def _refute(self, rumour: Member) -> bool:
+    def _refute(self, rumour: Member) -> Member | None:
         own = self.own
-        if rumour.incarnation < own.incarnation or rumour == own:
-            return False
-        self._store(own._replace(incarnation=rumour.incarnation + 1))
-        return True
+        if rumour == own:
+            return None
+        if rumour.incarnation >= own.incarnation:
+            self._store(own._replace(incarnation=rumour.incarnation + 1))
+        elif rumour.state is MemberState.ALIVE:
+            return None
+        return self.own
 
     def _change_state(self, member: Member, state: MemberState) -> Member:
         changed = member._replace(state=state)
--- a/burdockdock/overlay/spread.py
+++ b/burdockdock/overlay/spread.py
@@ -116,9 +116,7 @@
     def _on_spread(self, spread: Message, address: Address) -> None:
         kind = spread.which()
         if kind == "member":
-            member = unpack_member(spread.member)
-            if self._membership.merge(member):
-                self._send_member(member, self._child_targets())
+            self._take_member(unpack_member(spread.member))
         elif kind == "record":
             self._take_record(spread)
         elif spread.recordNotice.version > self._records.version(
@@ -126,6 +124,16 @@
         ):
             self._pull(spread.nodeId)
 
+    def _take_member(self, member: Member) -> None:
+        news = self._membership.merge(member)
+        if news is None:
+            return
+        if news.node_id == self._membership.own.node_id:
+            # A refutation starts here, and not only for the members below.
+            self.start_member(news)
+        else:
+            self._send_member(news, self._child_targets())
+
     def _take_record(self, spread: Message) -> None:
         record = unpack_record(spread.record)
         before = self._records.version(record.key)
--- a/tests/coordination/test_membership.py
+++ b/tests/coordination/test_membership.py
@@ -41,6 +41,12 @@
         self.assertEqual(6, self.table.own.incarnation)
         self.assertIs(MemberState.ALIVE, self.table.own.state)
 
+    def test_a_refutation_goes_on_in_place_of_the_rumour(self) -> None:
+        suspect = member("own", 5, state=MemberState.SUSPECT)
+        self.assertEqual(member("own", 6), self.table.merge(suspect))
+        self.assertEqual(member("own", 6), self.table.merge(suspect))
+        self.assertIsNone(self.table.merge(member("own", 5)))
+
     def test_refuted_suspect_is_not_confirmed_dead(self) -> None:
         self.table.merge(member("a"))
         suspect = self.table.suspect("a")
