End a caller's request only when all of it has gone through

Callers could see: a refusal lost to a reset, where it was ready before the whole body had come; the end of a chunked answer cut by a stopping node. Cause: an answer's end closed the connection while the body was still arriving, and unread bytes turn a close into a reset; a call counted as ended before its last bytes had left the process; and a caller that closed with its whole answer was taken for one that left. Change: after an answer the rest of the body is read for a second; a call ends when its answer has left; an answer whose bytes were all sent is no abandoned call. Tests: two of test_listener.py fail without the change (broken pipe; one call counted abandoned).

--- a/burdockdock/proxy/listener.py
+++ b/burdockdock/proxy/listener.py
@@ -42,6 +42,9 @@
     502: "Bad Gateway",
     503: "Service Unavailable",
 }
+# How long the rest of a body is read after its answer: a close before that resets the
+# connection, and with it an answer on its way.
+_READ_ON_S = 1.0
 # Callers come back spread over this span.
 _RETRY_AFTER_MIN_S = 0.05
 _RETRY_AFTER_MAX_S = 0.4
@@ -81,11 +84,15 @@
         self._pieces: list[bytes] = []
         self._buffered_bytes = 0
         self._body_ended = False
+        self._closed = False
         self._arrived = asyncio.Event()
         self._has_room: asyncio.Future[None] | None = None
         self._task: asyncio.Task[None] | None = None
         self._answer_started = False
         self._answer_ended = False
+        self._whole = False
+        # Bytes of the answer's body still to be sent, where its head tells them.
+        self._left_bytes = -1
         self._method = ""
         self._status = 0
 
@@ -101,10 +108,12 @@
 
     def data_received(self, chunk: bytes) -> "asyncio.Future[None] | None":
         """Keep a piece of the body; make the caller wait while many are kept."""
+        if self._answer_ended:
+            return None
         self._pieces.append(chunk)
         self._buffered_bytes += len(chunk)
         self._arrived.set()
-        if self._buffered_bytes < _BUFFER_BYTES or self._answer_ended:
+        if self._buffered_bytes < _BUFFER_BYTES:
             return None
         self._has_room = asyncio.get_running_loop().create_future()
         return self._has_room
@@ -118,6 +127,8 @@
         """Cancel the call, since nobody waits for its answer."""
         if self._task is not None and not self._answer_ended:
             self._task.cancel()
+        self._closed = True
+        self._arrived.set()
         self._make_room()
 
     async def read_body(self) -> tuple[bytes, bool]:
@@ -136,6 +147,7 @@
         self._answer_started = True
         self._status = head.status
         headers = _answer_headers(head, self._method)
+        self._left_bytes = _body_bytes(headers, self._method)
         if self._context.draining:
             headers["Connection"] = "close"
         await self._write(
@@ -148,11 +160,12 @@
         """Send a piece of the answer once the connection took it."""
         if self._method != "HEAD":
             await self._write(self._connection.write(data))
+            self._left_bytes -= len(data)
 
     def finish_answer(self) -> None:
-        """End a whole answer."""
+        """Note that the answer is whole."""
         self._answer_ended = True
-        self._connection.finish()
+        self._whole = True
         self._make_room()
 
     def break_off(self) -> None:
@@ -162,6 +175,30 @@
         stream.close()
         self._make_room()
 
+    async def _end_request(self) -> None:
+        """Leave the connection to the next request once this one has all ended."""
+        if not self._whole:
+            return
+        await self._read_on()
+        self._connection.finish()
+        stream = self._connection.stream
+        try:
+            # A chunked answer's end may still wait for the caller to take it.
+            if stream.writing():
+                await stream.write(b"")
+        except StreamClosedError:
+            log_event("call.end_unread", status=self._status)
+
+    async def _read_on(self) -> None:
+        """Take in the rest of the request's body, for a while."""
+        try:
+            async with asyncio.timeout(_READ_ON_S):
+                while not self._body_ended and not self._closed:
+                    self._arrived.clear()
+                    await self._arrived.wait()
+        except TimeoutError:
+            log_event("call.body_unread", read_on_s=_READ_ON_S)
+
     async def _write(self, future: "asyncio.Future[None]") -> None:
         try:
             await future
@@ -180,10 +217,9 @@
             if failure is not None:
                 await self._refuse(failure)
             self._log_end(call, headers, failure, started_s)
+            await self._end_request()
         except asyncio.CancelledError:
-            context.metrics.count("calls_abandoned")
-            abandoned = Failure(Verdict.MAY_HAVE_RUN, "caller_left")
-            self._log_end(call, headers, abandoned, started_s)
+            self._log_end(call, headers, self._abandoned(), started_s)
         finally:
             # Nobody reads the rest of the body: a connection that waited for room
             # would never end.
@@ -192,6 +228,13 @@
             context.open_calls -= 1
             _record_latency(context, call, started_s)
 
+    def _abandoned(self) -> Failure | None:
+        """Return what a closed connection means: no failure after a whole answer."""
+        if not self._left_bytes:
+            return None
+        self._context.metrics.count("calls_abandoned")
+        return Failure(Verdict.MAY_HAVE_RUN, "caller_left")
+
     def _log_end(
         self,
         call: Call | Failure,
@@ -273,6 +316,14 @@
     )
 
 
+def _body_bytes(headers: HTTPHeaders, method: str) -> int:
+    """Return the bytes of an answer's body, -1 where its head does not tell them."""
+    if method == "HEAD":
+        return 0
+    length = headers.get("Content-Length", "")
+    return int(length) if length.isascii() and length.isdecimal() else -1
+
+
 def _answer_headers(head: AnswerHead, method: str) -> HTTPHeaders:
     named = next((v for n, v in head.headers if n.lower() == "connection"), "")
     dropped = hop_names(named)
--- a/tests/proxy/test_listener.py
+++ b/tests/proxy/test_listener.py
@@ -1,12 +1,15 @@
 """Tests of the server that callers use."""
 
 import asyncio
+import random
 from types import SimpleNamespace
 
 import testtools
 
 from burdockdock.clock import SystemClock
+from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.metrics import Metrics
+from burdockdock.protocol.calls import AnswerHead
 from burdockdock.proxy import listener
 from burdockdock.proxy.call import Caller
 from burdockdock.standin.local_fleet import free_port
@@ -14,6 +17,7 @@
 
 _HOST = "127.0.0.1"
 _HEAD = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999\r\n\r\n"
+_ANSWER = b"a whole answer"
 _REQUEST = SimpleNamespace(
     request_id="1",
     route="all",
@@ -36,7 +40,30 @@
         raise asyncio.CancelledError
 
 
-def _context(forwarder: _Forwarder) -> SimpleNamespace:
+class _AnsweringForwarder:
+    """Answers at once, and hears of the answer's end only when a test says so."""
+
+    def __init__(self) -> None:
+        self.answer_ends = asyncio.Event()
+
+    async def forward(self, call: object, caller: Caller) -> None:
+        """Send an answer whose length stands in its head."""
+        headers = (("Content-Length", str(len(_ANSWER))),)
+        await caller.send_head(AnswerHead(200, "OK", headers))
+        await caller.send_body(_ANSWER)
+        await self.answer_ends.wait()
+        caller.finish()
+
+
+class _RefusingForwarder:
+    """Refuses every call at once."""
+
+    async def forward(self, call: object, caller: Caller) -> Failure:
+        """Refuse a call."""
+        return Failure(Verdict.NOT_RUN, "queue_full")
+
+
+def _context(forwarder: object) -> SimpleNamespace:
     return SimpleNamespace(
         forwarder=forwarder,
         clock=SystemClock(),
@@ -45,6 +72,7 @@
         open_calls=0,
         draining=False,
         refusing=False,
+        rng=random.Random(1),
         snapshot=lambda: SimpleNamespace(version=1),
     )
 
@@ -72,3 +100,38 @@
         self.assertEqual({closing}, done)
         server.stop()
         writer.close()
+
+    @async_test
+    async def test_a_refusal_arrives_while_the_body_is_still_coming(self) -> None:
+        self.patch(listener, "make_call", lambda *_: SimpleNamespace(request=_REQUEST))
+        port = free_port()
+        context = _context(_RefusingForwarder())
+        server = listener.serve_callers(context, host=_HOST, port=port)
+        reader, writer = await asyncio.open_connection(_HOST, port)
+        writer.write(b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4000000\r\n\r\n")
+        await eventually(
+            lambda: context.metrics.counter("call_failures", label="queue_full")
+        )
+        for _ in range(4):
+            writer.write(b"x" * 1_000_000)
+            await writer.drain()
+            await asyncio.sleep(0.05)
+        answer = await reader.readuntil(b"}")
+        self.assertTrue(answer.startswith(b"HTTP/1.1 503 "), answer)
+        writer.close()
+        await eventually(lambda: not context.open_calls)
+        server.stop()
+
+    @async_test
+    async def test_a_caller_that_leaves_with_its_whole_answer_has_it(self) -> None:
+        self.patch(listener, "make_call", lambda *_: SimpleNamespace(request=_REQUEST))
+        port = free_port()
+        context = _context(_AnsweringForwarder())
+        server = listener.serve_callers(context, host=_HOST, port=port)
+        reader, writer = await asyncio.open_connection(_HOST, port)
+        writer.write(b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
+        await reader.readuntil(_ANSWER)
+        writer.close()
+        await eventually(lambda: not context.open_calls)
+        self.assertEqual(0, context.metrics.counter("calls_abandoned"))
+        server.stop()
