Give up opening a link while there is time to ask another node

What callers saw: calls whose backend server's node had no open link waited for its opening past their own deadline (up to 1 s to connect and 3 s for the greeting), or were sent with a few ms left and ended 504. Cause: the opening of a link was bounded by its own limits only, not by the call's time. Ruled out: greet() without a limit; it has one of 3 s. Change: an opening may take half of the time left; then the call is not_run (peer_not_reached_in_time) and another node is asked. The question what became of a call is bounded in the same way, its link's opening included. Why it works: nothing was sent, so not_run is true, and it is said while it is of use.

--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -24,6 +24,8 @@
 from burdockdock.proxy.peer_link import PeerLink, PeerLinks, RemoteCall
 
 _OUTCOME_INTERVAL_S = 0.02
+# Of the time left, what a link may take to open; the rest is for another node.
+_OPENING_SHARE = 0.5
 _ANSWER_LOST = "answer_lost"
 _NO_BACKEND_SERVER = "no_backend_server"
 _SHED_STATUSES = frozenset({429, 503})
@@ -153,7 +155,7 @@
         """
         link = self._links.open_link(member.host, member.port)
         if link is None:
-            found = await self._links.get(member.host, member.port)
+            found = await self._open_in_time(member, call)
             if isinstance(found, Failure):
                 return found
             link = found
@@ -172,6 +174,15 @@
         attempt = _Attempt(member, link, link.start(request))
         return await self._follow(attempt, call, caller, body)
 
+    async def _open_in_time(self, member: Member, call: Call) -> PeerLink | Failure:
+        """Open a link while there is time to use it, or to ask another node."""
+        left_s = call.deadline_s - self._clock.monotonic()
+        try:
+            async with asyncio.timeout(left_s * _OPENING_SHARE):
+                return await self._links.get(member.host, member.port)
+        except TimeoutError:
+            return Failure(Verdict.NOT_RUN, "peer_not_reached_in_time", member.node_id)
+
     async def _follow(
         self, attempt: _Attempt, call: Call, caller: Caller, body: ReplayableBody
     ) -> AnswerHead | Failure:
@@ -221,11 +232,12 @@
         self, attempt: _Attempt, call: Call, left_ms: int
     ) -> Failure | None:
         """Ask the same incarnation of a node; another one knows nothing."""
-        link = await self._links.get(attempt.member.host, attempt.member.port)
-        if isinstance(link, Failure) or link.peer != attempt.link.peer:
-            return None
         try:
             async with asyncio.timeout(left_ms / 1000):
+                member = attempt.member
+                link = await self._links.get(member.host, member.port)
+                if isinstance(link, Failure) or link.peer != attempt.link.peer:
+                    return None
                 outcome = await link.query_outcome(
                     call.request.request_id, time_left_ms=left_ms
                 )
--- /dev/null
+++ b/tests/proxy/test_forwarder.py
@@ -0,0 +1,135 @@
+"""Tests of what a forwarder says of calls that reached no backend server."""
+
+import asyncio
+from collections.abc import Callable
+
+import testtools
+
+from burdockdock.clock import ManualClock, SystemClock
+from burdockdock.coordination.backoff import FleetRetryBudget
+from burdockdock.coordination.membership import Member
+from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.metrics import Metrics
+from burdockdock.protocol.calls import CallRequest
+from burdockdock.protocol.handshake import PeerIdentity
+from burdockdock.proxy.call import Call
+from burdockdock.proxy.forwarder import Forwarder
+from tests.support import PATIENCE_S, async_test
+
+_ALLOWED_MS = 200
+
+
+class _Remote:
+    """One attempt, of which the test says what becomes of it."""
+
+    def __init__(self, ending: Failure | None) -> None:
+        self.refusal = None
+        self.on_late_refusal: Callable[[Failure], None] | None = None
+        self._ending = ending
+
+    async def head(self) -> Failure:
+        """Return the ending, or wait for ever without one."""
+        if self._ending is None:
+            await asyncio.Event().wait()
+        return self._ending
+
+    def cancel(self) -> None:
+        """Do nothing."""
+
+
+class _Link:
+    """An open link to one node."""
+
+    def __init__(self, node_id: str, ending: Failure | None) -> None:
+        self.peer = PeerIdentity("mesh", node_id, 1)
+        self.sent: list[CallRequest] = []
+        self.remotes: list[_Remote] = []
+        self.before_ending: Callable[[], None] = lambda: None
+        self.ending = ending
+
+    def start(self, request: CallRequest) -> _Remote:
+        """Keep what was sent."""
+        self.sent.append(request)
+        self.before_ending()
+        self.remotes.append(_Remote(self.ending))
+        return self.remotes[-1]
+
+
+class _Stage:
+    """A forwarder with members whose links are the test's own.
+
+    :param links: by node id; None for one that never opens.
+    """
+
+    def __init__(
+        self,
+        links: dict[str, _Link | None],
+        clock: ManualClock | SystemClock | None = None,
+    ) -> None:
+        self.clock = clock or SystemClock()
+        self._links = links
+        self._members = [
+            Member(name, name, 1, "r", "z", 1, ready=True, service="work", slots=1)
+            for name in links
+        ]
+        self.forwarder = Forwarder(
+            links=self,
+            endpoints=self,
+            balancer=self,
+            clock=self.clock,
+            metrics=Metrics(),
+            retry_budget=FleetRetryBudget(share=0.0, reserve=0.0, nodes=lambda: 1),
+        )
+
+    async def call(self, *, idempotent: bool = False, retries: int = 1) -> Failure:
+        """Forward one call to its failure."""
+        request = CallRequest(
+            "id", "t", "c", "r", "work", _ALLOWED_MS, idempotent, "GET", "/", ()
+        )
+        deadline_s = self.clock.monotonic() + _ALLOWED_MS / 1000
+        call = Call(request, deadline_s, retries)
+        async with asyncio.timeout(PATIENCE_S):
+            return await self.forwarder.forward(call, None)
+
+    def open_link(self, host: str, port: int) -> _Link | None:
+        """Return a link that is open."""
+        return self._links[host]
+
+    async def get(self, host: str, port: int) -> _Link:
+        """Wait for ever for a link that never opens."""
+        await asyncio.Event().wait()
+
+    def for_call(self, service: str, *, full: frozenset[str]) -> list[Member]:
+        """Return all members."""
+        return self._members
+
+    def pick(self, members: list[Member], *, excluded: frozenset[str]) -> Member | None:
+        """Return the first that was not tried."""
+        return next((m for m in members if m.node_id not in excluded), None)
+
+    def started(self, node_id: str) -> None:
+        """Do nothing."""
+
+    def finished(self, node_id: str, *, failed: bool) -> None:
+        """Do nothing."""
+
+    def tell_load(self, node_id: str, *told: object) -> None:
+        """Do nothing."""
+
+
+_FULL = Failure(Verdict.NOT_RUN, "queue_full")
+
+
+class OpeningTest(testtools.TestCase):
+    """Tests of links that don't open."""
+
+    @async_test
+    async def test_a_link_that_never_opens_ends_no_later_than_the_call(self) -> None:
+        failure = await _Stage({"a": None, "b": None}).call()
+        self.assertIs(Verdict.NOT_RUN, failure.verdict)
+
+    @async_test
+    async def test_another_node_is_asked_while_there_is_time(self) -> None:
+        link = _Link("b", _FULL)
+        await _Stage({"a": None, "b": link}).call()
+        self.assertTrue(link.sent)
