Send no call to a node whose refusal would come after the deadline

What callers saw: 504 may_have_run for calls that a gate had refused at once; an unsafe one can't be repeated after that, though it never ran. Cause: where a way between nodes is congested the refusal takes hundreds of ms. The caller's node knew nothing of that, sent calls with less time left than the reply takes, and told the gate the whole time, so that its refusals for too little time came late by the way back. Change: the forwarder times each node's immediate replies (refusals, opened links, also refusals that come after the deadline). A gate is told the time left without the expected reply; with none left, the call isn't sent there: not_run, peer_too_slow, and another node is asked. Why it works: a call that wasn't sent can't run, so not_run is true.

--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -1,6 +1,7 @@
 """Carries one call to a backend server, with retries that never run it twice."""
 
 import asyncio
+import functools
 from typing import NamedTuple
 
 from burdockdock.clock import Clock
@@ -22,13 +23,18 @@
 from burdockdock.proxy.call import Call, Caller, ReplayableBody
 from burdockdock.proxy.endpoints import Endpoints
 from burdockdock.proxy.peer_link import PeerLink, PeerLinks, RemoteCall
+from burdockdock.proxy.reply_times import PROMPT_REFUSALS, ReplyTimes
 
 _OUTCOME_INTERVAL_S = 0.02
 # Of the time left, what a link may take to open; the rest is for another node.
 _OPENING_SHARE = 0.5
 _ANSWER_LOST = "answer_lost"
+_DEADLINE_PASSED = "deadline_passed"
 _NO_BACKEND_SERVER = "no_backend_server"
 _SHED_STATUSES = frozenset({429, 503})
+# An opened link took two ways there and back: to connect and to greet.
+_OPENING_TRIPS = 2
+_TOO_SLOW = "peer_too_slow"
 # Refusals that say something about load or a planned stop, not about faults.
 _HEALTHY_REFUSALS = frozenset(
     {
@@ -36,11 +42,12 @@
         "tenant_queue_full",
         "queue_timeout",
         "draining",
-        "deadline_passed",
+        _DEADLINE_PASSED,
         "too_little_time",
         "backend_leaving",
         "not_here",
         "version_stopped",
+        _TOO_SLOW,
         BACKEND_REFUSED,
     }
 )
@@ -50,6 +57,7 @@
     member: Member
     link: PeerLink
     remote: RemoteCall
+    started_s: float
 
 
 class Forwarder:
@@ -71,6 +79,7 @@
         self._clock = clock
         self._metrics = metrics
         self._budget = retry_budget
+        self._reply_times = ReplyTimes(clock=clock)
 
     async def forward(self, call: Call, caller: Caller) -> Failure | None:
         """Carry a call to its answer.
@@ -161,27 +170,37 @@
             link = found
         if link.peer.node_id != member.node_id:
             return Failure(Verdict.NOT_RUN, "other_node", link.peer.node_id)
-        left_ms = self._left_ms(call)
-        if left_ms <= 0:
-            return Failure(Verdict.NOT_RUN, "deadline_passed")
+        if self._left_ms(call) <= 0:
+            return Failure(Verdict.NOT_RUN, _DEADLINE_PASSED)
+        # A refusal on the way at the deadline would leave the caller in doubt.
+        reply_s = self._reply_times.expected_s(member.node_id)
+        time_left_ms = self._left_ms(call) - round(reply_s * 1000)
+        if time_left_ms <= 0:
+            return Failure(Verdict.NOT_RUN, _TOO_SLOW, f"replies in {reply_s:.3f} s")
         request = call.request._replace(
-            time_left_ms=left_ms,
+            time_left_ms=time_left_ms,
             target_left_ms=self._target_left_ms(call),
             queue_length=call.request.queue_length if may_wait else 0,
             body=body.start,
             end=body.start_is_all,
         )
-        attempt = _Attempt(member, link, link.start(request))
+        started_s = self._clock.monotonic()
+        attempt = _Attempt(member, link, link.start(request), started_s)
         return await self._follow(attempt, call, caller, body)
 
     async def _open_in_time(self, member: Member, call: Call) -> PeerLink | Failure:
         """Open a link while there is time to use it, or to ask another node."""
-        left_s = call.deadline_s - self._clock.monotonic()
+        started_s = self._clock.monotonic()
+        left_s = call.deadline_s - started_s
         try:
             async with asyncio.timeout(left_s * _OPENING_SHARE):
-                return await self._links.get(member.host, member.port)
+                link = await self._links.get(member.host, member.port)
         except TimeoutError:
             return Failure(Verdict.NOT_RUN, "peer_not_reached_in_time", member.node_id)
+        if not isinstance(link, Failure):
+            took_s = self._clock.monotonic() - started_s
+            self._reply_times.record(member.node_id, took_s / _OPENING_TRIPS)
+        return link
 
     async def _follow(
         self, attempt: _Attempt, call: Call, caller: Caller, body: ReplayableBody
@@ -192,6 +211,7 @@
             upload = asyncio.create_task(body.send_rest(attempt.remote))
         try:
             head = await self._head_in_time(attempt.remote, call)
+            self._time_reply(attempt, head)
             if isinstance(head, Failure):
                 refusal = attempt.remote.refusal
                 if refusal is not None:
@@ -205,6 +225,19 @@
                 upload.cancel()
             attempt.remote.cancel()
 
+    def _time_reply(self, attempt: _Attempt, head: AnswerHead | Failure) -> None:
+        """Learn from a reply how long the way there and back takes."""
+        node_id = attempt.member.node_id
+        took_s = self._clock.monotonic() - attempt.started_s
+        if not isinstance(head, Failure):
+            self._reply_times.bound(node_id, took_s)
+        elif head.reason in PROMPT_REFUSALS:
+            self._reply_times.record(node_id, took_s)
+        elif head.reason == _DEADLINE_PASSED:
+            attempt.remote.on_late_refusal = functools.partial(
+                self._time_reply, attempt
+            )
+
     async def _head_in_time(
         self, remote: RemoteCall, call: Call
     ) -> AnswerHead | Failure:
@@ -213,7 +246,7 @@
             async with asyncio.timeout(left_s):
                 return await remote.head()
         except TimeoutError:
-            return Failure(Verdict.MAY_HAVE_RUN, "deadline_passed")
+            return Failure(Verdict.MAY_HAVE_RUN, _DEADLINE_PASSED)
 
     async def _settle(self, attempt: _Attempt, call: Call, failure: Failure) -> Failure:
         """Find out what became of a call whose connection broke."""
--- a/burdockdock/proxy/peer_link.py
+++ b/burdockdock/proxy/peer_link.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import itertools
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
@@ -30,6 +30,8 @@
 from burdockdock.protocol.handshake import PeerIdentity, greet
 
 CONNECT_TIMEOUT_S = 1.0
+# Calls given up on one link whose late refusals are still looked at.
+_MAX_GIVEN_UP = 64
 LINK_BROKEN = Failure(Verdict.MAY_HAVE_RUN, "peer_connection_broken")
 
 
@@ -46,7 +48,8 @@
 class RemoteCall:
     """One attempt of a call at another node.
 
-    ``refusal`` is what that node told of itself when it refused or failed the call.
+    ``refusal`` is what that node told of itself when it refused or failed the call;
+    ``on_late_refusal`` is told one that comes when the call was given up.
     """
 
     def __init__(self, call_id: int, link: "PeerLink") -> None:
@@ -59,6 +62,7 @@
         self._ended = False
         self._failure: Failure | None = None
         self.refusal: GateState | None = None
+        self.on_late_refusal: Callable[[Failure], None] | None = None
         self._arrived = asyncio.Event()
 
     async def head(self) -> AnswerHead | Failure:
@@ -139,6 +143,7 @@
         self._ids = itertools.count(1)
         self._calls: dict[int, RemoteCall] = {}
         self._queries: dict[int, asyncio.Future[Failure]] = {}
+        self._given_up: OrderedDict[int, Callable[[Failure], None]] = OrderedDict()
         self._reader = asyncio.create_task(self._read())
 
     @property
@@ -180,8 +185,12 @@
         self._connection.send(data)
 
     def forget(self, call_id: int) -> None:
-        """Drop what still arrives for a call."""
-        self._calls.pop(call_id, None)
+        """Drop what still arrives for a call, but for a late refusal."""
+        call = self._calls.pop(call_id, None)
+        if call is not None and call.on_late_refusal is not None:
+            self._given_up[call_id] = call.on_late_refusal
+            if len(self._given_up) > _MAX_GIVEN_UP:
+                self._given_up.popitem(last=False)
 
     def close(self) -> None:
         """Close the connection."""
@@ -210,12 +219,7 @@
             if call is not None:
                 call.receive_body(body.data, body.end)
         elif kind == "callFailed":
-            call = self._call(message.callFailed.callId)
-            if call is not None:
-                call.refusal = GateState(
-                    message.callFailed.load, read_failure_results(message)
-                )
-                call.receive_failure(read_failure(message))
+            self._receive_failure(message)
         elif kind == "credit":
             call = self._calls.get(message.credit.callId)
             if call is not None:
@@ -229,6 +233,17 @@
             call.receive_body(head.body, head.end)
         call.receive_head(head)
 
+    def _receive_failure(self, message: Message) -> None:
+        failed = message.callFailed
+        call = self._call(failed.callId)
+        if call is not None:
+            call.refusal = GateState(failed.load, read_failure_results(message))
+            call.receive_failure(read_failure(message))
+            return
+        on_late_refusal = self._given_up.pop(failed.callId, None)
+        if on_late_refusal is not None:
+            on_late_refusal(read_failure(message))
+
     def _receive_outcome(self, outcome: Message) -> None:
         future = self._queries.get(outcome.queryId)
         if future is not None and not future.done():
--- a/tests/proxy/test_forwarder.py
+++ b/tests/proxy/test_forwarder.py
@@ -78,7 +78,7 @@
             balancer=self,
             clock=self.clock,
             metrics=Metrics(),
-            retry_budget=FleetRetryBudget(share=0.0, reserve=0.0, nodes=lambda: 1),
+            retry_budget=FleetRetryBudget(share=0.0, reserve=9.0, nodes=lambda: 1),
         )
 
     async def call(self, *, idempotent: bool = False, retries: int = 1) -> Failure:
@@ -104,8 +104,8 @@
         return self._members
 
     def pick(self, members: list[Member], *, excluded: frozenset[str]) -> Member | None:
-        """Return the first that was not tried."""
-        return next((m for m in members if m.node_id not in excluded), None)
+        """Return the first that was not tried, or else the first."""
+        return next((m for m in members if m.node_id not in excluded), members[0])
 
     def started(self, node_id: str) -> None:
         """Do nothing."""
@@ -133,3 +133,54 @@
         link = _Link("b", _FULL)
         await _Stage({"a": None, "b": link}).call()
         self.assertTrue(link.sent)
+
+
+class SlowWayTest(testtools.TestCase):
+    """Tests of nodes whose immediate refusals take long to come back."""
+
+    async def _tell_slow(self, stage: _Stage, link: _Link, seconds_s: float) -> None:
+        """Let one call learn how long a refusal takes."""
+        link.before_ending = lambda: stage.clock.advance(seconds_s)
+        await stage.call()
+        link.before_ending = lambda: None
+        link.sent.clear()
+
+    @async_test
+    async def test_a_node_that_would_refuse_too_late_is_not_sent_the_call(self) -> None:
+        link = _Link("a", _FULL)
+        stage = _Stage({"a": link}, ManualClock())
+        await self._tell_slow(stage, link, 0.3)
+        failure = await stage.call()
+        self.assertEqual([], link.sent)
+        self.assertEqual((Verdict.NOT_RUN, "peer_too_slow"), failure[:2])
+
+    @async_test
+    async def test_another_node_gets_it_instead(self) -> None:
+        slow, near = _Link("a", _FULL), _Link("b", _FULL)
+        stage = _Stage({"a": slow, "b": near}, ManualClock())
+        await self._tell_slow(stage, slow, 0.3)
+        near.sent.clear()
+        await stage.call()
+        self.assertEqual([], slow.sent)
+        self.assertTrue(near.sent)
+
+    @async_test
+    async def test_the_gate_is_told_the_time_without_the_way_back(self) -> None:
+        link = _Link("a", _FULL)
+        stage = _Stage({"a": link}, ManualClock())
+        await self._tell_slow(stage, link, 0.08)
+        await stage.call()
+        # Whole ms are told, rounded down.
+        expected_ms = (_ALLOWED_MS - 81, _ALLOWED_MS - 80)
+        self.assertIn(link.sent[0].time_left_ms, expected_ms)
+
+    @async_test
+    async def test_a_refusal_after_the_deadline_is_learned_from(self) -> None:
+        link = _Link("a", None)
+        stage = _Stage({"a": link}, ManualClock())
+        failure = await stage.call()
+        self.assertEqual((Verdict.MAY_HAVE_RUN, "deadline_passed"), failure[:2])
+        stage.clock.advance(0.4)
+        link.remotes[0].on_late_refusal(_FULL)
+        failure = await stage.call()
+        self.assertEqual((Verdict.NOT_RUN, "peer_too_slow"), failure[:2])
