Tell the reason of the attempt that left a call in doubt

What callers saw: 502 queue_full and 502 too_little_time, may_have_run, though these reasons mean that nothing ran. Cause: the verdict was that of the worst attempt, the reason that of the last. Evidence: 26 such ends in the same log; each had an earlier attempt that a backend server or a lost link left in doubt, so the verdict was right. Change: the failure with the worst verdict is told, the latest among equals. Tests: DoubtTest failed before.

--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -94,13 +94,14 @@
         # A large answer waits for a near backend server rather than come from afar.
         free_slots = 0 if call.large_answer else FREE_SLOT_TRIES
         tried = Tried(call.retries, MAX_MOVES, free_slots)
-        worst = Verdict.NOT_RUN
+        decisive: Failure | None = None
         while True:
             outcome = await self._attempt(call, caller, body, tried)
             if outcome is None:
                 return None
             failure = outcome.failure
-            worst = max(worst, failure.verdict)
+            if decisive is None or failure.verdict >= decisive.verdict:
+                decisive = failure
             self._log_attempt(call, outcome)
             following = tried.after(outcome)
             attempts_left = 0 if following is None else 1
@@ -109,7 +110,7 @@
             tried = following or tried
             self._metrics.count("retries", label=failure.reason)
         # What an earlier attempt may have done holds whatever the last one did.
-        return failure._replace(verdict=worst)
+        return decisive
 
     async def _attempt(
         self,
--- a/tests/proxy/test_forwarder.py
+++ b/tests/proxy/test_forwarder.py
@@ -184,3 +184,16 @@
         link.remotes[0].on_late_refusal(_FULL)
         failure = await stage.call()
         self.assertEqual((Verdict.NOT_RUN, "peer_too_slow"), failure[:2])
+
+
+class DoubtTest(testtools.TestCase):
+    """Tests of the reason told with a verdict."""
+
+    @async_test
+    async def test_the_reason_is_that_of_the_attempt_in_doubt(self) -> None:
+        lost = Failure(Verdict.MAY_HAVE_RUN, "backend_connection_broken", "reset")
+        refusal = Failure(Verdict.NOT_RUN, "draining")
+        links = {name: _Link(name, refusal) for name in "bcdef"}
+        failure = await _Stage({"a": _Link("a", lost), **links}).call(idempotent=True)
+        self.assertTrue(all(link.sent for link in links.values()))
+        self.assertEqual(lost, failure)
