Let connecting to the backend server end before the request's time

What callers would see: 504 may_have_run for a request of less than 1 s of which no byte was sent, as its backend server takes no connection. Cause: connecting had 1 s whatever time the request had, so that the gate's not_run came at the deadline or after it. Change: connecting takes half of the request's time at most, and 1 s at most as before. Tests: test_connecting_leaves_time_to_say_that_nothing_was_sent failed with the limit of 1 s. A test with a full queue of connections passed with either limit and was not kept.

--- a/burdockdock/gate/curl_client.py
+++ b/burdockdock/gate/curl_client.py
@@ -10,6 +10,8 @@
 
 _PAUSE_ABOVE_BYTES = 256 * 1024
 _CONNECT_TIMEOUT_MS = 1000
+# Of a request's time, what connecting may take; the rest is for another try.
+_CONNECT_SHARE = 0.5
 # A kept connection is not used again after this, before a backend server that says
 # nothing of its own limit might close it.
 _MAX_IDLE_S = 5
@@ -50,6 +52,11 @@
     headers: tuple[tuple[str, str], ...]
 
 
+def connect_timeout_ms(timeout_ms: int) -> int:
+    """Return how long a request with a time-out may take to connect, in ms."""
+    return max(1, min(_CONNECT_TIMEOUT_MS, int(timeout_ms * _CONNECT_SHARE)))
+
+
 class CurlClient:
     """Runs transfers on the running asyncio loop.
 
@@ -254,7 +261,7 @@
         easy.setopt(pycurl.NOSIGNAL, 1)
         easy.setopt(pycurl.PROXY, "")
         easy.setopt(pycurl.HTTPHEADER, request.headers)
-        easy.setopt(pycurl.CONNECTTIMEOUT_MS, _CONNECT_TIMEOUT_MS)
+        easy.setopt(pycurl.CONNECTTIMEOUT_MS, connect_timeout_ms(request.timeout_ms))
         easy.setopt(pycurl.TIMEOUT_MS, max(1, request.timeout_ms))
         easy.setopt(pycurl.MAXAGE_CONN, _MAX_IDLE_S)
         easy.setopt(pycurl.HEADERFUNCTION, self._on_header)
--- a/tests/gate/test_curl_client.py
+++ b/tests/gate/test_curl_client.py
@@ -5,7 +5,7 @@
 import testtools
 
 from burdockdock.coordination.verdict import Failure, Verdict
-from burdockdock.gate.curl_client import BackendRequest, CurlClient
+from burdockdock.gate.curl_client import BackendRequest, CurlClient, connect_timeout_ms
 from tests.support import async_test
 
 
@@ -102,6 +102,10 @@
         )
         client.close()
 
+    def test_connecting_leaves_time_to_say_that_nothing_was_sent(self) -> None:
+        for timeout_ms, expected_ms in ((1, 1), (600, 300), (10_000, 1000)):
+            self.assertEqual(expected_ms, connect_timeout_ms(timeout_ms), timeout_ms)
+
     @async_test
     async def test_cancel_of_an_ended_transfer_leaves_its_handles_next_one(
         self,
