Keep the members that take calls by service and version

What callers saw: nothing wrong, but every attempt of a call built the list of its service's members, counted them by version and slots to find the incumbent, sorted a new version's members by hash to find its few, and filtered the list by version. All of it grows with the service. Members that died stayed in the index for ever.

Ruled out: caching the weights by service.

Change: Endpoints keep one Pool of members for each version (taking calls, and suspects apart) and its sum of slots, changed in constant time with each member. incumbent_weights takes the slots. The few members for a small share are kept until a member of the service changes. Services and members that take no calls are dropped, so that /services no longer lists a service of which nobody takes calls.

Why it works: nothing in the choice walks the members any more but the balancer and the home of a caller's key. A seeded test changes members at random 3000 times and compares the index with a scan of the membership after each.

--- /dev/null
+++ b/bench/placement.py
@@ -0,0 +1,158 @@
+"""Measures what choosing a backend server costs as its service grows, in one process.
+
+Usage: python -m bench.placement
+"""
+
+import json
+import random
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import click
+
+from bench.accounting import fit_line
+from burdockdock.clock import ManualClock, SystemClock
+from burdockdock.coordination.membership import Member, MembershipTable
+from burdockdock.protocol.calls import GateResults
+from burdockdock.proxy.balancer import LARGE_ANSWERS, Balancer
+from burdockdock.proxy.endpoints import Endpoints
+from burdockdock.rollout.incumbent import incumbent_weights
+
+_SIZES = (8, 64, 512, 4_096)
+_ZONES = 3
+_SERVICE = "service"
+_ROUNDS = 5
+_ROUND_S = 0.1
+_RESULTS = Path(__file__).parent / "results"
+
+
+class _Caller(NamedTuple):
+    """A node's view of one service, and how it chooses."""
+
+    endpoints: Endpoints
+    balancer: Balancer
+
+
+def _member(i: int, *, version: str) -> Member:
+    return Member(
+        node_id=f"node-{i:05d}",
+        host="127.0.0.1",
+        port=7000,
+        region="region",
+        availability_zone=f"zone-{i % _ZONES}",
+        incarnation=1,
+        ready=True,
+        service=_SERVICE,
+        service_version=version,
+        slots=3,
+    )
+
+
+def _caller(count: int, *, new_share: float = 0.0, weight: float = 0.0) -> _Caller:
+    """Return the view of a service of a size.
+
+    :param new_share: share of the members that run a new version.
+    :param weight: traffic weight of the new version, 0 before its rollout.
+    """
+    own = _member(0, version="1")
+    table = MembershipTable(own, clock=ManualClock())
+
+    def weights_of(service: str) -> dict[str, float]:
+        if weight:
+            return {"1": 1.0 - weight, "2": weight}
+        return incumbent_weights(endpoints.slots(service))
+
+    endpoints = Endpoints(
+        table,
+        weights_of=weights_of,
+        rng=random.Random(1),
+        new_version_of=lambda _: "2" if weight else "",
+    )
+    balancer = Balancer(
+        availability_zone=own.availability_zone,
+        region=own.region,
+        clock=SystemClock(),
+        rng=random.Random(2),
+        node_id=own.node_id,
+    )
+    rng = random.Random(3)
+    for i in range(1, count):
+        table.merge(_member(i, version="2" if i < count * new_share else "1"))
+    for member in table:
+        results = GateResults(rng.uniform(0.1, 0.3))
+        balancer.tell_load(member.node_id, rng.randrange(4), results)
+    return _Caller(endpoints, balancer)
+
+
+def _microseconds_of(action: Callable[[], Any]) -> float:
+    """Return the processor time of one run, the least of some rounds."""
+    return min(_round_us(action) for _ in range(_ROUNDS))
+
+
+def _round_us(action: Callable[[], Any]) -> float:
+    runs = 0
+    started_s = time.process_time()
+    spent_s = 0.0
+    while spent_s < _ROUND_S:
+        action()
+        runs += 1
+        spent_s = time.process_time() - started_s
+    return spent_s / runs * 1e6
+
+
+def _picking(caller: _Caller, **options: Any) -> Callable[[], Member | None]:
+    def pick() -> Member | None:
+        members = caller.endpoints.for_call(_SERVICE)
+        return caller.balancer.pick(members, **options)
+
+    return pick
+
+
+def _failing(caller: _Caller, count: int) -> _Caller:
+    """Eject four in ten of the members."""
+    for i in range(int(count * 0.4)):
+        for _ in range(5):
+            caller.balancer.started(f"node-{i:05d}")
+            caller.balancer.finished(f"node-{i:05d}", failed=True)
+    return caller
+
+
+def _measure(count: int) -> dict[str, float]:
+    """Return what one choice costs in a service of a size, in microseconds."""
+    plain = _caller(count)
+    ids = [m.node_id for m in plain.endpoints.of_service(_SERVICE)]
+    two_versions = _caller(count, new_share=0.25)
+    rollout = _caller(count, new_share=0.5, weight=0.1)
+    cases = {
+        "plain": _picking(plain),
+        "large_answer": _picking(plain, distances=LARGE_ANSWERS),
+        "three_full": _picking(plain, excluded=frozenset(ids[:3])),
+        "two_versions": _picking(two_versions),
+        "rollout": _picking(rollout),
+        "callers_key": lambda: plain.endpoints.home_of(_SERVICE, "key"),
+    }
+    found = {f"{name}_us": _microseconds_of(run) for name, run in cases.items()}
+    # Ejections last for seconds only.
+    failing = _failing(_caller(count), count)
+    found["ejected_us"] = _microseconds_of(_picking(failing))
+    return {"members": count, **found}
+
+
+@click.command()
+def main() -> None:
+    """Measure each size and write the figures and slopes as JSON."""
+    rows = [_measure(count) for count in _SIZES]
+    slopes = {
+        name: fit_line([(row["members"], row[name]) for row in rows])._asdict()
+        for name in rows[0]
+        if name != "members"
+    }
+    result = {"rows": rows, "slopes": slopes}
+    (_RESULTS / "placement.json").write_text(json.dumps(result, indent=1) + "\n")
+    click.echo(json.dumps(result, indent=1))
+
+
+if __name__ == "__main__":
+    main()
--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -321,7 +321,7 @@
         known = self.rollouts.view.get(service) is not None
         if not known and found is not None and found.initial_version:
             return {found.initial_version: 1.0}
-        return self.rollouts.weights(service, self._endpoints.of_service(service))
+        return self.rollouts.weights(service, self._endpoints.slots(service))
 
     def _observe(self, result: CallResult) -> None:
         backend = self.gate.backend
--- a/burdockdock/node/rollouts.py
+++ b/burdockdock/node/rollouts.py
@@ -1,10 +1,10 @@
 """A node's part in rollouts: evidence from its gate, and ownership."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Mapping
 
 from burdockdock.clock import Clock
-from burdockdock.coordination.membership import Member, MembershipTable
+from burdockdock.coordination.membership import MembershipTable
 from burdockdock.coordination.ranking import MemberRanking
 from burdockdock.coordination.records import Record, RecordStore
 from burdockdock.gate.model import BackendServer, CallResult
@@ -115,17 +115,18 @@
         """Stop owning rollouts."""
         self._owners.close()
 
-    def weights(self, service: str, members: Iterable[Member]) -> dict[str, float]:
+    def weights(self, service: str, slots: Mapping[str, int]) -> dict[str, float]:
         """Return the traffic weights of a service's versions.
 
-        :param members: the service's members that take calls.
+        :param slots: calls that the members of each version run at a time, of those
+            members that take calls.
         """
         weights = self.view.weights(service)
         if weights:
             return weights
         order = self._book.get(service)
         ordered = order.to_version if order is not None and order.open else ""
-        return incumbent_weights(members, ordered_version=ordered)
+        return incumbent_weights(slots, ordered_version=ordered)
 
     def new_version(self, service: str) -> str:
         """Return the version that a service is being moved to, empty without one."""
--- a/tests/proxy/test_endpoints.py
+++ b/tests/proxy/test_endpoints.py
@@ -1,6 +1,7 @@
 """Tests of the choice of backend servers."""
 
 import random
+from collections import Counter
 
 import testtools
 
@@ -70,6 +71,92 @@
         self.assertTrue(400 < drawn.count("b") < 600, drawn.count("b"))
 
 
+class IndexTest(testtools.TestCase):
+    """Tests that the index says the same as the membership after any change."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.clock = ManualClock()
+        own = Member("own", "h", 1, "r", "z1", 1)
+        self.table = MembershipTable(own, clock=self.clock, tombstone_s=900.0)
+        self.endpoints = Endpoints(
+            self.table, weights_of=lambda _: {}, rng=random.Random(1)
+        )
+        self.rng = random.Random(9)
+        self.incarnations: Counter[str] = Counter()
+
+    def _change_one(self) -> None:
+        """Change a member at random, to any service, version and state."""
+        node_id = f"n{self.rng.randrange(30)}"
+        action = self.rng.randrange(4)
+        if action == 0:
+            self.table.suspect(node_id)
+            return
+        if action == 1:
+            known = self.table.get(node_id)
+            incarnation = known.incarnation if known is not None else 0
+            self.table.confirm_dead(node_id, incarnation=incarnation)
+            return
+        self.incarnations[node_id] += 1
+        rumour = _member(
+            node_id,
+            incarnation=self.incarnations[node_id],
+            availability_zone=self.rng.choice(("z1", "z2")),
+            service=self.rng.choice(("desk", "desk", "vault", "")),
+            service_version=self.rng.choice("123"),
+            ready=self.rng.random() < 0.8,
+            leaving=self.rng.random() < 0.2,
+            slots=self.rng.randrange(5),
+        )
+        self.table.merge(rumour)
+
+    def _expected(self, service: str) -> list[Member]:
+        members = [m for m in self.table if m.service == service]
+        alive = [m for m in members if m.takes_work]
+        suspects = [m for m in members if m.state is MemberState.SUSPECT]
+        return alive or [m for m in suspects if m.ready and not m.leaving]
+
+    def _check(self) -> None:
+        for service in ("desk", "vault"):
+            expected = self._expected(service)
+            self.assertEqual(
+                sorted(expected), sorted(self.endpoints.of_service(service))
+            )
+            self.assertEqual(sorted(expected), sorted(self.endpoints.for_call(service)))
+            slots: Counter[str] = Counter()
+            for member in expected:
+                slots[member.service_version] += max(1, member.slots)
+            self.assertEqual(slots, self.endpoints.slots(service))
+            counts = Counter(m.service_version for m in expected)
+            self.assertEqual(counts, self.endpoints.counts().get(service, {}))
+
+    def test_it_follows_each_change(self) -> None:
+        for _ in range(3000):
+            self._change_one()
+            self._check()
+
+    def test_one_built_late_knows_the_same(self) -> None:
+        for _ in range(300):
+            self._change_one()
+        self.endpoints = Endpoints(
+            self.table, weights_of=lambda _: {}, rng=random.Random(1)
+        )
+        self._check()
+
+    def test_services_and_members_that_are_gone_leave_nothing(self) -> None:
+        for i in range(50):
+            self.table.merge(_member(f"n{i}", service=f"s{i}", service_version=str(i)))
+        self.assertEqual(50, len(self.endpoints.counts()))
+        for i in range(50):
+            self.table.suspect(f"n{i}")
+            self.table.confirm_dead(f"n{i}", incarnation=1)
+        self.assertEqual({}, self.endpoints.counts())
+        self.clock.advance(1000)
+        self.assertEqual(50, self.table.forget_old())
+        self.table.merge(_member("n0", service="s0", incarnation=2))
+        self.assertEqual({"s0": {"1": 1}}, self.endpoints.counts())
+
+
 class CanaryTest(testtools.TestCase):
     """Tests of the few backend servers that take a new version's first calls."""
 
@@ -114,6 +201,17 @@
         self.assertEqual(1, len(first))
         self.assertEqual(7, len(self._new_ids(full=frozenset(first))))
 
+    def test_the_few_are_found_anew_when_members_change(self) -> None:
+        self.share = 0.25
+        few = self._new_ids()
+        self.assertEqual(2, len(few))
+        gone = min(few)
+        self.table.suspect(gone)
+        others = self._new_ids()
+        self.assertEqual(2, len(others))
+        self.assertNotIn(gone, others)
+        self.assertLess(few - {gone}, others)
+
     def test_the_old_version_and_callers_keys_are_spread_as_before(self) -> None:
         self.share = 0.1
         members = [self.endpoints.for_call("desk") for _ in range(50)]
