Compare a bounded sample of a large service's members

What callers saw: time added to each attempt that grows with the service. The balancer built four lists of all members, and read the clock twice and drew a random number for each of them, at each attempt.

Ruled out: two random choices.

Change: up to 16 members are all compared as before. Of more, 16 are: this node's own member, up to 10 from its availability zone, up to 13 with its region, the rest from anywhere; where one has too few the next fills up. Large answers take 14 and 15, as they hardly ever pay from another zone. Members that were tried are not drawn. Ejected ones in the sample are left out unless more than half of the whole pool is ejected, which is counted only when more than half of the sample is. One clock read a choice.

Why it works: the best of a sample of this size is nearly the best of all, and callers that see the same loads no longer all choose the same member.

--- a/burdockdock/proxy/balancer.py
+++ b/burdockdock/proxy/balancer.py
@@ -2,12 +2,13 @@
 
 import random
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from burdockdock.clock import Clock
 from burdockdock.coordination.membership import Member
 from burdockdock.protocol.calls import GateResults
+from burdockdock.proxy.pool import EVEN_SHARES, Place, Pool, Shares
 
 _EJECTION_BASE_S = 2.0
 _EJECTION_CAP_S = 30.0
@@ -30,16 +31,19 @@
     :param zone_s: to another node of the availability zone.
     :param region_s: to another availability zone.
     :param far_s: to another region.
+    :param shares: how near the members are that are compared in a large service.
     """
 
     zone_s: float = 0.002
     region_s: float = 0.02
     far_s: float = 0.1
+    shares: Shares = EVEN_SHARES
 
 
+_NO_RESULTS = GateResults()
 NEAR_CALLS = Distances()
 # Large answers cost the network between availability zones far more than time.
-LARGE_ANSWERS = Distances(region_s=0.45, far_s=1.0)
+LARGE_ANSWERS = Distances(region_s=0.45, far_s=1.0, shares=Shares(14, 15))
 
 
 class _Health(NamedTuple):
@@ -61,9 +65,10 @@
 class Balancer:
     """Picks the member where a call is expected to end first.
 
-    It answers loads under which backend servers differ in speed and are full in turn:
-    the time at a member is what its gate tells of its calls, longer by those that
-    wait there, by its failures, and by the distance.
+    All members of a small service are compared, of a larger one a sample, so that the
+    choice costs no more in a larger fleet. It answers loads under which backend servers
+    differ in speed and are full in turn: the time at a member is what its gate tells of
+    its calls, longer by those that wait there, by its failures, and by the distance.
 
     :param node_id: this node's own, empty where it has no backend server.
     :param availability_zone: this node's own.
@@ -79,9 +84,7 @@
         rng: random.Random,
         node_id: str = "",
     ) -> None:
-        self._node_id = node_id
-        self._availability_zone = availability_zone
-        self._region = region
+        self._place = Place(node_id, availability_zone, region)
         self._clock = clock
         self._rng = rng
         self._in_flight: dict[str, int] = defaultdict(int)
@@ -90,7 +93,7 @@
 
     def pick(
         self,
-        members: Iterable[Member],
+        members: Sequence[Member],
         *,
         excluded: frozenset[str] = frozenset(),
         distances: Distances = NEAR_CALLS,
@@ -100,13 +103,17 @@
         :param members: those that may take the call.
         :param excluded: node ids that were tried already.
         """
-        members = list(members)
-        untried = [m for m in members if m.node_id not in excluded]
-        candidates = self._without_ejected(untried or members)
+        pool = members if isinstance(members, Pool) else Pool(self._place, members)
+        now_s = self._clock.monotonic()
+        shares = distances.shares
+        sample = pool.sample(self._rng, excluded=excluded, shares=shares)
+        candidates = self._without_ejected(sample, now_s)
+        if len(candidates) == len(sample) < len(pool) - len(excluded):
+            candidates = self._healthy_of_sample(sample, pool, now_s)
         usual_s = self._usual_service_s(candidates)
         return min(
             candidates,
-            key=lambda m: self._expected_s(m, usual_s, distances),
+            key=lambda m: self._expected_s(m, usual_s, distances, now_s),
             default=None,
         )
 
@@ -142,34 +149,32 @@
         self._told.pop(node_id, None)
         self._health.pop(node_id, None)
 
-    def calls_at(self, member: Member) -> int:
+    def _calls_at(self, node_id: str, told: _Told | None, now_s: float) -> int:
         """Return how many calls a member has, as far as this node knows."""
-        calls = self._in_flight.get(member.node_id, 0)
-        told = self._told.get(member.node_id)
-        if told is not None:
-            fresh = self._clock.monotonic() - told.told_at_s < _LOAD_FRESH_S
-            calls = max(calls, told.calls) if fresh else calls
-        return calls
+        calls = self._in_flight.get(node_id, 0)
+        if told is None or now_s - told.told_at_s >= _LOAD_FRESH_S:
+            return calls
+        return max(calls, told.calls)
 
-    def is_ejected(self, node_id: str) -> bool:
+    def _is_ejected(self, node_id: str, now_s: float) -> bool:
         """Tell whether a member is left out for its failures."""
         health = self._health.get(node_id)
-        return health is not None and (self._clock.monotonic() < health.ejected_until_s)
+        return health is not None and now_s < health.ejected_until_s
 
     def _expected_s(
-        self, member: Member, usual_s: float, distances: Distances
+        self, member: Member, usual_s: float, distances: Distances, now_s: float
     ) -> float:
         """Return how long an attempt at a member is expected to take."""
         told = self._told.get(member.node_id)
-        results = told.results if told is not None else GateResults()
+        results = told.results if told is not None else _NO_RESULTS
         slots = max(1, member.slots)
-        utilization = self.calls_at(member) / slots
+        utilization = self._calls_at(member.node_id, told, now_s) / slots
         waiting = max(0.0, utilization + 1 / slots - 1.0)
         expected_s = results.service_s or usual_s
         expected_s *= 1.0 + waiting + _CROWDING * min(1.0, utilization)
         expected_s *= 1.0 + _FAILURE_COST * results.failed_share
         expected_s += self._distance_s(member, distances)
-        return expected_s * self._rng.uniform(1.0 - _JITTER, 1.0 + _JITTER)
+        return expected_s * (1.0 + _JITTER * (2.0 * self._rng.random() - 1.0))
 
     def _usual_service_s(self, members: list[Member]) -> float:
         """Return the mean time told, for members that told none yet."""
@@ -178,21 +183,38 @@
         return sum(known) / len(known) if known else _UNKNOWN_SERVICE_S
 
     def _distance_s(self, member: Member, distances: Distances) -> float:
-        if member.node_id == self._node_id:
+        if member.node_id == self._place.node_id:
             return 0.0
-        if member.availability_zone == self._availability_zone:
+        if member.availability_zone == self._place.availability_zone:
             return distances.zone_s
-        if member.region == self._region:
+        if member.region == self._place.region:
             return distances.region_s
         return distances.far_s
 
-    def _without_ejected(self, members: list[Member]) -> list[Member]:
+    def _without_ejected(self, members: list[Member], now_s: float) -> list[Member]:
         """Leave out ejected members, but never more than a share of them."""
-        healthy = [m for m in members if not self.is_ejected(m.node_id)]
+        healthy = [m for m in members if not self._is_ejected(m.node_id, now_s)]
         if len(healthy) < len(members) * (1 - _MAX_EJECTED_SHARE):
             return members
         return healthy
 
+    def _healthy_of_sample(
+        self, sample: list[Member], pool: Pool, now_s: float
+    ) -> list[Member]:
+        """Leave out ejected members unless more than a share of the pool is.
+
+        A sample may hold a larger share of them than the pool does.
+        """
+        healthy = [m for m in sample if not self._is_ejected(m.node_id, now_s)]
+        if not healthy or len(healthy) == len(sample):
+            return sample
+        ejected = sum(
+            self._is_ejected(node_id, now_s)
+            for node_id in self._health
+            if pool.get(node_id) is not None
+        )
+        return sample if ejected > len(pool) * _MAX_EJECTED_SHARE else healthy
+
     def _judge(self, node_id: str, failed: bool) -> None:
         if not failed:
             self._health.pop(node_id, None)
--- a/burdockdock/proxy/pool.py
+++ b/burdockdock/proxy/pool.py
@@ -1,10 +1,16 @@
-"""Members that may take a call, kept up to date in constant time."""
+"""Members that may take a call, from which a few are drawn in constant time."""
 
+import random
 from collections.abc import Iterable, Iterator, Sequence
 from typing import NamedTuple, overload
 
 from burdockdock.coordination.membership import Member
 
+# Up to this size all members are compared, beyond it a sample of so many.
+LARGEST_WHOLE = 16
+# Draws that meet a member again or one that was tried are made anew so often.
+_DRAWS_PER_MEMBER = 3
+
 
 class Place(NamedTuple):
     """Where the node is that draws."""
@@ -14,6 +20,20 @@
     region: str
 
 
+class Shares(NamedTuple):
+    """How a sample is filled up: to these numbers from near, and from anywhere last.
+
+    :param zone: members drawn from the availability zone.
+    :param region: members drawn from the zone and the region together.
+    """
+
+    zone: int = 10
+    region: int = 13
+
+
+EVEN_SHARES = Shares()
+
+
 class _Bag:
     """Members that are put, removed and drawn in constant time."""
 
@@ -95,3 +115,56 @@
         self.slots -= max(1, known.slots)
         for bag in (self._all, self._zone, self._region):
             bag.remove(node_id)
+
+    def sample(
+        self,
+        rng: random.Random,
+        *,
+        excluded: frozenset[str] = frozenset(),
+        shares: Shares = EVEN_SHARES,
+    ) -> list[Member]:
+        """Return the members to compare for one call.
+
+        All of a small pool; of a larger one the drawing node's own, some of its
+        availability zone, some of its region, and some of all. Where one of these has
+        too few, the next gives more. Members that were tried are left out unless there
+        is no other.
+
+        :param excluded: node ids that were tried already.
+        """
+        if len(self) - len(excluded) <= LARGEST_WHOLE:
+            return self._untried(excluded) or list(self)
+        drawn: dict[str, Member] = {}
+        own = self._all.get(self._place.node_id)
+        if own is not None and own.node_id not in excluded:
+            drawn[own.node_id] = own
+        _fill(drawn, shares.zone, self._zone, excluded=excluded, rng=rng)
+        _fill(drawn, shares.region, self._region, excluded=excluded, rng=rng)
+        _fill(drawn, LARGEST_WHOLE, self._all, excluded=excluded, rng=rng)
+        return list(drawn.values()) or self._untried(excluded)
+
+    def _untried(self, excluded: frozenset[str]) -> list[Member]:
+        return [m for m in self if m.node_id not in excluded]
+
+
+def _fill(
+    drawn: dict[str, Member],
+    wanted: int,
+    bag: _Bag,
+    *,
+    excluded: frozenset[str],
+    rng: random.Random,
+) -> None:
+    """Draw members of a bag until so many are drawn, fewer where it has no others."""
+    members = bag.members
+    size = len(members)
+    missing = wanted - len(drawn)
+    if size <= missing:
+        drawn.update((m.node_id, m) for m in members if m.node_id not in excluded)
+        return
+    for _ in range(missing * _DRAWS_PER_MEMBER):
+        member = members[int(rng.random() * size)]
+        if member.node_id not in excluded:
+            drawn[member.node_id] = member
+        if len(drawn) == wanted:
+            return
--- a/tests/proxy/test_endpoints.py
+++ b/tests/proxy/test_endpoints.py
@@ -9,6 +9,7 @@
 from burdockdock.coordination.membership import Member, MembershipTable, MemberState
 from burdockdock.proxy.balancer import Balancer
 from burdockdock.proxy.endpoints import Endpoints
+from burdockdock.proxy.pool import Place, Pool
 
 
 def _member(node_id: str, **fields: object) -> Member:
@@ -260,3 +261,29 @@
                 self.balancer.started(member.node_id)
                 self.balancer.finished(member.node_id, failed=True)
         self.assertIsNotNone(self.balancer.pick(self.near))
+
+    def _fail(self, *members: Member) -> None:
+        for member in members:
+            for _ in range(5):
+                self.balancer.started(member.node_id)
+                self.balancer.finished(member.node_id, failed=True)
+
+    def test_a_sample_leaves_out_the_ejected_up_to_half_of_all(self) -> None:
+        members = [_member(f"m-{i}") for i in range(64)]
+        pool = Pool(Place("", "z1", "r"), members)
+        for ejected, are_left_out in ((26, True), (32, True), (33, False)):
+            self._fail(*members[:ejected])
+            failed = {m.node_id for m in members[:ejected]}
+            picks = {self.balancer.pick(pool).node_id for _ in range(600)}
+            self.assertEqual(are_left_out, not picks & failed, ejected)
+            self.assertGreater(len(picks), 20)
+            self.clock.advance(60)
+
+    def test_one_pick_reads_the_clock_once(self) -> None:
+        pool = Pool(Place("", "z1", "r"), [_member(f"m-{i}") for i in range(64)])
+        reads = []
+        read = self.clock.monotonic
+        self.clock.monotonic = lambda: reads.append(1) or read()
+        for _ in range(10):
+            self.balancer.pick(pool)
+        self.assertEqual(10, len(reads))
