Forget what members that died told of their load

What callers saw: nothing yet. A node kept the load, times and failures of each backend server that it ever called: Balancer.forget was there, but nobody called it, and an answer that came after it would have brought the entry back.

Evidence: no caller of forget in the package; with the old balancer the new test of a late answer fails.

Ruled out: leaving it to the membership's tombstones. They are dropped without a word to listeners, 15 minutes after the death that listeners are told of.

Change: the callers' side listens to the membership and forgets who died. While attempts are in flight there, the last one to end drops the entry, unless a new attempt shows that the member came back.

Why it works: all that the balancer learns of a member comes between the start and the end of an attempt there.

--- a/burdockdock/node/callers_side.py
+++ b/burdockdock/node/callers_side.py
@@ -6,6 +6,7 @@
 from burdockdock.clock import Clock
 from burdockdock.configuration.model import Snapshot
 from burdockdock.coordination.backoff import FleetRetryBudget
+from burdockdock.coordination.membership import Member, MembershipTable, MemberState
 from burdockdock.gate.headers import CallHeaders
 from burdockdock.metrics import Metrics
 from burdockdock.node.settings import NodeSettings
@@ -24,7 +25,7 @@
     *,
     links: PeerLinks,
     endpoints: Endpoints,
-    nodes: Callable[[], int],
+    membership: MembershipTable,
     snapshot: Callable[[], Snapshot],
     own_service: Callable[[], str],
     headers: CallHeaders,
@@ -34,7 +35,7 @@
 ) -> CallContext:
     """Return what the listener needs, down to the links to other nodes.
 
-    :param nodes: returns the number of nodes, which share one retry budget.
+    :param membership: tells which nodes are gone, and how many share a retry budget.
     :param snapshot: returns the configuration in force here.
     :param own_service: returns the service beside this node.
     """
@@ -45,6 +46,7 @@
         rng=rng,
         node_id=settings.name,
     )
+    membership.subscribe(forget_dead(balancer))
     forwarder = Forwarder(
         links=links,
         endpoints=endpoints,
@@ -54,7 +56,7 @@
         retry_budget=FleetRetryBudget(
             share=settings.retry_share * _RETRY_PART,
             reserve=settings.retry_reserve * _RETRY_PART,
-            nodes=nodes,
+            nodes=lambda: len(membership),
         ),
     )
     return CallContext(
@@ -68,3 +70,13 @@
         own_service=own_service,
         headers=headers,
     )
+
+
+def forget_dead(balancer: Balancer) -> Callable[[Member, Member | None], None]:
+    """Return a listener of the membership that drops what is known of the dead."""
+
+    def on_member(member: Member, _known: Member | None) -> None:
+        if member.state is MemberState.DEAD:
+            balancer.forget(member.node_id)
+
+    return on_member
--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -139,7 +139,7 @@
             self._settings,
             links=self.links,
             endpoints=self._endpoints,
-            nodes=lambda: len(self.membership),
+            membership=self.membership,
             snapshot=lambda: self.config.snapshot,
             own_service=self._own_service,
             headers=self._interface.headers,
--- a/burdockdock/proxy/balancer.py
+++ b/burdockdock/proxy/balancer.py
@@ -90,6 +90,7 @@
         self._in_flight: dict[str, int] = defaultdict(int)
         self._told: dict[str, _Told] = {}
         self._health: dict[str, _Health] = {}
+        self._gone: set[str] = set()
 
     def pick(
         self,
@@ -119,6 +120,7 @@
 
     def started(self, node_id: str) -> None:
         """Count an attempt in flight."""
+        self._gone.discard(node_id)
         self._in_flight[node_id] += 1
 
     def tell_load(
@@ -140,12 +142,21 @@
         :param failed: the backend server's or its node's own fault.
         """
         self._in_flight[node_id] -= 1
+        self._judge(node_id, failed)
         if not self._in_flight[node_id]:
             del self._in_flight[node_id]
-        self._judge(node_id, failed)
+            if node_id in self._gone:
+                self.forget(node_id)
 
     def forget(self, node_id: str) -> None:
-        """Drop what is known of a member that is gone."""
+        """Drop what is known of a member that is gone.
+
+        Attempts still in flight there end first.
+        """
+        if node_id in self._in_flight:
+            self._gone.add(node_id)
+            return
+        self._gone.discard(node_id)
         self._told.pop(node_id, None)
         self._health.pop(node_id, None)
 
--- a/tests/proxy/test_endpoints.py
+++ b/tests/proxy/test_endpoints.py
@@ -7,6 +7,7 @@
 
 from burdockdock.clock import ManualClock
 from burdockdock.coordination.membership import Member, MembershipTable, MemberState
+from burdockdock.protocol.calls import GateResults
 from burdockdock.proxy.balancer import Balancer
 from burdockdock.proxy.endpoints import Endpoints
 from burdockdock.proxy.pool import Place, Pool
@@ -287,3 +288,36 @@
         for _ in range(10):
             self.balancer.pick(pool)
         self.assertEqual(10, len(reads))
+
+    def test_what_a_member_that_is_gone_told_is_forgotten(self) -> None:
+        slow, quick = self.near
+        self.balancer.tell_load(quick.node_id, 0, GateResults(0.1))
+        self.balancer.tell_load(slow.node_id, 0, GateResults(0.4))
+        self._fail(slow)
+        self.assertEqual({quick}, self._picks())
+        self.balancer.forget(slow.node_id)
+        self.assertEqual({slow, quick}, self._picks())
+
+    def test_what_a_late_answer_tells_is_forgotten_with_it(self) -> None:
+        slow, quick = self.near
+        self.balancer.tell_load(quick.node_id, 0, GateResults(0.1))
+        self.balancer.started(slow.node_id)
+        self.balancer.forget(slow.node_id)
+        self.balancer.tell_load(slow.node_id, 0, GateResults(0.4))
+        self.assertEqual({quick}, self._picks())
+        self.balancer.finished(slow.node_id, failed=False)
+        self.assertEqual({slow, quick}, self._picks())
+
+    def test_a_member_that_came_back_is_remembered(self) -> None:
+        slow, quick = self.near
+        self.balancer.tell_load(quick.node_id, 0, GateResults(0.1))
+        self.balancer.started(slow.node_id)
+        self.balancer.forget(slow.node_id)
+        self.balancer.started(slow.node_id)
+        self.balancer.tell_load(slow.node_id, 0, GateResults(0.4))
+        for _ in range(2):
+            self.balancer.finished(slow.node_id, failed=False)
+        self.assertEqual({quick}, self._picks())
+
+    def _picks(self) -> set[Member]:
+        return {self.balancer.pick(self.near) for _ in range(50)}
