Show what choosing a backend server costs in the capacity page

What operators saw: no figure of how a call's cost grows with its service.

Evidence: docs/CAPACITY.md had slopes of the member table and the configuration only.

Change: bench.capacity reads bench/results/placement.json (python -m bench.placement, on a busy shared machine) and writes a table of it.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -40,6 +40,7 @@
     members: dict[str, Any]
     requests: list[dict[str, Any]]
     overload: dict[str, Any]
+    placement: dict[str, Any]
 
 
 class Row(NamedTuple):
@@ -59,7 +60,11 @@
         return json.loads((_RESULTS / f"{name}.json").read_text())
 
     return Measurements(
-        load("distribution"), load("members"), load("requests"), load("overload")
+        load("distribution"),
+        load("members"),
+        load("requests"),
+        load("overload"),
+        load("placement"),
     )
 
 
@@ -314,6 +319,25 @@
     return "\n".join(lines)
 
 
+def _placement_table(figures: _Figures) -> str:
+    rows = figures.measured.placement["rows"]
+    names = {
+        "plain_us": "one version",
+        "large_answer_us": "a large answer",
+        "three_full_us": "three had no free slot",
+        "two_versions_us": "a version that waits for its rollout",
+        "rollout_us": "a rollout at a tenth of the calls",
+        "ejected_us": "four in ten ejected",
+        "callers_key_us": "a caller's key",
+    }
+    sizes = " | ".join(f"{row['members']:,} members" for row in rows)
+    lines = [f"| choice in a service of | {sizes} |", "|---" * (len(rows) + 1) + "|"]
+    for name, what in names.items():
+        costs = " | ".join(f"{row[name]:.0f} us" for row in rows)
+        lines.append(f"| {what} | {costs} |")
+    return "\n".join(lines)
+
+
 def _request_table(figures: _Figures) -> str:
     lines = [
         "| calls/s each way | way | added p50 | added p99 | ratio p50, p99 | "
@@ -421,6 +445,7 @@
   real node processes, {SERVICES} services configured; the largest fleet is
   {INSTANCES / fleets[-1]:.0f} times smaller than the size aimed for
 - `python -m bench.members`: one process with up to {INSTANCES} members, the size itself
+- `python -m bench.placement`: one process, the members of one service
 - `python -m bench.requests`: two nodes and a backend server, beside direct calls
 
 ## The size aimed for
@@ -448,6 +473,15 @@
 the noise of the machine, and what grows with the members is measured at full size in
 one process.
 
+## Choosing a backend server
+
+{_placement_table(figures)}
+
+Processor time of one choice. All members of up to 16 are compared, 16 of a larger
+service, so that it does not grow; a caller's key still compares all, because every node
+must find the same one, and ejected members are counted in a large service while most of
+a sample is ejected.
+
 ## Fleets of real processes
 
 {_fleet_table(figures)}
