Let the same of two exceptions alike hold on every node

What callers saw: with two exceptions to the same setting in the same scope, nodes could differ in which one holds.

Evidence: the new test builds one version from nothing and from the version before it; the timeouts were {200, 150}.

Ruled out: refusing the second exception. A configuration in force may hold such a pair, and would no longer be accepted.

Change: of one scope, exceptions apply in the order of their names; the last one holds.

Why it works: names of exceptions are unique, so that the order is the same whatever the history.

--- a/burdockdock/configuration/lookup.py
+++ b/burdockdock/configuration/lookup.py
@@ -55,7 +55,7 @@
     """Return the policy of a route's calls to one service on one node.
 
     The defaults, then the service, the route, and last the exceptions that apply,
-    the narrowest scope last.
+    the narrowest scope last, and of those of one scope in the order of their names.
 
     :param service: the service drawn for the call, by default the route's only one.
     """
@@ -91,8 +91,8 @@
     return list(dict.fromkeys(found))
 
 
-def _scope_order(override: Override) -> int:
-    return _SCOPE_ORDER[override.scope_kind]
+def _scope_order(override: Override) -> tuple[int, str]:
+    return _SCOPE_ORDER[override.scope_kind], override.name
 
 
 def _is_valid(override: Override, now: datetime) -> bool:
--- a/tests/configuration/test_configuration.py
+++ b/tests/configuration/test_configuration.py
@@ -21,7 +21,12 @@
 from burdockdock.configuration.delta import ConfigDocument, apply_delta, encode_delta
 from burdockdock.configuration.ini import digest_of, read_sections, write_sections
 from burdockdock.configuration.lookup import find_route, policy_for
-from burdockdock.configuration.model import Route, Sections, Snapshot
+from burdockdock.configuration.model import (
+    EMPTY_SNAPSHOT,
+    Route,
+    Sections,
+    Snapshot,
+)
 from tests.support import FakePlatform, async_test
 
 GOOD = """
@@ -164,6 +169,35 @@
             )
             self.assertEqual(timeout_ms, policy.timeout_ms)
 
+    def test_of_two_exceptions_alike_the_same_holds_on_every_node(self) -> None:
+        sections = read_sections(GOOD)
+        for name, value in (("first", "100"), ("second", "200")):
+            sections[f"exception {name}"] = {
+                "scope": "service:desk",
+                "setting": "timeout_ms",
+                "value": value,
+                "reason": "a long reason",
+            }
+        changed = {**sections["exception first"], "value": "150"}
+        later = {**sections, "exception first": changed}
+        previous = build_snapshot(sections, version=1)
+        self.assertIsInstance(previous, Snapshot)
+        found = {
+            self._timeout_ms(build_snapshot(later, version=2, previous=known))
+            for known in (EMPTY_SNAPSHOT, previous)
+        }
+        self.assertEqual({200}, found)
+
+    def _timeout_ms(self, snapshot: Snapshot) -> int:
+        policy = policy_for(
+            snapshot,
+            next(r for r in snapshot.routes.values() if r.service == "desk"),
+            availability_zone="z",
+            node_id="n",
+            now=datetime(2026, 7, 1, tzinfo=UTC),
+        )
+        return policy.timeout_ms
+
 
 class DeltaTest(testtools.TestCase):
     """Tests of differences between versions."""
