Find a call's exceptions by their scope

What callers saw: time added to each call that grows with the exceptions in force: the policy of a call sorted all of them and looked at each.

Ruled out: caching policies by route. They end with an exception's time.

Why it works: a call has four scopes however many exceptions there are. A seeded test compares the policies with looking at every exception.

--- a/burdockdock/configuration/checks.py
+++ b/burdockdock/configuration/checks.py
@@ -1,5 +1,6 @@
 """Checks of a whole configuration, on acceptance and again on each node."""
 
+from collections.abc import Iterable
 from datetime import datetime
 
 from burdockdock.configuration.ini import section_digest
@@ -11,6 +12,7 @@
     Problem,
     Route,
     RouteMatch,
+    Scope,
     Sections,
     Service,
     Snapshot,
@@ -118,6 +120,7 @@
             overrides=self._overrides,
             sections={name: self._parts[name].pairs for name in sections},
             parts=self._parts,
+            by_scope=_by_scope(self._overrides.values()),
         )
 
     def _remove(self, section: str) -> None:
@@ -306,5 +309,13 @@
         self.problems.append(Problem(section, key, message))
 
 
+def _by_scope(overrides: Iterable[Override]) -> dict[Scope, list[Override]]:
+    found: dict[Scope, list[Override]] = {}
+    for override in sorted(overrides, key=lambda o: o.name):
+        scope = Scope(override.scope_kind, override.scope_name)
+        found.setdefault(scope, []).append(override)
+    return found
+
+
 def _match_of(route: Route) -> RouteMatch:
     return RouteMatch(route.host, route.path)
--- a/burdockdock/configuration/lookup.py
+++ b/burdockdock/configuration/lookup.py
@@ -8,11 +8,10 @@
     Policy,
     Route,
     RouteMatch,
+    Scope,
     Snapshot,
 )
 
-_SCOPE_ORDER = {"zone": 0, "service": 1, "route": 2, "node": 3}
-
 
 def find_route(snapshot: Snapshot, *, host: str, path: str) -> Route | None:
     """Return the most specific route: by host first, then by the longest path."""
@@ -64,17 +63,16 @@
         **snapshot.services[service].policy_keys,
         **route.policy_keys,
     }
-    names = {
-        "zone": availability_zone,
-        "service": service,
-        "route": route.name,
-        "node": node_id,
-    }
-    for override in sorted(snapshot.overrides.values(), key=_scope_order):
-        if names[override.scope_kind] == override.scope_name and _is_valid(
-            override, now
-        ):
-            keys[override.setting] = override.value
+    scopes = (
+        Scope("zone", availability_zone),
+        Scope("service", service),
+        Scope("route", route.name),
+        Scope("node", node_id),
+    )
+    for scope in scopes:
+        for override in snapshot.by_scope.get(scope, ()):
+            if _is_valid(override, now):
+                keys[override.setting] = override.value
     return snapshot.defaults._replace(**keys)
 
 
@@ -91,9 +89,5 @@
     return list(dict.fromkeys(found))
 
 
-def _scope_order(override: Override) -> tuple[int, str]:
-    return _SCOPE_ORDER[override.scope_kind], override.name
-
-
 def _is_valid(override: Override, now: datetime) -> bool:
     return override.expires is None or now < override.expires
--- a/burdockdock/configuration/model.py
+++ b/burdockdock/configuration/model.py
@@ -130,12 +130,20 @@
     path: str
 
 
+class Scope(NamedTuple):
+    """What an exception holds for."""
+
+    kind: str
+    name: str
+
+
 class Snapshot(NamedTuple):
     """One whole configuration version.
 
     :param version: assigned by the platform, 0 before the first.
     :param digest: of the sections, in any order.
     :param parts: the checked sections by name.
+    :param by_scope: the overrides of each scope in the order of their names.
     """
 
     version: int
@@ -146,6 +154,7 @@
     overrides: dict[str, Override]
     sections: Sections
     parts: dict[str, Part]
+    by_scope: dict[Scope, list[Override]]
 
 
-EMPTY_SNAPSHOT = Snapshot(0, 0, Policy(), {}, {}, {}, {}, {})
+EMPTY_SNAPSHOT = Snapshot(0, 0, Policy(), {}, {}, {}, {}, {}, {})
--- a/tests/configuration/test_configuration.py
+++ b/tests/configuration/test_configuration.py
@@ -1,6 +1,7 @@
 """Tests of checks, lookup, deltas, and acceptance under faults."""
 
 import itertools
+import random
 from datetime import UTC, datetime
 
 import testtools
@@ -23,6 +24,7 @@
 from burdockdock.configuration.lookup import find_route, policy_for
 from burdockdock.configuration.model import (
     EMPTY_SNAPSHOT,
+    Policy,
     Route,
     Sections,
     Snapshot,
@@ -93,6 +95,23 @@
     return order[-1] if order else None
 
 
+def _naive_policy(snapshot: Snapshot, route: Route, now: datetime) -> Policy:
+    """Look at each exception, the widest scope first, on node n of zone z."""
+    keys = {**snapshot.services[route.service].policy_keys, **route.policy_keys}
+    names = (
+        ("zone", "z"),
+        ("service", route.service),
+        ("route", route.name),
+        ("node", "n"),
+    )
+    for kind, name in names:
+        for _, override in sorted(snapshot.overrides.items()):
+            expired = override.expires is not None and override.expires <= now
+            if (override.scope_kind, override.scope_name) == (kind, name):
+                keys |= {} if expired else {override.setting: override.value}
+    return snapshot.defaults._replace(**keys)
+
+
 class ChecksTest(testtools.TestCase):
     """Tests of the checks of a whole configuration."""
 
@@ -188,6 +207,30 @@
         }
         self.assertEqual({200}, found)
 
+    def test_policies_agree_with_looking_at_all_exceptions(self) -> None:
+        rng = random.Random(4)
+        scopes = [
+            *("zone:z", "zone:y", "service:desk", "service:vault", "route:all"),
+            *("route:trips", "node:n", "node:m"),
+        ]
+        for _ in range(100):
+            sections = read_sections(GOOD)
+            for i in rng.sample(range(30), 8):
+                sections[f"exception e{i}"] = {
+                    "scope": rng.choice(scopes),
+                    "setting": rng.choice(("timeout_ms", "retries")),
+                    "value": str(rng.randrange(1, 5)),
+                    "reason": "a long reason",
+                    "expires": f"2026-0{rng.randrange(6, 9)}-15T00:00:00Z",
+                }
+            snapshot = build_snapshot(sections, version=1)
+            for route in snapshot.routes.values():
+                now = datetime(2026, 7, 1, tzinfo=UTC)
+                policy = policy_for(
+                    snapshot, route, availability_zone="z", node_id="n", now=now
+                )
+                self.assertEqual(_naive_policy(snapshot, route, now), policy)
+
     def _timeout_ms(self, snapshot: Snapshot) -> int:
         policy = policy_for(
             snapshot,
