--- a/tests/proxy/test_peer_link.py
+++ b/tests/proxy/test_peer_link.py
@@ -61,7 +61,7 @@
             connection.arrive(frame_failure(call_id, _FULL, load=1))
         await eventually(lambda: connection._arrived.empty() and heard)
         self.assertEqual([_FULL], heard)
-        link.close()
+        link.close("test_over")
 
     @async_test
     async def test_only_so_many_are_waited_for(self) -> None:
@@ -72,4 +72,4 @@
         for _ in range(_MAX_GIVEN_UP + 5):
             await self._give_up(link, heard)
         self.assertEqual(_MAX_GIVEN_UP, len(link._given_up))
-        link.close()
+        link.close("test_over")
