Rank a member once, not at every change of any member

Cause: orders are dropped at each change of the membership and sorted by a hash that was computed again, though a rank hangs on the id and the salt alone.

Change: an order keeps the ranks of its members; only one who joined is ranked. Who left leaves no rank behind.

--- a/burdockdock/coordination/ranking.py
+++ b/burdockdock/coordination/ranking.py
@@ -19,6 +19,7 @@
         self._generation = -1
         self._zones: dict[str, list[Member]] = {}
         self._orders: dict[_Key, list[Member]] = {}
+        self._ranks: dict[_Key, dict[str, bytes]] = {}
 
     @property
     def generation(self) -> int:
@@ -36,7 +37,7 @@
         key = _Key(salt, availability_zone)
         if key not in self._orders:
             members = self._zones.get(availability_zone, [])
-            self._orders[key] = _ordered(members, salt)
+            self._orders[key] = self._ordered(key, members)
         return self._orders[key]
 
     def everywhere(self, salt: str) -> list[Member]:
@@ -45,7 +46,7 @@
         key = _Key(salt, "")
         if key not in self._orders:
             members = [m for zone in self._zones.values() for m in zone]
-            self._orders[key] = _ordered(members, salt)
+            self._orders[key] = self._ordered(key, members)
         return self._orders[key]
 
     def _renew(self) -> None:
@@ -57,6 +58,12 @@
         for member in self._membership.live():
             self._zones.setdefault(member.availability_zone, []).append(member)
 
-
-def _ordered(members: list[Member], salt: str) -> list[Member]:
-    return sorted(members, key=lambda m: rank(m.node_id, salt))
+    def _ordered(self, key: _Key, members: list[Member]) -> list[Member]:
+        """Sort members; a rank is worked out once for each member that stays."""
+        known = self._ranks.get(key, {})
+        ranks = {
+            m.node_id: known.get(m.node_id) or rank(m.node_id, key.salt)
+            for m in members
+        }
+        self._ranks[key] = ranks
+        return sorted(members, key=lambda m: ranks[m.node_id])
