Keep the membership's digest instead of adding 256 buckets up

Cause: the property went through all 256 buckets each time.

Change: the digest is kept beside the buckets and changed with them.

Test: after any rumours, and after tombstones are dropped, it is the exclusive or of the buckets.

--- a/burdockdock/coordination/membership.py
+++ b/burdockdock/coordination/membership.py
@@ -68,7 +68,8 @@
         self._died_at_s: dict[str, float] = {}
         self._own_id = own.node_id
         self._bucket_digests = [0] * BUCKET_COUNT
-        self._bucket_digests[bucket_of(own.node_id)] ^= _fingerprint(own)
+        self._digest = 0
+        self._toggle(own)
         self._listeners: list[Callable[[Member, Member | None], None]] = []
         self.generation = 0
 
@@ -91,10 +92,7 @@
     @property
     def digest(self) -> int:
         """A digest of the whole table."""
-        total = 0
-        for value in self._bucket_digests:
-            total ^= value
-        return total
+        return self._digest
 
     def get(self, node_id: str) -> Member | None:
         """Return a member by its id."""
@@ -161,7 +159,7 @@
         for node_id in old:
             member = self._members.pop(node_id)
             del self._died_at_s[node_id]
-            self._bucket_digests[bucket_of(node_id)] ^= _fingerprint(member)
+            self._toggle(member)
         return len(old)
 
     def _refute(self, rumour: Member) -> bool:
@@ -179,10 +177,9 @@
     def _store(self, member: Member) -> None:
         node_id = member.node_id
         known = self._members.get(node_id)
-        bucket = bucket_of(node_id)
         if known is not None:
-            self._bucket_digests[bucket] ^= _fingerprint(known)
-        self._bucket_digests[bucket] ^= _fingerprint(member)
+            self._toggle(known)
+        self._toggle(member)
         self._members[node_id] = member
         if member.state is MemberState.DEAD:
             self._died_at_s[node_id] = self._clock.monotonic()
@@ -192,6 +189,12 @@
         for listener in self._listeners:
             listener(member, known)
 
+    def _toggle(self, member: Member) -> None:
+        """Add an entry to the digests, or take it out again."""
+        fingerprint = _fingerprint(member)
+        self._bucket_digests[bucket_of(member.node_id)] ^= fingerprint
+        self._digest ^= fingerprint
+
 
 def bucket_of(node_id: str) -> int:
     """Return the bucket that a member belongs to."""
--- a/tests/coordination/test_membership.py
+++ b/tests/coordination/test_membership.py
@@ -1,5 +1,8 @@
 """Tests of the membership table and the record store."""
 
+import functools
+import operator
+
 import testtools
 from hypothesis import given
 from hypothesis import strategies as st
@@ -53,6 +56,20 @@
         self.assertTrue(self.table.merge(member("a", 1000)))
         self.assertFalse(self.table.merge(member("a", 1, state=MemberState.DEAD)))
 
+    @given(_RUMOURS, st.booleans())
+    def test_digest_is_that_of_the_buckets(
+        self, rumours: list[Member], forgets: bool
+    ) -> None:
+        clock = ManualClock()
+        table = MembershipTable(member("own"), clock=clock)
+        for rumour in rumours:
+            table.merge(rumour)
+        if forgets:
+            clock.advance(901)
+            table.forget_old()
+        whole = functools.reduce(operator.xor, table.bucket_digests)
+        self.assertEqual(whole, table.digest)
+
     def test_tombstones_are_dropped_after_their_time(self) -> None:
         digest = self.table.digest
         self.table.merge(member("a", 1, state=MemberState.DEAD))
