Work no delta out for nobody

Seen: in a storm of configuration versions on a grown site (811 routes, 81 nodes) each node compared all sections of two versions for the delta that it passes on, 21 times in 5 s, and most of them have nobody below them.

Cause: the record was packed before it was asked who gets it. With 8 members below each, one node in eight has children in a tree.

Change: who has no targets packs nothing.

Test: counts the nodes that work a delta out.

--- a/burdockdock/overlay/spread.py
+++ b/burdockdock/overlay/spread.py
@@ -83,6 +83,9 @@
     def _send_record(
         self, record: Record, base_version: int, targets: list[Member]
     ) -> None:
+        # Most members stand at the end of both trees and have nobody to tell.
+        if not targets:
+            return
         packed = self._pack_in_bounds(record, base_version)
         if packed is None:
             notice = {"key": record.key, "version": record.version}
--- a/tests/overlay/test_spread.py
+++ b/tests/overlay/test_spread.py
@@ -13,7 +13,7 @@
 from burdockdock.coordination.ranking import MemberRanking
 from burdockdock.coordination.records import Record, RecordStore
 from burdockdock.node.config_state import CONFIG_KEY, ConfigState
-from burdockdock.overlay.spread import Spreader
+from burdockdock.overlay.spread import DeltaCodec, Spreader
 from burdockdock.overlay.sync import SyncClient, SyncServer
 from burdockdock.protocol import decode, encode
 from burdockdock.protocol.codec import HEADER_BYTES
@@ -46,7 +46,9 @@
 class _FakeNode:
     """The parts of a node that spread, over the fake network."""
 
-    def __init__(self, index: int, network: _Network) -> None:
+    def __init__(
+        self, index: int, network: _Network, *, asked: list[int] | None = None
+    ) -> None:
         clock = ManualClock()
         members = [
             Member(str(i), "fake", i, "r", f"z{i % 3}", 1) for i in range(_NODES)
@@ -67,7 +69,7 @@
             ranking=MemberRanking(self.membership),
             records=self.records,
             datagrams=self,
-            deltas=deltas,
+            deltas={CONFIG_KEY: self._counted(asked)},
             pull=lambda node_id: network.pulls.append((index, node_id)),
         )
         self.server = SyncServer(
@@ -88,6 +90,18 @@
             rng=random.Random(index),
         )
 
+    def _counted(self, asked: list[int] | None) -> DeltaCodec:
+        """Return the codec, which notes the node when a delta is worked out."""
+        codec = self.config.codec
+        if asked is None:
+            return codec
+
+        def encode_delta(base_version: int) -> bytes | None:
+            asked.append(self.index)
+            return codec.encode_delta(base_version)
+
+        return codec._replace(encode_delta=encode_delta)
+
     def on(self, kind: str, handler: object) -> None:
         """Keep a handler, as datagrams do."""
         self.handlers[kind] = handler
@@ -187,6 +201,29 @@
             for i, node in enumerate(network.nodes):
                 node.pull_from(network.nodes[(i + 1) % _NODES])
 
+    def test_who_has_nobody_below_works_no_delta_out(self) -> None:
+        asked = []
+        network = _Network()
+        network.nodes = [_FakeNode(i, network, asked=asked) for i in range(_NODES)]
+        rng = random.Random(1)
+        for version in (1, 2):
+            record = Record(CONFIG_KEY, version, _document(version, rng).encode())
+            network.nodes[0].spreader.start_record(record)
+            self._deliver_all(network)
+        tellers = {0} | {
+            node.index for node in network.nodes if node.spreader._child_targets()
+        }
+        self.assertLess(len(tellers), _NODES)
+        self.assertEqual(tellers, set(asked))
+
+    def _deliver_all(self, network: _Network) -> None:
+        while network.datagrams or network.pulls:
+            if network.pulls:
+                network.run_pull()
+            else:
+                network.deliver(0)
+                network.datagrams.pop(0)
+
     def test_members_of_two_sides_of_a_split_find_each_other(self) -> None:
         network = _Network()
         network.nodes = [_FakeNode(i, network) for i in range(_NODES)]
