Send a longer delta deflated, instead of making every node fetch it

Seen: a profile of a node in a configuration storm on a grown site: of 21 versions none came along the trees; each was fetched over a connection of its own (connect, handshake, request with 256 digests, reply), 32 exchanges in 22 s with those of the start. The same at 81 nodes, for each version.

Cause: a delta of seven routes is 1,419 bytes of JSON and a datagram takes 1,200 of it, so that only a notice went out, and every node pulled.

Change: a notice may carry the delta deflated (278 bytes for those seven routes) and the version it is made against. The notice begins with the fields that it had: a node of an earlier release reads them and fetches as before, and a notice without a delta is answered by a fetch, so that the schema's version stays. What does not fit when deflated is a bare notice, as before; deltas of more than 16 datagrams are not tried.

Ruled out: larger datagrams, which would be cut on the way; deflating the record's own value, which an older node would drop and learn a probe later.

Tests: nobody fetches such a version, and every node has it; a bare notice is still fetched; a broken or endless delta changes nothing.

--- a/burdockdock/overlay/spread.py
+++ b/burdockdock/overlay/spread.py
@@ -1,5 +1,6 @@
 """Passing records and member changes on along trees of members."""
 
+import zlib
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -20,6 +21,8 @@
 _SMALL_FLEET = 32
 _TREE_SALTS = ("first", "second")
 _MAX_VALUE_BYTES = MAX_DATAGRAM_BYTES - 200
+# A longer delta is not tried: it would hardly fit when deflated.
+_MAX_INFLATED_BYTES = 16 * _MAX_VALUE_BYTES
 
 
 class DeltaCodec(NamedTuple):
@@ -86,25 +89,26 @@
         # Most members stand at the end of both trees and have nobody to tell.
         if not targets:
             return
-        packed = self._pack_in_bounds(record, base_version)
-        if packed is None:
-            notice = {"key": record.key, "version": record.version}
-            self._send(targets, {"recordNotice": notice})
-        else:
-            self._send(targets, {"record": packed})
+        self._send(targets, self._content_of(record, base_version))
 
-    def _pack_in_bounds(self, record: Record, base_version: int) -> dict | None:
-        """Return the record, or its delta, if that fits into a datagram."""
+    def _content_of(self, record: Record, base_version: int) -> dict[str, object]:
+        """Return the record, its delta or a notice, whichever fits a datagram."""
         codec = self._deltas.get(record.key)
-        if codec is not None:
-            delta = codec.encode_delta(base_version) if base_version else None
-            if delta is None or len(delta) > _MAX_VALUE_BYTES:
-                return None
+        notice = {"key": record.key, "version": record.version}
+        if codec is None:
+            if len(record.value) <= _MAX_VALUE_BYTES:
+                return {"record": pack_record(record)}
+            return {"recordNotice": notice}
+        delta = codec.encode_delta(base_version) if base_version else None
+        if delta is None:
+            return {"recordNotice": notice}
+        if len(delta) <= _MAX_VALUE_BYTES:
             changed = record._replace(value=delta)
-            return pack_record(changed, base_version=base_version)
-        if len(record.value) <= _MAX_VALUE_BYTES:
-            return pack_record(record)
-        return None
+            return {"record": pack_record(changed, base_version=base_version)}
+        deflated = _deflate(delta)
+        if deflated is not None:
+            notice |= {"baseVersion": base_version, "deflatedDelta": deflated}
+        return {"recordNotice": notice}
 
     def _send_member(self, member: Member, targets: list[Member]) -> None:
         self._send(targets, {"member": pack_member(member)})
@@ -123,22 +127,29 @@
             if self._membership.merge(member):
                 self._send_member(member, self._child_targets())
         elif kind == "record":
-            self._take_record(spread)
-        elif spread.recordNotice.version > self._records.version(
-            spread.recordNotice.key
-        ):
-            self._pull(spread.nodeId)
-
-    def _take_record(self, spread: Message) -> None:
-        record = unpack_record(spread.record)
+            packed = spread.record
+            self._take_record(unpack_record(packed), packed.baseVersion, spread.nodeId)
+        else:
+            self._take_notice(spread.recordNotice, spread.nodeId)
+
+    def _take_notice(self, notice: Message, sender_id: str) -> None:
+        """Take in the delta that came with a notice, or fetch the record."""
+        if notice.version <= self._records.version(notice.key):
+            return
+        if not notice.deflatedDelta:
+            self._pull(sender_id)
+            return
+        record = Record(notice.key, notice.version, _inflate(notice.deflatedDelta))
+        self._take_record(record, notice.baseVersion, sender_id)
+
+    def _take_record(self, record: Record, base_version: int, sender_id: str) -> None:
         before = self._records.version(record.key)
         if record.version <= before:
             return
-        base_version = spread.record.baseVersion
         if base_version:
             whole = self._whole(record, base_version)
             if whole is None:
-                self._pull(spread.nodeId)
+                self._pull(sender_id)
                 return
             record = whole
         if self._records.put(record):
@@ -188,3 +199,26 @@
         own_id = self._membership.own.node_id
         unique = {m.node_id: m for m in members if m.node_id != own_id}
         return list(unique.values())
+
+
+def _deflate(delta: bytes) -> bytes | None:
+    """Return a delta deflated, None if it does not fit into a datagram even so."""
+    if len(delta) > _MAX_INFLATED_BYTES:
+        return None
+    deflated = zlib.compress(delta)
+    return deflated if len(deflated) <= _MAX_VALUE_BYTES else None
+
+
+def _inflate(deflated: bytes) -> bytes:
+    """Return the delta that was deflated.
+
+    :raises ValueError: if the bytes are none, or it is longer than any.
+    """
+    inflater = zlib.decompressobj()
+    try:
+        delta = inflater.decompress(deflated, _MAX_INFLATED_BYTES)
+    except zlib.error as error:
+        raise ValueError(str(error)) from None
+    if not inflater.eof:
+        raise ValueError("a deflated delta is cut short or too long")
+    return delta
--- a/burdockdock/protocol/messages.capnp
+++ b/burdockdock/protocol/messages.capnp
@@ -158,11 +158,19 @@
   nodeId @1 :Text;
   union {
     record @2 :Record;
-    recordNotice @3 :KeyVersion;
+    recordNotice @3 :RecordNotice;
     member @4 :Member;
   }
 }
 
+# Begins like KeyVersion, so that a node which knows no more of it fetches the record.
+struct RecordNotice {
+  key @0 :Text;
+  version @1 :UInt64;
+  baseVersion @2 :UInt64;
+  deflatedDelta @3 :Data;
+}
+
 struct KeyVersion {
   key @0 :Text;
   version @1 :UInt64;
--- a/tests/overlay/test_spread.py
+++ b/tests/overlay/test_spread.py
@@ -1,6 +1,7 @@
 """Spread and repair over a network that loses, doubles and reorders."""
 
 import random
+import zlib
 
 import testtools
 from hypothesis import given, settings
@@ -13,6 +14,7 @@
 from burdockdock.coordination.ranking import MemberRanking
 from burdockdock.coordination.records import Record, RecordStore
 from burdockdock.node.config_state import CONFIG_KEY, ConfigState
+from burdockdock.overlay.datagrams import MAX_DATAGRAM_BYTES
 from burdockdock.overlay.spread import DeltaCodec, Spreader
 from burdockdock.overlay.sync import SyncClient, SyncServer
 from burdockdock.protocol import decode, encode
@@ -216,6 +218,60 @@
         self.assertLess(len(tellers), _NODES)
         self.assertEqual(tellers, set(asked))
 
+    def _spread_seven_routes(self) -> _Network:
+        """Spread a version whose delta is longer than a datagram."""
+        network = _Network()
+        network.nodes = [_FakeNode(i, network) for i in range(_NODES)]
+        first = _document(1, random.Random(1))
+        routes = [name for name in first.sections if name.startswith("route")][:7]
+        kind = {"kind": "non_idempotent", "class": "non_idempotent", "host": "h" * 80}
+        changed = {name: {**first.sections[name], **kind} for name in routes}
+        self.second = ConfigDocument(2, {**first.sections, **changed})
+        origin = network.nodes[0].spreader
+        origin.start_record(Record(CONFIG_KEY, 1, first.encode()))
+        self._deliver_all(network)
+        origin.start_record(Record(CONFIG_KEY, 2, self.second.encode()))
+        return network
+
+    def test_a_delta_that_fits_when_deflated_is_fetched_by_nobody(self) -> None:
+        network = self._spread_seven_routes()
+        longest = max(len(data) for _, data in network.datagrams)
+        self.assertLessEqual(longest, MAX_DATAGRAM_BYTES)
+        while network.datagrams:
+            network.deliver(0)
+            network.datagrams.pop(0)
+            self.assertEqual([], network.pulls)
+        for node in network.nodes:
+            self.assertEqual(self.second.sections, node.config.snapshot.sections)
+
+    def test_a_node_that_reads_notices_alone_fetches_the_record(self) -> None:
+        network = self._spread_seven_routes()
+        port, data = network.datagrams[0]
+        notice = decode(data).spread.recordNotice
+        plain = encode(
+            "spread",
+            mesh="m",
+            nodeId="0",
+            recordNotice={"key": notice.key, "version": notice.version},
+        )
+        network.datagrams[:] = [(port, plain)]
+        network.deliver(0)
+        self.assertEqual([(port, "0")], network.pulls)
+        network.run_pull()
+        self.assertEqual(2, network.nodes[port].config.snapshot.version)
+
+    def test_a_deflated_delta_that_is_broken_changes_nothing(self) -> None:
+        network = self._spread_seven_routes()
+        port, _ = network.datagrams[0]
+        bomb = zlib.compress(bytes(1_000_000))
+        for deflated in (b"\0", bomb, zlib.compress(b"{}" * 40)[:-4]):
+            notice = {"key": CONFIG_KEY, "version": 2, "baseVersion": 1}
+            notice["deflatedDelta"] = deflated
+            data = encode("spread", mesh="m", nodeId="0", recordNotice=notice)
+            network.datagrams[:] = [(port, data)]
+            self.assertRaises(ValueError, network.deliver, 0)
+        self.assertEqual(1, network.nodes[port].config.snapshot.version)
+
     def _deliver_all(self, network: _Network) -> None:
         while network.datagrams or network.pulls:
             if network.pulls:
