Read a rumour whole only when it may change the table

Cause: all 14 fields were read before the incarnation was looked at.

Change: id, incarnation and state are read first; only a rumour that the table may take in is read whole. What the table takes in stays the same.

Tests: for any rumours the table and what goes on are as when each is read whole; a known rumour is read once.

--- a/burdockdock/coordination/membership.py
+++ b/burdockdock/coordination/membership.py
@@ -121,6 +121,18 @@
         self._store(updated)
         return updated
 
+    def may_change(self, node_id: str, incarnation: int, state: int) -> bool:
+        """Tell whether a rumour could change the table, by its first fields alone.
+
+        Most rumours arrive more than once; these need not be read whole.
+        """
+        known = self._members.get(node_id)
+        if known is None:
+            return True
+        if node_id == self._own_id:
+            return incarnation >= known.incarnation
+        return (incarnation, state) > _order(known)
+
     def merge(self, rumour: Member) -> bool:
         """Take in what another node says of a member.
 
--- a/burdockdock/overlay/failure_detector.py
+++ b/burdockdock/overlay/failure_detector.py
@@ -20,7 +20,7 @@
 from burdockdock.overlay.datagrams import Address, Datagrams
 from burdockdock.overlay.gossip import GossipQueue
 from burdockdock.protocol import Message
-from burdockdock.protocol.members import pack_member, unpack_member
+from burdockdock.protocol.members import merge_member, pack_member
 
 _NEWS_PROBES = 2
 # The trees have delivered by then where they can.
@@ -274,8 +274,8 @@
 
     def _take_in(self, state: Message, address: Address) -> None:
         for packed in state.members:
-            rumour = unpack_member(packed)
-            if self._membership.merge(rumour):
+            rumour = merge_member(self._membership, packed)
+            if rumour is not None:
                 self._gossip.add(rumour)
         self._on_digest(
             PeerDigest(
--- a/burdockdock/overlay/spread.py
+++ b/burdockdock/overlay/spread.py
@@ -11,9 +11,9 @@
 from burdockdock.overlay.datagrams import MAX_DATAGRAM_BYTES, Address, Datagrams
 from burdockdock.protocol import Message
 from burdockdock.protocol.members import (
+    merge_member,
     pack_member,
     pack_record,
-    unpack_member,
     unpack_record,
 )
 
@@ -123,8 +123,8 @@
     def _on_spread(self, spread: Message, address: Address) -> None:
         kind = spread.which()
         if kind == "member":
-            member = unpack_member(spread.member)
-            if self._membership.merge(member):
+            member = merge_member(self._membership, spread.member)
+            if member is not None:
                 self._send_member(member, self._child_targets())
         elif kind == "record":
             packed = spread.record
--- a/burdockdock/overlay/sync.py
+++ b/burdockdock/overlay/sync.py
@@ -21,9 +21,9 @@
 from burdockdock.protocol.codec import frame
 from burdockdock.protocol.handshake import PeerIdentity, greet
 from burdockdock.protocol.members import (
+    merge_member,
     pack_member,
     pack_record,
-    unpack_member,
     unpack_record,
 )
 
@@ -58,7 +58,7 @@
     def reply_to(self, request: Message) -> bytes:
         """Return the frame that answers a request."""
         for packed in request.members:
-            self._membership.merge(unpack_member(packed))
+            merge_member(self._membership, packed)
         versions = {entry.key: entry.version for entry in request.versions}
         records = [
             self._pack(record, versions.get(record.key, 0))
@@ -235,7 +235,7 @@
 
     def _take_in(self, reply: Message) -> None:
         for packed in reply.members:
-            self._membership.merge(unpack_member(packed))
+            merge_member(self._membership, packed)
         for packed in reply.records:
             self._take_record(unpack_record(packed), packed.baseVersion)
 
--- a/burdockdock/protocol/members.py
+++ b/burdockdock/protocol/members.py
@@ -2,7 +2,11 @@
 
 from typing import Any
 
-from burdockdock.coordination.membership import Member, MemberState
+from burdockdock.coordination.membership import (
+    Member,
+    MembershipTable,
+    MemberState,
+)
 from burdockdock.coordination.records import Record
 from burdockdock.protocol.codec import Message
 
@@ -50,6 +54,18 @@
     )
 
 
+def merge_member(table: MembershipTable, packed: Message) -> Member | None:
+    """Take a member out of a message into the table.
+
+    :returns: the member if the table changed, so that the rumour should go on.
+    :raises ValueError: if its state is unknown.
+    """
+    if not table.may_change(packed.nodeId, packed.incarnation, packed.state):
+        return None
+    member = unpack_member(packed)
+    return member if table.merge(member) else None
+
+
 def pack_record(record: Record, *, base_version: int = 0) -> dict[str, Any]:
     """Return a record as a message's field.
 
--- /dev/null
+++ b/tests/protocol/test_members.py
@@ -0,0 +1,53 @@
+"""Tests of members in messages."""
+
+from unittest import mock
+
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+
+from burdockdock.clock import ManualClock
+from burdockdock.coordination.membership import Member, MembershipTable, MemberState
+from burdockdock.protocol import decode, encode, members
+from burdockdock.protocol.members import merge_member, pack_member
+
+_RUMOURS = st.lists(
+    st.builds(
+        lambda i, n, s, r: Member(i, "h", 1, "r", "z", n, MemberState(s), ready=r),
+        st.sampled_from(("own", "a", "b")),
+        st.integers(1, 4),
+        st.integers(0, 2),
+        st.booleans(),
+    ),
+    max_size=20,
+)
+
+
+def _table() -> MembershipTable:
+    return MembershipTable(Member("own", "h", 1, "r", "z", 2), clock=ManualClock())
+
+
+class MergeMemberTest(testtools.TestCase):
+    """Tests of rumours that arrive packed."""
+
+    @given(_RUMOURS)
+    def test_table_is_the_same_as_when_each_rumour_is_read_whole(
+        self, rumours: list[Member]
+    ) -> None:
+        table, plain = _table(), _table()
+        packed = encode("ping", mesh="m", members=[pack_member(r) for r in rumours])
+        for rumour, item in zip(rumours, decode(packed).ping.members, strict=True):
+            changed = plain.merge(rumour)
+            self.assertEqual(rumour if changed else None, merge_member(table, item))
+        self.assertEqual(list(plain), list(table))
+
+    def test_a_rumour_that_is_known_is_not_read_whole(self) -> None:
+        rumour = Member("a", "h", 1, "r", "z", 1)
+        packed = encode("ping", mesh="m", members=[pack_member(rumour)] * 3)
+        table = _table()
+        with mock.patch.object(
+            members, "unpack_member", side_effect=members.unpack_member
+        ) as unpack:
+            for item in decode(packed).ping.members:
+                merge_member(table, item)
+        self.assertEqual(1, unpack.call_count)
