Let idle loops of a node wake together, and the applied tracker at news

Seen: a node set 429 timers in the first 12 s, before any call: the tracker of applied versions ten times a second, rollouts, their owners and orders four times each, the backend server's watch twice, each at its own moment. On a grown site 81 nodes share a machine.

Change: loops that only look for work sleep to the next multiple of their period of the loop's own time, so that they wake at the same moment. The tracker of applied versions wakes at news (a version taken in or refused, a report, a member's change), after the same 0.1 s as before, and else twice a second, for refreshes and for a version that is late.

Ruled out: waking the rollout loops by events alone, as what they look at hangs on time, calls that run, records and ranks.

--- a/burdockdock/clock.py
+++ b/burdockdock/clock.py
@@ -1,5 +1,6 @@
 """The clock interface that every time-dependent part takes as an argument."""
 
+import asyncio
 import time
 from datetime import UTC, datetime, timedelta
 from typing import Protocol
@@ -59,3 +60,24 @@
         if seconds_s < 0:
             raise ValueError("a clock does not go backwards")
         self._elapsed_s += seconds_s
+
+
+def next_tick_s(period_s: float) -> float:
+    """Return the event loop's time when it is next a multiple of a period.
+
+    Loops that look for work now and then wake together and not each for itself, which
+    counts where many idle nodes share a machine.
+
+    :param period_s: seconds between two ticks; the next one may come sooner.
+    """
+    now_s = asyncio.get_running_loop().time()
+    return now_s + period_s - now_s % period_s
+
+
+async def sleep_to_tick(period_s: float) -> None:
+    """Sleep until the next tick.
+
+    :param period_s: seconds between two ticks.
+    """
+    now_s = asyncio.get_running_loop().time()
+    await asyncio.sleep(next_tick_s(period_s) - now_s)
--- a/burdockdock/node/announcements.py
+++ b/burdockdock/node/announcements.py
@@ -1,11 +1,10 @@
 """What the backend server beside a node says of itself, and when it fell silent."""
 
-import asyncio
 from collections.abc import Callable
 from enum import StrEnum
 from typing import NamedTuple
 
-from burdockdock.clock import Clock
+from burdockdock.clock import Clock, sleep_to_tick
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.gate.gate import Gate
 from burdockdock.gate.model import BackendServer
@@ -116,7 +115,7 @@
     async def run(self) -> None:
         """Take a backend server that fell silent out of service, for ever."""
         while True:
-            await asyncio.sleep(_CHECK_S)
+            await sleep_to_tick(_CHECK_S)
             self.check_silence()
 
     def check_silence(self) -> None:
--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -309,6 +309,7 @@
         if record.key != CONFIG_KEY:
             return True
         accepted = self.config.accept(record)
+        self.applied.wake()
         state = self.config.applied_state()
         if accepted:
             log_event("config.applied", version=record.version)
--- a/burdockdock/node/rollouts.py
+++ b/burdockdock/node/rollouts.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
-from burdockdock.clock import Clock
+from burdockdock.clock import Clock, sleep_to_tick
 from burdockdock.coordination.membership import Member, MembershipTable
 from burdockdock.coordination.ranking import MemberRanking
 from burdockdock.coordination.records import Record, RecordStore
@@ -104,7 +104,7 @@
             tasks.append(asyncio.create_task(supervise("orders", self._clerk.run)))
         try:
             while True:
-                await asyncio.sleep(_SEND_INTERVAL_S)
+                await sleep_to_tick(_SEND_INTERVAL_S)
                 self._send_evidence()
                 self._tell_stopped()
         finally:
--- a/burdockdock/overlay/applied.py
+++ b/burdockdock/overlay/applied.py
@@ -9,13 +9,15 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from burdockdock.clock import Clock
+from burdockdock.clock import Clock, next_tick_s
 from burdockdock.coordination.membership import Member, MembershipTable
 from burdockdock.coordination.ranking import MemberRanking
 from burdockdock.overlay.datagrams import Address, Datagrams
 from burdockdock.protocol import Message
 
-_TICK_S = 0.1
+# News that comes together is looked at once.
+_PAUSE_S = 0.1
+_TICK_S = 0.5
 _REFRESH_S = 10.0
 _SUMMARY_REFRESH_S = 5.0
 _SUMMARY_MAX_AGE_S = 20.0
@@ -102,13 +104,29 @@
         self._late_version = 0
         self._changed = True
         self._summed_generation = -1
+        self._news = asyncio.Event()
+        membership.subscribe(lambda _new, _known: self._news.set())
         datagrams.on("applied", self._on_report)
 
     async def run(self) -> None:
-        """Report and sum up, for ever."""
+        """Report and sum up soon after news, and now and then, for ever."""
         while True:
             self.tick()
-            await asyncio.sleep(_TICK_S)
+            await self._wait_for_news()
+
+    def wake(self) -> None:
+        """Look soon at what this node applies."""
+        self._news.set()
+
+    async def _wait_for_news(self) -> None:
+        """Wait until there is news, for a while at most."""
+        try:
+            async with asyncio.timeout_at(next_tick_s(_TICK_S)):
+                await self._news.wait()
+        except TimeoutError:
+            return
+        await asyncio.sleep(_PAUSE_S)
+        self._news.clear()
 
     def tick(self) -> None:
         """Report, and as the reporter sum up what changed."""
@@ -252,6 +270,7 @@
 
     def _take_report(self, report: Message) -> None:
         self._changed = True
+        self._news.set()
         for entry in report.entries:
             self._states[entry.nodeId] = _unpack_state(entry)
         now_s = self._clock.monotonic()
--- a/burdockdock/rollout/orders.py
+++ b/burdockdock/rollout/orders.py
@@ -7,7 +7,7 @@
 from datetime import timedelta
 from typing import Any, NamedTuple
 
-from burdockdock.clock import Clock
+from burdockdock.clock import Clock, sleep_to_tick
 from burdockdock.coordination.membership import MembershipTable
 from burdockdock.coordination.records import Record, RecordStore
 from burdockdock.coordination.verdict import Failure
@@ -133,7 +133,7 @@
             for order in self._book.all():
                 if order.open and self._may_act(order.service):
                     await self._take_up(order)
-            await asyncio.sleep(_TICK_S)
+            await sleep_to_tick(_TICK_S)
 
     async def tell_end(self, rollout: Rollout) -> bool:
         """Write a rollout's outcome into its order; return whether it stands there."""
--- a/burdockdock/rollout/owner.py
+++ b/burdockdock/rollout/owner.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
-from burdockdock.clock import Clock
+from burdockdock.clock import Clock, sleep_to_tick
 from burdockdock.coordination.lease import Lease
 from burdockdock.coordination.membership import Member, MembershipTable
 from burdockdock.coordination.ranking import MemberRanking
@@ -130,7 +130,7 @@
             for service in self._owners.keys() - wanted:
                 self._owners.pop(service).cancel()
                 self._inboxes.pop(service, None)
-            await asyncio.sleep(_TICK_S)
+            await sleep_to_tick(_TICK_S)
 
     def receive(self, service: str, rows: dict[EvidenceKey, EvidenceRow]) -> None:
         """Take in results of a gate."""
--- a/tests/overlay/test_applied.py
+++ b/tests/overlay/test_applied.py
@@ -1,5 +1,6 @@
 """Tests of counting where a version is in force."""
 
+import asyncio
 import random
 
 import testtools
@@ -7,6 +8,7 @@
 from burdockdock.clock import ManualClock
 from burdockdock.coordination.membership import Member, MembershipTable
 from burdockdock.coordination.ranking import MemberRanking
+from burdockdock.overlay import applied
 from burdockdock.overlay.applied import AppliedState, AppliedTracker, FleetStatus
 from burdockdock.protocol import decode, encode
 
@@ -108,3 +110,26 @@
         fleet.versions[4] = 3
         fleet.tick(120)
         self.assertEqual(1, len([s for s in fleet.in_force if s.version == 3]))
+
+    def test_an_idle_tracker_looks_seldom_and_news_wakes_it(self) -> None:
+        fleet = _Fleet()
+        tracker = fleet.trackers[0]
+        ticks = []
+
+        def tick() -> None:
+            ticks.append(fleet.versions[0])
+
+        async def run() -> None:
+            running = asyncio.create_task(tracker.run())
+            await asyncio.sleep(0)
+            for version in (1, 2, 3):
+                fleet.versions[0] = version
+                tracker.wake()
+            await asyncio.sleep(10 * applied._PAUSE_S)
+            running.cancel()
+
+        self.patch(applied, "_PAUSE_S", 0.01)
+        self.patch(applied, "_TICK_S", 1e6)
+        self.patch(tracker, "tick", tick)
+        asyncio.run(run())
+        self.assertEqual([0, 3], ticks)
