Let a node that waits for members wake once, not twice, an interval

Seen: each node slept 0.1 s and then waited up to 0.5 s for a change of the members, around the clock: two timers a round, each of which turns the loop twice.

Cause: the pause that lets changes come together was taken before every wait, though it is needed only where a change came soon after the last look.

Change: the node waits first; a change that comes within 0.1 s of the last look waits out the rest of the pause. The interval of a look without news stays 0.5 to 0.7 s, an isolated change is looked at as soon as before.

Test: a change after the pause is looked at at once, one within it is not; nothing in it hangs on real time.

--- a/burdockdock/node/relay.py
+++ b/burdockdock/node/relay.py
@@ -199,12 +199,14 @@
 
     async def _wait_for_members(self) -> None:
         """Wait until the members changed, for a while at most."""
-        await asyncio.sleep(_ROLE_PAUSE_S)
+        looked_s = self._clock.monotonic()
+        interval_s = _ROLE_PAUSE_S + _ROLE_INTERVAL_S * self._rng.uniform(0.8, 1.2)
         try:
-            async with asyncio.timeout(_ROLE_INTERVAL_S * self._rng.uniform(0.8, 1.2)):
+            async with asyncio.timeout(interval_s):
                 await self._members_changed.wait()
         except TimeoutError:
             return
+        await asyncio.sleep(looked_s + _ROLE_PAUSE_S - self._clock.monotonic())
 
     def _tell_reach(self, *, lost: bool) -> None:
         """Let others take the role while the platform does not answer this node."""
--- a/tests/node/test_relay.py
+++ b/tests/node/test_relay.py
@@ -6,7 +6,7 @@
 
 import testtools
 
-from burdockdock.clock import SystemClock
+from burdockdock.clock import Clock, ManualClock, SystemClock
 from burdockdock.coordination.membership import Member, MembershipTable
 from burdockdock.coordination.ranking import MemberRanking
 from burdockdock.coordination.verdict import Failure
@@ -67,8 +67,8 @@
 class _Node:
     """A relay beside others that it only knows of."""
 
-    def __init__(self, number: int) -> None:
-        clock = SystemClock()
+    def __init__(self, number: int, *, clock: Clock | None = None) -> None:
+        clock = clock or SystemClock()
         self.membership = MembershipTable(_member(number), clock=clock)
         for i in range(6):
             self.membership.merge(_member(i))
@@ -174,3 +174,33 @@
         waiting.membership.merge(lost)
         await eventually(lambda: waiting.platform.waits_s)
         task.cancel()
+
+    @async_test
+    async def test_changes_that_come_together_are_looked_at_once(self) -> None:
+        self.patch(relay, "_ROLE_INTERVAL_S", 1e6)
+        self.patch(relay, "_ROLE_PAUSE_S", 1e6)
+        clock = ManualClock()
+        node = _Node(0, clock=clock)
+        looks = []
+
+        def look(ranking: MemberRanking) -> set[str]:
+            looks.append(clock.monotonic())
+            return relays(ranking)
+
+        self.patch(relay, "relays", look)
+        task = asyncio.create_task(node.relay.run())
+        await eventually(lambda: looks)
+        clock.advance(2e6)
+        looks.clear()
+        await self._change_a_member(node, 2)
+        self.assertIn(2e6, looks)
+        looks.clear()
+        # The clock stands still: the pause since the last look is not over.
+        await self._change_a_member(node, 3)
+        self.assertEqual([], looks)
+        task.cancel()
+
+    async def _change_a_member(self, node: _Node, incarnation: int) -> None:
+        node.membership.merge(_member(5)._replace(incarnation=incarnation))
+        for _ in range(10):
+            await asyncio.sleep(0)
