Compare only the sections that two versions do not share

Cause: unchanged sections are the very same dicts in both versions, but two dicts are compared pair by pair even then.

Change: a section that is the same object is not compared.

Test: shared sections are never compared.

--- a/burdockdock/configuration/checks.py
+++ b/burdockdock/configuration/checks.py
@@ -2,6 +2,7 @@
 
 from datetime import datetime
 
+from burdockdock.configuration.delta import changed_sections
 from burdockdock.configuration.ini import section_digest
 from burdockdock.configuration.model import (
     EMPTY_SNAPSHOT,
@@ -77,7 +78,7 @@
     def change_to(self, sections: Sections) -> None:
         """Take out the sections that are gone or changed, then add the new ones."""
         old = self._previous.sections
-        changed = [n for n, pairs in sections.items() if old.get(n) != pairs]
+        changed = changed_sections(old, sections)
         gone = [name for name in old if name not in sections]
         for name in [*gone, *(n for n in changed if n in old)]:
             self._remove(name)
--- a/burdockdock/configuration/delta.py
+++ b/burdockdock/configuration/delta.py
@@ -27,6 +27,18 @@
         return json.dumps(self._asdict(), separators=(",", ":")).encode()
 
 
+def changed_sections(old: Sections, new: Sections) -> Sections:
+    """Return the new sections that are not in the old ones, or differ there.
+
+    Versions share the sections that did not change, so that most need no comparison.
+    """
+    return {
+        name: pairs
+        for name, pairs in new.items()
+        if (known := old.get(name)) is not pairs and known != pairs
+    }
+
+
 def decode_document(data: bytes) -> ConfigDocument:
     """Read a document.
 
@@ -43,11 +55,7 @@
 
     :param digest: of the new document's sections.
     """
-    changed = {
-        name: pairs
-        for name, pairs in new.sections.items()
-        if old.sections.get(name) != pairs
-    }
+    changed = changed_sections(old.sections, new.sections)
     removed = [name for name in old.sections if name not in new.sections]
     document = new._replace(sections=changed)._asdict()
     document["removed"] = removed
--- a/tests/configuration/test_configuration.py
+++ b/tests/configuration/test_configuration.py
@@ -18,7 +18,12 @@
     read_head,
 )
 from burdockdock.configuration.checks import build_snapshot
-from burdockdock.configuration.delta import ConfigDocument, apply_delta, encode_delta
+from burdockdock.configuration.delta import (
+    ConfigDocument,
+    apply_delta,
+    changed_sections,
+    encode_delta,
+)
 from burdockdock.configuration.ini import digest_of, read_sections, write_sections
 from burdockdock.configuration.lookup import find_route, policy_for
 from burdockdock.configuration.model import Route, Sections, Snapshot
@@ -178,6 +183,24 @@
         led = apply_delta(ConfigDocument(1, other), data, digest=digest_of(other))
         self.assertIn(led, (None, second))
 
+    def test_sections_that_versions_share_are_not_compared(self) -> None:
+        shared = _NeverCompared(path="/a")
+        old = {"route a": shared, "route b": {"path": "/b"}, "route c": {}}
+        new = {"route a": shared, "route b": {"path": "/x"}, "route d": {}}
+        expected = {"route b": {"path": "/x"}, "route d": {}}
+        self.assertEqual(expected, changed_sections(old, new))
+
+
+class _NeverCompared(dict):
+    """A section whose pairs must not be looked at."""
+
+    __hash__ = None
+
+    def __eq__(self, other: object) -> bool:
+        raise AssertionError("compared")
+
+    __ne__ = __eq__
+
 
 class AcceptanceTest(testtools.TestCase):
     """Every fault at every write of accepting a configuration."""
