Write lines that keep coming a tenth of a second apart

Cause: lines were written 20 ms after the first of them, however soon the last write was.

Change: after a pause a line is written as soon as before; while lines keep coming, writes are 0.1 s apart. What a slow reader left no room for is tried again after 20 ms, as before. A node that is killed loses the lines of 0.1 s at most, not of 0.02 s.

Tests: due times of a run of lines and of what is left, by a clock of the test's own.

--- a/burdockdock/logs.py
+++ b/burdockdock/logs.py
@@ -12,7 +12,9 @@
 
 import eliot
 
-_FLUSH_INTERVAL_S = 0.02
+_FLUSH_DELAY_S = 0.02
+# While lines keep coming, each write of them costs the loop a turn.
+_FLUSH_INTERVAL_S = 0.1
 _MAX_KEPT_BYTES = 256 * 1024
 _HIDDEN_KEYS = frozenset({"task_uuid", "task_level", "message_type", "timestamp"})
 _QUOTED_SIGNS = frozenset(" \"=\\'")
@@ -52,6 +54,7 @@
         self._lines: deque[bytes] = deque()
         self._kept_bytes = 0
         self._timer: asyncio.TimerHandle | None = None
+        self._due_s = float("-inf")
         self.dropped = 0
 
     def write(self, line: str) -> None:
@@ -63,7 +66,7 @@
             self._lines.append(data)
             self._kept_bytes += len(data)
         if self._timer is None:
-            self._flush_later()
+            self._flush_later(interval_s=_FLUSH_INTERVAL_S)
 
     def flush(self) -> None:
         """Write as much as there is room for."""
@@ -73,7 +76,7 @@
         while self._lines and self._poll.poll(0):
             os.write(self._fd, self._take_piece())
         if self._lines:
-            self._flush_later()
+            self._flush_later(interval_s=_FLUSH_DELAY_S)
 
     def _take_piece(self) -> bytes:
         """Return whole lines that a pipe takes at once, or one longer line's start."""
@@ -92,15 +95,20 @@
         self._lines.append(line.encode())
         self._kept_bytes += len(line)
 
-    def _flush_later(self) -> None:
-        """Flush soon; at once where no loop runs, such as at start and end."""
+    def _flush_later(self, *, interval_s: float) -> None:
+        """Flush soon; at once where no loop runs, such as at start and end.
+
+        :param interval_s: shortest time since the last flush.
+        """
         try:
             loop = asyncio.get_running_loop()
         except RuntimeError:
             if self._poll.poll(0):
                 self.flush()
             return
-        self._timer = loop.call_later(_FLUSH_INTERVAL_S, self.flush)
+        due_s = max(loop.time() + _FLUSH_DELAY_S, self._due_s + interval_s)
+        self._due_s = due_s
+        self._timer = loop.call_at(due_s, self.flush)
 
 
 def start_logging(*, fd: int | None = None, **common: str) -> LineWriter:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -99,3 +99,28 @@
         text = self._read_all().decode()
         self.assertIn(f"event=logs.dropped lines={missed}", text)
         self.assertEqual(1000 - missed, text.count(line))
+
+    def test_lines_that_keep_coming_are_written_together(self) -> None:
+        with mock.patch("asyncio.get_running_loop") as running:
+            loop = running.return_value
+            due_s = []
+            for now_s in (5.0, 5.01, 5.03, 5.04, 5.2, 9.0):
+                loop.time.return_value = now_s
+                if due_s and now_s >= due_s[-1]:
+                    self.writer.flush()
+                self.writer.write("x")
+                if loop.call_at.called:
+                    due_s.append(loop.call_at.call_args.args[0])
+                    loop.call_at.reset_mock()
+        # Soon after a pause, and then a tenth of a second apart.
+        expected_s = [5.02, 5.12, 5.22, 9.02]
+        self.assertEqual(expected_s, [round(at_s, 6) for at_s in due_s])
+
+    def test_what_is_left_for_a_slow_reader_is_tried_again_soon(self) -> None:
+        for _ in range(100):
+            self.writer.write("x" * 1000)
+        with mock.patch("asyncio.get_running_loop") as running:
+            loop = running.return_value
+            loop.time.return_value = 5.0
+            self.writer.flush()
+            self.assertAlmostEqual(5.02, loop.call_at.call_args.args[0])
