--- a/burdockdock/coordination/membership.py
+++ b/burdockdock/coordination/membership.py
@@ -68,7 +68,8 @@
         self._died_at_s: dict[str, float] = {}
         self._own_id = own.node_id
         self._bucket_digests = [0] * BUCKET_COUNT
-        self._bucket_digests[bucket_of(own.node_id)] ^= _fingerprint(own)
+        self._digest = 0
+        self._toggle(own)
         self._listeners: list[Callable[[Member, Member | None], None]] = []
         self.generation = 0
 
@@ -91,10 +92,7 @@
     @property
     def digest(self) -> int:
         """A digest of the whole table."""
-        total = 0
-        for value in self._bucket_digests:
-            total ^= value
-        return total
+        return self._digest
 
     def get(self, node_id: str) -> Member | None:
         """Return a member by its id."""
@@ -123,6 +121,18 @@
         self._store(updated)
         return updated
 
+    def may_change(self, node_id: str, incarnation: int, state: int) -> bool:
+        """Tell whether merging a rumour may do something, by its first fields alone.
+
+        Most rumours arrive more than once; these need not be read whole.
+        """
+        known = self._members.get(node_id)
+        if known is None:
+            return True
+        if node_id == self._own_id:
+            return incarnation >= known.incarnation or state != MemberState.ALIVE
+        return (incarnation, state) > _order(known)
+
     def merge(self, rumour: Member) -> Member | None:
         """Take in what another node says of a member.
 
@@ -162,7 +172,7 @@
         for node_id in old:
             member = self._members.pop(node_id)
             del self._died_at_s[node_id]
-            self._bucket_digests[bucket_of(node_id)] ^= _fingerprint(member)
+            self._toggle(member)
         return len(old)
 
     def _refute(self, rumour: Member) -> Member | None:
@@ -183,10 +193,9 @@
     def _store(self, member: Member) -> None:
         node_id = member.node_id
         known = self._members.get(node_id)
-        bucket = bucket_of(node_id)
         if known is not None:
-            self._bucket_digests[bucket] ^= _fingerprint(known)
-        self._bucket_digests[bucket] ^= _fingerprint(member)
+            self._toggle(known)
+        self._toggle(member)
         self._members[node_id] = member
         if member.state is MemberState.DEAD:
             self._died_at_s[node_id] = self._clock.monotonic()
@@ -196,6 +205,12 @@
         for listener in self._listeners:
             listener(member, known)
 
+    def _toggle(self, member: Member) -> None:
+        """Add an entry to the digests, or take it out again."""
+        fingerprint = _fingerprint(member)
+        self._bucket_digests[bucket_of(member.node_id)] ^= fingerprint
+        self._digest ^= fingerprint
+
 
 def bucket_of(node_id: str) -> int:
     """Return the bucket that a member belongs to."""
--- a/burdockdock/logs.py
+++ b/burdockdock/logs.py
@@ -12,9 +12,13 @@
 
 import eliot
 
-_FLUSH_INTERVAL_S = 0.02
+_FLUSH_DELAY_S = 0.02
+# While lines keep coming, each write of them costs the loop a turn.
+_FLUSH_INTERVAL_S = 0.1
 _MAX_KEPT_BYTES = 256 * 1024
 _HIDDEN_KEYS = frozenset({"task_uuid", "task_level", "message_type", "timestamp"})
+_QUOTED_SIGNS = frozenset(" \"=\\'")
+_logger = eliot.Logger()
 
 
 def render_event(event: dict[str, Any]) -> str:
@@ -50,6 +54,7 @@
         self._lines: deque[bytes] = deque()
         self._kept_bytes = 0
         self._timer: asyncio.TimerHandle | None = None
+        self._due_s = float("-inf")
         self.dropped = 0
 
     def write(self, line: str) -> None:
@@ -61,7 +66,7 @@
             self._lines.append(data)
             self._kept_bytes += len(data)
         if self._timer is None:
-            self._flush_later()
+            self._flush_later(interval_s=_FLUSH_INTERVAL_S)
 
     def flush(self) -> None:
         """Write as much as there is room for."""
@@ -71,7 +76,7 @@
         while self._lines and self._poll.poll(0):
             os.write(self._fd, self._take_piece())
         if self._lines:
-            self._flush_later()
+            self._flush_later(interval_s=_FLUSH_DELAY_S)
 
     def _take_piece(self) -> bytes:
         """Return whole lines that a pipe takes at once, or one longer line's start."""
@@ -90,15 +95,20 @@
         self._lines.append(line.encode())
         self._kept_bytes += len(line)
 
-    def _flush_later(self) -> None:
-        """Flush soon; at once where no loop runs, such as at start and end."""
+    def _flush_later(self, *, interval_s: float) -> None:
+        """Flush soon; at once where no loop runs, such as at start and end.
+
+        :param interval_s: shortest time since the last flush.
+        """
         try:
             loop = asyncio.get_running_loop()
         except RuntimeError:
             if self._poll.poll(0):
                 self.flush()
             return
-        self._timer = loop.call_later(_FLUSH_INTERVAL_S, self.flush)
+        due_s = max(loop.time() + _FLUSH_DELAY_S, self._due_s + interval_s)
+        self._due_s = due_s
+        self._timer = loop.call_at(due_s, self.flush)
 
 
 def start_logging(*, fd: int | None = None, **common: str) -> LineWriter:
@@ -117,16 +127,21 @@
 def log_event(name: str, **pairs: Any) -> None:
     """Write one event.
 
+    It goes to the logger without an eliot action around it, which would make an id
+    that no line shows.
+
     :param name: the event's name, in the form ``subject.verb``.
     :param pairs: the event's fields, units as suffix.
     """
-    eliot.log_message(message_type=name, **pairs)
+    pairs["timestamp"] = time.time()
+    pairs["message_type"] = name
+    _logger.write(pairs)
 
 
 def _render_value(value: Any) -> str:
     """Render a value so that a line splits on spaces outside of quotes."""
-    if isinstance(value, str) and value and _is_bare(value):
-        return value
+    if isinstance(value, str):
+        return value if _is_bare(value) else _quote(value)
     if isinstance(value, bool) or value is None:
         return str(value).lower()
     if isinstance(value, float):
@@ -136,5 +151,9 @@
     return json.dumps(value, ensure_ascii=False, default=str)
 
 
+def _quote(value: str) -> str:
+    return json.dumps(value, ensure_ascii=False) if value else '""'
+
+
 def _is_bare(value: str) -> bool:
-    return value.isprintable() and not any(sign in value for sign in " \"=\\'")
+    return bool(value) and value.isprintable() and _QUOTED_SIGNS.isdisjoint(value)
--- a/burdockdock/overlay/failure_detector.py
+++ b/burdockdock/overlay/failure_detector.py
@@ -21,7 +21,7 @@
 from burdockdock.overlay.datagrams import Address, Datagrams
 from burdockdock.overlay.gossip import GossipQueue
 from burdockdock.protocol import Message
-from burdockdock.protocol.members import pack_member, unpack_member
+from burdockdock.protocol.members import merge_member, pack_member
 
 _NEWS_PROBES = 2
 # The trees have delivered by then where they can.
@@ -362,7 +362,7 @@
     def _take_in(self, state: Message, address: Address) -> None:
         own = self._membership.own
         for packed in state.members:
-            news = self._membership.merge(unpack_member(packed))
+            news = merge_member(self._membership, packed)
             if news is not None:
                 self._gossip.add(news)
         if self._membership.own != own:
--- a/burdockdock/overlay/spread.py
+++ b/burdockdock/overlay/spread.py
@@ -1,5 +1,6 @@
 """Passing records and member changes on along trees of members."""
 
+import zlib
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -10,9 +11,9 @@
 from burdockdock.overlay.datagrams import MAX_DATAGRAM_BYTES, Address, Datagrams
 from burdockdock.protocol import Message
 from burdockdock.protocol.members import (
+    merge_member,
     pack_member,
     pack_record,
-    unpack_member,
     unpack_record,
 )
 
@@ -20,6 +21,8 @@
 _SMALL_FLEET = 32
 _TREE_SALTS = ("first", "second")
 _MAX_VALUE_BYTES = MAX_DATAGRAM_BYTES - 200
+# A longer delta is not tried: it would hardly fit when deflated.
+_MAX_INFLATED_BYTES = 16 * _MAX_VALUE_BYTES
 
 
 class DeltaCodec(NamedTuple):
@@ -83,25 +86,29 @@
     def _send_record(
         self, record: Record, base_version: int, targets: list[Member]
     ) -> None:
-        packed = self._pack_in_bounds(record, base_version)
-        if packed is None:
-            notice = {"key": record.key, "version": record.version}
-            self._send(targets, {"recordNotice": notice})
-        else:
-            self._send(targets, {"record": packed})
+        # Most members stand at the end of both trees and have nobody to tell.
+        if not targets:
+            return
+        self._send(targets, self._content_of(record, base_version))
 
-    def _pack_in_bounds(self, record: Record, base_version: int) -> dict | None:
-        """Return the record, or its delta, if that fits into a datagram."""
+    def _content_of(self, record: Record, base_version: int) -> dict[str, object]:
+        """Return the record, its delta or a notice, whichever fits a datagram."""
         codec = self._deltas.get(record.key)
-        if codec is not None:
-            delta = codec.encode_delta(base_version) if base_version else None
-            if delta is None or len(delta) > _MAX_VALUE_BYTES:
-                return None
+        notice = {"key": record.key, "version": record.version}
+        if codec is None:
+            if len(record.value) <= _MAX_VALUE_BYTES:
+                return {"record": pack_record(record)}
+            return {"recordNotice": notice}
+        delta = codec.encode_delta(base_version) if base_version else None
+        if delta is None:
+            return {"recordNotice": notice}
+        if len(delta) <= _MAX_VALUE_BYTES:
             changed = record._replace(value=delta)
-            return pack_record(changed, base_version=base_version)
-        if len(record.value) <= _MAX_VALUE_BYTES:
-            return pack_record(record)
-        return None
+            return {"record": pack_record(changed, base_version=base_version)}
+        deflated = _deflate(delta)
+        if deflated is not None:
+            notice |= {"baseVersion": base_version, "deflatedDelta": deflated}
+        return {"recordNotice": notice}
 
     def _send_member(self, member: Member, targets: list[Member]) -> None:
         self._send(targets, {"member": pack_member(member)})
@@ -116,42 +123,53 @@
     def _on_spread(self, spread: Message, address: Address) -> None:
         kind = spread.which()
         if kind == "member":
-            self._take_member(unpack_member(spread.member))
+            self._take_member(spread.member)
         elif kind == "record":
-            self._take_record(spread)
-        elif spread.recordNotice.version > self._records.version(
-            spread.recordNotice.key
-        ):
-            self._pull(spread.nodeId)
-
-    def _take_member(self, member: Member) -> None:
-        news = self._membership.merge(member)
-        if news is None:
-            return
-        if news.node_id == self._membership.own.node_id:
-            # A refutation starts here, and not only for the members below.
-            self.start_member(news)
+            packed = spread.record
+            self._take_record(unpack_record(packed), packed.baseVersion, spread.nodeId)
         else:
+            self._take_notice(spread.recordNotice, spread.nodeId)
+
+    def _take_member(self, packed: Message) -> None:
+        own = self._membership.own
+        news = merge_member(self._membership, packed)
+        if self._membership.own != own:
+            # A refutation starts here, and not only for the members below.
+            self.start_member(self._membership.own)
+        elif news is not None and news.node_id != own.node_id:
             self._send_member(news, self._child_targets())
 
-    def _take_record(self, spread: Message) -> None:
-        record = unpack_record(spread.record)
+    def _take_notice(self, notice: Message, sender_id: str) -> None:
+        """Take in the delta that came with a notice, or fetch the record."""
+        if notice.version <= self._records.version(notice.key):
+            return
+        if not notice.deflatedDelta:
+            self._pull(sender_id)
+            return
+        record = Record(notice.key, notice.version, _inflate(notice.deflatedDelta))
+        self._take_record(record, notice.baseVersion, sender_id)
+
+    def _take_record(self, record: Record, base_version: int, sender_id: str) -> None:
         before = self._records.version(record.key)
         if record.version <= before:
             return
-        base_version = spread.record.baseVersion
         if base_version:
             whole = self._whole(record, base_version)
             if whole is None:
-                self._pull(spread.nodeId)
+                self._pull(sender_id)
                 return
             record = whole
         if self._records.put(record):
             self.pass_on_record(record, base_version=before)
 
     def _whole(self, record: Record, base_version: int) -> Record | None:
+        """Return the record that a delta leads to, None if it must be fetched.
+
+        A delta to an older version than ours is tried as well: several members bring
+        versions in, each with its own steps, and the digest tells whether it fits.
+        """
         codec = self._deltas.get(record.key)
-        if codec is None or self._records.version(record.key) != base_version:
+        if codec is None or self._records.version(record.key) < base_version:
             return None
         return codec.apply_delta(record)
 
@@ -193,3 +211,26 @@
         own_id = self._membership.own.node_id
         unique = {m.node_id: m for m in members if m.node_id != own_id}
         return list(unique.values())
+
+
+def _deflate(delta: bytes) -> bytes | None:
+    """Return a delta deflated, None if it does not fit into a datagram even so."""
+    if len(delta) > _MAX_INFLATED_BYTES:
+        return None
+    deflated = zlib.compress(delta)
+    return deflated if len(deflated) <= _MAX_VALUE_BYTES else None
+
+
+def _inflate(deflated: bytes) -> bytes:
+    """Return the delta that was deflated.
+
+    :raises ValueError: if the bytes are none, or it is longer than any.
+    """
+    inflater = zlib.decompressobj()
+    try:
+        delta = inflater.decompress(deflated, _MAX_INFLATED_BYTES)
+    except zlib.error as error:
+        raise ValueError(str(error)) from None
+    if not inflater.eof:
+        raise ValueError("a deflated delta is cut short or too long")
+    return delta
--- a/burdockdock/protocol/members.py
+++ b/burdockdock/protocol/members.py
@@ -2,7 +2,11 @@
 
 from typing import Any
 
-from burdockdock.coordination.membership import Member, MemberState
+from burdockdock.coordination.membership import (
+    Member,
+    MembershipTable,
+    MemberState,
+)
 from burdockdock.coordination.records import Record
 from burdockdock.protocol.codec import Message
 
@@ -50,6 +54,17 @@
     )
 
 
+def merge_member(table: MembershipTable, packed: Message) -> Member | None:
+    """Take a member out of a message into the table.
+
+    :returns: the entry that should go on, as of ``MembershipTable.merge``.
+    :raises ValueError: if its state is unknown.
+    """
+    if not table.may_change(packed.nodeId, packed.incarnation, packed.state):
+        return None
+    return table.merge(unpack_member(packed))
+
+
 def pack_record(record: Record, *, base_version: int = 0) -> dict[str, Any]:
     """Return a record as a message's field.
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -2,10 +2,13 @@
 
 import os
 import select
+from unittest import mock
 
+import eliot
 import testtools
 
-from burdockdock.logs import LineWriter, render_event
+from burdockdock.cli.logs import parse_line
+from burdockdock.logs import LineWriter, log_event, render_event
 
 
 class RenderEventTest(testtools.TestCase):
@@ -27,6 +30,40 @@
             render_event(event),
         )
 
+    def test_text_is_quoted_where_a_reader_would_split_it(self) -> None:
+        bare = ("v1", "r-7wj5rij", "10.1.0.2:80", "a/b?c", "ā", "0.5", "true")
+        quoted = ("", " ", "a b", 'a"b', "a=b", "a\\b", "a'b", "a\nb", "\u2028", "\x7f")
+        for text in bare + quoted:
+            line = render_event({"message_type": "x.y", "timestamp": 1, "text": text})
+            self.assertEqual(text, parse_line(line).pairs["text"])
+            self.assertEqual(text in quoted, line.partition("text=")[2][0] == '"')
+
+
+class LogEventTest(testtools.TestCase):
+    """Tests of an event's way to the destinations."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.events: list[dict] = []
+        eliot.add_destinations(self.events.append)
+        self.addCleanup(eliot.remove_destination, self.events.append)
+        self.events.clear()
+
+    def test_event_has_its_time_and_its_pairs_in_order(self) -> None:
+        with mock.patch("time.time", return_value=1.5):
+            log_event("call.ended", route="r", status=200, detail="")
+        (event,) = self.events
+        self.assertEqual(
+            'time_s=1.500000 event=call.ended route=r status=200 detail=""',
+            render_event(event),
+        )
+
+    def test_event_costs_no_action(self) -> None:
+        with mock.patch("eliot._action.uuid4") as make_id:
+            log_event("call.ended", route="r")
+        self.assertEqual(1, len(self.events))
+        make_id.assert_not_called()
+
 
 class LineWriterTest(testtools.TestCase):
     """Tests of writing to a reader that may be slow."""
@@ -62,3 +99,28 @@
         text = self._read_all().decode()
         self.assertIn(f"event=logs.dropped lines={missed}", text)
         self.assertEqual(1000 - missed, text.count(line))
+
+    def test_lines_that_keep_coming_are_written_together(self) -> None:
+        with mock.patch("asyncio.get_running_loop") as running:
+            loop = running.return_value
+            due_s = []
+            for now_s in (5.0, 5.01, 5.03, 5.04, 5.2, 9.0):
+                loop.time.return_value = now_s
+                if due_s and now_s >= due_s[-1]:
+                    self.writer.flush()
+                self.writer.write("x")
+                if loop.call_at.called:
+                    due_s.append(loop.call_at.call_args.args[0])
+                    loop.call_at.reset_mock()
+        # Soon after a pause, and then a tenth of a second apart.
+        expected_s = [5.02, 5.12, 5.22, 9.02]
+        self.assertEqual(expected_s, [round(at_s, 6) for at_s in due_s])
+
+    def test_what_is_left_for_a_slow_reader_is_tried_again_soon(self) -> None:
+        for _ in range(100):
+            self.writer.write("x" * 1000)
+        with mock.patch("asyncio.get_running_loop") as running:
+            loop = running.return_value
+            loop.time.return_value = 5.0
+            self.writer.flush()
+            self.assertAlmostEqual(5.02, loop.call_at.call_args.args[0])
