Ask a silent link for a sign of life before sending it another call

What callers saw: while a node is cut off or its VM has lost power, each call sent to it waits for its deadline and ends 504 may_have_run, until the failure detector gives the node up; an unsafe one can't be repeated after that. Cause: nothing on a link tells that the other end is gone; calls went on being sent. Ruled out: TCP keep-alive and TCP_USER_TIMEOUT; they end the connection, with the calls on it that may be well, and need seconds where ways are congested. Change: with calls sent and nothing heard for 0.3 s, a link is asked for a sign of life (an outcome query of no request, which older nodes answer as well). With none within 0.1 s of asking, further calls aren't sent there: not_run, peer_silent, and another node is asked. Calls sent before stay in doubt, as they may have run. Tests: SilenceTest (2) fail with the check taken out.

--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -28,6 +28,10 @@
 _OUTCOME_INTERVAL_S = 0.02
 # Of the time left, what a link may take to open; the rest is for another node.
 _OPENING_SHARE = 0.5
+# With calls sent on a link and nothing heard for so long, it is asked for a sign of
+# life before another call is sent, and has so long for it.
+_SILENCE_S = 0.3
+_PROBE_S = 0.1
 _ANSWER_LOST = "answer_lost"
 _DEADLINE_PASSED = "deadline_passed"
 _NO_BACKEND_SERVER = "no_backend_server"
@@ -171,6 +175,8 @@
             link = found
         if link.peer.node_id != member.node_id:
             return Failure(Verdict.NOT_RUN, "other_node", link.peer.node_id)
+        if await self._is_silent(link):
+            return Failure(Verdict.NOT_RUN, "peer_silent", member.node_id)
         if self._left_ms(call) <= 0:
             return Failure(Verdict.NOT_RUN, _DEADLINE_PASSED)
         # A refusal on the way at the deadline would leave the caller in doubt.
@@ -186,9 +192,23 @@
             end=body.start_is_all,
         )
         started_s = self._clock.monotonic()
+        link.note_asked(started_s)
         attempt = _Attempt(member, link, link.start(request), started_s)
         return await self._follow(attempt, call, caller, body)
 
+    async def _is_silent(self, link: PeerLink) -> bool:
+        """Tell whether calls were sent on a link, nothing came, nor does on asking."""
+        now_s = self._clock.monotonic()
+        if link.asked_at_s is None or now_s - link.asked_at_s < _SILENCE_S:
+            return False
+        probe = link.probe(now_s)
+        try:
+            async with asyncio.timeout(probe.sent_at_s + _PROBE_S - now_s):
+                await asyncio.shield(probe.heard)
+        except TimeoutError:
+            return True
+        return False
+
     async def _open_in_time(self, member: Member, call: Call) -> PeerLink | Failure:
         """Open a link while there is time to use it, or to ask another node."""
         started_s = self._clock.monotonic()
--- a/burdockdock/proxy/peer_link.py
+++ b/burdockdock/proxy/peer_link.py
@@ -32,9 +32,20 @@
 CONNECT_TIMEOUT_S = 1.0
 # Calls given up on one link whose late refusals are still looked at.
 _MAX_GIVEN_UP = 64
+_NO_REQUEST = ""
 LINK_BROKEN = Failure(Verdict.MAY_HAVE_RUN, "peer_connection_broken")
 
 
+class _Probe(NamedTuple):
+    """A sign of life that was asked for.
+
+    :param heard: done once anything arrives, or the connection ends.
+    """
+
+    sent_at_s: float
+    heard: asyncio.Future[None]
+
+
 class GateState(NamedTuple):
     """What another node told of its gate.
 
@@ -128,7 +139,11 @@
 
 
 class PeerLink:
-    """One connection to another node, shared by all calls to it."""
+    """One connection to another node, shared by all calls to it.
+
+    ``asked_at_s`` is when the first call was sent after which nothing has arrived, in
+    the monotonic seconds that its sender gave; None when something has.
+    """
 
     def __init__(
         self,
@@ -144,6 +159,8 @@
         self._calls: dict[int, RemoteCall] = {}
         self._queries: dict[int, asyncio.Future[Failure]] = {}
         self._given_up: OrderedDict[int, Callable[[Failure], None]] = OrderedDict()
+        self.asked_at_s: float | None = None
+        self._probe: _Probe | None = None
         self._reader = asyncio.create_task(self._read())
 
     @property
@@ -162,6 +179,21 @@
             self.send(frame_call_start(call_id, request))
         return call
 
+    def note_asked(self, now_s: float) -> None:
+        """Take in that a call is sent now, in monotonic seconds."""
+        if self.asked_at_s is None:
+            self.asked_at_s = now_s
+
+    def probe(self, now_s: float) -> "_Probe":
+        """Ask for a sign of life, unless one that was asked for is still due."""
+        if self._probe is None:
+            self._probe = _Probe(now_s, asyncio.get_running_loop().create_future())
+            # No request has this id, so that the answer changes nothing.
+            self.send(
+                frame("outcomeQuery", queryId=0, requestId=_NO_REQUEST, timeLeftMs=0)
+            )
+        return self._probe
+
     async def query_outcome(self, request_id: str, *, time_left_ms: int) -> Failure:
         """Ask what became of a request, so that it can't start any more."""
         query_id = next(self._ids)
@@ -207,7 +239,14 @@
         self._connection.close()
         self._break_calls()
 
+    def _end_silence(self) -> None:
+        self.asked_at_s = None
+        probe, self._probe = self._probe, None
+        if probe is not None and not probe.heard.done():
+            probe.heard.set_result(None)
+
     def _handle(self, message: Message) -> None:
+        self._end_silence()
         kind = message.which()
         if kind == "answerHead":
             call = self._call(message.answerHead.callId)
@@ -257,6 +296,7 @@
         return call
 
     def _break_calls(self) -> None:
+        self._end_silence()
         for call in list(self._calls.values()):
             call.receive_failure(LINK_BROKEN)
         self._calls.clear()
--- a/tests/proxy/test_forwarder.py
+++ b/tests/proxy/test_forwarder.py
@@ -11,10 +11,14 @@
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.metrics import Metrics
 from burdockdock.protocol.calls import CallRequest
+from burdockdock.protocol.codec import frame
 from burdockdock.protocol.handshake import PeerIdentity
+from burdockdock.proxy import forwarder
 from burdockdock.proxy.call import Call
 from burdockdock.proxy.forwarder import Forwarder
-from tests.support import PATIENCE_S, async_test
+from burdockdock.proxy.peer_link import PeerLink
+from tests.proxy.fake_connection import FakeConnection
+from tests.support import PATIENCE_S, async_test, eventually
 
 _ALLOWED_MS = 200
 
@@ -42,6 +46,7 @@
 
     def __init__(self, node_id: str, ending: Failure | None) -> None:
         self.peer = PeerIdentity("mesh", node_id, 1)
+        self.asked_at_s = None
         self.sent: list[CallRequest] = []
         self.remotes: list[_Remote] = []
         self.before_ending: Callable[[], None] = lambda: None
@@ -54,6 +59,9 @@
         self.remotes.append(_Remote(self.ending))
         return self.remotes[-1]
 
+    def note_asked(self, now_s: float) -> None:
+        """Do nothing; this other node is never silent."""
+
 
 class _Stage:
     """A forwarder with members whose links are the test's own.
@@ -63,7 +71,7 @@
 
     def __init__(
         self,
-        links: dict[str, _Link | None],
+        links: dict[str, _Link | PeerLink | None],
         clock: ManualClock | SystemClock | None = None,
     ) -> None:
         self.clock = clock or SystemClock()
@@ -91,7 +99,7 @@
         async with asyncio.timeout(PATIENCE_S):
             return await self.forwarder.forward(call, None)
 
-    def open_link(self, host: str, port: int) -> _Link | None:
+    def open_link(self, host: str, port: int) -> _Link | PeerLink | None:
         """Return a link that is open."""
         return self._links[host]
 
@@ -186,6 +194,42 @@
         self.assertEqual((Verdict.NOT_RUN, "peer_too_slow"), failure[:2])
 
 
+class SilenceTest(testtools.TestCase):
+    """Tests of a link on which nothing arrives."""
+
+    async def _after_silence(self) -> tuple[_Stage, FakeConnection]:
+        """Return a stage of which one call was sent in vain."""
+        connection = FakeConnection()
+        link = PeerLink(
+            connection, PeerIdentity("mesh", "a", 1), count_late=lambda: None
+        )
+        stage = _Stage({"a": link}, ManualClock())
+        await stage.call()
+        stage.clock.advance(1.0)
+        return stage, connection
+
+    @async_test
+    async def test_a_link_that_stays_silent_is_sent_no_further_calls(self) -> None:
+        stage, connection = await self._after_silence()
+        for _ in range(2):
+            failure = await stage.call()
+            self.assertEqual((Verdict.NOT_RUN, "peer_silent"), failure[:2])
+        kinds = [message.which() for message in connection.sent]
+        self.assertEqual(["callStart", "callCancel", "outcomeQuery"], kinds)
+
+    @async_test
+    async def test_a_sign_of_life_lets_calls_through_again(self) -> None:
+        self.patch(forwarder, "_PROBE_S", PATIENCE_S)
+        stage, connection = await self._after_silence()
+        call = asyncio.create_task(stage.call())
+        await eventually(lambda: connection.sent[-1].which() == "outcomeQuery")
+        connection.arrive(frame("outcome", queryId=0, verdict=0, reason="barred"))
+        await call
+        kinds = [message.which() for message in connection.sent]
+        self.assertEqual(["callStart", "callCancel"], kinds[-2:])
+        self.assertEqual(2, kinds.count("callStart"))
+
+
 class DoubtTest(testtools.TestCase):
     """Tests of the reason told with a verdict."""
 
--- a/tests/proxy/test_peer_link.py
+++ b/tests/proxy/test_peer_link.py
@@ -1,46 +1,18 @@
 """Tests of what one link makes of the frames that arrive on it."""
 
-import asyncio
-
 import testtools
 
 from burdockdock.coordination.verdict import Failure, Verdict
-from burdockdock.protocol import Message, decode
 from burdockdock.protocol.calls import CallRequest, frame_failure
-from burdockdock.protocol.codec import HEADER_BYTES
 from burdockdock.protocol.handshake import PeerIdentity
 from burdockdock.proxy.peer_link import _MAX_GIVEN_UP, PeerLink
+from tests.proxy.fake_connection import FakeConnection
 from tests.support import async_test, eventually
 
 _REQUEST = CallRequest("id", "t", "c", "r", "work", 100, True, "GET", "/", ())
 _FULL = Failure(Verdict.NOT_RUN, "queue_full")
 
 
-class _Connection:
-    """A connection on which the test is the other node."""
-
-    def __init__(self) -> None:
-        self.closed = False
-        self.sent: list[Message] = []
-        self._arrived: asyncio.Queue[Message | None] = asyncio.Queue()
-
-    def send(self, data: bytes) -> None:
-        """Keep a frame."""
-        self.sent.append(decode(data[HEADER_BYTES:]))
-
-    async def read(self) -> Message | None:
-        """Return the next message that the test let arrive."""
-        return await self._arrived.get()
-
-    def arrive(self, data: bytes) -> None:
-        """Let a frame arrive."""
-        self._arrived.put_nowait(decode(data[HEADER_BYTES:]))
-
-    def close(self) -> None:
-        """Close it."""
-        self.closed = True
-
-
 class LateRefusalTest(testtools.TestCase):
     """Tests of refusals that come after the call was given up."""
 
@@ -51,7 +23,7 @@
 
     @async_test
     async def test_it_is_told_once(self) -> None:
-        connection, heard = _Connection(), []
+        connection, heard = FakeConnection(), []
         link = PeerLink(
             connection, PeerIdentity("mesh", "b", 1), count_late=lambda: None
         )
@@ -65,7 +37,7 @@
 
     @async_test
     async def test_only_so_many_are_waited_for(self) -> None:
-        connection, heard = _Connection(), []
+        connection, heard = FakeConnection(), []
         link = PeerLink(
             connection, PeerIdentity("mesh", "b", 1), count_late=lambda: None
         )
