Start no attempt that usually takes longer than the time left

What callers saw: 504 may_have_run for calls of which a last attempt was begun with a few ms left, after refusals of other nodes, instead of a 503 that they may act upon. Cause: the caller's node tried on while any ms was left, and a gate gave a free slot to a call that waits for none without looking at its time. Change: the forwarder keeps each route's usual time, as gates tell it with each answer and refusal, by the rule that gates have for calls that wait; gates look at the time of calls that want a free slot as well. Refusals let the usual time sink, so that it isn't believed for ever. Tests: one in test_gate.py and one in test_forwarder.py failed before; that of forgetting passes with either.

--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -155,8 +155,8 @@
         start_by_s = deadline_s - needed_s
         start_by_s = min(start_by_s, self._closes_at_s)
         now_s = self._clock.monotonic()
-        wait_s = self._expected_wait_s(request)
-        if request.queue_length and start_by_s <= now_s + wait_s:
+        wait_s = self._expected_wait_s(request) if request.queue_length else 0.0
+        if start_by_s <= now_s + wait_s:
             self._typical.refused(request.route)
             return Failure(Verdict.NOT_RUN, "too_little_time", f"wait {wait_s:.3f} s")
         refusal = await self._limiter.acquire(
--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -7,6 +7,7 @@
 from burdockdock.clock import Clock
 from burdockdock.coordination.backoff import FleetRetryBudget
 from burdockdock.coordination.membership import Member
+from burdockdock.coordination.typical import TypicalTimes
 from burdockdock.coordination.verdict import Failure, Verdict, may_retry
 from burdockdock.logs import log_event
 from burdockdock.metrics import Metrics
@@ -22,7 +23,7 @@
 from burdockdock.proxy.balancer import LARGE_ANSWERS, Balancer
 from burdockdock.proxy.call import Call, Caller, ReplayableBody
 from burdockdock.proxy.endpoints import Endpoints
-from burdockdock.proxy.peer_link import PeerLink, PeerLinks, RemoteCall
+from burdockdock.proxy.peer_link import GateState, PeerLink, PeerLinks, RemoteCall
 from burdockdock.proxy.reply_times import PROMPT_REFUSALS, ReplyTimes
 
 _OUTCOME_INTERVAL_S = 0.02
@@ -84,6 +85,7 @@
         self._metrics = metrics
         self._budget = retry_budget
         self._reply_times = ReplyTimes(clock=clock)
+        self._typical = TypicalTimes()
 
     async def forward(self, call: Call, caller: Caller) -> Failure | None:
         """Carry a call to its answer.
@@ -184,6 +186,11 @@
         time_left_ms = self._left_ms(call) - round(reply_s * 1000)
         if time_left_ms <= 0:
             return Failure(Verdict.NOT_RUN, _TOO_SLOW, f"replies in {reply_s:.3f} s")
+        needed_s = self._typical.needed_s(call.request.route)
+        if time_left_ms < needed_s * 1000:
+            self._typical.refused(call.request.route)
+            detail = f"usually takes {needed_s:.3f} s"
+            return Failure(Verdict.NOT_RUN, "too_little_time", detail)
         request = call.request._replace(
             time_left_ms=time_left_ms,
             target_left_ms=self._target_left_ms(call),
@@ -236,9 +243,9 @@
             if isinstance(head, Failure):
                 refusal = attempt.remote.refusal
                 if refusal is not None:
-                    self._balancer.tell_load(attempt.member.node_id, *refusal)
+                    self._take_in(attempt, call, refusal)
                 return await self._settle(attempt, call, head)
-            self._balancer.tell_load(attempt.member.node_id, head.load, head.results)
+            self._take_in(attempt, call, GateState(head.load, head.results))
             await self._relay(attempt.remote, head, caller)
             return head
         finally:
@@ -246,6 +253,12 @@
                 upload.cancel()
             attempt.remote.cancel()
 
+    def _take_in(self, attempt: _Attempt, call: Call, state: GateState) -> None:
+        """Take in what a gate told of itself."""
+        self._balancer.tell_load(attempt.member.node_id, *state)
+        if state.results.service_s:
+            self._typical.record(call.request.route, state.results.service_s)
+
     def _time_reply(self, attempt: _Attempt, head: AnswerHead | Failure) -> None:
         """Learn from a reply how long the way there and back takes."""
         node_id = attempt.member.node_id
--- a/tests/gate/test_gate.py
+++ b/tests/gate/test_gate.py
@@ -68,6 +68,15 @@
         async with asyncio.timeout(5):
             self.assertEqual("too_little_time", await self._refusal(gate))
 
+    @async_test
+    async def test_a_free_slot_is_not_given_to_what_cannot_end_in_time(self) -> None:
+        gate = Gate(clock=ManualClock(), metrics=Metrics())
+        gate.announce(BackendServer("work", "1", "127.0.0.1", 1, 1))
+        gate._typical.record("r", 2.0)
+        stream = _Stream()
+        await gate.run(_REQUEST._replace(queue_length=0), stream)
+        self.assertEqual((Verdict.NOT_RUN, "too_little_time"), stream.failure[:2])
+
     @async_test
     async def test_a_wait_ends_while_its_refusal_can_still_arrive(self) -> None:
         gate = Gate(clock=ManualClock(), metrics=Metrics())
--- a/tests/proxy/test_forwarder.py
+++ b/tests/proxy/test_forwarder.py
@@ -10,13 +10,13 @@
 from burdockdock.coordination.membership import Member
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.metrics import Metrics
-from burdockdock.protocol.calls import CallRequest
+from burdockdock.protocol.calls import CallRequest, GateResults
 from burdockdock.protocol.codec import frame
 from burdockdock.protocol.handshake import PeerIdentity
 from burdockdock.proxy import forwarder
 from burdockdock.proxy.call import Call
 from burdockdock.proxy.forwarder import Forwarder
-from burdockdock.proxy.peer_link import PeerLink
+from burdockdock.proxy.peer_link import GateState, PeerLink
 from tests.proxy.fake_connection import FakeConnection
 from tests.support import PATIENCE_S, async_test, eventually
 
@@ -26,8 +26,8 @@
 class _Remote:
     """One attempt, of which the test says what becomes of it."""
 
-    def __init__(self, ending: Failure | None) -> None:
-        self.refusal = None
+    def __init__(self, ending: Failure | None, refusal: GateState | None) -> None:
+        self.refusal = refusal
         self.on_late_refusal: Callable[[Failure], None] | None = None
         self._ending = ending
 
@@ -51,12 +51,13 @@
         self.remotes: list[_Remote] = []
         self.before_ending: Callable[[], None] = lambda: None
         self.ending = ending
+        self.refusal: GateState | None = None
 
     def start(self, request: CallRequest) -> _Remote:
         """Keep what was sent."""
         self.sent.append(request)
         self.before_ending()
-        self.remotes.append(_Remote(self.ending))
+        self.remotes.append(_Remote(self.ending, self.refusal))
         return self.remotes[-1]
 
     def note_asked(self, now_s: float) -> None:
@@ -194,6 +195,32 @@
         self.assertEqual((Verdict.NOT_RUN, "peer_too_slow"), failure[:2])
 
 
+class TooLittleTimeTest(testtools.TestCase):
+    """Tests of calls that can't end in time any more."""
+
+    @async_test
+    async def test_one_with_less_time_than_its_route_takes_is_not_sent(self) -> None:
+        link = _Link("a", _FULL)
+        link.refusal = GateState(1, GateResults(service_s=0.5))
+        stage = _Stage({"a": link}, ManualClock())
+        await stage.call()
+        link.sent.clear()
+        failure = await stage.call()
+        self.assertEqual([], link.sent)
+        self.assertEqual((Verdict.NOT_RUN, "too_little_time"), failure[:2])
+
+    @async_test
+    async def test_what_was_believed_of_a_route_is_forgotten(self) -> None:
+        link = _Link("a", _FULL)
+        link.refusal = GateState(1, GateResults(service_s=0.3))
+        stage = _Stage({"a": link}, ManualClock())
+        await stage.call()
+        link.sent.clear()
+        for _ in range(40):
+            await stage.call()
+        self.assertTrue(link.sent)
+
+
 class SilenceTest(testtools.TestCase):
     """Tests of a link on which nothing arrives."""
 
