--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -7,6 +7,7 @@
 from burdockdock.clock import Clock
 from burdockdock.coordination.backoff import FleetRetryBudget
 from burdockdock.coordination.membership import Member
+from burdockdock.coordination.typical import TypicalTimes
 from burdockdock.coordination.verdict import Failure, Verdict, may_retry
 from burdockdock.logs import log_event
 from burdockdock.metrics import Metrics
@@ -22,12 +23,16 @@
 from burdockdock.proxy.balancer import LARGE_ANSWERS, Balancer
 from burdockdock.proxy.call import Call, Caller, ReplayableBody
 from burdockdock.proxy.endpoints import Endpoints
-from burdockdock.proxy.peer_link import PeerLink, PeerLinks, RemoteCall
+from burdockdock.proxy.peer_link import GateState, PeerLink, PeerLinks, RemoteCall
 from burdockdock.proxy.reply_times import PROMPT_REFUSALS, ReplyTimes
 
 _OUTCOME_INTERVAL_S = 0.02
 # Of the time left, what a link may take to open; the rest is for another node.
 _OPENING_SHARE = 0.5
+# With calls sent on a link and nothing heard for so long, it is asked for a sign of
+# life before another call is sent, and has so long for it.
+_SILENCE_S = 0.3
+_PROBE_S = 0.1
 _ANSWER_LOST = "answer_lost"
 _DEADLINE_PASSED = "deadline_passed"
 _NO_BACKEND_SERVER = "no_backend_server"
@@ -80,6 +85,7 @@
         self._metrics = metrics
         self._budget = retry_budget
         self._reply_times = ReplyTimes(clock=clock)
+        self._typical = TypicalTimes()
 
     async def forward(self, call: Call, caller: Caller) -> Failure | None:
         """Carry a call to its answer.
@@ -173,6 +179,8 @@
             link = found
         if link.peer.node_id != member.node_id:
             return Failure(Verdict.NOT_RUN, "other_node", link.peer.node_id)
+        if await self._is_silent(link):
+            return Failure(Verdict.NOT_RUN, "peer_silent", member.node_id)
         if self._left_ms(call) <= 0:
             return Failure(Verdict.NOT_RUN, _DEADLINE_PASSED)
         # A refusal on the way at the deadline would leave the caller in doubt.
@@ -180,6 +188,11 @@
         time_left_ms = self._left_ms(call) - round(reply_s * 1000)
         if time_left_ms <= 0:
             return Failure(Verdict.NOT_RUN, _TOO_SLOW, f"replies in {reply_s:.3f} s")
+        needed_s = self._typical.needed_s(call.request.route)
+        if time_left_ms < needed_s * 1000:
+            self._typical.refused(call.request.route)
+            detail = f"usually takes {needed_s:.3f} s"
+            return Failure(Verdict.NOT_RUN, "too_little_time", detail)
         request = call.request._replace(
             time_left_ms=time_left_ms,
             target_left_ms=self._target_left_ms(call),
@@ -188,9 +201,23 @@
             end=body.start_is_all,
         )
         started_s = self._clock.monotonic()
+        link.note_asked(started_s)
         attempt = _Attempt(member, link, link.start(request), started_s)
         return await self._follow(attempt, call, caller, body)
 
+    async def _is_silent(self, link: PeerLink) -> bool:
+        """Tell whether calls were sent on a link, nothing came, nor does on asking."""
+        now_s = self._clock.monotonic()
+        if link.asked_at_s is None or now_s - link.asked_at_s < _SILENCE_S:
+            return False
+        probe = link.probe(now_s)
+        try:
+            async with asyncio.timeout(probe.sent_at_s + _PROBE_S - now_s):
+                await asyncio.shield(probe.heard)
+        except TimeoutError:
+            return True
+        return False
+
     async def _open_in_time(self, member: Member, call: Call) -> PeerLink | Failure:
         """Open a link while there is time to use it, or to ask another node."""
         started_s = self._clock.monotonic()
@@ -218,9 +245,9 @@
             if isinstance(head, Failure):
                 refusal = attempt.remote.refusal
                 if refusal is not None:
-                    self._balancer.tell_load(attempt.member.node_id, *refusal)
+                    self._take_in(attempt, call, refusal)
                 return await self._settle(attempt, call, head)
-            self._balancer.tell_load(attempt.member.node_id, head.load, head.results)
+            self._take_in(attempt, call, GateState(head.load, head.results))
             await self._relay(attempt, call, head, caller)
             return head
         finally:
@@ -228,6 +255,12 @@
                 upload.cancel()
             attempt.remote.cancel()
 
+    def _take_in(self, attempt: _Attempt, call: Call, state: GateState) -> None:
+        """Take in what a gate told of itself."""
+        self._balancer.tell_load(attempt.member.node_id, *state)
+        if state.results.service_s:
+            self._typical.record(call.request.route, state.results.service_s)
+
     def _time_reply(self, attempt: _Attempt, head: AnswerHead | Failure) -> None:
         """Learn from a reply how long the way there and back takes."""
         node_id = attempt.member.node_id
--- a/burdockdock/proxy/peer_link.py
+++ b/burdockdock/proxy/peer_link.py
@@ -33,9 +33,20 @@
 CONNECT_TIMEOUT_S = 1.0
 # Calls given up on one link whose late refusals are still looked at.
 _MAX_GIVEN_UP = 64
+_NO_REQUEST = ""
 LINK_BROKEN = Failure(Verdict.MAY_HAVE_RUN, "peer_connection_broken")
 
 
+class _Probe(NamedTuple):
+    """A sign of life that was asked for.
+
+    :param heard: done once anything arrives, or the connection ends.
+    """
+
+    sent_at_s: float
+    heard: asyncio.Future[None]
+
+
 class GateState(NamedTuple):
     """What another node told of its gate.
 
@@ -129,7 +140,11 @@
 
 
 class PeerLink:
-    """One connection to another node, shared by all calls to it."""
+    """One connection to another node, shared by all calls to it.
+
+    ``asked_at_s`` is when the first call was sent after which nothing has arrived, in
+    the monotonic seconds that its sender gave; None when something has.
+    """
 
     def __init__(
         self,
@@ -146,6 +161,8 @@
         self._queries: dict[int, asyncio.Future[Failure]] = {}
         self._given_up: OrderedDict[int, Callable[[Failure], None]] = OrderedDict()
         self._retired_for = ""
+        self.asked_at_s: float | None = None
+        self._probe: _Probe | None = None
         self._reader = asyncio.create_task(self._read())
 
     @property
@@ -164,6 +181,21 @@
             self.send(frame_call_start(call_id, request))
         return call
 
+    def note_asked(self, now_s: float) -> None:
+        """Take in that a call is sent now, in monotonic seconds."""
+        if self.asked_at_s is None:
+            self.asked_at_s = now_s
+
+    def probe(self, now_s: float) -> "_Probe":
+        """Ask for a sign of life, unless one that was asked for is still due."""
+        if self._probe is None:
+            self._probe = _Probe(now_s, asyncio.get_running_loop().create_future())
+            # No request has this id, so that the answer changes nothing.
+            self.send(
+                frame("outcomeQuery", queryId=0, requestId=_NO_REQUEST, timeLeftMs=0)
+            )
+        return self._probe
+
     async def query_outcome(self, request_id: str, *, time_left_ms: int) -> Failure:
         """Ask what became of a request, so that it can't start any more."""
         query_id = next(self._ids)
@@ -224,7 +256,14 @@
         self._connection.close()
         self._break_calls(reason)
 
+    def _end_silence(self) -> None:
+        self.asked_at_s = None
+        probe, self._probe = self._probe, None
+        if probe is not None and not probe.heard.done():
+            probe.heard.set_result(None)
+
     def _handle(self, message: Message) -> None:
+        self._end_silence()
         kind = message.which()
         if kind == "answerHead":
             call = self._call(message.answerHead.callId)
@@ -285,6 +324,7 @@
             reason=reason,
             calls=len(self._calls),
         )
+        self._end_silence()
         for call in list(self._calls.values()):
             call.receive_failure(LINK_BROKEN)
         self._calls.clear()
--- a/tests/proxy/test_forwarder.py
+++ b/tests/proxy/test_forwarder.py
@@ -10,11 +10,15 @@
 from burdockdock.coordination.membership import Member
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.metrics import Metrics
-from burdockdock.protocol.calls import CallRequest
+from burdockdock.protocol.calls import CallRequest, GateResults
+from burdockdock.protocol.codec import frame
 from burdockdock.protocol.handshake import PeerIdentity
+from burdockdock.proxy import forwarder
 from burdockdock.proxy.call import Call
 from burdockdock.proxy.forwarder import Forwarder
-from tests.support import PATIENCE_S, async_test
+from burdockdock.proxy.peer_link import GateState, PeerLink
+from tests.proxy.fake_connection import FakeConnection
+from tests.support import PATIENCE_S, async_test, eventually
 
 _ALLOWED_MS = 200
 
@@ -22,8 +26,8 @@
 class _Remote:
     """One attempt, of which the test says what becomes of it."""
 
-    def __init__(self, ending: Failure | None) -> None:
-        self.refusal = None
+    def __init__(self, ending: Failure | None, refusal: GateState | None) -> None:
+        self.refusal = refusal
         self.on_late_refusal: Callable[[Failure], None] | None = None
         self._ending = ending
 
@@ -42,18 +46,23 @@
 
     def __init__(self, node_id: str, ending: Failure | None) -> None:
         self.peer = PeerIdentity("mesh", node_id, 1)
+        self.asked_at_s = None
         self.sent: list[CallRequest] = []
         self.remotes: list[_Remote] = []
         self.before_ending: Callable[[], None] = lambda: None
         self.ending = ending
+        self.refusal: GateState | None = None
 
     def start(self, request: CallRequest) -> _Remote:
         """Keep what was sent."""
         self.sent.append(request)
         self.before_ending()
-        self.remotes.append(_Remote(self.ending))
+        self.remotes.append(_Remote(self.ending, self.refusal))
         return self.remotes[-1]
 
+    def note_asked(self, now_s: float) -> None:
+        """Do nothing; this other node is never silent."""
+
 
 class _Stage:
     """A forwarder with members whose links are the test's own.
@@ -63,7 +72,7 @@
 
     def __init__(
         self,
-        links: dict[str, _Link | None],
+        links: dict[str, _Link | PeerLink | None],
         clock: ManualClock | SystemClock | None = None,
     ) -> None:
         self.clock = clock or SystemClock()
@@ -91,7 +100,7 @@
         async with asyncio.timeout(PATIENCE_S):
             return await self.forwarder.forward(call, None)
 
-    def open_link(self, host: str, port: int) -> _Link | None:
+    def open_link(self, host: str, port: int) -> _Link | PeerLink | None:
         """Return a link that is open."""
         return self._links[host]
 
@@ -186,6 +195,68 @@
         self.assertEqual((Verdict.NOT_RUN, "peer_too_slow"), failure[:2])
 
 
+class TooLittleTimeTest(testtools.TestCase):
+    """Tests of calls that can't end in time any more."""
+
+    @async_test
+    async def test_one_with_less_time_than_its_route_takes_is_not_sent(self) -> None:
+        link = _Link("a", _FULL)
+        link.refusal = GateState(1, GateResults(service_s=0.5))
+        stage = _Stage({"a": link}, ManualClock())
+        await stage.call()
+        link.sent.clear()
+        failure = await stage.call()
+        self.assertEqual([], link.sent)
+        self.assertEqual((Verdict.NOT_RUN, "too_little_time"), failure[:2])
+
+    @async_test
+    async def test_what_was_believed_of_a_route_is_forgotten(self) -> None:
+        link = _Link("a", _FULL)
+        link.refusal = GateState(1, GateResults(service_s=0.3))
+        stage = _Stage({"a": link}, ManualClock())
+        await stage.call()
+        link.sent.clear()
+        for _ in range(40):
+            await stage.call()
+        self.assertTrue(link.sent)
+
+
+class SilenceTest(testtools.TestCase):
+    """Tests of a link on which nothing arrives."""
+
+    async def _after_silence(self) -> tuple[_Stage, FakeConnection]:
+        """Return a stage of which one call was sent in vain."""
+        connection = FakeConnection()
+        link = PeerLink(
+            connection, PeerIdentity("mesh", "a", 1), count_late=lambda: None
+        )
+        stage = _Stage({"a": link}, ManualClock())
+        await stage.call()
+        stage.clock.advance(1.0)
+        return stage, connection
+
+    @async_test
+    async def test_a_link_that_stays_silent_is_sent_no_further_calls(self) -> None:
+        stage, connection = await self._after_silence()
+        for _ in range(2):
+            failure = await stage.call()
+            self.assertEqual((Verdict.NOT_RUN, "peer_silent"), failure[:2])
+        kinds = [message.which() for message in connection.sent]
+        self.assertEqual(["callStart", "callCancel", "outcomeQuery"], kinds)
+
+    @async_test
+    async def test_a_sign_of_life_lets_calls_through_again(self) -> None:
+        self.patch(forwarder, "_PROBE_S", PATIENCE_S)
+        stage, connection = await self._after_silence()
+        call = asyncio.create_task(stage.call())
+        await eventually(lambda: connection.sent[-1].which() == "outcomeQuery")
+        connection.arrive(frame("outcome", queryId=0, verdict=0, reason="barred"))
+        await call
+        kinds = [message.which() for message in connection.sent]
+        self.assertEqual(["callStart", "callCancel"], kinds[-2:])
+        self.assertEqual(2, kinds.count("callStart"))
+
+
 class DoubtTest(testtools.TestCase):
     """Tests of the reason told with a verdict."""
 
