Ask again about the backend server when a call has waited for its slot

Callers see nothing; a backend server that leaves, or whose version was stopped, gets a request seconds later than it may. Cause: Gate._admit looked at leaving, service and version once, before the wait for a slot; the wait's end by the notice (_closes_at_s) was fixed at its start as well, so that a call that already waited when the backend server began to leave was still sent to it, up to its own deadline later. Evidence: found by reading; two tests of test_gate.py fail without the change (connection_refused in place of backend_leaving and version_stopped: the request was on its way out). Change: the same questions are asked once more with the slot in hand; the refusal says "not run".

--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -145,6 +145,12 @@
             self._refused(request, refusal, stream)
             return
         try:
+            # The backend server may have begun to leave while the call waited.
+            refusal = self._refuse_backend(request)
+            if refusal is not None:
+                self._dedupe.release(request.request_id)
+                self._refused(request, refusal, stream)
+                return
             await self._call_backend(request, stream, deadline_s)
         finally:
             self._limiter.release(request.tenant)
@@ -192,6 +198,10 @@
     def _refuse(self, request: CallRequest) -> Failure | None:
         if self._draining:
             return Failure(Verdict.NOT_RUN, "draining")
+        return self._refuse_backend(request)
+
+    def _refuse_backend(self, request: CallRequest) -> Failure | None:
+        """Return why the backend server gets no calls now."""
         if self._clock.monotonic() >= self._closes_at_s:
             return Failure(Verdict.NOT_RUN, "backend_leaving")
         if self._backend is None or self._backend.service != request.service:
--- a/tests/gate/test_gate.py
+++ b/tests/gate/test_gate.py
@@ -105,6 +105,44 @@
         await gate.run(_REQUEST._replace(idempotent=False), stream)
         return stream.failure.reason
 
+    async def _refusal_of_one_that_waited(self, gate: Gate, change: object) -> str:
+        """Let a call wait for a slot, change something, then give it the slot."""
+        await gate._limiter.acquire(tenant="t", deadline_s=99.0)
+        stream = _Stream()
+        run = asyncio.create_task(gate.run(_REQUEST, stream))
+        await eventually(lambda: gate._limiter.queued)
+        change()
+        gate._limiter.release("t")
+        async with asyncio.timeout(5):
+            await run
+        return stream.failure.reason
+
+    @async_test
+    async def test_one_that_waited_does_not_go_to_one_that_leaves(self) -> None:
+        clock = ManualClock()
+        gate = Gate(clock=clock, metrics=Metrics())
+        gate.announce(BackendServer("work", "1", "127.0.0.1", 1, 1))
+
+        def change() -> None:
+            gate.set_leaving(True)
+            clock.advance(1.0)
+
+        reason = await self._refusal_of_one_that_waited(gate, change)
+        self.assertEqual("backend_leaving", reason)
+        self.assertEqual(0, gate._limiter.in_use)
+
+    @async_test
+    async def test_one_that_waited_does_not_go_to_a_stopped_version(self) -> None:
+        stopped = set()
+        gate = Gate(
+            clock=ManualClock(),
+            metrics=Metrics(),
+            is_stopped=lambda b: b.version in stopped,
+        )
+        gate.announce(BackendServer("work", "2", "127.0.0.1", 1, 1))
+        reason = await self._refusal_of_one_that_waited(gate, lambda: stopped.add("2"))
+        self.assertEqual("version_stopped", reason)
+
 
 class CheckAnswerTest(testtools.TestCase):
     """Tests of answers that are not the backend server's to this request."""
