Forget a cancelled call, and tell the caller's node of a fault of the gate

Callers could see: no answer at all until they gave up, where the gate met a fault of its own; and after 4096 early cancellations on one connection, "too_many_calls" for every call on it. Cause: CallServer._run ended without a word on any exception but WindowClosed; and its finally clause does not run in a task that is cancelled before its first step, which is so when a call and its cancellation are read in one piece, so that the call's entries stayed for ever. Change: the entries go when the task is done, however it ends; a fault is logged and told as "may have run".

--- a/burdockdock/gate/call_server.py
+++ b/burdockdock/gate/call_server.py
@@ -4,6 +4,7 @@
 
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.gate.gate import Gate
+from burdockdock.logs import log_event
 from burdockdock.protocol import FrameConnection, Message, SendWindow, WindowClosed
 from burdockdock.protocol.calls import (
     AnswerHead,
@@ -71,19 +72,24 @@
             stream.fail(Failure(Verdict.NOT_RUN, "too_many_calls"))
             return
         self._streams[call_id] = stream
-        task = asyncio.create_task(self._run(call_id, request, stream))
+        task = asyncio.create_task(self._run(request, stream))
         self._tasks[call_id] = task
+        # A task that is cancelled before its first step runs no line of its own.
+        task.add_done_callback(lambda _: self._forget(call_id))
 
-    async def _run(
-        self, call_id: int, request: CallRequest, stream: "_ServedCall"
-    ) -> None:
+    async def _run(self, request: CallRequest, stream: "_ServedCall") -> None:
         try:
             await self._gate.run(request, stream)
         except WindowClosed:
             pass
-        finally:
-            del self._streams[call_id]
-            del self._tasks[call_id]
+        except Exception as error:
+            # The caller's node would wait for the answer to its deadline or longer.
+            log_event("gate.fault", request=request.request_id, error=repr(error))
+            stream.fail(Failure(Verdict.MAY_HAVE_RUN, "gate_fault", repr(error)))
+
+    def _forget(self, call_id: int) -> None:
+        del self._streams[call_id]
+        del self._tasks[call_id]
 
     def _feed(self, call_id: int, data: bytes, end: bool) -> None:
         stream = self._streams.get(call_id)
