Pass on requests whose headers or target are not ASCII, and targets as they came

Callers could see: no answer to a request with a byte above 127 in a header or its target, until they gave up, or (with the fault told) a 502. Cause: tornado reads a caller's head as Latin-1; pycurl takes ASCII only and raised an UnicodeEncodeError in the gate, of which the caller's node heard nothing. Besides, libcurl encodes such bytes in a path and drops what follows a "#", so that another target would have arrived. Change: headers and target go to pycurl as the bytes that they were, the target by REQUEST_TARGET.

--- a/burdockdock/gate/curl_client.py
+++ b/burdockdock/gate/curl_client.py
@@ -254,13 +254,18 @@
 
     def _set_options(self, request: BackendRequest) -> None:
         easy = self.easy
-        easy.setopt(pycurl.URL, request.url)
+        # Tornado reads what a caller sends as Latin-1; pycurl would only take ASCII.
+        url = request.url.encode("latin-1")
+        easy.setopt(pycurl.URL, url)
+        # As the caller wrote it: libcurl would encode some bytes, and drop a fragment.
+        easy.setopt(pycurl.REQUEST_TARGET, b"/" + b"".join(url.split(b"/", 3)[3:]))
         easy.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
         easy.setopt(pycurl.CUSTOMREQUEST, request.method)
         easy.setopt(pycurl.PATH_AS_IS, 1)
         easy.setopt(pycurl.NOSIGNAL, 1)
         easy.setopt(pycurl.PROXY, "")
-        easy.setopt(pycurl.HTTPHEADER, request.headers)
+        headers = [header.encode("latin-1") for header in request.headers]
+        easy.setopt(pycurl.HTTPHEADER, headers)
         easy.setopt(pycurl.CONNECTTIMEOUT_MS, connect_timeout_ms(request.timeout_ms))
         easy.setopt(pycurl.TIMEOUT_MS, max(1, request.timeout_ms))
         easy.setopt(pycurl.MAXAGE_CONN, _MAX_IDLE_S)
