Take out of an answer's head what the caller's connection can't send

Callers could see: no answer, or a connection closed in the middle of one, to a request whose backend server names its body's length twice, or beside chunked coding, or sends a line that is no header. Cause: the gate passes each line on; "2, 2" is no number to tornado, a length beside a chunked body is another one than the body's, and tornado refuses names and values with forbidden characters. Each raises in the listener's task. Evidence: found by reading; three tests of test_odd_backends.py fail without the change. Change: a length goes on once, and never beside a transfer coding; other such lines are left out.

--- a/burdockdock/gate/curl_client.py
+++ b/burdockdock/gate/curl_client.py
@@ -1,6 +1,7 @@
 """HTTP client for backend servers: streams both ways and never sends twice."""
 
 import asyncio
+import re
 from collections import deque
 from typing import NamedTuple
 
@@ -15,6 +16,11 @@
 # A kept connection is not used again after this, before a backend server that says
 # nothing of its own limit might close it.
 _MAX_IDLE_S = 5
+_LENGTH = "content-length"
+_CODING = "transfer-encoding"
+# What a header's name is made of, and what no value may hold.
+_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_FORBIDDEN = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 _STOP_POLLING = pycurl.POLL_REMOVE
 # Errors of which libcurl knows that no byte of the request was sent.
 _NOT_SENT_ERRORS = {
@@ -341,8 +347,25 @@
     if len(words) < 2 or not words[1].isdecimal():
         return None
     reason = words[2].strip() if len(words) > 2 else ""
-    headers = []
-    for line in lines[1:]:
-        name, _, value = line.decode("latin-1").partition(":")
-        headers.append((name.strip(), value.strip()))
-    return BackendHead(int(words[1]), reason, tuple(headers))
+    return BackendHead(int(words[1]), reason, _parse_headers(lines[1:]))
+
+
+def _parse_headers(lines: list[bytes]) -> tuple[tuple[str, str], ...]:
+    """Return the headers that can be passed on, with a body's length once at most."""
+    headers: list[tuple[str, str]] = []
+    names: set[str] = set()
+    for line in lines:
+        name, _, value = (
+            part.strip() for part in line.decode("latin-1").partition(":")
+        )
+        is_length = name.lower() == _LENGTH
+        if not _NAME.fullmatch(name) or _FORBIDDEN.search(value):
+            continue
+        if is_length and _LENGTH in names:
+            continue
+        names.add(name.lower())
+        headers.append((name, value))
+    if _CODING in names:
+        # The body that libcurl hands out has a length of its own then.
+        headers = [header for header in headers if header[0].lower() != _LENGTH]
+    return tuple(headers)
--- a/tests/gate/test_odd_backends.py
+++ b/tests/gate/test_odd_backends.py
@@ -183,3 +183,39 @@
 
         stream = await self._call(serve, _REQUEST)
         self.assertEqual((b"ok", True), (stream.body, stream.whole))
+
+    async def _lengths(self, head: bytes) -> tuple[bytes, list[str]]:
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await _read_head(reader)
+            writer.write(b"HTTP/1.1 200 OK\r\n" + head)
+
+        stream = await self._call(serve, _REQUEST)
+        self.assertTrue(stream.whole, stream.failure)
+        lengths = [v for n, v in stream.head.headers if n.lower() == "content-length"]
+        return stream.body, lengths
+
+    @async_test
+    async def test_a_length_that_is_said_twice_is_passed_on_once(self) -> None:
+        head = b"Content-Length: 2\r\nContent-Length: 2\r\n\r\nok"
+        self.assertEqual((b"ok", ["2"]), await self._lengths(head))
+
+    @async_test
+    async def test_a_chunked_body_has_no_length(self) -> None:
+        head = b"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        head += b"2\r\nok\r\n0\r\n\r\n"
+        self.assertEqual((b"ok", []), await self._lengths(head))
+
+    @async_test
+    async def test_lines_that_are_no_headers_are_not_passed_on(self) -> None:
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await _read_head(reader)
+            head = b"A b: c\r\nX-A: a\x01b\r\nX-B: b\r\nContent-Length: 2\r\n\r\nok"
+            writer.write(b"HTTP/1.1 200 OK\r\n" + head)
+
+        stream = await self._call(serve, _REQUEST)
+        names = [name for name, _ in stream.head.headers]
+        self.assertEqual(["X-B", "Content-Length"], names)
