End an answer that is whole while its request's body is still unread

Callers could see: an answer whose bytes all came, and whose connection was then closed, or no end of it before the deadline, where the backend server answers a long upload before it reads it. Cause: the gate took libcurl's end of the transfer for the end of the answer; libcurl first sends the rest of the request's body, which the backend server doesn't take, up to the deadline (backend_timeout, "2 out of 2 bytes received"), and the gate then broke the answer off. Evidence: found by reading; test_an_answer_before_the_body_was_read fails without the change. Change: with an upload an answer is whole once the bytes that its head tells have come. Not covered: an answer in chunks, whose end libcurl doesn't show before its own.

--- a/burdockdock/gate/curl_client.py
+++ b/burdockdock/gate/curl_client.py
@@ -183,6 +183,9 @@
         self._drained = asyncio.Event()
         self._incoming: deque[bytes] = deque()
         self._incoming_bytes = 0
+        self._has_upload = request.body_length != 0
+        # Bytes of the answer's body still to come, -1 where its head does not tell.
+        self._left_bytes = -1
         self._write_paused = False
         self._arrived = asyncio.Event()
         self._result: Failure | None = None
@@ -213,6 +216,9 @@
         while not self._incoming:
             if self._done:
                 return self._result
+            if self._has_upload and not self._left_bytes:
+                # Libcurl goes on with the request's body; the answer is whole.
+                return None
             self._arrived.clear()
             await self._arrived.wait()
         data = b"".join(self._incoming)
@@ -308,6 +314,7 @@
         # An interim answer, or the trailer after a body.
         if head is None or head.status < 200 or self._head.done():
             return
+        self._left_bytes = _body_length(head)
         self._head.set_result(head)
 
     def _on_body(self, data: bytes) -> int | None:
@@ -316,6 +323,7 @@
             return pycurl.WRITEFUNC_PAUSE
         self._incoming.append(data)
         self._incoming_bytes += len(data)
+        self._left_bytes -= len(data) if self._left_bytes > 0 else 0
         self._arrived.set()
         return None
 
@@ -350,6 +358,12 @@
     return BackendHead(int(words[1]), reason, _parse_headers(lines[1:]))
 
 
+def _body_length(head: BackendHead) -> int:
+    """Return the length of an answer's body, -1 where its head does not tell it."""
+    length = next((v for n, v in head.headers if n.lower() == _LENGTH), "")
+    return int(length) if length.isascii() and length.isdecimal() else -1
+
+
 def _parse_headers(lines: list[bytes]) -> tuple[tuple[str, str], ...]:
     """Return the headers that can be passed on, with a body's length once at most."""
     headers: list[tuple[str, str]] = []
--- a/tests/gate/test_odd_backends.py
+++ b/tests/gate/test_odd_backends.py
@@ -173,6 +173,27 @@
         self.assertTrue(stream.whole, stream.failure)
         self.assertIn("/Zo\u00eb#a|b HTTP".encode("latin-1"), received[0])
 
+    @async_test
+    async def test_an_answer_before_the_body_was_read(self) -> None:
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await _read_head(reader)
+            writer.write(_OK)
+            await asyncio.sleep(2.0)
+            try:
+                while await reader.read(1 << 20):
+                    pass
+            except ConnectionError:
+                pass
+
+        length = 30_000_000
+        request = _REQUEST._replace(
+            method="PUT", body_length=length, end=False, time_left_ms=1500
+        )
+        stream = await self._call(serve, request, body=b"x" * length)
+        self.assertTrue(stream.whole, stream.failure)
+
     @async_test
     async def test_a_body_longer_than_it_says(self) -> None:
         async def serve(
