Give a slot back at the call's deadline when nobody takes the answer

Callers could see: queue_full and waits at a backend server that is idle. Cause: Gate._relay waited without an end for the window of a caller that stopped reading. Libcurl ends the backend server's side at the deadline, but the gate's call, and with it the slot, stayed until the caller closed; as many such callers as there are slots took a backend server out of service, and a stopping node waited for them to the end of its grace time. Evidence: found by reading; UntakenAnswerTest fails without the change (load 1 after 2 s for a call of 0.3 s). Change: a piece waits for room up to the call's deadline. Such an end is not counted against the backend server's version.

--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -24,6 +24,7 @@
 from burdockdock.gate.results import LatestResults
 from burdockdock.logs import log_event
 from burdockdock.metrics import Metrics
+from burdockdock.protocol import WindowClosed
 from burdockdock.protocol.calls import AnswerHead, CallRequest, GateResults
 
 # Other nodes learn within this that the backend server leaves; what is on its way
@@ -252,7 +253,7 @@
                 self._end_without_answer(request, stream, head, started_s)
                 return
             verdict = Verdict.RAN
-            complete = await self._relay(request, transfer, head, stream)
+            complete = await self._relay(request, transfer, head, stream, deadline_s)
             self._record(request, started_s, status=head.status, complete=complete)
         finally:
             if upload is not None:
@@ -298,8 +299,13 @@
         transfer: Transfer,
         head: BackendHead,
         stream: CallStream,
+        deadline_s: float,
     ) -> bool:
-        """Pass the answer on; return whether it was whole."""
+        """Pass the answer on; return whether it was whole.
+
+        :raises WindowClosed: if nobody takes it. That is no fault of the backend
+            server, and must not hold its slot.
+        """
         data, ended = transfer.take_ready_body()
         stream.send_head(
             AnswerHead(
@@ -318,7 +324,12 @@
                 stream.fail(piece._replace(verdict=Verdict.RAN))
                 return False
             ended = piece is None
-            await stream.send_body(piece or b"", end=ended)
+            try:
+                async with asyncio.timeout(deadline_s - self._clock.monotonic()):
+                    await stream.send_body(piece or b"", end=ended)
+            except TimeoutError:
+                stream.fail(Failure(Verdict.RAN, "answer_not_taken"))
+                raise WindowClosed from None
         return True
 
     def _end_without_answer(
--- a/tests/gate/test_odd_backends.py
+++ b/tests/gate/test_odd_backends.py
@@ -11,6 +11,7 @@
 from burdockdock.gate.gate import Gate
 from burdockdock.gate.model import BackendServer
 from burdockdock.metrics import Metrics
+from burdockdock.protocol import WindowClosed
 from burdockdock.protocol.calls import AnswerHead, CallRequest
 from tests.support import async_test
 
@@ -124,6 +125,44 @@
         self.assertLess(kept, _KEPT_BYTES)
 
 
+class _FullStream(_Stream):
+    """A caller's node that grants no room."""
+
+    async def send_body(self, data: bytes, *, end: bool) -> None:
+        """Wait for room."""
+        await asyncio.Event().wait()
+
+
+class UntakenAnswerTest(testtools.TestCase):
+    """An answer that nobody takes."""
+
+    @async_test
+    async def test_it_does_not_hold_its_slot_beyond_its_time(self) -> None:
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await _read_head(reader)
+            start = b"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n"
+            await _write_for_ever(writer, start, b"x" * 10_000)
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        results = []
+        gate = Gate(clock=SystemClock(), metrics=Metrics(), observe=results.append)
+        gate.announce(BackendServer("work", "1", "127.0.0.1", port, 1))
+        stream = _FullStream()
+        request = _REQUEST._replace(time_left_ms=300)
+        run = asyncio.create_task(gate.run(request, stream))
+        await asyncio.wait({run}, timeout=2)
+        self.assertEqual(0, gate.load)
+        self.assertEqual("answer_not_taken", stream.failure.reason)
+        # It says nothing of the backend server's version.
+        self.assertEqual([], results)
+        self.assertIsInstance(run.exception(), WindowClosed)
+        server.close()
+
+
 class OddAnswersTest(testtools.TestCase):
     """Each call ends, whatever the backend server sends and the caller asks."""
 
