--- a/burdockdock/gate/curl_client.py
+++ b/burdockdock/gate/curl_client.py
@@ -1,6 +1,7 @@
 """HTTP client for backend servers: streams both ways and never sends twice."""
 
 import asyncio
+import re
 from collections import deque
 from typing import NamedTuple
 
@@ -15,6 +16,11 @@
 # A kept connection is not used again after this, before a backend server that says
 # nothing of its own limit might close it.
 _MAX_IDLE_S = 5
+_LENGTH = "content-length"
+_CODING = "transfer-encoding"
+# What a header's name is made of, and what no value may hold.
+_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_FORBIDDEN = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 _STOP_POLLING = pycurl.POLL_REMOVE
 # Errors of which libcurl knows that no byte of the request was sent.
 _NOT_SENT_ERRORS = {
@@ -177,6 +183,9 @@
         self._drained = asyncio.Event()
         self._incoming: deque[bytes] = deque()
         self._incoming_bytes = 0
+        self._has_upload = request.body_length != 0
+        # Bytes of the answer's body still to come, -1 where its head does not tell.
+        self._left_bytes = -1
         self._write_paused = False
         self._arrived = asyncio.Event()
         self._result: Failure | None = None
@@ -207,6 +216,9 @@
         while not self._incoming:
             if self._done:
                 return self._result
+            if self._has_upload and not self._left_bytes:
+                # Libcurl goes on with the request's body; the answer is whole.
+                return None
             self._arrived.clear()
             await self._arrived.wait()
         data = b"".join(self._incoming)
@@ -254,13 +266,18 @@
 
     def _set_options(self, request: BackendRequest) -> None:
         easy = self.easy
-        easy.setopt(pycurl.URL, request.url)
+        # Tornado reads what a caller sends as Latin-1; pycurl would only take ASCII.
+        url = request.url.encode("latin-1")
+        easy.setopt(pycurl.URL, url)
+        # As the caller wrote it: libcurl would encode some bytes, and drop a fragment.
+        easy.setopt(pycurl.REQUEST_TARGET, b"/" + b"".join(url.split(b"/", 3)[3:]))
         easy.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
         easy.setopt(pycurl.CUSTOMREQUEST, request.method)
         easy.setopt(pycurl.PATH_AS_IS, 1)
         easy.setopt(pycurl.NOSIGNAL, 1)
         easy.setopt(pycurl.PROXY, "")
-        easy.setopt(pycurl.HTTPHEADER, request.headers)
+        headers = [header.encode("latin-1") for header in request.headers]
+        easy.setopt(pycurl.HTTPHEADER, headers)
         easy.setopt(pycurl.CONNECTTIMEOUT_MS, connect_timeout_ms(request.timeout_ms))
         easy.setopt(pycurl.TIMEOUT_MS, max(1, request.timeout_ms))
         easy.setopt(pycurl.MAXAGE_CONN, _MAX_IDLE_S)
@@ -297,6 +314,7 @@
         # An interim answer, or the trailer after a body.
         if head is None or head.status < 200 or self._head.done():
             return
+        self._left_bytes = _body_length(head)
         self._head.set_result(head)
 
     def _on_body(self, data: bytes) -> int | None:
@@ -305,6 +323,7 @@
             return pycurl.WRITEFUNC_PAUSE
         self._incoming.append(data)
         self._incoming_bytes += len(data)
+        self._left_bytes -= len(data) if self._left_bytes > 0 else 0
         self._arrived.set()
         return None
 
@@ -336,8 +355,31 @@
     if len(words) < 2 or not words[1].isdecimal():
         return None
     reason = words[2].strip() if len(words) > 2 else ""
-    headers = []
-    for line in lines[1:]:
-        name, _, value = line.decode("latin-1").partition(":")
-        headers.append((name.strip(), value.strip()))
-    return BackendHead(int(words[1]), reason, tuple(headers))
+    return BackendHead(int(words[1]), reason, _parse_headers(lines[1:]))
+
+
+def _body_length(head: BackendHead) -> int:
+    """Return the length of an answer's body, -1 where its head does not tell it."""
+    length = next((v for n, v in head.headers if n.lower() == _LENGTH), "")
+    return int(length) if length.isascii() and length.isdecimal() else -1
+
+
+def _parse_headers(lines: list[bytes]) -> tuple[tuple[str, str], ...]:
+    """Return the headers that can be passed on, with a body's length once at most."""
+    headers: list[tuple[str, str]] = []
+    names: set[str] = set()
+    for line in lines:
+        name, _, value = (
+            part.strip() for part in line.decode("latin-1").partition(":")
+        )
+        is_length = name.lower() == _LENGTH
+        if not _NAME.fullmatch(name) or _FORBIDDEN.search(value):
+            continue
+        if is_length and _LENGTH in names:
+            continue
+        names.add(name.lower())
+        headers.append((name, value))
+    if _CODING in names:
+        # The body that libcurl hands out has a length of its own then.
+        headers = [header for header in headers if header[0].lower() != _LENGTH]
+    return tuple(headers)
--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -24,6 +24,7 @@
 from burdockdock.gate.results import LatestResults
 from burdockdock.logs import log_event
 from burdockdock.metrics import Metrics
+from burdockdock.protocol import WindowClosed
 from burdockdock.protocol.calls import AnswerHead, CallRequest, GateResults
 
 # Other nodes learn within this that the backend server leaves; what is on its way
@@ -145,6 +146,12 @@
             self._refused(request, refusal, stream)
             return
         try:
+            # The backend server may have begun to leave while the call waited.
+            refusal = self._refuse_backend(request)
+            if refusal is not None:
+                self._dedupe.release(request.request_id)
+                self._refused(request, refusal, stream)
+                return
             await self._call_backend(request, stream, deadline_s)
         finally:
             self._limiter.release(request.tenant)
@@ -192,6 +199,10 @@
     def _refuse(self, request: CallRequest) -> Failure | None:
         if self._draining:
             return Failure(Verdict.NOT_RUN, "draining")
+        return self._refuse_backend(request)
+
+    def _refuse_backend(self, request: CallRequest) -> Failure | None:
+        """Return why the backend server gets no calls now."""
         if self._clock.monotonic() >= self._closes_at_s:
             return Failure(Verdict.NOT_RUN, "backend_leaving")
         if self._backend is None or self._backend.service != request.service:
@@ -242,7 +253,7 @@
                 self._end_without_answer(request, stream, head, started_s)
                 return
             verdict = Verdict.RAN
-            complete = await self._relay(request, transfer, head, stream)
+            complete = await self._relay(request, transfer, head, stream, deadline_s)
             self._record(request, started_s, status=head.status, complete=complete)
         finally:
             if upload is not None:
@@ -288,8 +299,13 @@
         transfer: Transfer,
         head: BackendHead,
         stream: CallStream,
+        deadline_s: float,
     ) -> bool:
-        """Pass the answer on; return whether it was whole."""
+        """Pass the answer on; return whether it was whole.
+
+        :raises WindowClosed: if nobody takes it. That is no fault of the backend
+            server, and must not hold its slot.
+        """
         data, ended = transfer.take_ready_body()
         stream.send_head(
             AnswerHead(
@@ -308,7 +324,12 @@
                 stream.fail(piece._replace(verdict=Verdict.RAN))
                 return False
             ended = piece is None
-            await stream.send_body(piece or b"", end=ended)
+            try:
+                async with asyncio.timeout(deadline_s - self._clock.monotonic()):
+                    await stream.send_body(piece or b"", end=ended)
+            except TimeoutError:
+                stream.fail(Failure(Verdict.RAN, "answer_not_taken"))
+                raise WindowClosed from None
         return True
 
     def _end_without_answer(
