End calls at their time when the other side falls silent

Callers could see: no end of an answer whose node is gone without a word (worse since links are retired and no longer dropped), none while a request's body does not come, none after a message that the link could not take in. Cause: waiting for the next piece of an answer, and for a request's body, had no bound; a verdict that is none ended the link's reader and left its calls. Change: a piece is waited for up to the call's deadline, at which the answer's node ends it anyhow, and a quarter of a second for that news; what is there already is delivered also later. A body has the call's time to begin. An unreadable verdict ends the link like any malformed message.

--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -33,6 +33,8 @@
 # life before another call is sent, and has so long for it.
 _SILENCE_S = 0.3
 _PROBE_S = 0.1
+# What an answer that was ended at its deadline takes to be told here.
+_LAST_PIECE_S = 0.25
 _ANSWER_LOST = "answer_lost"
 _DEADLINE_PASSED = "deadline_passed"
 _NO_BACKEND_SERVER = "no_backend_server"
@@ -95,8 +97,9 @@
         """
         self._budget.record_call(call.request.service)
         body = ReplayableBody(caller, call.request.body_length)
-        if call.request.body_length != 0:
-            await body.read_first()
+        late = await self._read_first(call, body)
+        if late is not None:
+            return late
         # A large answer waits for a near backend server rather than come from afar.
         free_slots = 0 if call.large_answer and call.may_wait else FREE_SLOT_TRIES
         tried = Tried(
@@ -120,6 +123,17 @@
         # What an earlier attempt may have done holds whatever the last one did.
         return decisive
 
+    async def _read_first(self, call: Call, body: ReplayableBody) -> Failure | None:
+        """Read what a call needs of its body to begin; its time bounds that."""
+        if not call.request.body_length:
+            return None
+        try:
+            async with asyncio.timeout(self._left_ms(call) / 1000):
+                await body.read_first()
+        except TimeoutError:
+            return Failure(Verdict.NOT_RUN, "request_body_late")
+        return None
+
     async def _attempt(
         self,
         call: Call,
@@ -319,7 +333,7 @@
     ) -> None:
         await caller.send_head(head)
         while True:
-            piece = await attempt.remote.read_body()
+            piece = await self._next_piece(attempt.remote, call)
             if isinstance(piece, Failure):
                 self._log_broken_off(call, attempt.member, piece)
                 caller.break_off()
@@ -353,6 +367,17 @@
             )
         )
 
+    async def _next_piece(
+        self, remote: RemoteCall, call: Call
+    ) -> bytes | Failure | None:
+        """Wait for the next piece of an answer, which its node ends by the deadline."""
+        left_s = call.deadline_s - self._clock.monotonic()
+        try:
+            async with asyncio.timeout(max(0.0, left_s) + _LAST_PIECE_S):
+                return await remote.read_body()
+        except TimeoutError:
+            return Failure(Verdict.RAN, "answer_stopped")
+
     def _log_broken_off(self, call: Call, member: Member, failure: Failure) -> None:
         self._metrics.count("answers_broken_off", label=failure.reason)
         log_event(
--- a/burdockdock/proxy/peer_link.py
+++ b/burdockdock/proxy/peer_link.py
@@ -250,7 +250,7 @@
         try:
             while (message := await self._connection.read()) is not None:
                 self._handle(message)
-        except MALFORMED as error:
+        except (ValueError, *MALFORMED) as error:
             reason = f"malformed: {error}"
         reason = self._connection.error or reason
         self._connection.close()
