Tell a caller of a fault of this node, and count a call that never began as ended

Callers could see: no answer at all and an open connection, where this node met a fault of its own or an answer that it can't send; a stopping node waited to the end of its grace time for a call that was none. Cause: an exception in the call's task was seen by nobody; a task that is cancelled before its first step runs none of its lines, also not those that count the call as ended; the end of a chunked answer waited for the rest of the request's body. Change: a fault is logged with the call's end and answered with 502, or breaks the answer off; the connection is closed after it. What must happen at the end of each call hangs on the task's end. The rest of a body is read only after an answer whose length its head tells.

--- a/burdockdock/proxy/listener.py
+++ b/burdockdock/proxy/listener.py
@@ -50,6 +50,9 @@
 _RETRY_AFTER_MAX_S = 0.4
 
 
+_NO_CALL = Failure(Verdict.NOT_RUN, "no_call")
+
+
 class Listener(HTTPServerConnectionDelegate):
     """Starts a call for each request."""
 
@@ -105,6 +108,8 @@
         # Without this, tornado tells of a closed connection only while it reads.
         self._connection.set_close_callback(self.on_connection_close)
         self._task = asyncio.create_task(self._run(start_line, headers))
+        # A task that is cancelled before its first step runs none of its own lines.
+        self._task.add_done_callback(self._on_end)
 
     def data_received(self, chunk: bytes) -> "asyncio.Future[None] | None":
         """Keep a piece of the body; make the caller wait while many are kept."""
@@ -144,17 +149,15 @@
 
     async def send_head(self, head: AnswerHead) -> None:
         """Begin the answer, with all of its body if that is there already."""
-        self._answer_started = True
-        self._status = head.status
         headers = _answer_headers(head, self._method)
         self._left_bytes = _body_bytes(headers, self._method)
         if self._context.draining:
             headers["Connection"] = "close"
-        await self._write(
-            self._connection.write_headers(
-                ResponseStartLine("HTTP/1.1", head.status, head.reason), headers
-            )
-        )
+        start_line = ResponseStartLine("HTTP/1.1", head.status, head.reason)
+        written = self._connection.write_headers(start_line, headers)
+        self._answer_started = True
+        self._status = head.status
+        await self._write(written)
 
     async def send_body(self, data: bytes) -> None:
         """Send a piece of the answer once the connection took it."""
@@ -172,14 +175,16 @@
         """Close the caller's connection in the middle of an answer."""
         self._answer_ended = True
         stream = self._connection.detach()
-        stream.close()
+        if stream is not None:
+            stream.close()
         self._make_room()
 
     async def _end_request(self) -> None:
         """Leave the connection to the next request once this one has all ended."""
         if not self._whole:
             return
-        await self._read_on()
+        if self._left_bytes == 0:
+            await self._read_on()
         self._connection.finish()
         stream = self._connection.stream
         try:
@@ -208,26 +213,43 @@
     async def _run(self, start_line: RequestStartLine, headers: HTTPHeaders) -> None:
         context = self._context
         started_s = context.clock.monotonic()
-        call = make_call(context, start_line, headers)
+        call: Call | Failure = _NO_CALL
         try:
-            if isinstance(call, Failure):
-                failure: Failure | None = call
-            else:
-                failure = await context.forwarder.forward(call, _CallerAdapter(self))
+            call = make_call(context, start_line, headers)
+            failure = call if isinstance(call, Failure) else await self._forward(call)
             if failure is not None:
                 await self._refuse(failure)
             self._log_end(call, headers, failure, started_s)
             await self._end_request()
         except asyncio.CancelledError:
             self._log_end(call, headers, self._abandoned(), started_s)
+        except Exception as error:
+            await self._end_faulted(error)
+            self._log_end(call, headers, _faulted(error), started_s)
         finally:
-            # Nobody reads the rest of the body: a connection that waited for room
-            # would never end.
-            self._answer_ended = True
-            self._make_room()
-            context.open_calls -= 1
             _record_latency(context, call, started_s)
 
+    async def _forward(self, call: Call) -> Failure | None:
+        return await self._context.forwarder.forward(call, _CallerAdapter(self))
+
+    def _on_end(self, _task: asyncio.Task[None]) -> None:
+        # Nobody reads the rest of the body: a connection that waited for room would
+        # never end.
+        self._answer_ended = True
+        self._make_room()
+        self._context.open_calls -= 1
+
+    async def _end_faulted(self, error: Exception) -> None:
+        """Tell the caller of a fault of this node, as far as that can be told still."""
+        self._context.metrics.count("calls_faulted")
+        if self._answer_started:
+            self.break_off()
+            return
+        await self._refuse(_faulted(error))
+        await self._end_request()
+        # What state the fault left the connection in is not known.
+        self._connection.stream.close()
+
     def _abandoned(self) -> Failure | None:
         """Return what a closed connection means: no failure after a whole answer."""
         if not self._left_bytes:
@@ -297,6 +319,11 @@
         self.break_off = side.break_off
 
 
+def _faulted(error: Exception) -> Failure:
+    """Return what a fault of this node means for a call."""
+    return Failure(Verdict.MAY_HAVE_RUN, "node_fault", repr(error))
+
+
 def _status_of(failure: Failure) -> int:
     """Return the status that promises no more than the verdict does."""
     if failure.verdict is Verdict.NOT_RUN and failure.reason != "no_route":
