Close a stopping node's connections only when the other side has all

Callers could see: the tail of an answer lost when the node that sends it stops. Cause: answers had left the process but not arrived when it closed the connection; credit that then came, or stood unread, turned the close into a reset, which takes with it what is on its way. Change: a stopping node ends its own direction of each connection and waits, for 1.5 s at most, until the other node has closed as well.

--- a/burdockdock/node/draining.py
+++ b/burdockdock/node/draining.py
@@ -23,6 +23,8 @@
 # What the last answers take on their way, before the close.
 _LAST_ANSWERS_S = 0.4
 _POLL_S = 0.02
+# What the largest window of answers takes on a slow way to another node.
+_FINISH_S = 1.5
 # Calls that crossed the close still get their refusals within this.
 _LAST_REFUSALS_S = 0.05
 
@@ -59,14 +61,14 @@
     gate: Gate,
     callers: HTTPServer,
     *,
-    flush: Callable[[], Awaitable[None]],
+    finish: Callable[[], Awaitable[None]],
     timing: DrainTiming,
     clock: Clock,
 ) -> None:
     """Send callers elsewhere, then finish the calls that this node has.
 
     :param callers: the server that takes callers' connections.
-    :param flush: waits until the answers to other nodes have left.
+    :param finish: waits until other nodes have the answers to their calls.
     """
     started_s = clock.monotonic()
     log_event("node.draining", calls=context.open_calls)
@@ -89,7 +91,7 @@
             context.refusing = True
             await asyncio.sleep(_LAST_REFUSALS_S)
             await _wait_for_answers(context)
-            await flush()
+            await _finish_in_time(finish)
     except TimeoutError:
         context.refusing = True
         log_event(
@@ -97,6 +99,15 @@
         )
 
 
+async def _finish_in_time(finish: Callable[[], Awaitable[None]]) -> None:
+    """Let other nodes take their answers; one that is gone holds nobody up."""
+    try:
+        async with asyncio.timeout(_FINISH_S):
+            await finish()
+    except TimeoutError:
+        log_event("node.answers_not_taken", waited_s=_FINISH_S)
+
+
 async def _wait_for_answers(context: CallContext) -> None:
     while context.open_calls:
         await asyncio.sleep(_POLL_S)
--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -270,7 +270,7 @@
             self.context,
             self.gate,
             self._caller_server,
-            flush=self._peer_server.flush,
+            finish=self._peer_server.finish,
             timing=drain_timing(self._settings),
             clock=self._clock,
         )
--- a/burdockdock/node/peer_server.py
+++ b/burdockdock/node/peer_server.py
@@ -65,10 +65,10 @@
             connection.close()
             self._connections.discard(connection)
 
-    async def flush(self) -> None:
-        """Wait until all answers to other nodes have left."""
+    async def finish(self) -> None:
+        """Wait until other nodes have all answers; those to new calls are dropped."""
         connections = list(self._connections)
-        await asyncio.gather(*(connection.flush() for connection in connections))
+        await asyncio.gather(*(connection.finish() for connection in connections))
 
     def close(self) -> None:
         """Stop listening and close every connection."""
--- a/burdockdock/protocol/connection.py
+++ b/burdockdock/protocol/connection.py
@@ -1,5 +1,8 @@
 """A connection that carries frames."""
 
+import asyncio
+import socket
+
 from tornado.iostream import IOStream, StreamClosedError
 
 from burdockdock.protocol.codec import (
@@ -21,6 +24,9 @@
     def __init__(self, stream: IOStream) -> None:
         self._stream = stream
         self._buffer = bytearray()
+        self._finishing = False
+        self._ended = asyncio.Event()
+        stream.set_close_callback(self._ended.set)
         self.sent_bytes = 0
         self.received_bytes = 0
         stream.set_nodelay(True)
@@ -52,8 +58,8 @@
             self._buffer += more
 
     def send(self, data: bytes) -> None:
-        """Send a frame; on a closed connection it is dropped."""
-        if self._stream.closed():
+        """Send a frame; on a closed connection, or after the last, it is dropped."""
+        if self._finishing or self._stream.closed():
             return
         self.sent_bytes += len(data)
         try:
@@ -70,6 +76,22 @@
         except StreamClosedError:
             return
 
+    async def finish(self) -> None:
+        """Wait until the peer has all that was sent, and closes as well.
+
+        Somebody must read the connection meanwhile: a close with bytes unread, or
+        bytes that come after it, would reset it, and with it what is on its way.
+        """
+        self._finishing = True
+        await self.flush()
+        if self._stream.closed():
+            return
+        try:
+            self._stream.socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            return
+        await self._ended.wait()
+
     def close(self) -> None:
         """Close the connection; what has not left yet is lost."""
         self._stream.close()
--- a/tests/node/test_draining.py
+++ b/tests/node/test_draining.py
@@ -44,20 +44,20 @@
     )
 
 
-async def _nothing_to_flush() -> None:
-    """Stand for answers that have all left."""
+async def _nothing_left() -> None:
+    """Stand for answers that have all arrived."""
 
 
 def _stopping(
     context: SimpleNamespace,
     gate: _Gate,
     *,
-    flush: Callable[[], Awaitable[None]] = _nothing_to_flush,
+    finish: Callable[[], Awaitable[None]] = _nothing_left,
     timing: DrainTiming = _TIMING,
 ) -> asyncio.Task[None]:
     """Begin a graceful stop."""
     stop = drain(
-        context, gate, _Callers(), flush=flush, timing=timing, clock=SystemClock()
+        context, gate, _Callers(), finish=finish, timing=timing, clock=SystemClock()
     )
     return asyncio.create_task(stop)
 
@@ -97,7 +97,7 @@
     async def test_answers_to_other_nodes_have_left_before_the_close(self) -> None:
         context, gate = _context(open_calls=0), _Gate()
         left = asyncio.Event()
-        stopping = _stopping(context, gate, flush=left.wait)
+        stopping = _stopping(context, gate, finish=left.wait)
         gate.idle.set()
         await asyncio.sleep(0.2)
         self.assertFalse(stopping.done())
@@ -110,7 +110,7 @@
         context, gate = _context(open_calls=0), _Gate()
         gate.idle.set()
         timing = _TIMING._replace(longest_s=0.3)
-        stopping = _stopping(context, gate, flush=asyncio.Event().wait, timing=timing)
+        stopping = _stopping(context, gate, finish=asyncio.Event().wait, timing=timing)
         async with asyncio.timeout(20):
             await stopping
         self.assertTrue(context.refusing)
