--- a/burdockdock/node/reload.py
+++ b/burdockdock/node/reload.py
@@ -33,6 +33,11 @@
         self._signalled = asyncio.Event()
         self._seen = self._stamp()
 
+    @property
+    def settings(self) -> NodeSettings:
+        """The settings in force."""
+        return self._settings
+
     def signal(self) -> None:
         """Read the file soon."""
         self._signalled.set()
--- /dev/null
+++ b/tests/node/test_stopping.py
@@ -0,0 +1,268 @@
+"""A stopping process is gone in its grace time, whatever holds on to it."""
+
+import asyncio
+import json
+import signal
+import sys
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from subprocess import PIPE, STDOUT, Popen
+
+import testtools
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPRequest
+
+from burdockdock.clock import SystemClock
+from burdockdock.configuration.acceptance import Accepted, accept_over_newest
+from burdockdock.configuration.ini import read_sections
+from burdockdock.platform_api import PlatformClient
+from burdockdock.standin.local_fleet import LocalFleet, NodeHandle, NodePlace, free_port
+from tests.node.stuck_process import HOLDS
+from tests.support import PATIENCE_S, async_test
+
+_HOST = "127.0.0.1"
+_GRACE_S = 3.0
+# What holds a process up in these tests lasts for minutes; a slow machine is not that.
+_PATIENCE_S = _GRACE_S + 12.0
+_CONFIG = """
+[defaults]
+timeout_ms = 300000
+[service work]
+[route all]
+path = /
+service = work
+"""
+_PIECE = b"x" * 65536
+
+
+class _Deployment:
+    """One node as a process, with a backend server that says what a test lets it."""
+
+    def __init__(self, fleet: LocalFleet) -> None:
+        self.fleet = fleet
+        self.node: NodeHandle | None = None
+        self.backend_port = free_port()
+
+    def start_node(self) -> NodeHandle:
+        """Start the node."""
+        self.node = self.fleet.start_node(
+            NodePlace("node", "r", "z"), limits=f"grace_period = {_GRACE_S:g}s"
+        )
+        return self.node
+
+    async def apply_config(self) -> None:
+        """Accept the configuration before the node reads it."""
+        platform = PlatformClient(
+            self.fleet.platform_url, name="test", clock=SystemClock()
+        )
+        async with asyncio.timeout(PATIENCE_S):
+            while not isinstance(
+                await accept_over_newest(
+                    platform,
+                    read_sections(_CONFIG),
+                    author="test",
+                    reason="test",
+                    clock=SystemClock(),
+                ),
+                Accepted,
+            ):
+                await asyncio.sleep(0.1)
+
+    async def announce(self) -> None:
+        """Let the backend server announce itself once."""
+        body = {
+            "service": "work",
+            "version": "1",
+            "host": _HOST,
+            "port": self.backend_port,
+            "slots": 64,
+        }
+        request = HTTPRequest(
+            f"{self.node.operators_url}/backend", method="POST", body=json.dumps(body)
+        )
+        await CurlAsyncHTTPClient().fetch(request)
+
+    async def stop(self) -> tuple[int | None, float]:
+        """Stop the node by a signal; return its status and the seconds it took."""
+        process = self.node.process
+        started_s = time.monotonic()
+        process.send_signal(signal.SIGTERM)
+        while process.poll() is None and time.monotonic() - started_s < _PATIENCE_S:
+            await asyncio.sleep(0.02)
+        return process.poll(), time.monotonic() - started_s
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a caller's connection that reads little by itself."""
+        return await asyncio.open_connection(
+            _HOST, self.node.callers_port, limit=len(_PIECE)
+        )
+
+
+@asynccontextmanager
+async def _deployment() -> AsyncIterator[_Deployment]:
+    """Run a platform, a node that serves, and its backend server."""
+    fleet = LocalFleet(mesh="test")
+    deployment = _Deployment(fleet)
+    try:
+        fleet.start_platform()
+        await deployment.apply_config()
+        deployment.start_node()
+        await fleet.wait_ready(members=1, timeout_s=PATIENCE_S)
+        await deployment.announce()
+        yield deployment
+    finally:
+        if deployment.node.process.poll() is None:
+            deployment.node.process.kill()
+            deployment.node.process.wait()
+        await asyncio.to_thread(fleet.stop)
+
+
+async def _write_until_full(writer: asyncio.StreamWriter) -> None:
+    """Send pieces until nobody takes any more for a while."""
+    try:
+        while True:
+            writer.write(_PIECE)
+            async with asyncio.timeout(1.0):
+                await writer.drain()
+    except TimeoutError:
+        pass
+
+
+class HeldUpTest(testtools.TestCase):
+    """Tests of a process whose drain never ends."""
+
+    @async_test
+    async def test_a_process_ends_before_its_kill(self) -> None:
+        ends = await asyncio.gather(*(asyncio.to_thread(_stop_stuck, n) for n in HOLDS))
+        for name, (status, output) in zip(HOLDS, ends, strict=True):
+            self.assertIsNotNone(status, name)
+            self.assertRegex(output, "node.drain_given_up|Timeout", name)
+
+
+def _stop_stuck(name: str) -> tuple[int | None, str]:
+    """Stop a process that something holds up; return its status and its output."""
+    command = [sys.executable, "-m", "tests.node.stuck_process", name, str(_GRACE_S)]
+    with Popen(command, stdout=PIPE, stderr=STDOUT, text=True) as process:
+        process.stdout.readline()
+        process.send_signal(signal.SIGTERM)
+        end_s = time.monotonic() + _PATIENCE_S
+        while process.poll() is None and time.monotonic() < end_s:
+            time.sleep(0.02)
+        status = process.poll()
+        process.kill()
+        return status, process.stdout.read()
+
+
+class StoppingTest(testtools.TestCase):
+    """Tests of real processes and real signals."""
+
+    async def _check_stop(self, deployment: _Deployment) -> None:
+        status, seconds_s = await deployment.stop()
+        log = deployment.node.log_path.read_text()[-3000:]
+        self.assertEqual(0, status, f"{seconds_s:.2f} s\n{log}")
+
+    @async_test
+    async def test_an_upload_that_the_backend_server_does_not_read(self) -> None:
+        arrived = asyncio.Event()
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            arrived.set()
+            await asyncio.sleep(300)
+
+        async with _deployment() as deployment:
+            server = await asyncio.start_server(
+                serve, _HOST, deployment.backend_port, limit=len(_PIECE)
+            )
+            _, writer = await deployment.connect()
+            writer.write(b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999\r\n")
+            writer.write(b"\r\n")
+            await _write_until_full(writer)
+            await asyncio.wait_for(arrived.wait(), PATIENCE_S)
+            await self._check_stop(deployment)
+            writer.close()
+            server.close()
+
+    @async_test
+    async def test_a_caller_that_does_not_read_its_answer(self) -> None:
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n")
+            await _write_until_full(writer)
+            await asyncio.sleep(300)
+
+        async with _deployment() as deployment:
+            server = await asyncio.start_server(serve, _HOST, deployment.backend_port)
+            reader, writer = await deployment.connect()
+            writer.write(b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
+            await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), PATIENCE_S)
+            await self._check_stop(deployment)
+            writer.close()
+            server.close()
+
+    @async_test
+    async def test_heads_and_bodies_that_never_end(self) -> None:
+        async with _deployment() as deployment:
+            writers = []
+            for start in (
+                b"",
+                b"GET /x HT",
+                b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n",
+                b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nabc",
+                b"POST /x HTTP/1.1\r\nHost: a\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n9\r\n",
+            ):
+                _, writer = await deployment.connect()
+                writer.write(start)
+                writers.append(writer)
+            await asyncio.sleep(0.3)
+            await self._check_stop(deployment)
+            for writer in writers:
+                writer.close()
+
+    @async_test
+    async def test_signals_that_come_again_while_it_stops(self) -> None:
+        async with _deployment() as deployment:
+            loop = asyncio.get_running_loop()
+            process = deployment.node.process
+            for i, number in enumerate(
+                (signal.SIGHUP, signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+            ):
+                loop.call_later(0.3 * (i + 1), process.send_signal, number)
+            await self._check_stop(deployment)
+
+    @async_test
+    async def test_many_kept_connections(self) -> None:
+        async with _deployment() as deployment:
+            pairs = [await deployment.connect() for _ in range(500)]
+            await asyncio.sleep(0.3)
+            await self._check_stop(deployment)
+            for _, writer in pairs:
+                writer.close()
+
+    @async_test
+    async def test_a_join_while_the_platform_says_nothing(self) -> None:
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await asyncio.sleep(300)
+
+        fleet = LocalFleet(mesh="test")
+        deployment = _Deployment(fleet)
+        port = int(fleet.platform_url.rpartition(":")[2])
+        server = await asyncio.start_server(serve, _HOST, port)
+        try:
+            for delay_s in (1.0, 3.0, 8.0):
+                deployment.start_node()
+                await asyncio.sleep(delay_s)
+                status, seconds_s = await deployment.stop()
+                self.assertLess(seconds_s, _PATIENCE_S)
+                self.assertIn(status, (0, -signal.SIGTERM))
+        finally:
+            server.close()
+            await asyncio.to_thread(fleet.stop)
