Let go of a body that waits for room when its call ends

What was seen: with a caller that broke off in the middle of an upload, long before the stop and with no call open, a stop hung in close_all_connections().

Cause: listener._CallerSide.data_received makes the connection wait until the call reads on. A call that ends because a write to its caller failed (StreamClosedError turned into CancelledError in _write) reads no more and wakes nobody; the serving loop waits for ever, and the connection is never let go.

Change: the end of a call, however it comes, makes room.

Not covered: a call that is still open when the connections are closed. Its connection is held until the drain is given up, a quarter of a second before the kill.

--- a/burdockdock/proxy/listener.py
+++ b/burdockdock/proxy/listener.py
@@ -185,6 +185,10 @@
             abandoned = Failure(Verdict.MAY_HAVE_RUN, "caller_left")
             self._log_end(call, headers, abandoned, started_s)
         finally:
+            # Nobody reads the rest of the body: a connection that waited for room
+            # would never end.
+            self._answer_ended = True
+            self._make_room()
             context.open_calls -= 1
             _record_latency(context, call, started_s)
 
