Let the listener's test see the hang that it is about

Its timeout cancelled close_all_connections(), the connection's serving loop swallowed the cancellation and ended, and no TimeoutError was left; its stub also lacked the headers' names, so that the call ended by an AttributeError.

Change: the closing is a task that is waited for without being cancelled. Without the fix in the listener the test fails now, with it it passes (one run each).

--- a/tests/proxy/test_listener.py
+++ b/tests/proxy/test_listener.py
@@ -41,6 +41,7 @@
         forwarder=forwarder,
         clock=SystemClock(),
         metrics=Metrics(),
+        headers=SimpleNamespace(request_id="Request-Id"),
         open_calls=0,
         draining=False,
         refusing=False,
@@ -65,7 +66,9 @@
         await asyncio.sleep(0.2)
         forwarder.gone.set()
         await eventually(lambda: not context.open_calls)
-        async with asyncio.timeout(PATIENCE_S):
-            await server.close_all_connections()
+        # A timeout would cancel what is tested, and hide that it hangs.
+        closing = asyncio.create_task(server.close_all_connections())
+        done, _ = await asyncio.wait({closing}, timeout=PATIENCE_S)
+        self.assertEqual({closing}, done)
         server.stop()
         writer.close()
