Soak real processes at random, from a seed

Callers keep their connections and send the next request when the last is answered; some answers are large and read slowly. Two seeds of three hold only planned work: SIGTERM, also twice and during a start, SIGHUP, changes of configuration and restarts of backend servers, in series and overlapping. The others add SIGKILL, SIGSTOP, and lines between nodes and to the platform that delay, reset, cut one way or fall silent.

Checked from what callers and backend servers saw: see tests/soak/checks.py.

--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of real processes: ``python -m tests.soak --seeds 1-50``."""
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,206 @@
+"""One soak: what happens when, from a seed, and its verdict."""
+
+import asyncio
+import random
+import signal
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import NamedTuple
+
+from tests.soak.callers import CallersRunner
+from tests.soak.checks import Broken, check_seen, told
+from tests.soak.lines import FAULTS
+from tests.soak.world import World
+
+_NODES = 5
+_CALLERS = 10
+_MEAN_GAP_S = 1.2
+# At most this many nodes are away at a time.
+_MOST_AWAY = 2
+_RECOVERY_S = 60.0
+_SETTLED_CALLS = 5
+
+
+class SoakOptions(NamedTuple):
+    """How a soak runs.
+
+    :param seconds_s: how long faults are injected.
+    :param grace_s: the nodes' grace time.
+    :param patience_s: how much longer a stop may take before it counts.
+    """
+
+    seed: int
+    folder: Path
+    seconds_s: float = 20.0
+    grace_s: float = 6.0
+    patience_s: float = 0.0
+
+    @property
+    def planned(self) -> bool:
+        """Whether only planned work happens: in two seeds of three."""
+        return self.seed % 3 != 0
+
+
+class SoakReport(NamedTuple):
+    """The end of a soak.
+
+    :param calls: how many requests were answered, by status.
+    """
+
+    broken: list[Broken]
+    calls: Counter[int]
+
+
+class _Script:
+    """Draws what happens next and starts it, beside what is still under way."""
+
+    def __init__(self, world: World, options: SoakOptions) -> None:
+        self._world = world
+        self._rng = random.Random(options.seed)
+        self._tasks: list[asyncio.Task[None]] = []
+        self._away = asyncio.Semaphore(_MOST_AWAY)
+        self._locks = {name: asyncio.Lock() for name in world.nodes}
+        self._backend_locks = {name: asyncio.Lock() for name in world.nodes}
+        self._config = asyncio.Lock()
+        self._kinds: list[Callable[[str, random.Random], Awaitable[None]]] = [
+            self._restart,
+            self._restart,
+            self._restart_backend,
+            self._change_config,
+            self._reload,
+        ]
+        if not options.planned:
+            self._kinds += [self._kill, self._pause, self._kill_backend]
+            self._kinds += [self._break_line, self._break_line, self._break_platform]
+
+    async def run(self, seconds_s: float) -> None:
+        """Let things happen for a time, and wait for their ends."""
+        end_s = time.monotonic() + seconds_s
+        while time.monotonic() < end_s:
+            kind = self._rng.choice(self._kinds)
+            name = self._rng.choice(list(self._locks))
+            rng = random.Random(self._rng.getrandbits(32))
+            self._tasks.append(asyncio.create_task(kind(name, rng)))
+            await asyncio.sleep(self._rng.expovariate(1 / _MEAN_GAP_S))
+        # A change ends only when every node applies it, which is for the recovery.
+        await asyncio.wait(self._tasks, timeout=_RECOVERY_S)
+        for task in self._tasks:
+            if not task.done():
+                self._world.broken.append(Broken("what began ends", str(task)))
+                task.cancel()
+            elif task.exception() is not None:
+                raise task.exception()
+
+    async def _restart(self, name: str, rng: random.Random) -> None:
+        async with self._locks[name], self._away:
+            if rng.random() < 0.3:
+                again = self._world.signal_again(
+                    name, signal.SIGTERM, rng.uniform(0.0, 2.0)
+                )
+                self._tasks.append(asyncio.create_task(again))
+            await self._world.stop_node(name)
+            self._world.start_node(name)
+            if rng.random() < 0.2:
+                await asyncio.sleep(rng.uniform(0.0, 1.0))
+                await self._world.stop_node(name)
+                self._world.start_node(name)
+
+    async def _restart_backend(self, name: str, rng: random.Random) -> None:
+        if name == next(iter(self._locks)):
+            return
+        async with self._backend_locks[name], self._away:
+            await self._world.stop_backend(name)
+            await asyncio.sleep(rng.uniform(0.0, 1.0))
+            self._world.start_backend(name)
+
+    async def _change_config(self, name: str, rng: random.Random) -> None:
+        async with self._config:
+            if not await self._world.change_config():
+                return
+            if rng.random() < 0.5:
+                await self._world.nudge(name)
+            await self._world.wait_in_force()
+
+    async def _reload(self, name: str, rng: random.Random) -> None:
+        self._world.signal_node(name, signal.SIGHUP)
+
+    async def _kill(self, name: str, rng: random.Random) -> None:
+        async with self._locks[name], self._away:
+            self._world.note(f"SIGKILL {name}")
+            self._world.kill_node(name)
+            await asyncio.sleep(rng.uniform(0.0, 3.0))
+            self._world.start_node(name)
+
+    async def _pause(self, name: str, rng: random.Random) -> None:
+        await self._world.pause(name, rng.choice((0.2, 1.0, 3.0, 8.0)))
+
+    async def _kill_backend(self, name: str, rng: random.Random) -> None:
+        if name == next(iter(self._locks)):
+            return
+        async with self._backend_locks[name]:
+            self._world.note(f"SIGKILL backend of {name}")
+            self._world.kill_backend(name)
+            await asyncio.sleep(rng.uniform(0.0, 2.0))
+            self._world.start_backend(name)
+
+    async def _break_line(self, name: str, rng: random.Random) -> None:
+        fault, seconds_s = rng.choice(FAULTS), rng.uniform(0.5, 6.0)
+        await self._world.break_line(name, fault, seconds_s, rng)
+
+    async def _break_platform(self, name: str, rng: random.Random) -> None:
+        fault, seconds_s = rng.choice(FAULTS), rng.uniform(0.5, 6.0)
+        await self._world.break_line("platform", fault, seconds_s, rng)
+
+
+async def run_soak(options: SoakOptions) -> SoakReport:
+    """Run one seed."""
+    options.folder.mkdir(parents=True, exist_ok=True)
+    world = World(
+        options.folder, grace_s=options.grace_s, patience_s=options.patience_s
+    )
+    try:
+        await world.start(_NODES)
+        callers = CallersRunner(world.versions)
+        rng = random.Random(options.seed)
+        for i in range(_CALLERS):
+            name = list(world.nodes)[i % _NODES]
+            port = world.nodes[name].callers_port
+            callers.start(name, port, random.Random(rng.getrandbits(32)))
+        await _Script(world, options).run(options.seconds_s)
+        await _check_recovery(world, callers)
+        await world.stop()
+        await callers.stop()
+    finally:
+        world.kill_all()
+    broken = check_seen(callers.seen, world.runs(), planned=options.planned)
+    calls = Counter(one.status for one in callers.seen)
+    seen = "\n".join(told(one) for one in callers.seen)
+    (options.folder / "seen.txt").write_text(seen + "\n")
+    return SoakReport(world.broken + broken, calls)
+
+
+async def _check_recovery(world: World, callers: CallersRunner) -> None:
+    """See that each node serves again, in the newest configuration."""
+    world.note("recovery")
+    try:
+        async with asyncio.timeout(_RECOVERY_S):
+            await world.wait_in_force()
+            waits = (_wait_for_answers(name, callers) for name in world.nodes)
+            await asyncio.gather(*waits)
+    except TimeoutError:
+        served = Broken("everything is served again after faults", "")
+        world.broken.append(served)
+
+
+async def _wait_for_answers(name: str, callers: CallersRunner) -> None:
+    """Wait until a node's callers got some whole answers in a row."""
+    begin = len(callers.seen)
+    in_row = 0
+    while in_row < _SETTLED_CALLS:
+        await asyncio.sleep(0.1)
+        in_row = 0
+        for one in callers.seen[begin:]:
+            if one.sent.node == name and one.sent.route == 0:
+                in_row = in_row + 1 if one.status == 200 and one.whole else 0
