--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -19,12 +19,11 @@
     :param runs: how often each request ran, by its id.
     :param planned: whether all that happened was planned work.
     """
-    broken = []
-    for one in seen:
-        ran = runs[one.sent.request_id]
-        for promise in _broken_by(one, ran, planned=planned):
-            broken.append(Broken(promise, f"ran {ran} times: {told(one)}"))
-    return broken
+    return [
+        Broken(promise, f"ran {runs[one.sent.request_id]} times: {told(one)}")
+        for one in seen
+        for promise in _broken_by(one, runs[one.sent.request_id], planned=planned)
+    ]
 
 
 def _broken_by(one: Seen, ran: int, *, planned: bool) -> list[str]:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -60,10 +60,11 @@
             self._restart,
             self._restart_backend,
             self._change_config,
-            self._reload,
+            lambda name, _: world.signal_node(name, signal.SIGHUP),
         ]
         if not options.planned:
-            self._kinds += [self._kill, self._pause, self._kill_backend]
+            self._kinds += [self._kill, self._kill_backend]
+            self._kinds += [lambda n, r: world.pause(n, r.choice((0.2, 1.0, 3.0, 8.0)))]
             self._kinds += [self._break_line] * 3
 
     async def run(self, seconds_s: float) -> None:
@@ -119,18 +120,12 @@
                 await call_node(url, "/refresh", method="POST")
             await self._world.wait_in_force()
 
-    async def _reload(self, name: str, rng: random.Random) -> None:
-        await self._world.signal_node(name, signal.SIGHUP)
-
     async def _kill(self, name: str, rng: random.Random) -> None:
         async with self._locks[name], self._away:
             self._world.kill_node(name)
             await asyncio.sleep(rng.uniform(0.0, 3.0))
             self._world.start_node(name)
 
-    async def _pause(self, name: str, rng: random.Random) -> None:
-        await self._world.pause(name, rng.choice((0.2, 1.0, 3.0, 8.0)))
-
     async def _break_line(self, name: str, rng: random.Random) -> None:
         target, fault = rng.choice((name, name, "platform")), rng.choice(FAULTS)
         self._world.note(f"line to {target}: {fault}")
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -8,7 +8,7 @@
 import time
 from collections import Counter
 from pathlib import Path
-from subprocess import DEVNULL, Popen
+from subprocess import DEVNULL, Popen, TimeoutExpired
 
 from burdockdock.clock import SystemClock
 from burdockdock.configuration.acceptance import Accepted, accept_over_newest
@@ -22,7 +22,6 @@
 from tests.soak.lines import Line
 
 _LINES_VARIABLE = "SOAK_LINES"
-_POLL_S = 0.02
 _STATUS_POLL_S = 0.1
 _ZONES = 2
 _ALWAYS = (
@@ -233,10 +232,11 @@
 
 
 async def _is_gone(process: Popen, patience_s: float) -> bool:
-    end_s = time.monotonic() + patience_s
-    while process.poll() is None and time.monotonic() < end_s:
-        await asyncio.sleep(_POLL_S)
-    return process.poll() is not None
+    try:
+        await asyncio.to_thread(process.wait, patience_s)
+    except TimeoutExpired:
+        return False
+    return True
 
 
 def _routes(number: int) -> str:
