Keep answers on their way from filling a node's link

What callers saw: 504 for calls that a gate had refused at once, and for calls that ran in time: everything that the nodes of a service with large answers sent took up to 1 s. Cause: a gate handed whole answers to its connections as fast as the backend server made them, 256 KiB a call and more, and gave the slot free at that. Nothing held the gate back when its link took less than the backend server made, so that answers piled up in the connections, with refusals, greetings and heads behind them. Ruled out: busy nodes, as calls reached the same nodes in 1 ms at the same time; slow ways between zones, 1 to 2 ms at other times. Change: all answers on their way from one gate have 128 KiB together by credit, each 16 KiB at least, in pieces of 32 KiB; only a short answer goes with its head. The slot is held until the rest is on its way, so that a full link fills the slots and calls go elsewhere. Tests: test_few_bytes_are_on_their_way_at_a_time failed before; the other one, of the order of an answer's bytes, passes with either.

--- a/burdockdock/gate/call_server.py
+++ b/burdockdock/gate/call_server.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from burdockdock.coordination.verdict import Failure, Verdict
-from burdockdock.gate.gate import Gate
+from burdockdock.gate.gate import PIECE_BYTES, Gate
 from burdockdock.protocol import FrameConnection, Message, SendWindow, WindowClosed
 from burdockdock.protocol.calls import (
     AnswerHead,
@@ -149,10 +149,17 @@
 
     def send_head(self, head: AnswerHead) -> None:
         """Begin the answer."""
+        self.window.resize(self._gate.answer_window_bytes)
         self._connection.send(frame_answer_head(self._call_id, head))
 
     async def send_body(self, data: bytes, *, end: bool) -> None:
         """Send a piece of the answer once the receiver has room for it."""
+        while len(data) > PIECE_BYTES:
+            await self._send_piece(data[:PIECE_BYTES], end=False)
+            data = data[PIECE_BYTES:]
+        await self._send_piece(data, end=end)
+
+    async def _send_piece(self, data: bytes, *, end: bool) -> None:
         if data:
             await self.window.reserve(len(data))
         self._connection.send(
--- a/burdockdock/gate/curl_client.py
+++ b/burdockdock/gate/curl_client.py
@@ -217,9 +217,10 @@
             self._client.resume(self)
         return data
 
-    def take_ready_body(self) -> tuple[bytes, bool]:
-        """Return what has arrived of the body, and whether that is all of it."""
+    def take_ready_body(self, *, most_bytes: int) -> tuple[bytes, bool]:
+        """Return a short body that has arrived whole, and whether it has."""
         ended = self._done and self._result is None
+        ended = ended and self._incoming_bytes <= most_bytes
         data = b"".join(self._incoming) if ended else b""
         if ended:
             self._incoming.clear()
--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -29,6 +29,12 @@
 # Other nodes learn within this that the backend server leaves; what is on its way
 # until then is still served.
 _LEAVE_NOTICE_S = 1.0
+# Answers on their way from one gate, all together; at 10 Mbit/s other messages wait for
+# 0.1 s behind them. A few calls may exceed it, each by its smallest share.
+_ANSWERS_BYTES = 128 * 1024
+_SMALLEST_SHARE_BYTES = 16 * 1024
+# The longest piece of an answer in one frame.
+PIECE_BYTES = 32 * 1024
 # A wait in vain ends this long before the deadline, for the refusal's way back.
 _REFUSAL_WAY_S = 0.005
 
@@ -81,6 +87,12 @@
         """Calls that run or wait here."""
         return self._limiter.in_use + self._limiter.queued
 
+    @property
+    def answer_window_bytes(self) -> int:
+        """Bytes of one answer that may be on their way, so that none fills the link."""
+        share_bytes = _ANSWERS_BYTES // max(1, self._limiter.in_use)
+        return max(_SMALLEST_SHARE_BYTES, share_bytes)
+
     def results(self, route: str) -> GateResults:
         """Return what callers' nodes need to know of this gate's latest calls."""
         return self._results.of_route(route)
@@ -290,7 +302,7 @@
         stream: CallStream,
     ) -> bool:
         """Pass the answer on; return whether it was whole."""
-        data, ended = transfer.take_ready_body()
+        data, ended = transfer.take_ready_body(most_bytes=PIECE_BYTES)
         stream.send_head(
             AnswerHead(
                 head.status,
--- a/burdockdock/protocol/flow.py
+++ b/burdockdock/protocol/flow.py
@@ -13,6 +13,7 @@
     """Counts the bytes that the receiver is ready to take."""
 
     def __init__(self, *, size_bytes: int = WINDOW_BYTES) -> None:
+        self._size_bytes = size_bytes
         self._credit_bytes = size_bytes
         self._closed = False
         self._changed = asyncio.Event()
@@ -36,6 +37,11 @@
         self._credit_bytes += size_bytes
         self._changed.set()
 
+    def resize(self, size_bytes: int) -> None:
+        """Change how many bytes may be on their way."""
+        self.grant(size_bytes - self._size_bytes)
+        self._size_bytes = size_bytes
+
     def close(self) -> None:
         """Wake the sender for good."""
         self._closed = True
--- /dev/null
+++ b/tests/gate/test_call_server.py
@@ -0,0 +1,63 @@
+"""Tests of answers on their way to another node."""
+
+import asyncio
+
+import testtools
+
+from burdockdock.clock import ManualClock
+from burdockdock.gate.call_server import _ServedCall
+from burdockdock.gate.gate import Gate
+from burdockdock.metrics import Metrics
+from burdockdock.protocol.calls import AnswerHead
+from tests.proxy.fake_connection import FakeConnection
+from tests.support import PATIENCE_S, async_test
+
+_ANSWER = bytes(200 * 1024)
+
+
+class AnswerTest(testtools.TestCase):
+    """Tests of one large answer."""
+
+    def _begin(self, calls: int) -> tuple[FakeConnection, _ServedCall]:
+        """Begin an answer of a gate with some calls at its backend server."""
+        gate = Gate(clock=ManualClock(), metrics=Metrics())
+        gate._limiter._in_use = calls
+        connection = FakeConnection()
+        call = _ServedCall(1, connection, gate, route="r", idempotent=True)
+        call.send_head(AnswerHead(200, "OK", ()))
+        return connection, call
+
+    def _sent_bytes(self, connection: FakeConnection) -> int:
+        return sum(len(m.answerBody.data) for m in connection.sent[1:])
+
+    async def _sent_without_credit(self, calls: int) -> int:
+        connection, call = self._begin(calls)
+        task = asyncio.create_task(call.send_body(_ANSWER, end=True))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        self.assertFalse(task.done())
+        task.cancel()
+        return self._sent_bytes(connection)
+
+    @async_test
+    async def test_few_bytes_are_on_their_way_at_a_time(self) -> None:
+        alone_bytes = await self._sent_without_credit(1)
+        self.assertLessEqual(alone_bytes, 160 * 1024)
+        among_bytes = await self._sent_without_credit(8)
+        self.assertLessEqual(8 * among_bytes, 2 * alone_bytes)
+
+    @async_test
+    async def test_credit_brings_all_of_it_in_order(self) -> None:
+        connection, call = self._begin(8)
+        answer = bytes(i % 251 for i in range(len(_ANSWER)))
+        task = asyncio.create_task(call.send_body(answer, end=True))
+        granted_bytes = 0
+        async with asyncio.timeout(PATIENCE_S):
+            while not task.done():
+                await asyncio.sleep(0)
+                sent_bytes = self._sent_bytes(connection)
+                call.window.grant(sent_bytes - granted_bytes)
+                granted_bytes = sent_bytes
+        bodies = [m.answerBody for m in connection.sent[1:]]
+        self.assertEqual(answer, b"".join(body.data for body in bodies))
+        self.assertEqual([False] * (len(bodies) - 1) + [True], [b.end for b in bodies])
