Bound what a lost zone, a short grace time and a used address cost

Change: at most 16 suspects asked a period over one list, one broadcast of refutations a second; the link is retired on other_node; the notice takes three fifths of the time to the close at most. Tests: two, one each for (2) and (3); (1) has none of its own, those of the fleet pass.

--- a/burdockdock/node/draining.py
+++ b/burdockdock/node/draining.py
@@ -23,6 +23,8 @@
 # What the last answers take on their way, before the close.
 _LAST_ANSWERS_S = 0.4
 _POLL_S = 0.02
+# Where the grace time is short, the share of it that the notice takes.
+_MOST_OF_NOTICE = 0.6
 # What the largest window of answers takes on a slow way to another node.
 _FINISH_S = 1.5
 # Calls that crossed the close still get their refusals within this.
@@ -48,8 +50,9 @@
     """Return the times for a node's settings."""
     asked = settings.readiness[1] > 0
     longest_s = (settings.grace_period_s or float("inf")) - _CLOSE_S
+    notice_s = _LEAVE_READINESS_S if asked else _LEAVE_SPREAD_S
     return DrainTiming(
-        notice_s=_LEAVE_READINESS_S if asked else _LEAVE_SPREAD_S,
+        notice_s=min(notice_s, longest_s * _MOST_OF_NOTICE),
         answer_s=longest_s - _LAST_ANSWERS_S,
         longest_s=longest_s,
         last_calls_s=settings.drain_timeout_s,
--- a/burdockdock/overlay/failure_detector.py
+++ b/burdockdock/overlay/failure_detector.py
@@ -27,6 +27,10 @@
 # The trees have delivered by then where they can.
 _NEWS_DELAY_S = 0.1
 _INDIRECT_PROBES = 3
+# Suspects asked again in one period; the others wait for theirs.
+_MOST_ASKED = 16
+# Own entries sent to everyone by this node's refutations, at most one in this time.
+_REFUTATION_INTERVAL_S = 1.0
 _KNOCK_PERIODS = 5
 
 
@@ -119,6 +123,7 @@
         self._order: list[str] = []
         self._suspected: dict[str, _Suspicion] = {}
         self._periods = 0
+        self._refuted_s = float("-inf")
         self._news: asyncio.TimerHandle | None = None
         membership.subscribe(self._on_change)
         datagrams.on("ping", self._on_ping)
@@ -182,15 +187,17 @@
         try:
             if await self._acked(future, self._timing.ack_timeout_s):
                 return True
-            self._ask_helpers(target, sequence)
+            self._ask_helpers(target, self._helpers(target), sequence)
             left_s = self._timing.period_s - self._timing.ack_timeout_s
             return await self._acked(future, left_s)
         finally:
             self._acks.pop(sequence, None)
 
-    def _ask_helpers(self, target: Member, sequence: int = 0) -> None:
+    def _ask_helpers(
+        self, target: Member, helpers: list[Member], sequence: int = 0
+    ) -> None:
         """Let a few others probe a member."""
-        for helper in self._helpers(target):
+        for helper in helpers:
             self._datagrams.send(
                 (helper.host, helper.port),
                 "pingRequest",
@@ -244,11 +251,15 @@
 
     def _ask_suspects(self) -> None:
         """Ask the members again that did not answer this node."""
-        for node_id, suspicion in self._suspected.items():
+        probed = [key for key, s in self._suspected.items() if s.probed]
+        if not probed:
+            return
+        helpers = self._others(_INDIRECT_PROBES)
+        for node_id in self._rng.sample(probed, min(_MOST_ASKED, len(probed))):
             member = self._membership.get(node_id)
-            if suspicion.probed and member is not None:
+            if member is not None:
                 self.ping(member)
-                self._ask_helpers(member)
+                self._ask_helpers(member, [h for h in helpers if h.node_id != node_id])
 
     def _confirm_suspects(self) -> None:
         """Take suspects for dead that did not refute, and none on hearsay."""
@@ -308,6 +319,13 @@
         fields = self._state_fields(sequence, self._doubted(member.node_id))
         self._datagrams.send((member.host, member.port), "ping", **fields)
 
+    def _spread_refutation(self) -> None:
+        """Send this node's entry to everyone, unless it was only just sent."""
+        now_s = self._clock.monotonic()
+        if now_s - self._refuted_s >= _REFUTATION_INTERVAL_S:
+            self._refuted_s = now_s
+            self._spread(self._membership.own)
+
     def _doubted(self, node_id: str) -> Member | None:
         """Return the entry of a member that it must hear of to refute it."""
         member = self._membership.get(node_id)
@@ -366,7 +384,7 @@
             if news is not None:
                 self._gossip.add(news)
         if self._membership.own != own:
-            self._spread(self._membership.own)
+            self._spread_refutation()
         self._on_digest(
             PeerDigest(
                 state.nodeId,
--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -192,7 +192,10 @@
                 return found
             link = found
         if link.peer.node_id != member.node_id:
-            return Failure(Verdict.NOT_RUN, "other_node", link.peer.node_id)
+            # It may be gone without a word, and its address used by this member.
+            peer_id = link.peer.node_id
+            self._links.retire(peer_id, member.host, member.port, reason="other_node")
+            return Failure(Verdict.NOT_RUN, "other_node", peer_id)
         if await self._is_silent(link):
             return Failure(Verdict.NOT_RUN, "peer_silent", member.node_id)
         if self._left_ms(call) <= 0:
--- a/tests/node/test_draining.py
+++ b/tests/node/test_draining.py
@@ -8,7 +8,7 @@
 
 from burdockdock.clock import SystemClock
 from burdockdock.node import draining
-from burdockdock.node.draining import DrainTiming, drain
+from burdockdock.node.draining import DrainTiming, drain, drain_timing
 from tests.support import async_test
 
 _TIMING = DrainTiming(notice_s=0.0, answer_s=29.0, longest_s=30.0, last_calls_s=30.0)
@@ -133,3 +133,10 @@
         self.assertFalse(context.may_wait)
         gate.idle.set()
         await stopping
+
+    def test_the_notice_leaves_time_to_end_calls_in_a_short_grace_time(self) -> None:
+        settings = SimpleNamespace(
+            readiness=("h", 1), grace_period_s=3.0, drain_timeout_s=60.0
+        )
+        timing = drain_timing(settings)
+        self.assertTrue(timing.notice_s < timing.answer_s < timing.longest_s < 3.0)
--- a/tests/proxy/test_running_answers.py
+++ b/tests/proxy/test_running_answers.py
@@ -105,3 +105,17 @@
             self._change_entry(fleet, state=MemberState.DEAD)
             self.assertIsNot(link, await links.get(member.host, member.port))
             await caller.rest_bytes()
+
+    @async_test
+    async def test_a_connection_to_another_node_at_an_address_is_given_up(self) -> None:
+        async with running_fleet("a", "b") as fleet:
+            await fleet.add_backend("b")
+            await fleet.apply()
+            node = fleet.nodes["a"]
+            member = node.membership.get("b")
+            link = await node.links.get(member.host, member.port)
+            link.peer = link.peer._replace(node_id="earlier")
+            caller = _SlowCaller()
+            await caller.begin(fleet)
+            self.assertTrue(link.closed)
+            self.assertEqual(_ANSWER_BYTES, await caller.rest_bytes())
