Log what a fetch was caused by, how long it took and what it brought

What callers saw: 404 on routes that exist, for seconds after a long version. The logs could not tell whether fetches wait for one source's link, for its work, or come from the small versions that follow. sync.ended says cause, source, bytes and times of each exchange; sync.answered the size and the work of each reply that carries records. No logic has changed.

--- a/burdockdock/node/peer_server.py
+++ b/burdockdock/node/peer_server.py
@@ -92,12 +92,14 @@
                     continue
                 if message.which() != "syncRequest":
                     raise ProtocolError(f"unexpected {message.which()}")
-                self._answer_sync(connection, message)
+                self._answer_sync(connection, message, peer.node_id)
         finally:
             calls.close()
 
-    def _answer_sync(self, connection: FrameConnection, message: Message) -> None:
-        reply = self._sync_server.reply_to(message.syncRequest)
+    def _answer_sync(
+        self, connection: FrameConnection, message: Message, peer_id: str
+    ) -> None:
+        reply = self._sync_server.reply_to(message.syncRequest, peer=peer_id)
         self.sync_sent_bytes += len(reply)
         self.sync_received_bytes += message.total_size.word_count * WORD_BYTES
         connection.send(reply)
--- a/burdockdock/overlay/spread.py
+++ b/burdockdock/overlay/spread.py
@@ -46,7 +46,8 @@
     The trees differ, so that a member is missed only when its parents in both are
     lost; the exchange of digests finds it then.
 
-    :param pull: called with a member's id when its news must be fetched.
+    :param pull: called with a member's id, and the cause as a keyword, when its news
+        must be fetched.
     """
 
     def __init__(
@@ -57,7 +58,7 @@
         records: RecordStore,
         datagrams: Datagrams,
         deltas: dict[str, DeltaCodec],
-        pull: Callable[[str], None],
+        pull: Callable[..., None],
     ) -> None:
         self._membership = membership
         self._records = records
@@ -144,7 +145,7 @@
         if notice.version <= self._records.version(notice.key):
             return
         if not notice.deflatedDelta:
-            self._pull(sender_id)
+            self._pull(sender_id, cause="notice")
             return
         record = Record(notice.key, notice.version, _inflate(notice.deflatedDelta))
         self._take_record(record, notice.baseVersion, sender_id)
@@ -156,7 +157,7 @@
         if base_version:
             whole = self._whole(record, base_version)
             if whole is None:
-                self._pull(sender_id)
+                self._pull(sender_id, cause="delta")
                 return
             record = whole
         if self._records.put(record):
--- a/burdockdock/overlay/sync.py
+++ b/burdockdock/overlay/sync.py
@@ -51,12 +51,17 @@
         self._membership = membership
         self._records = records
         self._deltas = deltas
+        self._clock = clock
         self._budget = TokenBucket(
             rate_per_s=_BYTES_PER_S, burst=_BURST_BYTES, clock=clock
         )
 
-    def reply_to(self, request: Message) -> bytes:
-        """Return the frame that answers a request."""
+    def reply_to(self, request: Message, *, peer: str = "") -> bytes:
+        """Return the frame that answers a request.
+
+        :param peer: id of the node that asked, for the logs.
+        """
+        started_s = self._clock.monotonic()
         for packed in request.members:
             merge_member(self._membership, packed)
         versions = {entry.key: entry.version for entry in request.versions}
@@ -70,12 +75,22 @@
         size_bytes += len(members) * _MEMBER_BYTES
         if not self._budget.try_take(size_bytes):
             return frame("syncReply", busy=True)
-        return frame(
+        reply = frame(
             "syncReply",
             records=records,
             members=[pack_member(member) for member in members],
             differingBuckets=sorted(differing),
         )
+        if records:
+            log_event(
+                "sync.answered",
+                peer=peer,
+                keys=len(records),
+                base_version=versions.get(records[0]["key"], 0),
+                size_bytes=len(reply),
+                work_s=self._clock.monotonic() - started_s,
+            )
+        return reply
 
     def _pack(self, record: Record, known_version: int) -> dict[str, Any]:
         codec = self._deltas.get(record.key)
@@ -93,6 +108,21 @@
         return {i for i, digest in enumerate(digests) if digest != own[i]}
 
 
+class _Progress:
+    """How far an exchange came.
+
+    :param cause: what let this node ask.
+    :param started_s: monotonic seconds.
+    """
+
+    def __init__(self, cause: str, started_s: float) -> None:
+        self.cause = cause
+        self.started_s = started_s
+        self.greeted_s = 0.0
+        self.records = 0
+        self.received_bytes = 0
+
+
 class SyncClient:
     """Fetches what this node lacks from other nodes.
 
@@ -128,21 +158,46 @@
         self.sent_bytes = 0
         self.received_bytes = 0
 
-    async def sync_with(self, host: str, port: int) -> PeerIdentity | Failure:
-        """Exchange state with the node at an address."""
+    async def sync_with(
+        self, host: str, port: int, *, cause: str = "join"
+    ) -> PeerIdentity | Failure:
+        """Exchange state with the node at an address.
+
+        :param cause: what let this node ask, for the logs.
+        """
+        progress = _Progress(cause, self._clock.monotonic())
+        outcome = await self._exchange_in_time(host, port, progress)
+        log_event(
+            "sync.ended",
+            peer=f"{host}:{port}",
+            cause=progress.cause,
+            reason=outcome.reason if isinstance(outcome, Failure) else "done",
+            records=progress.records,
+            received_bytes=progress.received_bytes,
+            greeted_s=progress.greeted_s,
+            seconds_s=self._clock.monotonic() - progress.started_s,
+        )
+        return outcome
+
+    async def _exchange_in_time(
+        self, host: str, port: int, progress: "_Progress"
+    ) -> PeerIdentity | Failure:
         try:
             async with asyncio.timeout(_TIMEOUT_S):
-                return await self._exchange(host, port)
+                return await self._exchange(host, port, progress)
         except TimeoutError:
             return Failure(Verdict.MAY_HAVE_RUN, "sync_timeout", f"{host}:{port}")
         except (OSError, StreamClosedError, ValueError, *MALFORMED) as error:
             return Failure(Verdict.MAY_HAVE_RUN, "sync_failed", str(error))
 
-    def pull_from(self, node_id: str) -> None:
-        """Fetch the records of a member in the background."""
+    def pull_from(self, node_id: str, *, cause: str) -> None:
+        """Fetch the records of a member in the background.
+
+        :param cause: what let this node ask, for the logs.
+        """
         member = self._membership.get(node_id)
         if member is not None:
-            self._start_pull((member.host, member.port), settle_s=0.0)
+            self._start_pull((member.host, member.port), cause, settle_s=0.0)
 
     def compare(self, digest: PeerDigest) -> None:
         """Fetch from a peer whose digest shows that this node lacks something."""
@@ -164,22 +219,22 @@
     def _pull_if_still(self, digest: PeerDigest) -> None:
         """Wait for news on its way, then fetch if nothing changed meanwhile."""
         settle_s = _SETTLE_S * self._rng.uniform(0.5, 1.5)
-        self._start_pull(digest.address, settle_s=settle_s)
+        self._start_pull(digest.address, "digest", settle_s=settle_s)
 
-    def _start_pull(self, address: Address, *, settle_s: float) -> None:
+    def _start_pull(self, address: Address, cause: str, *, settle_s: float) -> None:
         """Start a fetch; a peer that does not answer holds no other fetch up."""
         if address in self._pulling or len(self._pulling) >= _MAX_PULLS:
             return
-        task = asyncio.create_task(self._pull(address, settle_s))
+        task = asyncio.create_task(self._pull(address, cause, settle_s))
         self._pulling[address] = task
         task.add_done_callback(lambda _: self._pulling.pop(address, None))
 
-    async def _pull(self, address: Address, settle_s: float) -> None:
+    async def _pull(self, address: Address, cause: str, settle_s: float) -> None:
         before = (self._records.digest, self._membership.digest)
         await asyncio.sleep(settle_s)
         if settle_s and (self._records.digest, self._membership.digest) != before:
             return
-        result = await self.sync_with(*address)
+        result = await self.sync_with(*address, cause=cause)
         if isinstance(result, Failure):
             log_event(
                 "sync.failed",
@@ -188,7 +243,9 @@
                 detail=result.detail,
             )
 
-    async def _exchange(self, host: str, port: int) -> PeerIdentity | Failure:
+    async def _exchange(
+        self, host: str, port: int, progress: "_Progress"
+    ) -> PeerIdentity | Failure:
         async with asyncio.timeout(_CONNECT_TIMEOUT_S):
             stream = await self._tcp.connect(host, port)
         connection = FrameConnection(stream)
@@ -196,10 +253,12 @@
             peer = await greet(connection, self._own)
             if isinstance(peer, Failure):
                 return peer
+            progress.greeted_s = self._clock.monotonic() - progress.started_s
             reply = await self._ask(connection, members=True, pushed=[])
             if reply is None or reply.busy:
                 return Failure(Verdict.NOT_RUN, "peer_busy", f"{host}:{port}")
             differing = set(reply.differingBuckets)
+            progress.records = len(reply.records)
             self._take_in(reply)
             if differing:
                 pushed = self._membership.in_buckets(differing)
@@ -210,6 +269,7 @@
             connection.close()
             self.sent_bytes += connection.sent_bytes
             self.received_bytes += connection.received_bytes
+            progress.received_bytes = connection.received_bytes
 
     async def _ask(
         self, connection: FrameConnection, *, members: bool, pushed: list[Member]
--- a/tests/overlay/test_spread.py
+++ b/tests/overlay/test_spread.py
@@ -72,7 +72,7 @@
             records=self.records,
             datagrams=self,
             deltas={CONFIG_KEY: self._counted(asked)},
-            pull=lambda node_id: network.pulls.append((index, node_id)),
+            pull=lambda node_id, cause: network.pulls.append((index, node_id)),
         )
         self.server = SyncServer(
             membership=self.membership,
--- a/tests/overlay/test_sync.py
+++ b/tests/overlay/test_sync.py
@@ -33,7 +33,9 @@
             rng=random.Random(1),
         )
 
-    async def sync_with(self, host: str, port: int) -> PeerIdentity | Failure:
+    async def sync_with(
+        self, host: str, port: int, *, cause: str = ""
+    ) -> PeerIdentity | Failure:
         """Note who is asked."""
         self.asked.append((host, port))
         if (host, port) == _SILENT:
