Let a test give the connection that a fetch goes over

No change in effect: SyncClient gets an option connect, which opens a TCP stream as before unless told otherwise. Tests of fetches over links of a given speed need it.

--- a/burdockdock/overlay/sync.py
+++ b/burdockdock/overlay/sync.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from tornado.iostream import StreamClosedError
@@ -36,6 +36,8 @@
 _BURST_BYTES = 16_000_000
 _MEMBER_BYTES = 160
 
+Connect = Callable[[str, int], Awaitable[FrameConnection]]
+
 
 class SyncServer:
     """Answers other nodes' requests, within a budget of bytes."""
@@ -100,6 +102,7 @@
 
     :param pass_on: called with each record that was new, and with the version that
         it replaced.
+    :param connect: opens a connection to an address, over TCP unless told otherwise.
     """
 
     def __init__(
@@ -112,6 +115,7 @@
         pass_on: Callable[[Record, int], None],
         clock: Clock,
         rng: random.Random,
+        connect: Connect | None = None,
     ) -> None:
         self._own = own
         self._membership = membership
@@ -120,7 +124,7 @@
         self._pass_on = pass_on
         self._clock = clock
         self._rng = rng
-        self._tcp = TCPClient()
+        self._connect = connect or _tcp_connect()
         self._pulling: dict[Address, asyncio.Task[None]] = {}
         self._wanted_whole: set[str] = set()
         self._last_member_sync_s = float("-inf")
@@ -190,8 +194,7 @@
 
     async def _exchange(self, host: str, port: int) -> PeerIdentity | Failure:
         async with asyncio.timeout(_CONNECT_TIMEOUT_S):
-            stream = await self._tcp.connect(host, port)
-        connection = FrameConnection(stream)
+            connection = await self._connect(host, port)
         try:
             peer = await greet(connection, self._own)
             if isinstance(peer, Failure):
@@ -253,3 +256,13 @@
         self._wanted_whole.discard(record.key)
         if self._records.put(record):
             self._pass_on(record, before)
+
+
+def _tcp_connect() -> Connect:
+    """Return a function that opens connections over TCP."""
+    client = TCPClient()
+
+    async def connect(host: str, port: int) -> FrameConnection:
+        return FrameConnection(await client.connect(host, port))
+
+    return connect
