Deny no route on a configuration that is known to be old

A caller never repeats a 404. Class: a verdict given on knowledge known to be old. Change: records note the newest version that was heard of (RecordStore.hear); probes and their answers name the sender's configuration version; where a version is lacking, a request without a route gets 503, not run, configuration_behind. A version that was refused here is not waited for. Nodes of earlier releases name none. Looked at and left: policies, weights and services go on being served from the older version until the newer one is here, since refusing would harm callers more.

--- a/burdockdock/coordination/records.py
+++ b/burdockdock/coordination/records.py
@@ -27,6 +27,7 @@
         self._accept = accept
         self._records: dict[str, Record] = {}
         self._refused: dict[str, int] = {}
+        self._heard: dict[str, int] = {}
         self._digest = 0
         self._version_sum = 0
         self._listeners: list[Callable[[Record], None]] = []
@@ -56,6 +57,16 @@
         keys = self._records.keys() | self._refused.keys()
         return {key: self.version(key) for key in keys}
 
+    def hear(self, key: str, version: int) -> None:
+        """Note that a version exists, whether or not its value is known here."""
+        if version > self._heard.get(key, 0):
+            self._heard[key] = version
+
+    def lacking(self, key: str) -> int:
+        """Return the newest version known to exist that was not seen here, or 0."""
+        heard = self._heard.get(key, 0)
+        return heard if heard > self.version(key) else 0
+
     def subscribe(self, listener: Callable[[Record], None]) -> None:
         """Call a function with each record that is stored."""
         self._listeners.append(listener)
--- a/burdockdock/node/overlay_parts.py
+++ b/burdockdock/node/overlay_parts.py
@@ -8,7 +8,7 @@
 from burdockdock.coordination.ranking import MemberRanking
 from burdockdock.coordination.records import RecordStore
 from burdockdock.metrics import Metrics
-from burdockdock.node.config_state import ConfigState
+from burdockdock.node.config_state import CONFIG_KEY, ConfigState
 from burdockdock.node.notices import tell_in_force, tell_late
 from burdockdock.node.notifier import Notifier
 from burdockdock.overlay.applied import AppliedTracker
@@ -75,6 +75,7 @@
         rng=rng,
         on_digest=sync.compare,
         spread=spreader.start_member,
+        head_key=CONFIG_KEY,
     )
     records.subscribe(lambda _: detector.tell_news())
     applied = AppliedTracker(
--- a/burdockdock/node/relay.py
+++ b/burdockdock/node/relay.py
@@ -120,8 +120,9 @@
         self._spread(Record(found.key, version, order.encode()))
 
     async def _take_head(self, found: PlatformObject) -> bool:
+        version = self._source.version_of(found)
+        self._records.hear(CONFIG_KEY, version)
         async with self._reading:
-            version = self._source.version_of(found)
             if version <= self._records.version(CONFIG_KEY):
                 return True
             document = await self._source.read(self._platform, found)
--- a/burdockdock/overlay/failure_detector.py
+++ b/burdockdock/overlay/failure_detector.py
@@ -80,6 +80,8 @@
     """What a peer's message says of its state.
 
     :param address: where it came from; the peer may not be a member yet.
+    :param head_version: its version of the record that every node names, 0 where it
+        names none.
     """
 
     node_id: str
@@ -87,6 +89,7 @@
     record_digest: int
     record_sum: int
     address: Address
+    head_version: int = 0
 
 
 class FailureDetector:
@@ -94,6 +97,8 @@
 
     :param on_digest: told what each message says of its sender's state.
     :param spread: sends an entry to all members at once; rumours take seconds.
+    :param head_key: key of the record whose version each message names, so that a
+        node that lacks the newest one knows it.
     """
 
     def __init__(
@@ -107,6 +112,7 @@
         on_digest: Callable[[PeerDigest], None],
         spread: Callable[[Member], None],
         timing: DetectorTiming | None = None,
+        head_key: str = "",
     ) -> None:
         self._membership = membership
         self._records = records
@@ -115,6 +121,7 @@
         self._rng = rng
         self._on_digest = on_digest
         self._spread = spread
+        self._head_key = head_key
         self._timing = timing or DetectorTiming()
         self._gossip = GossipQueue()
         self._sequence = 0
@@ -347,6 +354,7 @@
             "memberDigest": self._membership.digest,
             "recordDigest": self._records.digest,
             "recordSum": self._records.version_sum,
+            "headVersion": self._records.version(self._head_key),
         }
 
     def _on_ping(self, ping: Message, address: Address) -> None:
@@ -385,6 +393,7 @@
                 self._gossip.add(news)
         if self._membership.own != own:
             self._spread_refutation()
+        self._records.hear(self._head_key, state.headVersion)
         self._on_digest(
             PeerDigest(
                 state.nodeId,
@@ -392,5 +401,6 @@
                 state.recordDigest,
                 state.recordSum,
                 address,
+                state.headVersion,
             )
         )
--- a/burdockdock/protocol/messages.capnp
+++ b/burdockdock/protocol/messages.capnp
@@ -137,6 +137,7 @@
   memberDigest @4 :UInt64;
   recordDigest @5 :UInt64;
   recordSum @6 :UInt64;
+  headVersion @7 :UInt64;
 }
 
 struct PingRequest {
@@ -151,6 +152,7 @@
   version @1 :UInt64;
   baseVersion @2 :UInt64;
   value @3 :Data;
+  deflated @4 :Bool;
 }
 
 struct Spread {
@@ -180,6 +182,7 @@
   versions @0 :List(KeyVersion);
   bucketDigests @1 :List(UInt64);
   members @2 :List(Member);
+  takesDeflated @3 :Bool;
 }
 
 struct SyncReply {
@@ -187,6 +190,8 @@
   members @1 :List(Member);
   differingBuckets @2 :List(UInt16);
   busy @3 :Bool;
+  sources @4 :List(Text);
+  withheld @5 :List(KeyVersion);
 }
 
 struct AppliedEntry {
--- a/burdockdock/proxy/call_factory.py
+++ b/burdockdock/proxy/call_factory.py
@@ -5,7 +5,7 @@
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from burdockdock.configuration.lookup import draw_service, find_route, policy_for
-from burdockdock.configuration.model import Route
+from burdockdock.configuration.model import Route, Snapshot
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.gate.headers import CallHeaders
 from burdockdock.protocol.calls import CallRequest, Headers
@@ -45,7 +45,7 @@
     path = start_line.path.partition("?")[0]
     route = find_route(snapshot, host=headers.get("Host", ""), path=path)
     if route is None:
-        return Failure(Verdict.NOT_RUN, "no_route", f"no route for {path}")
+        return _without_route(snapshot, path, context.lacking_version())
     names = context.headers
     depth = _integer(headers.get(names.depth), 0) if names.depth else 0
     if depth >= _MAX_DEPTH:
@@ -98,6 +98,14 @@
     )
 
 
+def _without_route(snapshot: Snapshot, path: str, lacking_version: int) -> Failure:
+    """Return why a request has no route: a newer version may have one."""
+    if lacking_version:
+        detail = f"version {lacking_version} is on its way, {snapshot.version} is here"
+        return Failure(Verdict.NOT_RUN, "configuration_behind", detail)
+    return Failure(Verdict.NOT_RUN, "no_route", f"no route for {path}")
+
+
 def _before_stop(context: CallContext, timeout_ms: int, now_s: float) -> int:
     """Return the milliseconds that are left to a call; a stopping node has few."""
     left_ms = max(0.0, context.answer_by_s - now_s) * 1000
