--- a/tests/overlay/link_network.py
+++ b/tests/overlay/link_network.py
@@ -166,13 +166,13 @@
         self.up.put(flow, _Packet(size_bytes, leave))
 
 
-class _Stream:
+class LinkStream:
     """One end of a stream, with what a connection uses of a tornado stream."""
 
     def __init__(self, flow: int, path: _Path) -> None:
         self._flow = flow
         self._path = path
-        self._peer: _Stream | None = None
+        self._peer: LinkStream | None = None
         self._unsent: deque[bytes] = deque()
         self._under_way = 0
         self._unleft_bytes = 0
@@ -185,7 +185,7 @@
         self._on_close: Callable[[], None] = lambda: None
         self.error: OSError | None = None
 
-    def join(self, peer: "_Stream") -> None:
+    def join(self, peer: "LinkStream") -> None:
         """Connect this end to the other one."""
         self._peer = peer
 
@@ -194,7 +194,7 @@
         self._path.send(self._flow, _HEADER_BYTES, arrived=arrived)
 
     @property
-    def socket(self) -> "_Stream":
+    def socket(self) -> "LinkStream":
         """The end that can be shut down."""
         return self
 
@@ -503,7 +503,7 @@
         now_s = asyncio.get_running_loop().time()
         version = self.nodes[client].config.snapshot.version
         self.fetches.append(Fetch(now_s, client, server, version))
-        near, far = self._new_stream(client, server)
+        near, far = self.new_stream(client, server)
         opened = asyncio.Event()
 
         def accept() -> None:
@@ -518,11 +518,11 @@
             raise
         return FrameConnection(near)
 
-    def _new_stream(self, client: int, server: int) -> tuple[_Stream, _Stream]:
-        """Return both ends of a stream that is not open yet."""
+    def new_stream(self, client: int, server: int) -> tuple[LinkStream, LinkStream]:
+        """Return both ends of a stream that is taken for open."""
         self._streams += 1
-        near = _Stream(self._streams, self._path(client, server))
-        far = _Stream(self._streams, self._path(server, client))
+        near = LinkStream(self._streams, self._path(client, server))
+        far = LinkStream(self._streams, self._path(server, client))
         near.join(far)
         far.join(near)
         return near, far
