Send few long replies at a time, and name each new source to those who wait

Cause: whoever hears of a version too long for a datagram fetches it from whoever told it. One node of 10 Mbit/s sent 125 copies of 217 kB; each fetch got a small part of its link, was given up after 5 s, and what had arrived was thrown away. The fan-out of the trees bounds datagrams, not fetches. Class: work that grows with the fleet or with a version's size at one node, without a bound that its slowest link can carry. Ruled out: the server's work and the accepting of connections (greetings took 5 ms in the middle); the storm alone (late without it). Change: - a node sends two long replies at a time, others wait (overlay/long_replies.py); each peer that has got its reply is named to two of those who wait, its zone first, so that sources multiply as long as somebody waits - a node asks one peer at a time, and another one beside a peer that brings nothing for 0.3 s; what another fetch has brought is dropped (overlay/fetches.py) - an exchange that goes on is never cut; one that brings nothing for 3 s is - long values are sent deflated where the asker says that it can read them, and what many ask for is worked out once - while a node lacks a version that it heard of it asks members at random, ever less often; a digest with a newer configuration counts whatever other records are known The bytes a second that a server was allowed (4 MB, burst 16 MB) are gone: no link in question carries them.

--- a/burdockdock/coordination/records.py
+++ b/burdockdock/coordination/records.py
@@ -62,6 +62,10 @@
         if version > self._heard.get(key, 0):
             self._heard[key] = version
 
+    def heard_keys(self) -> list[str]:
+        """Return the keys under which some version was heard of."""
+        return list(self._heard)
+
     def lacking(self, key: str) -> int:
         """Return the newest version known to exist that was not seen here, or 0."""
         heard = self._heard.get(key, 0)
--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -42,7 +42,7 @@
     report_move,
 )
 from burdockdock.node.supervise import supervise
-from burdockdock.overlay.sync import SyncServer
+from burdockdock.overlay.sync_server import SyncServer
 from burdockdock.platform_api.client import PlatformClient
 from burdockdock.protocol.handshake import PeerIdentity
 from burdockdock.proxy.endpoints import Endpoints
--- a/burdockdock/node/overlay_parts.py
+++ b/burdockdock/node/overlay_parts.py
@@ -58,6 +58,7 @@
         ),
         clock=clock,
         rng=rng,
+        head_key=CONFIG_KEY,
     )
     spreader = Spreader(
         membership=membership,
--- a/burdockdock/node/peer_server.py
+++ b/burdockdock/node/peer_server.py
@@ -12,7 +12,7 @@
 from burdockdock.gate.gate import Gate
 from burdockdock.logs import log_event
 from burdockdock.metrics import Metrics
-from burdockdock.overlay.sync import SyncServer
+from burdockdock.overlay.sync_server import SyncServer, SyncSession
 from burdockdock.protocol import (
     MALFORMED,
     WORD_BYTES,
@@ -86,20 +86,20 @@
             await asyncio.sleep(0.05)
             return
         calls = CallServer(connection, self._gate)
+        session = self._sync_server.session(peer.node_id, connection.send)
         try:
             while (message := await connection.read()) is not None:
                 if calls.handle(message):
                     continue
                 if message.which() != "syncRequest":
                     raise ProtocolError(f"unexpected {message.which()}")
-                self._answer_sync(connection, message, peer.node_id)
+                await self._answer_sync(session, message)
         finally:
             calls.close()
+            session.close(taken=not connection.error)
 
-    def _answer_sync(
-        self, connection: FrameConnection, message: Message, peer_id: str
-    ) -> None:
-        reply = self._sync_server.reply_to(message.syncRequest, peer=peer_id)
-        self.sync_sent_bytes += len(reply)
+    async def _answer_sync(self, session: SyncSession, message: Message) -> None:
+        before_bytes = session.sent_bytes
+        await session.answer(message.syncRequest)
+        self.sync_sent_bytes += session.sent_bytes - before_bytes
         self.sync_received_bytes += message.total_size.word_count * WORD_BYTES
-        connection.send(reply)
--- a/burdockdock/overlay/spread.py
+++ b/burdockdock/overlay/spread.py
@@ -1,6 +1,5 @@
 """Passing records and member changes on along trees of members."""
 
-import zlib
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -10,6 +9,7 @@
 from burdockdock.coordination.tree import children, entries
 from burdockdock.overlay.datagrams import MAX_DATAGRAM_BYTES, Address, Datagrams
 from burdockdock.protocol import Message
+from burdockdock.protocol.deflated import deflate, inflate
 from burdockdock.protocol.members import (
     merge_member,
     pack_member,
@@ -148,7 +148,8 @@
         if not notice.deflatedDelta:
             self._pull(sender_id, cause="notice")
             return
-        record = Record(notice.key, notice.version, _inflate(notice.deflatedDelta))
+        delta = inflate(notice.deflatedDelta, most_bytes=_MAX_INFLATED_BYTES)
+        record = Record(notice.key, notice.version, delta)
         self._take_record(record, notice.baseVersion, sender_id)
 
     def _take_record(self, record: Record, base_version: int, sender_id: str) -> None:
@@ -220,20 +221,5 @@
     """Return a delta deflated, None if it does not fit into a datagram even so."""
     if len(delta) > _MAX_INFLATED_BYTES:
         return None
-    deflated = zlib.compress(delta)
+    deflated = deflate(delta)
     return deflated if len(deflated) <= _MAX_VALUE_BYTES else None
-
-
-def _inflate(deflated: bytes) -> bytes:
-    """Return the delta that was deflated.
-
-    :raises ValueError: if the bytes are none, or it is longer than any.
-    """
-    inflater = zlib.decompressobj()
-    try:
-        delta = inflater.decompress(deflated, _MAX_INFLATED_BYTES)
-    except zlib.error as error:
-        raise ValueError(str(error)) from None
-    if not inflater.eof:
-        raise ValueError("a deflated delta is cut short or too long")
-    return delta
--- a/burdockdock/overlay/sync.py
+++ b/burdockdock/overlay/sync.py
@@ -3,19 +3,18 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
-from typing import Any
 
 from tornado.iostream import StreamClosedError
 from tornado.tcpclient import TCPClient
 
 from burdockdock.clock import Clock
-from burdockdock.coordination.backoff import TokenBucket
 from burdockdock.coordination.membership import Member, MembershipTable
 from burdockdock.coordination.records import Record, RecordStore
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.logs import log_event
 from burdockdock.overlay.datagrams import Address
 from burdockdock.overlay.failure_detector import PeerDigest
+from burdockdock.overlay.fetches import FetchQueue, Source
 from burdockdock.overlay.spread import DeltaCodec
 from burdockdock.protocol import MALFORMED, FrameConnection, Message
 from burdockdock.protocol.codec import frame
@@ -23,106 +22,37 @@
 from burdockdock.protocol.members import (
     merge_member,
     pack_member,
-    pack_record,
     unpack_record,
 )
 
-_TIMEOUT_S = 5.0
-_MAX_PULLS = 3
+# An exchange that goes on is never cut: what it brought so far would be lost.
+_SILENT_S = 3.0
 _CONNECT_TIMEOUT_S = 1.0
 _SETTLE_S = 0.2
 _MEMBER_SYNC_INTERVAL_S = 5.0
-_BYTES_PER_S = 4_000_000
-_BURST_BYTES = 16_000_000
-_MEMBER_BYTES = 160
 
 Connect = Callable[[str, int], Awaitable[FrameConnection]]
 
 
-class SyncServer:
-    """Answers other nodes' requests, within a budget of bytes."""
-
-    def __init__(
-        self,
-        *,
-        membership: MembershipTable,
-        records: RecordStore,
-        deltas: dict[str, DeltaCodec],
-        clock: Clock,
-    ) -> None:
-        self._membership = membership
-        self._records = records
-        self._deltas = deltas
-        self._clock = clock
-        self._budget = TokenBucket(
-            rate_per_s=_BYTES_PER_S, burst=_BURST_BYTES, clock=clock
-        )
-
-    def reply_to(self, request: Message, *, peer: str = "") -> bytes:
-        """Return the frame that answers a request.
-
-        :param peer: id of the node that asked, for the logs.
-        """
-        started_s = self._clock.monotonic()
-        for packed in request.members:
-            merge_member(self._membership, packed)
-        versions = {entry.key: entry.version for entry in request.versions}
-        records = [
-            self._pack(record, versions.get(record.key, 0))
-            for record in self._records.newer_than(versions)
-        ]
-        differing = self._differing_buckets(list(request.bucketDigests))
-        members = self._membership.in_buckets(differing)
-        size_bytes = sum(len(record["value"]) for record in records)
-        size_bytes += len(members) * _MEMBER_BYTES
-        if not self._budget.try_take(size_bytes):
-            return frame("syncReply", busy=True)
-        reply = frame(
-            "syncReply",
-            records=records,
-            members=[pack_member(member) for member in members],
-            differingBuckets=sorted(differing),
-        )
-        if records:
-            log_event(
-                "sync.answered",
-                peer=peer,
-                keys=len(records),
-                base_version=versions.get(records[0]["key"], 0),
-                size_bytes=len(reply),
-                work_s=self._clock.monotonic() - started_s,
-            )
-        return reply
-
-    def _pack(self, record: Record, known_version: int) -> dict[str, Any]:
-        codec = self._deltas.get(record.key)
-        if codec is None:
-            return pack_record(record)
-        delta = codec.encode_delta(known_version) if known_version else None
-        if delta is None:
-            return pack_record(record._replace(value=codec.encode_whole()))
-        return pack_record(record._replace(value=delta), base_version=known_version)
-
-    def _differing_buckets(self, digests: list[int]) -> set[int]:
-        own = self._membership.bucket_digests
-        if len(digests) != len(own):
-            return set()
-        return {i for i, digest in enumerate(digests) if digest != own[i]}
+_GIVEN_UP = Failure(Verdict.NOT_RUN, "not_needed", "another peer was quicker")
 
 
 class _Progress:
     """How far an exchange came.
 
-    :param cause: what let this node ask.
     :param started_s: monotonic seconds.
     """
 
-    def __init__(self, cause: str, started_s: float) -> None:
-        self.cause = cause
+    def __init__(self, started_s: float) -> None:
         self.started_s = started_s
         self.greeted_s = 0.0
         self.records = 0
-        self.received_bytes = 0
+        self.connection: FrameConnection | None = None
+
+    @property
+    def received_bytes(self) -> int:
+        """Bytes that have arrived."""
+        return self.connection.received_bytes if self.connection else 0
 
 
 class SyncClient:
@@ -133,6 +63,7 @@
     :param pass_on: called with each record that was new, and with the version that
         it replaced.
     :param connect: opens a connection to an address, over TCP unless told otherwise.
+    :param head_key: key of the record whose version each digest names.
     """
 
     def __init__(
@@ -146,6 +77,7 @@
         clock: Clock,
         rng: random.Random,
         connect: Connect | None = None,
+        head_key: str = "",
     ) -> None:
         self._own = own
         self._membership = membership
@@ -155,7 +87,14 @@
         self._clock = clock
         self._rng = rng
         self._connect = connect or _tcp_connect()
-        self._pulling: dict[Address, asyncio.Task[None]] = {}
+        self._head_key = head_key
+        self._progress: dict[Address, _Progress] = {}
+        self._fetches = FetchQueue(
+            fetch=self._fetch,
+            received_bytes=self._received_from,
+            find_source=self._find_source,
+            rng=rng,
+        )
         self._wanted_whole: set[str] = set()
         self._last_member_sync_s = float("-inf")
         self.peers: set[str] = set()
@@ -169,110 +108,168 @@
 
         :param cause: what let this node ask, for the logs.
         """
-        progress = _Progress(cause, self._clock.monotonic())
-        outcome = await self._exchange_in_time(host, port, progress)
-        log_event(
-            "sync.ended",
-            peer=f"{host}:{port}",
-            cause=progress.cause,
-            reason=outcome.reason if isinstance(outcome, Failure) else "done",
-            records=progress.records,
-            received_bytes=progress.received_bytes,
-            greeted_s=progress.greeted_s,
-            seconds_s=self._clock.monotonic() - progress.started_s,
-        )
-        return outcome
-
-    async def _exchange_in_time(
-        self, host: str, port: int, progress: "_Progress"
-    ) -> PeerIdentity | Failure:
+        progress = _Progress(self._clock.monotonic())
+        self._progress[host, port] = progress
+        outcome: PeerIdentity | Failure = _GIVEN_UP
         try:
-            async with asyncio.timeout(_TIMEOUT_S):
-                return await self._exchange(host, port, progress)
-        except TimeoutError:
-            return Failure(Verdict.MAY_HAVE_RUN, "sync_timeout", f"{host}:{port}")
-        except (OSError, StreamClosedError, ValueError, *MALFORMED) as error:
-            return Failure(Verdict.MAY_HAVE_RUN, "sync_failed", str(error))
+            outcome = await self._exchange_while_it_goes_on(host, port, progress)
+        finally:
+            self._progress.pop((host, port), None)
+            self._log_end(f"{host}:{port}", cause, progress, outcome)
+        return outcome
 
     def pull_from(self, node_id: str, *, cause: str) -> None:
         """Fetch the records of a member in the background.
 
         :param cause: what let this node ask, for the logs.
         """
-        member = self._membership.get(node_id)
-        if member is not None:
-            self._start_pull((member.host, member.port), cause, settle_s=0.0)
+        self._add_source(node_id, cause, self._lacks_anything)
 
     def compare(self, digest: PeerDigest) -> None:
         """Fetch from a peer whose digest shows that this node lacks something."""
-        if digest.record_digest != self._records.digest:
-            behind = digest.record_sum >= self._records.version_sum
-            if behind:
-                self._pull_if_still(digest)
+        if self._is_behind(digest):
+            self._fetch_if_still(digest, lambda: self._is_behind(digest))
         elif digest.member_digest != self._membership.digest:
             now_s = self._clock.monotonic()
             if now_s - self._last_member_sync_s >= _MEMBER_SYNC_INTERVAL_S:
                 self._last_member_sync_s = now_s
-                self._pull_if_still(digest)
+                known = self._membership.digest
+                self._fetch_if_still(digest, lambda: known == self._membership.digest)
 
     def close(self) -> None:
         """Stop the fetches that are under way."""
-        for task in self._pulling.values():
-            task.cancel()
+        self._fetches.close()
+
+    def _add_source(
+        self, node_id: str, cause: str, is_wanted: Callable[[], bool]
+    ) -> None:
+        member = self._membership.get(node_id)
+        if member is not None:
+            self._fetches.add(Source((member.host, member.port), cause, is_wanted))
+
+    def _is_behind(self, digest: PeerDigest) -> bool:
+        """Tell whether a peer has records that this node lacks.
+
+        The head is looked at by itself: a peer that lacks other records may have it.
+        """
+        if digest.head_version > self._records.version(self._head_key):
+            return True
+        differs = digest.record_digest != self._records.digest
+        return differs and digest.record_sum >= self._records.version_sum
 
-    def _pull_if_still(self, digest: PeerDigest) -> None:
+    def _lacks_anything(self) -> bool:
+        """Tell whether a version was heard of that is not here."""
+        return any(self._records.lacking(key) for key in self._records.heard_keys())
+
+    def _fetch_if_still(
+        self, digest: PeerDigest, is_wanted: Callable[[], bool]
+    ) -> None:
         """Wait for news on its way, then fetch if nothing changed meanwhile."""
         settle_s = _SETTLE_S * self._rng.uniform(0.5, 1.5)
-        self._start_pull(digest.address, "digest", settle_s=settle_s)
-
-    def _start_pull(self, address: Address, cause: str, *, settle_s: float) -> None:
-        """Start a fetch; a peer that does not answer holds no other fetch up."""
-        if address in self._pulling or len(self._pulling) >= _MAX_PULLS:
-            return
-        task = asyncio.create_task(self._pull(address, cause, settle_s))
-        self._pulling[address] = task
-        task.add_done_callback(lambda _: self._pulling.pop(address, None))
-
-    async def _pull(self, address: Address, cause: str, settle_s: float) -> None:
-        before = (self._records.digest, self._membership.digest)
-        await asyncio.sleep(settle_s)
-        if settle_s and (self._records.digest, self._membership.digest) != before:
-            return
-        result = await self.sync_with(*address, cause=cause)
-        if isinstance(result, Failure):
-            log_event(
-                "sync.failed",
-                peer=f"{address[0]}:{address[1]}",
-                reason=result.reason,
-                detail=result.detail,
-            )
+        source = Source(digest.address, "digest", is_wanted)
+        asyncio.get_running_loop().call_later(settle_s, self._fetches.add, source)
+
+    async def _fetch(self, source: Source) -> PeerIdentity | Failure:
+        return await self.sync_with(*source.address, cause=source.cause)
+
+    def _received_from(self, address: Address) -> int:
+        progress = self._progress.get(address)
+        return progress.received_bytes if progress else 0
+
+    def _find_source(self) -> Source | None:
+        """Return a member to ask for a version that was heard of."""
+        own_id = self._membership.own.node_id
+        others = [m for m in self._membership.live() if m.node_id != own_id]
+        if not others or not self._lacks_anything():
+            return None
+        member = self._rng.choice(others)
+        return Source((member.host, member.port), "lacking", self._lacks_anything)
+
+    async def _exchange_while_it_goes_on(
+        self, host: str, port: int, progress: _Progress
+    ) -> PeerIdentity | Failure:
+        """Exchange state; give up when nothing more arrives."""
+        exchange = asyncio.ensure_future(self._exchange(host, port, progress))
+        received_bytes = -1
+        try:
+            while not exchange.done() and received_bytes != progress.received_bytes:
+                received_bytes = progress.received_bytes
+                await asyncio.wait({exchange}, timeout=_SILENT_S)
+            if not exchange.done():
+                return Failure(Verdict.MAY_HAVE_RUN, "sync_timeout", f"{host}:{port}")
+            return exchange.result()
+        except TimeoutError:
+            return Failure(Verdict.MAY_HAVE_RUN, "sync_timeout", f"{host}:{port}")
+        except (OSError, StreamClosedError, ValueError, *MALFORMED) as error:
+            return Failure(Verdict.MAY_HAVE_RUN, "sync_failed", str(error))
+        finally:
+            exchange.cancel()
 
     async def _exchange(
-        self, host: str, port: int, progress: "_Progress"
+        self, host: str, port: int, progress: _Progress
     ) -> PeerIdentity | Failure:
         async with asyncio.timeout(_CONNECT_TIMEOUT_S):
             connection = await self._connect(host, port)
+        progress.connection = connection
         try:
             peer = await greet(connection, self._own)
             if isinstance(peer, Failure):
                 return peer
             progress.greeted_s = self._clock.monotonic() - progress.started_s
             reply = await self._ask(connection, members=True, pushed=[])
-            if reply is None or reply.busy:
+            if reply is None:
+                return Failure(Verdict.NOT_RUN, "peer_closed", f"{host}:{port}")
+            if reply.busy:
+                self._go_on_to(reply)
                 return Failure(Verdict.NOT_RUN, "peer_busy", f"{host}:{port}")
-            differing = set(reply.differingBuckets)
             progress.records = len(reply.records)
-            self._take_in(reply)
-            if differing:
-                pushed = self._membership.in_buckets(differing)
-                await self._ask(connection, members=False, pushed=pushed)
-            self.peers.add(peer.node_id)
-            return peer
+            await self._exchange_members(connection, reply)
         finally:
             connection.close()
             self.sent_bytes += connection.sent_bytes
             self.received_bytes += connection.received_bytes
-            progress.received_bytes = connection.received_bytes
+        # The peer has its place back by now.
+        self._take_records(reply)
+        self.peers.add(peer.node_id)
+        return peer
+
+    def _go_on_to(self, reply: Message) -> None:
+        """Ask the nodes that a peer without a free place named."""
+        for entry in reply.withheld:
+            self._records.hear(entry.key, entry.version)
+        is_wanted = self._lacks_anything if reply.withheld else lambda: True
+        for node_id in reply.sources:
+            self._add_source(node_id, "sent_on", is_wanted)
+
+    async def _exchange_members(
+        self, connection: FrameConnection, reply: Message
+    ) -> None:
+        for packed in reply.members:
+            merge_member(self._membership, packed)
+        differing = set(reply.differingBuckets)
+        if differing:
+            pushed = self._membership.in_buckets(differing)
+            await self._ask(connection, members=False, pushed=pushed)
+
+    def _log_end(
+        self,
+        peer: str,
+        cause: str,
+        progress: _Progress,
+        outcome: PeerIdentity | Failure,
+    ) -> None:
+        failure = outcome if isinstance(outcome, Failure) else None
+        log_event(
+            "sync.ended",
+            peer=peer,
+            cause=cause,
+            reason=failure.reason if failure else "done",
+            detail=failure.detail if failure else "",
+            records=progress.records,
+            received_bytes=progress.received_bytes,
+            greeted_s=progress.greeted_s,
+            seconds_s=self._clock.monotonic() - progress.started_s,
+        )
 
     async def _ask(
         self, connection: FrameConnection, *, members: bool, pushed: list[Member]
@@ -289,6 +286,7 @@
                 versions=[{"key": k, "version": v} for k, v in versions.items()],
                 bucketDigests=list(digests),
                 members=[pack_member(member) for member in pushed],
+                takesDeflated=True,
             )
         )
         message = await connection.read()
@@ -299,6 +297,9 @@
     def _take_in(self, reply: Message) -> None:
         for packed in reply.members:
             merge_member(self._membership, packed)
+        self._take_records(reply)
+
+    def _take_records(self, reply: Message) -> None:
         for packed in reply.records:
             self._take_record(unpack_record(packed), packed.baseVersion)
 
--- /dev/null
+++ b/burdockdock/overlay/sync_server.py
@@ -0,0 +1,219 @@
+"""Answers to other nodes that ask for what they lack."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from burdockdock.clock import Clock
+from burdockdock.coordination.membership import Member, MembershipTable
+from burdockdock.coordination.records import Record, RecordStore
+from burdockdock.logs import log_event
+from burdockdock.overlay.long_replies import LongReplies, Peer
+from burdockdock.overlay.spread import DeltaCodec
+from burdockdock.protocol import Message
+from burdockdock.protocol.codec import frame
+from burdockdock.protocol.deflated import deflate
+from burdockdock.protocol.members import merge_member, pack_member, pack_record
+
+_MEMBER_BYTES = 160
+# A reply from this size on needs a place among the few that are sent at a time.
+_LONG_BYTES = 16 * 1024
+# A shorter value is not worth the work.
+_DEFLATED_FROM_BYTES = 1024
+# A peer that takes its reply no faster holds its place no longer.
+_LONGEST_PLACE_S = 2.0
+
+
+class _Encoding(NamedTuple):
+    """What the bytes of a value depend on, beside the version that is sent."""
+
+    key: str
+    base_version: int
+    deflated: bool
+
+
+class _Answer(NamedTuple):
+    """What a peer lacks."""
+
+    records: list[dict[str, Any]]
+    members: list[Member]
+    differing_buckets: list[int]
+
+    @property
+    def size_bytes(self) -> int:
+        """About the bytes that it takes to send."""
+        values = sum(len(record["value"]) for record in self.records)
+        return values + len(self.members) * _MEMBER_BYTES
+
+
+class SyncServer:
+    """Answers other nodes' requests, a few long ones at a time."""
+
+    def __init__(
+        self,
+        *,
+        membership: MembershipTable,
+        records: RecordStore,
+        deltas: dict[str, DeltaCodec],
+        clock: Clock,
+    ) -> None:
+        self._membership = membership
+        self._records = records
+        self._deltas = deltas
+        self._clock = clock
+        # What many peers ask for at once is worked out once.
+        self._encoded: dict[_Encoding, tuple[Record, dict[str, Any]]] = {}
+        self.long_replies = LongReplies()
+
+    def session(self, peer_id: str, send: Callable[[bytes], None]) -> "SyncSession":
+        """Return the server's side of a connection.
+
+        :param send: sends a frame to the peer.
+        """
+        member = self._membership.get(peer_id)
+        zone = member.availability_zone if member else ""
+        return SyncSession(self, Peer(peer_id, zone), send, clock=self._clock)
+
+    def is_long(self, request: Message) -> bool:
+        """Tell whether the answer to a request needs a place."""
+        return self._answer(request).size_bytes >= _LONG_BYTES
+
+    def reply_to(self, request: Message) -> bytes:
+        """Return the frame that answers a request."""
+        answer = self._answer(request)
+        return frame(
+            "syncReply",
+            records=answer.records,
+            members=[pack_member(member) for member in answer.members],
+            differingBuckets=answer.differing_buckets,
+        )
+
+    def withhold(self, request: Message, source_id: str) -> bytes:
+        """Return the frame that says what a peer lacks, and whom to ask for it.
+
+        :param source_id: a node that has it, empty where none is known.
+        """
+        lacking = [
+            {"key": record["key"], "version": record["version"]}
+            for record in self._answer(request).records
+        ]
+        sources = [source_id] if source_id else []
+        return frame("syncReply", busy=True, sources=sources, withheld=lacking)
+
+    def take_in(self, request: Message) -> None:
+        """Take in what a peer tells of members."""
+        for packed in request.members:
+            merge_member(self._membership, packed)
+
+    def _answer(self, request: Message) -> _Answer:
+        versions = {entry.key: entry.version for entry in request.versions}
+        records = [
+            self._pack(record, versions.get(record.key, 0), request.takesDeflated)
+            for record in self._records.newer_than(versions)
+        ]
+        differing = self._differing_buckets(list(request.bucketDigests))
+        members = self._membership.in_buckets(differing)
+        return _Answer(records, members, sorted(differing))
+
+    def _pack(
+        self, record: Record, known_version: int, deflated: bool
+    ) -> dict[str, Any]:
+        codec = self._deltas.get(record.key)
+        if codec is None:
+            return pack_record(record)
+        encoding = _Encoding(record.key, known_version, deflated)
+        kept = self._encoded.get(encoding)
+        if kept is None or kept[0] is not record:
+            self._drop_older(record)
+            kept = (record, _encode(record, codec, encoding))
+            self._encoded[encoding] = kept
+        return kept[1]
+
+    def _drop_older(self, record: Record) -> None:
+        """Forget the encodings of a key's older versions."""
+        self._encoded = {
+            encoding: kept
+            for encoding, kept in self._encoded.items()
+            if encoding.key != record.key or kept[0] is record
+        }
+
+    def _differing_buckets(self, digests: list[int]) -> set[int]:
+        own = self._membership.bucket_digests
+        if len(digests) != len(own):
+            return set()
+        return {i for i, digest in enumerate(digests) if digest != own[i]}
+
+
+class SyncSession:
+    """The server's side of one connection."""
+
+    def __init__(
+        self,
+        server: SyncServer,
+        peer: Peer,
+        send: Callable[[bytes], None],
+        *,
+        clock: Clock,
+    ) -> None:
+        self._server = server
+        self._peer = peer
+        self._send = send
+        self._clock = clock
+        self._place: asyncio.TimerHandle | None = None
+        self.sent_bytes = 0
+
+    async def answer(self, request: Message) -> None:
+        """Answer a request; the peer has taken the reply before it."""
+        self._leave_place(taken=True)
+        self._server.take_in(request)
+        if not self._server.is_long(request):
+            self._reply(self._server.reply_to(request))
+            return
+        asked_s = self._clock.monotonic()
+        source_id = await self._server.long_replies.begin(self._peer)
+        if source_id is None:
+            loop = asyncio.get_running_loop()
+            self._place = loop.call_later(
+                _LONGEST_PLACE_S, lambda: self._leave_place(taken=False)
+            )
+            reply = self._server.reply_to(request)
+        else:
+            reply = self._server.withhold(request, source_id)
+        log_event(
+            "sync.answered",
+            peer=self._peer.node_id,
+            size_bytes=len(reply),
+            sent_on=source_id or "",
+            withheld=source_id is not None,
+            waited_s=self._clock.monotonic() - asked_s,
+            waiting=self._server.long_replies.waiting,
+        )
+        self._reply(reply)
+
+    def close(self, *, taken: bool) -> None:
+        """Note the end of the connection.
+
+        :param taken: whether the peer closed it in order, with all replies read.
+        """
+        self._leave_place(taken=taken)
+
+    def _reply(self, reply: bytes) -> None:
+        self.sent_bytes += len(reply)
+        self._send(reply)
+
+    def _leave_place(self, *, taken: bool) -> None:
+        if self._place is not None:
+            self._place.cancel()
+            self._place = None
+            self._server.long_replies.end(self._peer, taken=taken)
+
+
+def _encode(record: Record, codec: DeltaCodec, encoding: _Encoding) -> dict[str, Any]:
+    """Return a record as a message's field, as a delta where that is known."""
+    base = encoding.base_version
+    delta = codec.encode_delta(base) if base else None
+    value = codec.encode_whole() if delta is None else delta
+    deflated = encoding.deflated and len(value) >= _DEFLATED_FROM_BYTES
+    sent = record._replace(value=deflate(value) if deflated else value)
+    base_version = 0 if delta is None else base
+    return pack_record(sent, base_version=base_version, deflated=deflated)
--- a/burdockdock/protocol/members.py
+++ b/burdockdock/protocol/members.py
@@ -9,6 +9,9 @@
 )
 from burdockdock.coordination.records import Record
 from burdockdock.protocol.codec import Message
+from burdockdock.protocol.deflated import inflate
+
+_MOST_VALUE_BYTES = 64 * 1024 * 1024
 
 
 def pack_member(member: Member) -> dict[str, Any]:
@@ -65,19 +68,29 @@
     return table.merge(unpack_member(packed))
 
 
-def pack_record(record: Record, *, base_version: int = 0) -> dict[str, Any]:
+def pack_record(
+    record: Record, *, base_version: int = 0, deflated: bool = False
+) -> dict[str, Any]:
     """Return a record as a message's field.
 
     :param base_version: the version that the value is a delta to, 0 for a whole one.
+    :param deflated: whether the value is deflated.
     """
     return {
         "key": record.key,
         "version": record.version,
         "baseVersion": base_version,
         "value": record.value,
+        "deflated": deflated,
     }
 
 
 def unpack_record(packed: Message) -> Record:
-    """Read a record out of a message; its value may be a delta."""
-    return Record(packed.key, packed.version, packed.value)
+    """Read a record out of a message; its value may be a delta.
+
+    :raises ValueError: if its value is deflated and can't be read.
+    """
+    value = packed.value
+    if packed.deflated:
+        value = inflate(value, most_bytes=_MOST_VALUE_BYTES)
+    return Record(packed.key, packed.version, value)
--- a/tests/overlay/link_network.py
+++ b/tests/overlay/link_network.py
@@ -17,8 +17,9 @@
 from burdockdock.overlay.datagrams import Address, Datagrams
 from burdockdock.overlay.failure_detector import FailureDetector
 from burdockdock.overlay.spread import Spreader
-from burdockdock.overlay.sync import SyncClient, SyncServer
-from burdockdock.protocol import FrameConnection, Message
+from burdockdock.overlay.sync import SyncClient
+from burdockdock.overlay.sync_server import SyncServer
+from burdockdock.protocol import FrameConnection
 from burdockdock.protocol.handshake import PeerIdentity, receive_greeting
 from tests.virtual_time import LoopClock
 
@@ -380,6 +381,7 @@
             clock=clock,
             rng=rng,
             connect=lambda _, port: network.connect(index, port),
+            head_key=CONFIG_KEY,
         )
         self.spreader = Spreader(
             membership=self.membership,
@@ -397,6 +399,7 @@
             rng=rng,
             on_digest=self.sync.compare,
             spread=self.spreader.start_member,
+            head_key=CONFIG_KEY,
         )
 
     def begin(self, record: Record) -> None:
@@ -416,8 +419,10 @@
             peer = await receive_greeting(connection, self.own)
             if isinstance(peer, Failure):
                 return
+            session = self.server.session(peer.node_id, connection.send)
             while (message := await connection.read()) is not None:
-                await _answer(self.server, connection, message)
+                await session.answer(message.syncRequest)
+            session.close(taken=not connection.error)
         finally:
             connection.close()
 
@@ -429,13 +434,6 @@
         return accepted
 
 
-async def _answer(
-    server: SyncServer, connection: FrameConnection, message: Message
-) -> None:
-    """Answer one request."""
-    connection.send(server.reply_to(message.syncRequest))
-
-
 class LinkNetwork:
     """Nodes that know each other, and what is under way between them.
 
--- a/tests/overlay/test_spread.py
+++ b/tests/overlay/test_spread.py
@@ -16,7 +16,8 @@
 from burdockdock.node.config_state import CONFIG_KEY, ConfigState
 from burdockdock.overlay.datagrams import MAX_DATAGRAM_BYTES
 from burdockdock.overlay.spread import DeltaCodec, Spreader
-from burdockdock.overlay.sync import SyncClient, SyncServer
+from burdockdock.overlay.sync import SyncClient
+from burdockdock.overlay.sync_server import SyncServer
 from burdockdock.protocol import decode, encode
 from burdockdock.protocol.codec import HEADER_BYTES
 from burdockdock.protocol.handshake import PeerIdentity
