Fetch newer records also while members change

Cause, as the trace's test shows it: a node that is shown newer records waits 0.1 to 0.3 s, and gave the fetch up if its records or its members had changed meanwhile; members change many times a second in a rollout. Change: the wait ends in a fetch unless the records have caught up; members play no part.

--- a/burdockdock/overlay/sync.py
+++ b/burdockdock/overlay/sync.py
@@ -127,14 +127,15 @@
 
     def compare(self, digest: PeerDigest) -> None:
         """Fetch from a peer whose digest shows that this node lacks something."""
-        if self._is_behind(digest):
-            self._fetch_if_still(digest, lambda: self._is_behind(digest))
+        known = self._records.digest
+        if self._is_behind(digest, known):
+            self._fetch_if_still(digest, lambda: self._is_behind(digest, known))
         elif digest.member_digest != self._membership.digest:
             now_s = self._clock.monotonic()
             if now_s - self._last_member_sync_s >= _MEMBER_SYNC_INTERVAL_S:
                 self._last_member_sync_s = now_s
-                known = self._membership.digest
-                self._fetch_if_still(digest, lambda: known == self._membership.digest)
+                members = self._membership.digest
+                self._fetch_if_still(digest, lambda: members == self._membership.digest)
 
     def close(self) -> None:
         """Stop the fetches that are under way."""
@@ -147,15 +148,20 @@
         if member is not None:
             self._fetches.add(Source((member.host, member.port), cause, is_wanted))
 
-    def _is_behind(self, digest: PeerDigest) -> bool:
+    def _is_behind(self, digest: PeerDigest, known: int) -> bool:
         """Tell whether a peer has records that this node lacks.
 
         The head is looked at by itself: a peer that lacks other records may have it.
+
+        :param known: this node's digest when the peer's came; where the sums are equal,
+            what arrived since may be what differed.
         """
         if digest.head_version > self._records.version(self._head_key):
             return True
-        differs = digest.record_digest != self._records.digest
-        return differs and digest.record_sum >= self._records.version_sum
+        if digest.record_digest == self._records.digest:
+            return False
+        ahead = digest.record_sum - self._records.version_sum
+        return ahead > 0 or (ahead == 0 and known == self._records.digest)
 
     def _lacks_anything(self) -> bool:
         """Tell whether a version was heard of that is not here."""
