--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -4,6 +4,7 @@
 """
 
 import json
+import math
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -41,6 +42,7 @@
     requests: list[dict[str, Any]]
     overload: dict[str, Any]
     placement: dict[str, Any]
+    long_versions: list[dict[str, Any]]
 
 
 class Row(NamedTuple):
@@ -65,6 +67,7 @@
         load("requests"),
         load("overload"),
         load("placement"),
+        load("long_versions"),
     )
 
 
@@ -319,6 +322,26 @@
     return "\n".join(lines)
 
 
+def _rounds(nodes: int) -> int:
+    """Return how often the sources of a version treble until all nodes have it."""
+    return math.ceil(math.log(nodes, 3))
+
+
+def _long_versions_table(figures: _Figures) -> str:
+    rows = figures.measured.long_versions
+    lines = [
+        "| nodes | first other node | half of them | last | most sent by one node |",
+        "|---|---|---|---|---|",
+    ]
+    lines += [
+        f"| {row['nodes']} | {row['first_s']:.2f} s | {row['median_s']:.2f} s "
+        f"| {row['last_s']:.2f} s | {row['busiest_bytes'] / 1e3:.0f} KB, "
+        f"{row['busiest_deltas']:.1f} times the version |"
+        for row in rows
+    ]
+    return "\n".join(lines)
+
+
 def _placement_table(figures: _Figures) -> str:
     rows = figures.measured.placement["rows"]
     names = {
@@ -406,7 +429,7 @@
         (
             f"a zone of {zone} back",
             f"{zone} starts read {2 * zone} objects; {zone * whole / 1e6:.0f} MB of "
-            "snapshots from peers, each within 4 MB/s",
+            "snapshots from peers, two long replies at a time from each",
             "half of 200 nodes run, see below",
         ),
         (
@@ -435,6 +458,7 @@
     roles = [header, "|---|---|---|---|---|---|---|"]
     roles += ["| " + " | ".join(row) + " |" for row in _roles(figures)]
     fleets = [fleet["nodes"] for fleet in measured.fleets]
+    linked = measured.long_versions[-1]["nodes"]
     return f"""# Capacity
 
 Written by `python -m bench.capacity` from `bench/results/*.json`; no figure here is
@@ -446,6 +470,8 @@
   {INSTANCES / fleets[-1]:.0f} times smaller than the size aimed for
 - `python -m bench.members`: one process with up to {INSTANCES} members, the size itself
 - `python -m bench.placement`: one process, the members of one service
+- `python -m bench.long_versions`: the parts of up to {linked} nodes in virtual time, over
+  links in a model; no processor time in it
 - `python -m bench.requests`: two nodes and a backend server, beside direct calls
 
 ## The size aimed for
@@ -473,6 +499,18 @@
 the noise of the machine, and what grows with the members is measured at full size in
 one process.
 
+## A version too long for a datagram
+
+1,200 routes more, from one node a zone, over links of 10 Mbit/s; three zones:
+
+{_long_versions_table(figures)}
+
+A node sends two long replies at a time, and each node that has its reply is named to
+two that wait, so that the sources treble in the time of two replies. That makes
+{_rounds(linked)} rounds for the largest fleet here, and {_rounds(INSTANCES)} for
+{INSTANCES:,} nodes, which were not run. What one node sends depends on how long others
+lack the version, not on the size of the fleet.
+
 ## Choosing a backend server
 
 {_placement_table(figures)}
