--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -470,8 +470,8 @@
   {INSTANCES / fleets[-1]:.0f} times smaller than the size aimed for
 - `python -m bench.members`: one process with up to {INSTANCES} members, the size itself
 - `python -m bench.placement`: one process, the members of one service
-- `python -m bench.long_versions`: the parts of up to {linked} nodes in virtual time, over
-  links in a model; no processor time in it
+- `python -m bench.long_versions`: the parts of up to {linked} nodes in virtual time,
+  over links in a model; no processor time in it
 - `python -m bench.requests`: two nodes and a backend server, beside direct calls
 
 ## The size aimed for
