Share the listener's stand-in of a node between its tests

Two test modules had the same context, and each test of one of them started its server by itself. listen_for() in tests/proxy/listening.py serves both.

--- a/tests/proxy/test_ends_of_calls.py
+++ b/tests/proxy/test_ends_of_calls.py
@@ -1,7 +1,7 @@
 """Tests that each call ends, and that nothing stays of it."""
 
 import asyncio
-import random
+from collections.abc import Callable
 from types import SimpleNamespace
 
 import testtools
@@ -16,15 +16,13 @@
 from burdockdock.protocol import FrameConnection, frame
 from burdockdock.protocol.calls import AnswerHead, CallRequest, frame_answer_head
 from burdockdock.protocol.handshake import PeerIdentity, receive_greeting
-from burdockdock.proxy import listener
 from burdockdock.proxy.call import Call, Caller
 from burdockdock.proxy.forwarder import Forwarder
 from burdockdock.proxy.peer_link import PeerLinks
 from burdockdock.standin.local_fleet import free_port
+from tests.proxy.listening import HOST, REQUEST, listen_for
 from tests.support import async_test
 
-_HOST = "127.0.0.1"
-_REQUEST = CallRequest("id-1", "t", "c", "r", "work", 500, True, "GET", "/", ())
 _LONG_S = 3.0
 
 
@@ -44,44 +42,31 @@
         return None
 
 
-def _context(forwarder: object) -> SimpleNamespace:
-    return SimpleNamespace(
-        forwarder=forwarder,
-        clock=SystemClock(),
-        metrics=Metrics(),
-        headers=SimpleNamespace(request_id="Request-Id"),
-        open_calls=0,
-        draining=False,
-        refusing=False,
-        rng=random.Random(1),
-        snapshot=lambda: SimpleNamespace(version=1),
-    )
-
-
 class CallerSideTest(testtools.TestCase):
     """Tests of the listener's end of a request."""
 
-    def setUp(self) -> None:
-        super().setUp()
-        self.patch(listener, "make_call", lambda *_: SimpleNamespace(request=_REQUEST))
-
     async def _exchange(
-        self, head: AnswerHead, request: bytes, *, goes_on: bool = True
+        self,
+        head: AnswerHead,
+        request: bytes,
+        *,
+        goes_on: bool = True,
+        **options: Callable[..., object],
     ) -> tuple[SimpleNamespace, _Answering, asyncio.StreamReader, object]:
         forwarder = _Answering(head)
         if goes_on:
             forwarder.goes_on.set()
-        context = _context(forwarder)
-        port = free_port()
-        server = listener.serve_callers(context, host=_HOST, port=port)
-        self.addCleanup(server.stop)
-        reader, writer = await asyncio.open_connection(_HOST, port)
+        listening = listen_for(self, forwarder, **options)
+        reader, writer = await asyncio.open_connection(HOST, listening.port)
         writer.write(request)
-        return context, forwarder, reader, writer
+        return listening.context, forwarder, reader, writer
 
-    async def _hears_an_end(self, head: AnswerHead) -> None:
+    async def _hears_an_end(
+        self, head: AnswerHead, **options: Callable[..., object]
+    ) -> None:
         """An answer that can't be sent ends the connection at least."""
-        found = await self._exchange(head, b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
+        request = b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
+        found = await self._exchange(head, request, **options)
         async with asyncio.timeout(_LONG_S):
             data = await found[2].read(65536)
             while data and not data.endswith(b"ok"):
@@ -110,22 +95,18 @@
         def fail(*_: object) -> None:
             raise RuntimeError("a fault of this node")
 
-        self.patch(listener, "make_call", fail)
-        await self._hears_an_end(AnswerHead(200, "OK", ()))
+        await self._hears_an_end(AnswerHead(200, "OK", ()), make_call=fail)
 
     @async_test
     async def test_a_caller_that_left_at_once_leaves_no_open_call(self) -> None:
-        context = _context(_Answering(AnswerHead(200, "OK", ())))
-        port = free_port()
-        server = listener.serve_callers(context, host=_HOST, port=port)
-        self.addCleanup(server.stop)
-        _, writer = await asyncio.open_connection(_HOST, port)
+        listening = listen_for(self, _Answering(AnswerHead(200, "OK", ())))
+        _, writer = await asyncio.open_connection(HOST, listening.port)
         await asyncio.sleep(0.05)
         # All of it is there before the node reads: it was busy meanwhile.
         writer.write(b"PUT /x HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nabc")
         writer.transport.close()
         await asyncio.sleep(0.3)
-        self.assertEqual(0, context.open_calls)
+        self.assertEqual(0, listening.context.open_calls)
 
     @async_test
     async def test_the_end_of_a_chunked_answer_does_not_wait_for_the_body(self) -> None:
@@ -192,7 +173,7 @@
 
         self.port = free_port()
         self._server = Server()
-        self._server.listen(self.port, address=_HOST)
+        self._server.listen(self.port, address=HOST)
 
     def stop(self) -> None:
         """Stop listening."""
@@ -213,11 +194,11 @@
     """Tests of calls to a node that is gone without closing its connections."""
 
     async def _forward(
-        self, other: _OtherNode, *, request: CallRequest = _REQUEST
+        self, other: _OtherNode, *, request: CallRequest = REQUEST
     ) -> tuple[object, _Caller, float]:
         """Forward a call of half a second; return its end and what it took."""
         await other.start()
-        member = Member("b", _HOST, other.port, "r", "z", 1)
+        member = Member("b", HOST, other.port, "r", "z", 1)
         links = PeerLinks(PeerIdentity("m", "a", 1), count=lambda _: None)
         clock = SystemClock()
         forwarder = Forwarder(
@@ -265,6 +246,6 @@
 
     @async_test
     async def test_a_body_that_does_not_come_ends_with_the_calls_time(self) -> None:
-        request = _REQUEST._replace(body_length=9, end=False)
+        request = REQUEST._replace(body_length=9, end=False)
         end, _, took_s = await self._forward(_OtherNode(), request=request)
         self.assertLess(took_s, 1.0, end)
--- a/tests/proxy/test_listener.py
+++ b/tests/proxy/test_listener.py
@@ -1,31 +1,18 @@
 """Tests of the server that callers use."""
 
 import asyncio
-import random
-from types import SimpleNamespace
 
 import testtools
 
-from burdockdock.clock import SystemClock
 from burdockdock.coordination.verdict import Failure, Verdict
-from burdockdock.metrics import Metrics
 from burdockdock.protocol.calls import AnswerHead
 from burdockdock.proxy import listener
 from burdockdock.proxy.call import Caller
-from burdockdock.standin.local_fleet import free_port
+from tests.proxy.listening import HOST, listen_for
 from tests.support import PATIENCE_S, async_test, eventually
 
-_HOST = "127.0.0.1"
 _HEAD = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999\r\n\r\n"
 _ANSWER = b"a whole answer"
-_REQUEST = SimpleNamespace(
-    request_id="1",
-    route="all",
-    service="work",
-    time_left_ms=1000,
-    tenant="t",
-    traffic_class="c",
-)
 
 
 class _Forwarder:
@@ -63,31 +50,14 @@
         return Failure(Verdict.NOT_RUN, "queue_full")
 
 
-def _context(forwarder: object) -> SimpleNamespace:
-    return SimpleNamespace(
-        forwarder=forwarder,
-        clock=SystemClock(),
-        metrics=Metrics(),
-        headers=SimpleNamespace(request_id="Request-Id"),
-        open_calls=0,
-        draining=False,
-        refusing=False,
-        rng=random.Random(1),
-        snapshot=lambda: SimpleNamespace(version=1),
-    )
-
-
 class ListenerTest(testtools.TestCase):
     """Tests of callers' connections and their end."""
 
     @async_test
     async def test_a_connection_whose_call_ended_does_not_wait_for_room(self) -> None:
-        self.patch(listener, "make_call", lambda *_: SimpleNamespace(request=_REQUEST))
         forwarder = _Forwarder()
-        context = _context(forwarder)
-        port = free_port()
-        server = listener.serve_callers(context, host=_HOST, port=port)
-        _, writer = await asyncio.open_connection(_HOST, port)
+        context, server, port = listen_for(self, forwarder)
+        _, writer = await asyncio.open_connection(HOST, port)
         writer.write(_HEAD + b"x" * 4 * listener._BUFFER_BYTES)
         await eventually(lambda: context.open_calls)
         # The connection's buffers take a part, and then the caller has to wait.
@@ -98,16 +68,12 @@
         closing = asyncio.create_task(server.close_all_connections())
         done, _ = await asyncio.wait({closing}, timeout=PATIENCE_S)
         self.assertEqual({closing}, done)
-        server.stop()
         writer.close()
 
     @async_test
     async def test_a_refusal_arrives_while_the_body_is_still_coming(self) -> None:
-        self.patch(listener, "make_call", lambda *_: SimpleNamespace(request=_REQUEST))
-        port = free_port()
-        context = _context(_RefusingForwarder())
-        server = listener.serve_callers(context, host=_HOST, port=port)
-        reader, writer = await asyncio.open_connection(_HOST, port)
+        context, _, port = listen_for(self, _RefusingForwarder())
+        reader, writer = await asyncio.open_connection(HOST, port)
         writer.write(b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4000000\r\n\r\n")
         await eventually(
             lambda: context.metrics.counter("call_failures", label="queue_full")
@@ -120,18 +86,13 @@
         self.assertTrue(answer.startswith(b"HTTP/1.1 503 "), answer)
         writer.close()
         await eventually(lambda: not context.open_calls)
-        server.stop()
 
     @async_test
     async def test_a_caller_that_leaves_with_its_whole_answer_has_it(self) -> None:
-        self.patch(listener, "make_call", lambda *_: SimpleNamespace(request=_REQUEST))
-        port = free_port()
-        context = _context(_AnsweringForwarder())
-        server = listener.serve_callers(context, host=_HOST, port=port)
-        reader, writer = await asyncio.open_connection(_HOST, port)
+        context, _, port = listen_for(self, _AnsweringForwarder())
+        reader, writer = await asyncio.open_connection(HOST, port)
         writer.write(b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
         await reader.readuntil(_ANSWER)
         writer.close()
         await eventually(lambda: not context.open_calls)
         self.assertEqual(0, context.metrics.counter("calls_abandoned"))
-        server.stop()
