--- a/burdockdock/proxy/listener.py
+++ b/burdockdock/proxy/listener.py
@@ -1,7 +1,6 @@
 """The HTTP server that callers use."""
 
 import asyncio
-import json
 
 from tornado.httpserver import HTTPServer
 from tornado.httputil import (
@@ -17,39 +16,17 @@
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.logs import log_event
 from burdockdock.protocol.calls import AnswerHead
+from burdockdock.proxy.answers import answer_headers, body_bytes, refusal_of
 from burdockdock.proxy.call import Call
-from burdockdock.proxy.call_factory import DEFAULT_TENANT, hop_names, make_call
+from burdockdock.proxy.call_factory import DEFAULT_TENANT, make_call
 from burdockdock.proxy.context import CallContext
 
-VERDICT_HEADER = "X-Burdockdock-Verdict"
 MAX_HEADER_BYTES = 64 * 1024
 MAX_BODY_BYTES = 1 << 40
 _BUFFER_BYTES = 256 * 1024
-_STATUS_OF_VERDICT = {
-    Verdict.NOT_RUN: 503,
-    Verdict.MAY_HAVE_RUN: 502,
-    Verdict.RAN: 502,
-}
-_STATUS_OF_REASON = {
-    "deadline_passed": 504,
-    "backend_timeout": 504,
-    "no_route": 404,
-    "already_ran": 409,
-}
-_REASON_PHRASES = {
-    404: "Not Found",
-    409: "Conflict",
-    502: "Bad Gateway",
-    503: "Service Unavailable",
-}
 # How long the rest of a body is read after its answer: a close before that resets the
 # connection, and with it an answer on its way.
 _READ_ON_S = 1.0
-# Callers come back spread over this span.
-_RETRY_AFTER_MIN_S = 0.05
-_RETRY_AFTER_MAX_S = 0.4
-
-
 _NO_CALL = Failure(Verdict.NOT_RUN, "no_call")
 
 
@@ -149,8 +126,8 @@
 
     async def send_head(self, head: AnswerHead) -> None:
         """Begin the answer, with all of its body if that is there already."""
-        headers = _answer_headers(head, self._method)
-        self._left_bytes = _body_bytes(headers, self._method)
+        headers = answer_headers(head, self._method)
+        self._left_bytes = body_bytes(headers, self._method)
         if self._context.draining:
             headers["Connection"] = "close"
         start_line = ResponseStartLine("HTTP/1.1", head.status, head.reason)
@@ -285,22 +262,9 @@
     async def _refuse(self, failure: Failure) -> None:
         """Tell the caller the verdict and the reason."""
         self._context.metrics.count("call_failures", label=failure.reason)
-        status = _status_of(failure)
-        verdict = failure.verdict.name.lower()
-        body = json.dumps(
-            {"verdict": verdict, "reason": failure.reason, "detail": failure.detail}
-        ).encode()
-        headers: list[tuple[str, str]] = [
-            ("Content-Type", "application/json"),
-            ("Content-Length", str(len(body))),
-            (VERDICT_HEADER, verdict),
-        ]
-        if failure.verdict is Verdict.NOT_RUN:
-            after_s = self._context.rng.uniform(_RETRY_AFTER_MIN_S, _RETRY_AFTER_MAX_S)
-            headers.append(("Retry-After", f"{after_s:.3f}"))
-        phrase = _REASON_PHRASES.get(status, "Gateway Timeout")
-        await self.send_head(AnswerHead(status, phrase, tuple(headers)))
-        await self.send_body(body)
+        refusal = refusal_of(failure, self._context.rng)
+        await self.send_head(refusal.head)
+        await self.send_body(refusal.body)
         self.finish_answer()
 
     def _make_room(self) -> None:
@@ -324,13 +288,6 @@
     return Failure(Verdict.MAY_HAVE_RUN, "node_fault", repr(error))
 
 
-def _status_of(failure: Failure) -> int:
-    """Return the status that promises no more than the verdict does."""
-    if failure.verdict is Verdict.NOT_RUN and failure.reason != "no_route":
-        return 503
-    return _STATUS_OF_REASON.get(failure.reason, _STATUS_OF_VERDICT[failure.verdict])
-
-
 def _record_latency(
     context: CallContext, call: Call | Failure, started_s: float
 ) -> None:
@@ -341,24 +298,3 @@
         tenant=request.tenant if request else DEFAULT_TENANT,
         traffic_class=request.traffic_class if request else "none",
     )
-
-
-def _body_bytes(headers: HTTPHeaders, method: str) -> int:
-    """Return the bytes of an answer's body, -1 where its head does not tell them."""
-    if method == "HEAD":
-        return 0
-    length = headers.get("Content-Length", "")
-    return int(length) if length.isascii() and length.isdecimal() else -1
-
-
-def _answer_headers(head: AnswerHead, method: str) -> HTTPHeaders:
-    named = next((v for n, v in head.headers if n.lower() == "connection"), "")
-    dropped = hop_names(named)
-    kept = HTTPHeaders()
-    for name, value in head.headers:
-        if name.lower() not in dropped:
-            kept.add(name, value)
-    if method == "HEAD" and "Content-Length" not in kept:
-        # Tornado would end the answer with an empty chunk.
-        kept["Transfer-Encoding"] = "chunked"
-    return kept
