Ask no caller of HTTP/1.0 to send its body on

Seen: a caller of HTTP/1.0 that sends 'Expect: 100-continue' got the line 'HTTP/1.1 100 (Continue)' in front of its answer. HTTP/1.0 has no such lines, so that it reads the line as its answer. Cause: tornado's HTTP1Connection writes the line for every version, right after the head was handed over. Evidence: test_an_older_caller_gets_its_answer_only, red before, shows the line ahead of the answer. Ruled out: a line in the middle of an answer; it is written before the call's task has run its first step, and a next request's head is read after the answer's end. Change: the listener takes the header off (it went no further before either) and asks callers of HTTP/1.1 itself. That also asks callers who spell it 100-Continue, which tornado left waiting until the call's time was over. Works because tornado looks for the header after it handed the head over.

--- a/burdockdock/proxy/listener.py
+++ b/burdockdock/proxy/listener.py
@@ -27,6 +27,7 @@
 # How long the rest of a body is read after its answer: a close before that resets the
 # connection, and with it an answer on its way.
 _READ_ON_S = 1.0
+_SEND_ON = b"HTTP/1.1 100 Continue\r\n\r\n"
 _NO_CALL = Failure(Verdict.NOT_RUN, "no_call")
 
 
@@ -87,6 +88,8 @@
         self._task = asyncio.create_task(self._run(start_line, headers))
         # A task that is cancelled before its first step runs none of its own lines.
         self._task.add_done_callback(self._on_end)
+        if _waits_to_send(start_line, headers) and not self._connection.stream.closed():
+            self._connection.stream.write(_SEND_ON)
 
     def data_received(self, chunk: bytes) -> "asyncio.Future[None] | None":
         """Keep a piece of the body; make the caller wait while many are kept."""
@@ -283,6 +286,16 @@
         self.break_off = side.break_off
 
 
+def _waits_to_send(start_line: RequestStartLine, headers: HTTPHeaders) -> bool:
+    """Tell whether a caller sends its body once it is asked to.
+
+    The header is taken off, since tornado would ask callers of HTTP/1.0 as well, which
+    read that as their answer.
+    """
+    expected = headers.pop("Expect", "").lower()
+    return expected == "100-continue" and start_line.version != "HTTP/1.0"
+
+
 def _faulted(error: Exception) -> Failure:
     """Return what a fault of this node means for a call."""
     return Failure(Verdict.MAY_HAVE_RUN, "node_fault", repr(error))
