Write no refusal into an answer that has begun

Seen: a caller whose chunked body turned malformed while its answer was coming found the line 'HTTP/1.1 400 Bad Request' inside of the answer's body, which a length let pass for a part of it. After a whole answer, or the head that answers HEAD, the same line stood where the next answer is read. A call that had its body's first part and may have run was refused as a bad request, and counted as one whose caller had left. Cause: HTTP1Connection._read_message_inner writes that line on the stream by itself for every HTTPInputError of a request, whatever has been written before. Ruled out: a malformed head of a next request, which is read once the answer before it ended; a head or a chunk's length that is too long, after which tornado closes without a word. Change: CallerStream stands between tornado's connection of one request and its stream. The caller's side marks its own writes; any other one comes to _on_stray_line, which decides at once: the line goes out while no part of the body was used, so that nothing can have run; an answer that began, or a call that may have run, is cut off; after an answer that the caller has, nothing is written and the connection closes. Before a close that follows a line or a whole answer, the rest is read for a second at most, since a close with bytes unread resets the connection and takes them along. Works because tornado has no other way to the stream than the object it was given, and because the decision is made before the call's task can take another step.

--- a/burdockdock/proxy/listener.py
+++ b/burdockdock/proxy/listener.py
@@ -19,6 +19,7 @@
 from burdockdock.proxy.answers import answer_headers, body_bytes, refusal_of
 from burdockdock.proxy.call import Call
 from burdockdock.proxy.call_factory import DEFAULT_TENANT, make_call
+from burdockdock.proxy.caller_stream import CallerStream, waits_to_send
 from burdockdock.proxy.context import CallContext
 
 MAX_HEADER_BYTES = 64 * 1024
@@ -27,7 +28,8 @@
 # How long the rest of a body is read after its answer: a close before that resets the
 # connection, and with it an answer on its way.
 _READ_ON_S = 1.0
-_SEND_ON = b"HTTP/1.1 100 Continue\r\n\r\n"
+_BAD_REQUEST = 400
+_MALFORMED = "malformed_body"
 _NO_CALL = Failure(Verdict.NOT_RUN, "no_call")
 
 
@@ -62,6 +64,8 @@
     def __init__(self, context: CallContext, connection: HTTPConnection) -> None:
         self._context = context
         self._connection = connection
+        self._stream = CallerStream(connection.stream, self._on_stray_line)
+        connection.stream = self._stream
         self._pieces: list[bytes] = []
         self._buffered_bytes = 0
         self._body_ended = False
@@ -69,9 +73,12 @@
         self._arrived = asyncio.Event()
         self._has_room: asyncio.Future[None] | None = None
         self._task: asyncio.Task[None] | None = None
+        # Whether the forwarder got a part of the body, so that the request may run.
+        self._body_used = False
         self._answer_started = False
         self._answer_ended = False
         self._whole = False
+        self._malformed = False
         # Bytes of the answer's body still to be sent, where its head tells them.
         self._left_bytes = -1
         self._method = ""
@@ -88,8 +95,8 @@
         self._task = asyncio.create_task(self._run(start_line, headers))
         # A task that is cancelled before its first step runs none of its own lines.
         self._task.add_done_callback(self._on_end)
-        if _waits_to_send(start_line, headers) and not self._connection.stream.closed():
-            self._connection.stream.write(_SEND_ON)
+        if waits_to_send(start_line, headers):
+            self._stream.ask_for_body()
 
     def data_received(self, chunk: bytes) -> "asyncio.Future[None] | None":
         """Keep a piece of the body; make the caller wait while many are kept."""
@@ -112,6 +119,34 @@
         """Cancel the call, since nobody waits for its answer."""
         if self._task is not None and not self._answer_ended:
             self._task.cancel()
+        self._end_reading()
+
+    def _on_stray_line(self, line: bytes) -> "asyncio.Future[None]":
+        """Decide on the line by which tornado refuses a malformed message.
+
+        Tornado closes the connection once what this returns is done. A call reads the
+        first part of a chunked body before anything else; the framing of other bodies
+        stands in the head, and is found malformed before the call's first step.
+        """
+        if self._whole or not self._left_bytes:
+            return asyncio.ensure_future(self._end_after_answer())
+        if self._task is not None:
+            self._malformed = True
+            self._task.cancel()
+        if self._answer_started or self._body_used:
+            self.break_off()
+            return asyncio.ensure_future(asyncio.sleep(0))
+        self._status = _BAD_REQUEST
+        return asyncio.ensure_future(self._stream.refuse(line, read_on_s=_READ_ON_S))
+
+    async def _end_after_answer(self) -> None:
+        """Let a caller have its answer, and nothing after it."""
+        await self._stream.read_out(_READ_ON_S)
+        self._end_reading()
+        if self._task is not None:
+            await asyncio.wait({self._task})
+
+    def _end_reading(self) -> None:
         self._closed = True
         self._arrived.set()
         self._make_room()
@@ -124,6 +159,7 @@
         data = b"".join(self._pieces)
         self._pieces.clear()
         self._buffered_bytes = 0
+        self._body_used = True
         self._make_room()
         return data, self._body_ended
 
@@ -134,7 +170,8 @@
         if self._context.draining:
             headers["Connection"] = "close"
         start_line = ResponseStartLine("HTTP/1.1", head.status, head.reason)
-        written = self._connection.write_headers(start_line, headers)
+        with self._stream.owned():
+            written = self._connection.write_headers(start_line, headers)
         self._answer_started = True
         self._status = head.status
         await self._write(written)
@@ -142,7 +179,9 @@
     async def send_body(self, data: bytes) -> None:
         """Send a piece of the answer once the connection took it."""
         if self._method != "HEAD":
-            await self._write(self._connection.write(data))
+            with self._stream.owned():
+                written = self._connection.write(data)
+            await self._write(written)
             self._left_bytes -= len(data)
 
     def finish_answer(self) -> None:
@@ -154,9 +193,8 @@
     def break_off(self) -> None:
         """Close the caller's connection in the middle of an answer."""
         self._answer_ended = True
-        stream = self._connection.detach()
-        if stream is not None:
-            stream.close()
+        self._connection.detach()
+        self._stream.close()
         self._make_room()
 
     async def _end_request(self) -> None:
@@ -165,12 +203,12 @@
             return
         if self._left_bytes == 0:
             await self._read_on()
-        self._connection.finish()
-        stream = self._connection.stream
+        with self._stream.owned():
+            self._connection.finish()
         try:
             # A chunked answer's end may still wait for the caller to take it.
-            if stream.writing():
-                await stream.write(b"")
+            if self._stream.writing():
+                await self._stream.flushed()
         except StreamClosedError:
             log_event("call.end_unread", status=self._status)
 
@@ -228,12 +266,17 @@
         await self._refuse(_faulted(error))
         await self._end_request()
         # What state the fault left the connection in is not known.
-        self._connection.stream.close()
+        self._stream.close()
 
     def _abandoned(self) -> Failure | None:
         """Return what a closed connection means: no failure after a whole answer."""
         if not self._left_bytes:
             return None
+        if self._malformed:
+            self._context.metrics.count("call_failures", label=_MALFORMED)
+            refused = not self._answer_started and not self._body_used
+            verdict = Verdict.NOT_RUN if refused else Verdict.MAY_HAVE_RUN
+            return Failure(verdict, _MALFORMED)
         self._context.metrics.count("calls_abandoned")
         return Failure(Verdict.MAY_HAVE_RUN, "caller_left")
 
@@ -286,16 +329,6 @@
         self.break_off = side.break_off
 
 
-def _waits_to_send(start_line: RequestStartLine, headers: HTTPHeaders) -> bool:
-    """Tell whether a caller sends its body once it is asked to.
-
-    The header is taken off, since tornado would ask callers of HTTP/1.0 as well, which
-    read that as their answer.
-    """
-    expected = headers.pop("Expect", "").lower()
-    return expected == "100-continue" and start_line.version != "HTTP/1.0"
-
-
 def _faulted(error: Exception) -> Failure:
     """Return what a fault of this node means for a call."""
     return Failure(Verdict.MAY_HAVE_RUN, "node_fault", repr(error))
