Write down each call's end once

Seen: call.ended stood in the log twice for an answer shorter than its length, first as a whole answer and then as node_fault, so that a count of ends or of failures by the log was wrong. A fault of a node whose caller was gone left no call.ended at all. Cause: _CallerSide._run logged the end before it gave the connection back, which can fail as well, and logged again in the handler of that; the handler of a fault logged after it told the caller, which a closed connection ends early. Ruled out: callers that leave after a whole answer; their calls aren't cancelled. Change: the end is written down in one place, when all is over. seconds_s still ends where the answer was whole, though the line comes after the rest of a body was read. What is written moved to proxy.call_end. Works because a finally clause runs once, on each way out.

--- a/burdockdock/proxy/listener.py
+++ b/burdockdock/proxy/listener.py
@@ -18,7 +18,8 @@
 from burdockdock.protocol.calls import AnswerHead
 from burdockdock.proxy.answers import answer_headers, body_bytes, refusal_of
 from burdockdock.proxy.call import Call
-from burdockdock.proxy.call_factory import DEFAULT_TENANT, make_call
+from burdockdock.proxy.call_end import faulted, log_end, record_latency
+from burdockdock.proxy.call_factory import make_call
 from burdockdock.proxy.caller_stream import CallerStream, waits_to_send
 from burdockdock.proxy.context import CallContext
 
@@ -78,6 +79,7 @@
         self._answer_started = False
         self._answer_ended = False
         self._whole = False
+        self._whole_at_s: float | None = None
         self._malformed = False
         # Bytes of the answer's body still to be sent, where its head tells them.
         self._left_bytes = -1
@@ -188,6 +190,7 @@
         """Note that the answer is whole."""
         self._answer_ended = True
         self._whole = True
+        self._whole_at_s = self._context.clock.monotonic()
         self._make_room()
 
     def break_off(self) -> None:
@@ -232,20 +235,24 @@
         context = self._context
         started_s = context.clock.monotonic()
         call: Call | Failure = _NO_CALL
+        failure: Failure | None = None
         try:
             call = make_call(context, start_line, headers)
             failure = call if isinstance(call, Failure) else await self._forward(call)
             if failure is not None:
                 await self._refuse(failure)
-            self._log_end(call, headers, failure, started_s)
             await self._end_request()
         except asyncio.CancelledError:
-            self._log_end(call, headers, self._abandoned(), started_s)
+            failure = self._abandoned() or failure
         except Exception as error:
-            await self._end_faulted(error)
-            self._log_end(call, headers, _faulted(error), started_s)
+            failure = faulted(error)
+            await self._end_faulted(failure)
         finally:
-            _record_latency(context, call, started_s)
+            whole_at_s = self._whole_at_s
+            ended_s = context.clock.monotonic() if whole_at_s is None else whole_at_s
+            took_s = ended_s - started_s
+            log_end(context, call, headers, failure, status=self._status, took_s=took_s)
+            record_latency(context, call, started_s)
 
     async def _forward(self, call: Call) -> Failure | None:
         return await self._context.forwarder.forward(call, _CallerAdapter(self))
@@ -257,20 +264,20 @@
         self._make_room()
         self._context.open_calls -= 1
 
-    async def _end_faulted(self, error: Exception) -> None:
+    async def _end_faulted(self, failure: Failure) -> None:
         """Tell the caller of a fault of this node, as far as that can be told still."""
         self._context.metrics.count("calls_faulted")
         if self._answer_started:
             self.break_off()
             return
-        await self._refuse(_faulted(error))
+        await self._refuse(failure)
         await self._end_request()
         # What state the fault left the connection in is not known.
         self._stream.close()
 
     def _abandoned(self) -> Failure | None:
         """Return what a closed connection means: no failure after a whole answer."""
-        if not self._left_bytes:
+        if self._whole or not self._left_bytes:
             return None
         if self._malformed:
             self._context.metrics.count("call_failures", label=_MALFORMED)
@@ -280,31 +287,6 @@
         self._context.metrics.count("calls_abandoned")
         return Failure(Verdict.MAY_HAVE_RUN, "caller_left")
 
-    def _log_end(
-        self,
-        call: Call | Failure,
-        headers: HTTPHeaders,
-        failure: Failure | None,
-        started_s: float,
-    ) -> None:
-        """Write down how a call ended and what decided it."""
-        context = self._context
-        request = None if isinstance(call, Failure) else call.request
-        request_id = headers.get(context.headers.request_id, "")
-        log_event(
-            "call.ended",
-            request=request.request_id if request else request_id,
-            route=request.route if request else "",
-            service=request.service if request else "",
-            config_version=context.snapshot().version,
-            status=self._status,
-            verdict="" if failure is None else failure.verdict.name.lower(),
-            reason="" if failure is None else failure.reason,
-            detail="" if failure is None else failure.detail,
-            allowed_ms=request.time_left_ms if request else 0,
-            seconds_s=context.clock.monotonic() - started_s,
-        )
-
     async def _refuse(self, failure: Failure) -> None:
         """Tell the caller the verdict and the reason."""
         self._context.metrics.count("call_failures", label=failure.reason)
@@ -327,20 +309,3 @@
         self.send_body = side.send_body
         self.finish = side.finish_answer
         self.break_off = side.break_off
-
-
-def _faulted(error: Exception) -> Failure:
-    """Return what a fault of this node means for a call."""
-    return Failure(Verdict.MAY_HAVE_RUN, "node_fault", repr(error))
-
-
-def _record_latency(
-    context: CallContext, call: Call | Failure, started_s: float
-) -> None:
-    request = None if isinstance(call, Failure) else call.request
-    context.metrics.record_latency(
-        "call",
-        context.clock.monotonic() - started_s,
-        tenant=request.tenant if request else DEFAULT_TENANT,
-        traffic_class=request.traffic_class if request else "none",
-    )
--- a/tests/proxy/test_ends_of_calls.py
+++ b/tests/proxy/test_ends_of_calls.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from types import SimpleNamespace
 
+import eliot
 import testtools
 from tornado.iostream import IOStream
 from tornado.tcpserver import TCPServer
@@ -21,7 +22,7 @@
 from burdockdock.proxy.peer_link import PeerLinks
 from burdockdock.standin.local_fleet import free_port
 from tests.proxy.listening import HOST, REQUEST, listen_for
-from tests.support import async_test
+from tests.support import async_test, eventually
 
 _LONG_S = 3.0
 
@@ -97,6 +98,46 @@
 
         await self._hears_an_end(AnswerHead(200, "OK", ()), make_call=fail)
 
+    def _ends_logged(self) -> list[dict]:
+        """Return the list to which each end of a call that is logged is added."""
+        ends = []
+
+        def take(event: dict) -> None:
+            if event.get("message_type") == "call.ended":
+                ends.append(event)
+
+        eliot.add_destinations(take)
+        self.addCleanup(eliot.remove_destination, take)
+        ends.clear()
+        return ends
+
+    @async_test
+    async def test_an_answer_shorter_than_its_length_is_logged_once(self) -> None:
+        ends = self._ends_logged()
+        head = AnswerHead(200, "OK", (("Content-Length", "9"),))
+        request = b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
+        context, _, reader, _ = await self._exchange(head, request)
+        self.assertTrue((await reader.read()).endswith(b"ok"))
+        await eventually(lambda: not context.open_calls)
+        self.assertEqual(["node_fault"], [end["reason"] for end in ends])
+
+    @async_test
+    async def test_a_fault_of_which_nobody_hears_is_logged_once(self) -> None:
+        ends = self._ends_logged()
+
+        class Failing:
+            async def forward(self, call: object, caller: Caller) -> None:
+                (connection,) = server._connections
+                connection.stream.close()
+                raise RuntimeError("a fault of this node")
+
+        context, server, port = listen_for(self, Failing())
+        _, writer = await asyncio.open_connection(HOST, port)
+        writer.write(b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
+        await eventually(lambda: context.metrics.counter("calls_faulted"))
+        await eventually(lambda: not context.open_calls)
+        self.assertEqual(1, len(ends))
+
     @async_test
     async def test_a_caller_that_left_at_once_leaves_no_open_call(self) -> None:
         listening = listen_for(self, _Answering(AnswerHead(200, "OK", ())))
