End the connection after an answer that has no other end

Seen: a caller of HTTP/1.0 that asked to keep its connection and got an answer without a length waited for its end until the connection had been idle for 300 s. Had it sent a second request already, that one's answer stood in the body of the first. Cause: tornado keeps such a connection, and says so with 'Connection: Keep-Alive', whether or not the answer has a length; it doesn't chunk answers to HTTP/1.0. Evidence: test_an_answer_without_a_length_ends_the_connection ran into its bound of 60 s before. With a length the connection still stays, as another test shows. Ruled out: HTTP/1.1, where such an answer is chunked; HEAD, 204 and 304, which have no body. body_bytes() says so now for 204 and 304 as well. Change: where the end of the connection is the answer's end, the listener ends the connection itself: everything goes out, the caller sees the end, the rest of a body is read for a second at most, and the connection closes. Works because the connection is closed before tornado looks for a next request.

--- a/burdockdock/proxy/answers.py
+++ b/burdockdock/proxy/answers.py
@@ -28,6 +28,7 @@
     502: "Bad Gateway",
     503: "Service Unavailable",
 }
+_STATUSES_WITHOUT_BODY = frozenset({204, 304})
 # Callers come back spread over this span.
 _RETRY_AFTER_MIN_S = 0.05
 _RETRY_AFTER_MAX_S = 0.4
@@ -66,9 +67,9 @@
     return _STATUS_OF_REASON.get(failure.reason, _STATUS_OF_VERDICT[failure.verdict])
 
 
-def body_bytes(headers: HTTPHeaders, method: str) -> int:
+def body_bytes(headers: HTTPHeaders, method: str, status: int) -> int:
     """Return the bytes of an answer's body, -1 where its head does not tell them."""
-    if method == "HEAD":
+    if method == "HEAD" or status in _STATUSES_WITHOUT_BODY:
         return 0
     length = headers.get("Content-Length", "")
     return int(length) if length.isascii() and length.isdecimal() else -1
--- a/burdockdock/proxy/caller_stream.py
+++ b/burdockdock/proxy/caller_stream.py
@@ -62,10 +62,15 @@
         :raises StreamClosedError: if the connection closed before.
         """
         await self.raw.write(line)
-        with contextlib.suppress(OSError):
-            self.raw.socket.shutdown(socket.SHUT_WR)
+        self.end_writing()
         await self.read_out(read_on_s)
 
+    def end_writing(self) -> None:
+        """Let the other side see an end once it has all that was written."""
+        if not self.raw.closed():
+            with contextlib.suppress(OSError):
+                self.raw.socket.shutdown(socket.SHUT_WR)
+
     async def read_out(self, seconds_s: float) -> None:
         """Read what still comes: a close with bytes unread takes the answer along."""
         try:
--- a/burdockdock/proxy/listener.py
+++ b/burdockdock/proxy/listener.py
@@ -83,14 +83,19 @@
         self._malformed = False
         # Bytes of the answer's body still to be sent, where its head tells them.
         self._left_bytes = -1
+        # Without a length, older callers know an answer's end by the connection's.
+        self._ends_with_close = False
         self._method = ""
+        self._version = ""
+        self._request_headers = HTTPHeaders()
         self._status = 0
 
     def headers_received(
         self, start_line: RequestStartLine, headers: HTTPHeaders
     ) -> None:
         """Start the call."""
-        self._method = start_line.method
+        self._method, _, self._version = start_line
+        self._request_headers = headers
         self._context.open_calls += 1
         # Without this, tornado tells of a closed connection only while it reads.
         self._connection.set_close_callback(self.on_connection_close)
@@ -168,7 +173,11 @@
     async def send_head(self, head: AnswerHead) -> None:
         """Begin the answer, with all of its body if that is there already."""
         headers = answer_headers(head, self._method)
-        self._left_bytes = body_bytes(headers, self._method)
+        self._left_bytes = body_bytes(headers, self._method, head.status)
+        if self._left_bytes < 0 and self._version != "HTTP/1.1":
+            self._ends_with_close = True
+            # Tornado would tell the caller that the connection stays open.
+            self._request_headers.pop("Connection", None)
         if self._context.draining:
             headers["Connection"] = "close"
         start_line = ResponseStartLine("HTTP/1.1", head.status, head.reason)
@@ -206,14 +215,19 @@
             return
         if self._left_bytes == 0:
             await self._read_on()
-        with self._stream.owned():
-            self._connection.finish()
+        if not self._ends_with_close:
+            with self._stream.owned():
+                self._connection.finish()
         try:
             # A chunked answer's end may still wait for the caller to take it.
             if self._stream.writing():
                 await self._stream.flushed()
         except StreamClosedError:
             log_event("call.end_unread", status=self._status)
+        if self._ends_with_close:
+            self._stream.end_writing()
+            await self._read_on()
+            self._connection.close()
 
     async def _read_on(self) -> None:
         """Take in the rest of the request's body, for a while."""
