--- a/burdockdock/proxy/listener.py
+++ b/burdockdock/proxy/listener.py
@@ -1,7 +1,6 @@
 """The HTTP server that callers use."""
 
 import asyncio
-import json
 
 from tornado.httpserver import HTTPServer
 from tornado.httputil import (
@@ -17,39 +16,21 @@
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.logs import log_event
 from burdockdock.protocol.calls import AnswerHead
+from burdockdock.proxy.answers import answer_headers, body_bytes, refusal_of
 from burdockdock.proxy.call import Call
-from burdockdock.proxy.call_factory import DEFAULT_TENANT, hop_names, make_call
+from burdockdock.proxy.call_end import faulted, log_end, record_latency
+from burdockdock.proxy.call_factory import make_call
+from burdockdock.proxy.caller_stream import CallerStream, waits_to_send
 from burdockdock.proxy.context import CallContext
 
-VERDICT_HEADER = "X-Burdockdock-Verdict"
 MAX_HEADER_BYTES = 64 * 1024
 MAX_BODY_BYTES = 1 << 40
 _BUFFER_BYTES = 256 * 1024
-_STATUS_OF_VERDICT = {
-    Verdict.NOT_RUN: 503,
-    Verdict.MAY_HAVE_RUN: 502,
-    Verdict.RAN: 502,
-}
-_STATUS_OF_REASON = {
-    "deadline_passed": 504,
-    "backend_timeout": 504,
-    "no_route": 404,
-    "already_ran": 409,
-}
-_REASON_PHRASES = {
-    404: "Not Found",
-    409: "Conflict",
-    502: "Bad Gateway",
-    503: "Service Unavailable",
-}
 # How long the rest of a body is read after its answer: a close before that resets the
 # connection, and with it an answer on its way.
 _READ_ON_S = 1.0
-# Callers come back spread over this span.
-_RETRY_AFTER_MIN_S = 0.05
-_RETRY_AFTER_MAX_S = 0.4
-
-
+_BAD_REQUEST = 400
+_MALFORMED = "malformed_body"
 _NO_CALL = Failure(Verdict.NOT_RUN, "no_call")
 
 
@@ -84,6 +65,8 @@
     def __init__(self, context: CallContext, connection: HTTPConnection) -> None:
         self._context = context
         self._connection = connection
+        self._stream = CallerStream(connection.stream, self._on_stray_line)
+        connection.stream = self._stream
         self._pieces: list[bytes] = []
         self._buffered_bytes = 0
         self._body_ended = False
@@ -91,25 +74,36 @@
         self._arrived = asyncio.Event()
         self._has_room: asyncio.Future[None] | None = None
         self._task: asyncio.Task[None] | None = None
+        # Whether the forwarder got a part of the body, so that the request may run.
+        self._body_used = False
         self._answer_started = False
         self._answer_ended = False
         self._whole = False
+        self._whole_at_s: float | None = None
+        self._malformed = False
         # Bytes of the answer's body still to be sent, where its head tells them.
         self._left_bytes = -1
+        # Without a length, older callers know an answer's end by the connection's.
+        self._ends_with_close = False
         self._method = ""
+        self._version = ""
+        self._request_headers = HTTPHeaders()
         self._status = 0
 
     def headers_received(
         self, start_line: RequestStartLine, headers: HTTPHeaders
     ) -> None:
         """Start the call."""
-        self._method = start_line.method
+        self._method, _, self._version = start_line
+        self._request_headers = headers
         self._context.open_calls += 1
         # Without this, tornado tells of a closed connection only while it reads.
         self._connection.set_close_callback(self.on_connection_close)
         self._task = asyncio.create_task(self._run(start_line, headers))
         # A task that is cancelled before its first step runs none of its own lines.
         self._task.add_done_callback(self._on_end)
+        if waits_to_send(start_line, headers):
+            self._stream.ask_for_body()
 
     def data_received(self, chunk: bytes) -> "asyncio.Future[None] | None":
         """Keep a piece of the body; make the caller wait while many are kept."""
@@ -132,6 +126,34 @@
         """Cancel the call, since nobody waits for its answer."""
         if self._task is not None and not self._answer_ended:
             self._task.cancel()
+        self._end_reading()
+
+    def _on_stray_line(self, line: bytes) -> "asyncio.Future[None]":
+        """Decide on the line by which tornado refuses a malformed message.
+
+        Tornado closes the connection once what this returns is done. A call reads the
+        first part of a chunked body before anything else; the framing of other bodies
+        stands in the head, and is found malformed before the call's first step.
+        """
+        if self._whole or not self._left_bytes:
+            return asyncio.ensure_future(self._end_after_answer())
+        if self._task is not None:
+            self._malformed = True
+            self._task.cancel()
+        if self._answer_started or self._body_used:
+            self.break_off()
+            return asyncio.ensure_future(asyncio.sleep(0))
+        self._status = _BAD_REQUEST
+        return asyncio.ensure_future(self._stream.refuse(line, read_on_s=_READ_ON_S))
+
+    async def _end_after_answer(self) -> None:
+        """Let a caller have its answer, and nothing after it."""
+        await self._stream.read_out(_READ_ON_S)
+        self._end_reading()
+        if self._task is not None:
+            await asyncio.wait({self._task})
+
+    def _end_reading(self) -> None:
         self._closed = True
         self._arrived.set()
         self._make_room()
@@ -144,17 +166,24 @@
         data = b"".join(self._pieces)
         self._pieces.clear()
         self._buffered_bytes = 0
+        self._body_used = True
         self._make_room()
         return data, self._body_ended
 
     async def send_head(self, head: AnswerHead) -> None:
         """Begin the answer, with all of its body if that is there already."""
-        headers = _answer_headers(head, self._method)
-        self._left_bytes = _body_bytes(headers, self._method)
+        headers = answer_headers(head, self._method)
+        self._left_bytes = body_bytes(headers, self._method, head.status)
+        if self._left_bytes < 0 and self._version != "HTTP/1.1":
+            self._ends_with_close = True
+            # Tornado would tell the caller that the connection stays open.
+            self._request_headers.pop("Connection", None)
+            self._stream.reset_on_close(True)
         if self._context.draining:
             headers["Connection"] = "close"
         start_line = ResponseStartLine("HTTP/1.1", head.status, head.reason)
-        written = self._connection.write_headers(start_line, headers)
+        with self._stream.owned():
+            written = self._connection.write_headers(start_line, headers)
         self._answer_started = True
         self._status = head.status
         await self._write(written)
@@ -162,21 +191,23 @@
     async def send_body(self, data: bytes) -> None:
         """Send a piece of the answer once the connection took it."""
         if self._method != "HEAD":
-            await self._write(self._connection.write(data))
+            with self._stream.owned():
+                written = self._connection.write(data)
+            await self._write(written)
             self._left_bytes -= len(data)
 
     def finish_answer(self) -> None:
         """Note that the answer is whole."""
         self._answer_ended = True
         self._whole = True
+        self._whole_at_s = self._context.clock.monotonic()
         self._make_room()
 
     def break_off(self) -> None:
         """Close the caller's connection in the middle of an answer."""
         self._answer_ended = True
-        stream = self._connection.detach()
-        if stream is not None:
-            stream.close()
+        self._connection.detach()
+        self._stream.close()
         self._make_room()
 
     async def _end_request(self) -> None:
@@ -185,14 +216,20 @@
             return
         if self._left_bytes == 0:
             await self._read_on()
-        self._connection.finish()
-        stream = self._connection.stream
+        if not self._ends_with_close:
+            with self._stream.owned():
+                self._connection.finish()
         try:
             # A chunked answer's end may still wait for the caller to take it.
-            if stream.writing():
-                await stream.write(b"")
+            if self._stream.writing():
+                await self._stream.flushed()
         except StreamClosedError:
             log_event("call.end_unread", status=self._status)
+        if self._ends_with_close:
+            self._stream.reset_on_close(False)
+            self._stream.end_writing()
+            await self._read_on()
+            self._connection.close()
 
     async def _read_on(self) -> None:
         """Take in the rest of the request's body, for a while."""
@@ -214,20 +251,24 @@
         context = self._context
         started_s = context.clock.monotonic()
         call: Call | Failure = _NO_CALL
+        failure: Failure | None = None
         try:
             call = make_call(context, start_line, headers)
             failure = call if isinstance(call, Failure) else await self._forward(call)
             if failure is not None:
                 await self._refuse(failure)
-            self._log_end(call, headers, failure, started_s)
             await self._end_request()
         except asyncio.CancelledError:
-            self._log_end(call, headers, self._abandoned(), started_s)
+            failure = self._abandoned() or failure
         except Exception as error:
-            await self._end_faulted(error)
-            self._log_end(call, headers, _faulted(error), started_s)
+            failure = faulted(error)
+            await self._end_faulted(failure)
         finally:
-            _record_latency(context, call, started_s)
+            whole_at_s = self._whole_at_s
+            ended_s = context.clock.monotonic() if whole_at_s is None else whole_at_s
+            took_s = ended_s - started_s
+            log_end(context, call, headers, failure, status=self._status, took_s=took_s)
+            record_latency(context, call, started_s)
 
     async def _forward(self, call: Call) -> Failure | None:
         return await self._context.forwarder.forward(call, _CallerAdapter(self))
@@ -239,68 +280,35 @@
         self._make_room()
         self._context.open_calls -= 1
 
-    async def _end_faulted(self, error: Exception) -> None:
+    async def _end_faulted(self, failure: Failure) -> None:
         """Tell the caller of a fault of this node, as far as that can be told still."""
         self._context.metrics.count("calls_faulted")
         if self._answer_started:
             self.break_off()
             return
-        await self._refuse(_faulted(error))
+        await self._refuse(failure)
         await self._end_request()
         # What state the fault left the connection in is not known.
-        self._connection.stream.close()
+        self._stream.close()
 
     def _abandoned(self) -> Failure | None:
         """Return what a closed connection means: no failure after a whole answer."""
-        if not self._left_bytes:
+        if self._whole or not self._left_bytes:
             return None
+        if self._malformed:
+            self._context.metrics.count("call_failures", label=_MALFORMED)
+            refused = not self._answer_started and not self._body_used
+            verdict = Verdict.NOT_RUN if refused else Verdict.MAY_HAVE_RUN
+            return Failure(verdict, _MALFORMED)
         self._context.metrics.count("calls_abandoned")
         return Failure(Verdict.MAY_HAVE_RUN, "caller_left")
 
-    def _log_end(
-        self,
-        call: Call | Failure,
-        headers: HTTPHeaders,
-        failure: Failure | None,
-        started_s: float,
-    ) -> None:
-        """Write down how a call ended and what decided it."""
-        context = self._context
-        request = None if isinstance(call, Failure) else call.request
-        request_id = headers.get(context.headers.request_id, "")
-        log_event(
-            "call.ended",
-            request=request.request_id if request else request_id,
-            route=request.route if request else "",
-            service=request.service if request else "",
-            config_version=context.snapshot().version,
-            status=self._status,
-            verdict="" if failure is None else failure.verdict.name.lower(),
-            reason="" if failure is None else failure.reason,
-            detail="" if failure is None else failure.detail,
-            allowed_ms=request.time_left_ms if request else 0,
-            seconds_s=context.clock.monotonic() - started_s,
-        )
-
     async def _refuse(self, failure: Failure) -> None:
         """Tell the caller the verdict and the reason."""
         self._context.metrics.count("call_failures", label=failure.reason)
-        status = _status_of(failure)
-        verdict = failure.verdict.name.lower()
-        body = json.dumps(
-            {"verdict": verdict, "reason": failure.reason, "detail": failure.detail}
-        ).encode()
-        headers: list[tuple[str, str]] = [
-            ("Content-Type", "application/json"),
-            ("Content-Length", str(len(body))),
-            (VERDICT_HEADER, verdict),
-        ]
-        if failure.verdict is Verdict.NOT_RUN:
-            after_s = self._context.rng.uniform(_RETRY_AFTER_MIN_S, _RETRY_AFTER_MAX_S)
-            headers.append(("Retry-After", f"{after_s:.3f}"))
-        phrase = _REASON_PHRASES.get(status, "Gateway Timeout")
-        await self.send_head(AnswerHead(status, phrase, tuple(headers)))
-        await self.send_body(body)
+        refusal = refusal_of(failure, self._context.rng)
+        await self.send_head(refusal.head)
+        await self.send_body(refusal.body)
         self.finish_answer()
 
     def _make_room(self) -> None:
@@ -317,48 +325,3 @@
         self.send_body = side.send_body
         self.finish = side.finish_answer
         self.break_off = side.break_off
-
-
-def _faulted(error: Exception) -> Failure:
-    """Return what a fault of this node means for a call."""
-    return Failure(Verdict.MAY_HAVE_RUN, "node_fault", repr(error))
-
-
-def _status_of(failure: Failure) -> int:
-    """Return the status that promises no more than the verdict does."""
-    if failure.verdict is Verdict.NOT_RUN and failure.reason != "no_route":
-        return 503
-    return _STATUS_OF_REASON.get(failure.reason, _STATUS_OF_VERDICT[failure.verdict])
-
-
-def _record_latency(
-    context: CallContext, call: Call | Failure, started_s: float
-) -> None:
-    request = None if isinstance(call, Failure) else call.request
-    context.metrics.record_latency(
-        "call",
-        context.clock.monotonic() - started_s,
-        tenant=request.tenant if request else DEFAULT_TENANT,
-        traffic_class=request.traffic_class if request else "none",
-    )
-
-
-def _body_bytes(headers: HTTPHeaders, method: str) -> int:
-    """Return the bytes of an answer's body, -1 where its head does not tell them."""
-    if method == "HEAD":
-        return 0
-    length = headers.get("Content-Length", "")
-    return int(length) if length.isascii() and length.isdecimal() else -1
-
-
-def _answer_headers(head: AnswerHead, method: str) -> HTTPHeaders:
-    named = next((v for n, v in head.headers if n.lower() == "connection"), "")
-    dropped = hop_names(named)
-    kept = HTTPHeaders()
-    for name, value in head.headers:
-        if name.lower() not in dropped:
-            kept.add(name, value)
-    if method == "HEAD" and "Content-Length" not in kept:
-        # Tornado would end the answer with an empty chunk.
-        kept["Transfer-Encoding"] = "chunked"
-    return kept
