--- a/burdockdock/coordination/records.py
+++ b/burdockdock/coordination/records.py
@@ -48,9 +48,12 @@
 
     def version(self, key: str) -> int:
         """Return the version seen under a key, 0 without one."""
+        return max(self.held_version(key), self._refused.get(key, 0))
+
+    def held_version(self, key: str) -> int:
+        """Return the version that is held under a key, 0 without one."""
         record = self._records.get(key)
-        stored = record.version if record else 0
-        return max(stored, self._refused.get(key, 0))
+        return record.version if record else 0
 
     def versions(self) -> dict[str, int]:
         """Return the version seen under every key."""
--- a/burdockdock/node/peer_server.py
+++ b/burdockdock/node/peer_server.py
@@ -86,7 +86,7 @@
             await asyncio.sleep(0.05)
             return
         calls = CallServer(connection, self._gate)
-        session = self._sync_server.session(peer.node_id, connection.send)
+        session = self._sync_server.session(peer.node_id, connection)
         try:
             while (message := await connection.read()) is not None:
                 if calls.handle(message):
@@ -96,7 +96,7 @@
                 await self._answer_sync(session, message)
         finally:
             calls.close()
-            session.close(taken=not connection.error)
+            session.close()
 
     async def _answer_sync(self, session: SyncSession, message: Message) -> None:
         before_bytes = session.sent_bytes
--- a/burdockdock/overlay/failure_detector.py
+++ b/burdockdock/overlay/failure_detector.py
@@ -354,7 +354,7 @@
             "memberDigest": self._membership.digest,
             "recordDigest": self._records.digest,
             "recordSum": self._records.version_sum,
-            "headVersion": self._records.version(self._head_key),
+            "headVersion": self._records.held_version(self._head_key),
         }
 
     def _on_ping(self, ping: Message, address: Address) -> None:
--- a/burdockdock/overlay/fetches.py
+++ b/burdockdock/overlay/fetches.py
@@ -1,6 +1,8 @@
 """Which peers are asked for what this node lacks, and when the next one is."""
 
 import asyncio
+import contextlib
+import math
 import random
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable
@@ -9,8 +11,10 @@
 from burdockdock.coordination.backoff import full_jitter
 from burdockdock.overlay.datagrams import Address
 
-# A peer that brought nothing for this long is not waited for alone.
+# A peer that brought nothing for this long is not waited for alone, nor one that has
+# not brought all after the longer time.
 _STALLED_S = 0.3
+_SLOW_S = 1.0
 _MOST_ACTIVE = 3
 _MOST_QUEUED = 16
 _NEXT_ROUND_BASE_S = 0.2
@@ -56,11 +60,14 @@
         self._queued: OrderedDict[Address, Source] = OrderedDict()
         self._active: dict[Address, tuple[Source, asyncio.Future[object]]] = {}
         self._runner: asyncio.Task[None] | None = None
+        self._added = asyncio.Event()
+        self._closed = False
 
     def add(self, source: Source) -> None:
         """Queue a source, the newest first; one that is being asked stays so."""
-        if source.address in self._active:
+        if self._closed or source.address in self._active:
             return
+        self._added.set()
         self._queued[source.address] = source
         self._queued.move_to_end(source.address)
         if len(self._queued) > _MOST_QUEUED:
@@ -70,6 +77,7 @@
 
     def close(self) -> None:
         """Stop the fetches that are under way."""
+        self._closed = True
         self._queued.clear()
         if self._runner is not None:
             self._runner.cancel()
@@ -89,13 +97,17 @@
             else:
                 await self._pause(fruitless)
                 fruitless += 1
-                source = self._find_source()
-                if source is None and not self._queued:
+                if not self._queued and not self._queue_another():
                     return
-                if source is not None:
-                    self._queued.setdefault(source.address, source)
             self._drop_unwanted()
 
+    def _queue_another(self) -> bool:
+        """Queue somebody to ask while this node lacks something."""
+        source = self._find_source()
+        if source is not None:
+            self._queued[source.address] = source
+        return source is not None
+
     def _next_wanted(self) -> Source | None:
         while self._queued:
             _, source = self._queued.popitem()
@@ -114,7 +126,9 @@
         self._active[address] = (source, task)
         task.add_done_callback(lambda _: self._active.pop(address, None))
         received = -1
-        while not task.done() and received != self._received_bytes(address):
+        for _ in range(math.ceil(_SLOW_S / _STALLED_S)):
+            if task.done() or received == self._received_bytes(address):
+                return
             received = self._received_bytes(address)
             await asyncio.wait({task}, timeout=_STALLED_S)
 
@@ -125,17 +139,22 @@
         )
 
     async def _pause(self, fruitless: int) -> None:
-        """Wait before somebody is asked who may know no more than the others."""
+        """Wait before somebody is asked who may know no more than the others.
+
+        A source that is added ends the wait.
+        """
         if self._find_source() is None:
             return
-        await asyncio.sleep(
-            full_jitter(
-                fruitless,
-                base_s=_NEXT_ROUND_BASE_S,
-                cap_s=_NEXT_ROUND_CAP_S,
-                rng=self._rng,
-            )
+        self._added.clear()
+        pause_s = full_jitter(
+            fruitless,
+            base_s=_NEXT_ROUND_BASE_S,
+            cap_s=_NEXT_ROUND_CAP_S,
+            rng=self._rng,
         )
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(pause_s):
+                await self._added.wait()
 
     def _drop_unwanted(self) -> None:
         """End the fetches of what another one has brought."""
--- a/burdockdock/overlay/long_replies.py
+++ b/burdockdock/overlay/long_replies.py
@@ -72,7 +72,16 @@
         self._under_way -= 1
         self._start_next()
         if taken:
-            self._send_on(peer)
+            self.send_on(peer)
+
+    def send_on(self, source: Peer) -> None:
+        """Name a new source to some who wait, those of its own zone first."""
+        zone = source.availability_zone
+        last_first = [w for w in reversed(self._waiting) if not w.turn.done()]
+        last_first.sort(key=lambda waiter: waiter.peer.availability_zone != zone)
+        for waiter in last_first[:_SENT_ON]:
+            self._waiting.remove(waiter)
+            waiter.turn.set_result(source.node_id)
 
     def _give_up(self, waiter: _Waiter) -> None:
         """Forget a waiter, or give back the place that it was just given."""
@@ -82,15 +91,10 @@
             self.end(waiter.peer, taken=False)
 
     def _start_next(self) -> None:
-        if self._waiting:
-            self._under_way += 1
-            self._waiting.popleft().turn.set_result(None)
-
-    def _send_on(self, source: Peer) -> None:
-        """Name a new source to some who wait, those of its own zone first."""
-        zone = source.availability_zone
-        last_first = list(self._waiting)[::-1]
-        last_first.sort(key=lambda waiter: waiter.peer.availability_zone != zone)
-        for waiter in last_first[:_SENT_ON]:
-            self._waiting.remove(waiter)
-            waiter.turn.set_result(source.node_id)
+        while self._waiting:
+            waiter = self._waiting.popleft()
+            # One that is being cancelled has not left the line yet.
+            if not waiter.turn.done():
+                self._under_way += 1
+                waiter.turn.set_result(None)
+                return
--- a/burdockdock/overlay/sync.py
+++ b/burdockdock/overlay/sync.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from types import MappingProxyType
 
 from tornado.iostream import StreamClosedError
 from tornado.tcpclient import TCPClient
@@ -34,6 +35,7 @@
 Connect = Callable[[str, int], Awaitable[FrameConnection]]
 
 
+_NOTHING: Mapping[str, int] = MappingProxyType({})
 _GIVEN_UP = Failure(Verdict.NOT_RUN, "not_needed", "another peer was quicker")
 
 
@@ -222,20 +224,25 @@
             if isinstance(peer, Failure):
                 return peer
             progress.greeted_s = self._clock.monotonic() - progress.started_s
-            reply = await self._ask(connection, members=True, pushed=[])
+            reply = await self._ask(connection)
             if reply is None:
                 return Failure(Verdict.NOT_RUN, "peer_closed", f"{host}:{port}")
             if reply.busy:
                 self._go_on_to(reply)
                 return Failure(Verdict.NOT_RUN, "peer_busy", f"{host}:{port}")
             progress.records = len(reply.records)
-            await self._exchange_members(connection, reply)
+            self._take_members(reply)
+            tells = self._tell_members(connection, reply)
+            if not tells:
+                # The peer has its place back while the records are being checked.
+                connection.close()
+            self._take_records(reply)
+            if tells:
+                await connection.read()
         finally:
             connection.close()
             self.sent_bytes += connection.sent_bytes
             self.received_bytes += connection.received_bytes
-        # The peer has its place back by now.
-        self._take_records(reply)
         self.peers.add(peer.node_id)
         return peer
 
@@ -247,15 +254,18 @@
         for node_id in reply.sources:
             self._add_source(node_id, "sent_on", is_wanted)
 
-    async def _exchange_members(
-        self, connection: FrameConnection, reply: Message
-    ) -> None:
-        for packed in reply.members:
-            merge_member(self._membership, packed)
-        differing = set(reply.differingBuckets)
-        if differing:
-            pushed = self._membership.in_buckets(differing)
-            await self._ask(connection, members=False, pushed=pushed)
+    def _tell_members(self, connection: FrameConnection, reply: Message) -> bool:
+        """Send the members that the peer lacks; return whether there are any."""
+        told = {(m.nodeId, m.incarnation, m.state) for m in reply.members}
+        pushed = [
+            member
+            for member in self._membership.in_buckets(set(reply.differingBuckets))
+            if (member.node_id, member.incarnation, int(member.state)) not in told
+        ]
+        if pushed:
+            taken = {record.key: record.version for record in reply.records}
+            self._request(connection, taken=taken, pushed=pushed)
+        return bool(pushed)
 
     def _log_end(
         self,
@@ -277,15 +287,33 @@
             seconds_s=self._clock.monotonic() - progress.started_s,
         )
 
-    async def _ask(
-        self, connection: FrameConnection, *, members: bool, pushed: list[Member]
-    ) -> Message | None:
+    async def _ask(self, connection: FrameConnection) -> Message | None:
+        """Ask for all that this node lacks."""
+        digests = list(self._membership.bucket_digests)
+        self._request(connection, digests=digests)
+        message = await connection.read()
+        if message is None or message.which() != "syncReply":
+            return None
+        return message.syncReply
+
+    def _request(
+        self,
+        connection: FrameConnection,
+        *,
+        digests: Sequence[int] = (),
+        taken: Mapping[str, int] = _NOTHING,
+        pushed: Sequence[Member] = (),
+    ) -> None:
+        """Send what this node has.
+
+        :param taken: versions that were received and are not in the records yet.
+        """
+        known = self._records.versions()
         versions = {
             key: version
-            for key, version in self._records.versions().items()
-            if key not in self._wanted_whole
+            for key, version in {**known, **taken}.items()
+            if key in taken or key not in self._wanted_whole
         }
-        digests = self._membership.bucket_digests if members else ()
         connection.send(
             frame(
                 "syncRequest",
@@ -295,15 +323,14 @@
                 takesDeflated=True,
             )
         )
-        message = await connection.read()
-        if message is None or message.which() != "syncReply":
-            return None
-        return message.syncReply
 
     def _take_in(self, reply: Message) -> None:
+        self._take_members(reply)
+        self._take_records(reply)
+
+    def _take_members(self, reply: Message) -> None:
         for packed in reply.members:
             merge_member(self._membership, packed)
-        self._take_records(reply)
 
     def _take_records(self, reply: Message) -> None:
         for packed in reply.records:
--- a/burdockdock/overlay/sync_server.py
+++ b/burdockdock/overlay/sync_server.py
@@ -1,7 +1,6 @@
 """Answers to other nodes that ask for what they lack."""
 
 import asyncio
-from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from burdockdock.clock import Clock
@@ -10,7 +9,7 @@
 from burdockdock.logs import log_event
 from burdockdock.overlay.long_replies import LongReplies, Peer
 from burdockdock.overlay.spread import DeltaCodec
-from burdockdock.protocol import Message
+from burdockdock.protocol import FrameConnection, Message
 from burdockdock.protocol.codec import frame
 from burdockdock.protocol.deflated import deflate
 from burdockdock.protocol.members import merge_member, pack_member, pack_record
@@ -20,6 +19,8 @@
 _LONG_BYTES = 16 * 1024
 # A shorter value is not worth the work.
 _DEFLATED_FROM_BYTES = 1024
+# Versions that askers come from differ little; a value is kept for each.
+_MOST_ENCODED = 16
 # A peer that takes its reply no faster holds its place no longer.
 _LONGEST_PLACE_S = 2.0
 
@@ -65,14 +66,11 @@
         self._encoded: dict[_Encoding, tuple[Record, dict[str, Any]]] = {}
         self.long_replies = LongReplies()
 
-    def session(self, peer_id: str, send: Callable[[bytes], None]) -> "SyncSession":
-        """Return the server's side of a connection.
-
-        :param send: sends a frame to the peer.
-        """
+    def session(self, peer_id: str, connection: FrameConnection) -> "SyncSession":
+        """Return the server's side of a connection."""
         member = self._membership.get(peer_id)
         zone = member.availability_zone if member else ""
-        return SyncSession(self, Peer(peer_id, zone), send, clock=self._clock)
+        return SyncSession(self, Peer(peer_id, zone), connection, clock=self._clock)
 
     def is_long(self, request: Message) -> bool:
         """Tell whether the answer to a request needs a place."""
@@ -127,6 +125,8 @@
             self._drop_older(record)
             kept = (record, _encode(record, codec, encoding))
             self._encoded[encoding] = kept
+            if len(self._encoded) > _MOST_ENCODED:
+                del self._encoded[next(iter(self._encoded))]
         return kept[1]
 
     def _drop_older(self, record: Record) -> None:
@@ -151,31 +151,33 @@
         self,
         server: SyncServer,
         peer: Peer,
-        send: Callable[[bytes], None],
+        connection: FrameConnection,
         *,
         clock: Clock,
     ) -> None:
         self._server = server
         self._peer = peer
-        self._send = send
+        self._connection = connection
         self._clock = clock
+        # Set while a long reply is under way, also after its place was given on.
+        self._replying = False
         self._place: asyncio.TimerHandle | None = None
         self.sent_bytes = 0
 
     async def answer(self, request: Message) -> None:
         """Answer a request; the peer has taken the reply before it."""
-        self._leave_place(taken=True)
+        self._end_reply(taken=True)
         self._server.take_in(request)
         if not self._server.is_long(request):
             self._reply(self._server.reply_to(request))
             return
         asked_s = self._clock.monotonic()
-        source_id = await self._server.long_replies.begin(self._peer)
+        source_id = await self._wait_for_place()
         if source_id is None:
-            loop = asyncio.get_running_loop()
-            self._place = loop.call_later(
-                _LONGEST_PLACE_S, lambda: self._leave_place(taken=False)
-            )
+            self._take_place()
+            if self._connection.closed:
+                self._end_reply(taken=False)
+                return
             reply = self._server.reply_to(request)
         else:
             reply = self._server.withhold(request, source_id)
@@ -190,22 +192,48 @@
         )
         self._reply(reply)
 
-    def close(self, *, taken: bool) -> None:
+    def close(self) -> None:
         """Note the end of the connection.
 
-        :param taken: whether the peer closed it in order, with all replies read.
+        A peer that has read all closes in order; one that gave up resets.
         """
-        self._leave_place(taken=taken)
+        self._end_reply(taken=not self._connection.error)
 
     def _reply(self, reply: bytes) -> None:
         self.sent_bytes += len(reply)
-        self._send(reply)
-
-    def _leave_place(self, *, taken: bool) -> None:
+        self._connection.send(reply)
+
+    async def _wait_for_place(self) -> str | None:
+        """Wait for a place while the peer does; as of ``LongReplies.begin``."""
+        turn = asyncio.ensure_future(self._server.long_replies.begin(self._peer))
+        ended = asyncio.ensure_future(self._connection.ended())
+        try:
+            await asyncio.wait({turn, ended}, return_when=asyncio.FIRST_COMPLETED)
+            return turn.result() if turn.done() else ""
+        finally:
+            turn.cancel()
+            ended.cancel()
+
+    def _take_place(self) -> None:
+        self._replying = True
+        loop = asyncio.get_running_loop()
+        self._place = loop.call_later(_LONGEST_PLACE_S, self._give_place_on)
+
+    def _give_place_on(self) -> None:
+        """Let another peer have the place; the reply goes on."""
+        self._place = None
+        self._server.long_replies.end(self._peer, taken=False)
+
+    def _end_reply(self, *, taken: bool) -> None:
+        if not self._replying:
+            return
+        self._replying = False
         if self._place is not None:
             self._place.cancel()
             self._place = None
             self._server.long_replies.end(self._peer, taken=taken)
+        elif taken:
+            self._server.long_replies.send_on(self._peer)
 
 
 def _encode(record: Record, codec: DeltaCodec, encoding: _Encoding) -> dict[str, Any]:
--- a/burdockdock/protocol/connection.py
+++ b/burdockdock/protocol/connection.py
@@ -92,6 +92,10 @@
             return
         await self._ended.wait()
 
+    async def ended(self) -> None:
+        """Wait until the connection is closed, by either side."""
+        await self._ended.wait()
+
     def close(self) -> None:
         """Close the connection; what has not left yet is lost."""
         self._stream.close()
--- a/tests/overlay/link_network.py
+++ b/tests/overlay/link_network.py
@@ -262,6 +262,9 @@
         self._ended = True
         self._news.set()
         self._drop_unsent()
+        if not self._received:
+            # As a tornado stream, whose owner hears of it also while it reads nothing.
+            self._close_end()
 
     def _close_end(self) -> None:
         if not self._closed:
@@ -419,10 +422,10 @@
             peer = await receive_greeting(connection, self.own)
             if isinstance(peer, Failure):
                 return
-            session = self.server.session(peer.node_id, connection.send)
+            session = self.server.session(peer.node_id, connection)
             while (message := await connection.read()) is not None:
                 await session.answer(message.syncRequest)
-            session.close(taken=not connection.error)
+            session.close()
         finally:
             connection.close()
 
--- a/tests/overlay/long_version.py
+++ b/tests/overlay/long_version.py
@@ -92,7 +92,7 @@
 
 def long_delta() -> bytes:
     """Return the long version's delta, not deflated."""
-    first, long = _first_document(), _long_document()
+    first, long = first_document(), long_document()
     added = {k: v for k, v in long.sections.items() if k not in first.sections}
     return long._replace(sections=added).encode()
 
@@ -114,7 +114,7 @@
 
     async def _spread(self) -> None:
         self._network = LinkNetwork(self._speeds, zones=_ZONES)
-        self._network.start(_record(_first_document()))
+        self._network.start(record_of(first_document()))
         await asyncio.sleep(_LEAD_S)
         loop = asyncio.get_running_loop()
         self._started_s = loop.time()
@@ -170,8 +170,8 @@
 
 def _changes(small_versions: int) -> list[_Change]:
     """Return the long version and the small ones, one route's timeout each."""
-    document = _long_document()
-    changes = [_Change(0.0, _record(document))]
+    document = long_document()
+    changes = [_Change(0.0, record_of(document))]
     names = [name for name in document.sections if name.startswith("route ")]
     for i, name in enumerate(random.Random(3).sample(names, small_versions)):
         changed = {**document.sections[name], "timeout_ms": str(6000 + i)}
@@ -180,18 +180,18 @@
             sections={**document.sections, name: changed},
         )
         at_s = _STORM_FROM_S + i * _STORM_INTERVAL_S
-        changes.append(_Change(at_s, _record(document)))
+        changes.append(_Change(at_s, record_of(document)))
     return changes
 
 
-def _first_document() -> ConfigDocument:
+def first_document() -> ConfigDocument:
     sections: Sections = {f"service service-{i}": {} for i in range(_SERVICES)}
     sections |= _routes(random.Random(1), _ROUTES_BEFORE)
     return ConfigDocument(1, sections, author="operator")
 
 
-def _long_document() -> ConfigDocument:
-    first = _first_document()
+def long_document() -> ConfigDocument:
+    first = first_document()
     sections = first.sections | _routes(random.Random(2), _ROUTES_ADDED)
     return first._replace(version=_LONG_VERSION, sections=sections)
 
@@ -217,5 +217,5 @@
     return "".join(rng.choices(string.ascii_lowercase + string.digits, k=length))
 
 
-def _record(document: ConfigDocument) -> Record:
+def record_of(document: ConfigDocument) -> Record:
     return Record(CONFIG_KEY, document.version, document.encode())
--- a/tests/overlay/test_fetches.py
+++ b/tests/overlay/test_fetches.py
@@ -12,7 +12,8 @@
 class _Peers:
     """Peers of which some are silent, and what this node lacks."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, trickles: bool = False) -> None:
+        loop = asyncio.get_running_loop()
         self.lacks = True
         self.silent: set[int] = set()
         self.useless: set[int] = set()
@@ -22,7 +23,7 @@
         self.found: list[int] = []
         self.queue = FetchQueue(
             fetch=self._fetch,
-            received_bytes=lambda _: 0,
+            received_bytes=lambda _: int(loop.time() * 10) if trickles else 0,
             find_source=self._find_source,
             rng=random.Random(1),
         )
@@ -126,3 +127,40 @@
             self.assertEqual(3, len(peers.ended))
 
         run_virtually(check())
+
+    def test_a_source_that_trickles_does_not_hold_up_the_others(self) -> None:
+        async def check() -> None:
+            peers = _Peers(trickles=True)
+            peers.silent = {2}
+            for port in (1, 2):
+                peers.queue.add(peers.source(port))
+            await asyncio.sleep(2.5)
+            self.assertEqual([2, 1], peers.asked)
+
+        run_virtually(check())
+
+    def test_a_named_source_is_asked_at_once_also_between_rounds(self) -> None:
+        async def check() -> None:
+            peers = _Peers()
+            peers.useless = {9}
+            peers.found = [9]
+            peers.queue.add(peers.source(9))
+            await asyncio.sleep(30.0)
+            added_s = asyncio.get_running_loop().time()
+            peers.queue.add(peers.source(1))
+            await asyncio.sleep(5.0)
+            self.assertEqual(1, peers.asked[-1])
+            # A round that was under way ends first.
+            self.assertLess(peers.asked_at_s[-1] - added_s, 0.2)
+
+        run_virtually(check())
+
+    def test_nothing_is_fetched_after_the_close(self) -> None:
+        async def check() -> None:
+            peers = _Peers()
+            peers.queue.close()
+            peers.queue.add(peers.source(1))
+            await asyncio.sleep(1.0)
+            self.assertEqual([], peers.asked)
+
+        run_virtually(check())
--- a/tests/overlay/test_long_replies.py
+++ b/tests/overlay/test_long_replies.py
@@ -95,3 +95,17 @@
                 task.cancel()
 
         run_virtually(check())
+
+    def test_a_place_goes_past_a_waiter_that_is_being_cancelled(self) -> None:
+        async def check() -> None:
+            places = LongReplies()
+            await places.begin(_peer("a"))
+            await places.begin(_peer("b"))
+            third = asyncio.ensure_future(places.begin(_peer("c")))
+            await _settle()
+            third.cancel()
+            places.end(_peer("a"), taken=True)
+            await _settle()
+            self.assertIsNone(await places.begin(_peer("d")))
+
+        run_virtually(check())
--- a/tests/proxy/test_known_routes_denied.py
+++ b/tests/proxy/test_known_routes_denied.py
@@ -1,6 +1,7 @@
 """What a node says of a route that it may only not have heard of yet."""
 
 import random
+from collections.abc import Callable
 from types import SimpleNamespace
 
 import testtools
@@ -25,11 +26,12 @@
 class _Node:
     """A node at version 1 that hears datagrams."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, accept: Callable[[Record], bool] = lambda _: True) -> None:
         clock = ManualClock()
+        self.sent: dict = {}
         self.handlers: dict = {}
         membership = MembershipTable(Member("a", "h", 1, "r", "z", 1), clock=clock)
-        self.records = RecordStore()
+        self.records = RecordStore(accept=accept)
         self.records.put(Record(_KEY, 1, b""))
         spreader = Spreader(
             membership=membership,
@@ -39,7 +41,7 @@
             deltas={_KEY: DeltaCodec(lambda: b"", lambda _: None, lambda _: None)},
             pull=lambda _node_id, cause: None,
         )
-        FailureDetector(
+        self.detector = FailureDetector(
             membership=membership,
             records=self.records,
             datagrams=self,
@@ -61,7 +63,8 @@
         self.handlers[kind] = handler
 
     def send(self, address: tuple[str, int], kind: str, **fields: object) -> None:
-        """Send nothing."""
+        """Keep what was sent last."""
+        self.sent = fields
 
     def hear(self, kind: str, **fields: object) -> None:
         """Receive a datagram."""
@@ -111,8 +114,13 @@
         self.assertEqual("no_route", node.reason_without_route())
 
     def test_a_newer_version_that_was_refused_here_is_not_waited_for(self) -> None:
-        node = _Node()
-        node.records = RecordStore(accept=lambda _: False)
-        node.records.hear(_KEY, 2)
+        node = _Node(accept=lambda record: record.version < 2)
+        node.hear("ping", nodeId="b", headVersion=2)
         node.records.put(Record(_KEY, 2, b""))
         self.assertEqual("no_route", node.reason_without_route())
+
+    def test_a_version_that_was_refused_here_is_named_to_nobody(self) -> None:
+        node = _Node(accept=lambda record: record.version < 2)
+        node.records.put(Record(_KEY, 2, b""))
+        node.detector.ping(Member("b", *_PEER, "r", "z", 1))
+        self.assertEqual(1, node.sent["headVersion"])
