Test of a fleet that believes a node with a full link: fails

A node whose own datagrams are lost for a while takes the members it probed for dead, as it can't tell its own loss from theirs, and its word reaches the fleet once its link is free. Nobody else suspected them. A dead member stands in nobody's trees, so that it misses versions. In the test two live members are taken for dead after 5.5 s of one node's losses.

--- a/tests/overlay/test_suspicion.py
+++ b/tests/overlay/test_suspicion.py
@@ -28,12 +28,15 @@
         self.rng = random.Random(18)
         self.loss_share = loss_share
         self.silent: set[int] = set()
+        self.choked: set[int] = set()
         self.nodes = [_Node(index, self) for index in range(_NODES)]
 
     def deliver(self, sender: int, address: tuple[str, int], data: bytes) -> None:
         """Carry a datagram unless it is lost."""
         if {sender, address[1]} & self.silent or self.rng.random() < self.loss_share:
             return
+        if sender in self.choked:
+            return
         loop = asyncio.get_running_loop()
         loop.call_later(_DELAY_S, self.nodes[address[1]].receive, data, ("h", sender))
 
@@ -130,6 +133,24 @@
 
         run_virtually(check())
 
+    def test_a_node_whose_own_link_is_full_makes_nobody_take_others_for_dead(
+        self,
+    ) -> None:
+        async def check() -> None:
+            network = _Network()
+            tasks = network.start()
+            await asyncio.sleep(3.0)
+            network.choked = {7}
+            await asyncio.sleep(5.5)
+            network.choked = set()
+            await asyncio.sleep(20.0)
+            for task in tasks:
+                task.cancel()
+            others = set().union(*(node.ever_dead for node in network.nodes))
+            self.assertEqual(set(), others - {"n7"})
+
+        run_virtually(check())
+
     def test_a_member_that_is_gone_is_soon_taken_for_dead_by_all(self) -> None:
         async def check() -> None:
             network = _Network(loss_share=0.05)
