Let a node that nobody answers doubt its own link before others

Change: a node that has had no answer from anybody for 1.5 periods restarts its suspicions, up to 12 s, after which it may be the last one left. Ruled out: hearsay (only the node that asked confirms); a suspicion time that grows for everybody, which would keep dead members in use. Price: the last two of a fleet take 16 s to notice each other's end, 4 s before.

--- a/burdockdock/overlay/failure_detector.py
+++ b/burdockdock/overlay/failure_detector.py
@@ -32,6 +32,8 @@
 # Own entries sent to everyone by this node's refutations, at most one in this time.
 _REFUTATION_INTERVAL_S = 1.0
 _KNOCK_PERIODS = 5
+# Periods without an answer from anybody after which a node doubts its own link first.
+_UNHEARD_PERIODS = 1.5
 
 
 class DetectorTiming(NamedTuple):
@@ -43,6 +45,8 @@
     :param hearsay_s: seconds after which a node that only heard of a suspicion asks
         the suspect itself.
     :param late_s: own delay from which on this node suspects itself first.
+    :param alone_s: seconds without an answer from anybody after which the others are
+        doubted all the same, as when this node is the last one.
     """
 
     period_s: float = 1.0
@@ -50,6 +54,7 @@
     suspicion_s: float = 4.0
     hearsay_s: float = 8.0
     late_s: float = 0.5
+    alone_s: float = 12.0
 
 
 class _RelayedProbe(NamedTuple):
@@ -131,6 +136,7 @@
         self._suspected: dict[str, _Suspicion] = {}
         self._periods = 0
         self._refuted_s = float("-inf")
+        self._answered_s = clock.monotonic()
         self._news: asyncio.TimerHandle | None = None
         membership.subscribe(self._on_change)
         datagrams.on("ping", self._on_ping)
@@ -150,6 +156,8 @@
                 continue
             if not answered:
                 self._suspect(target)
+            if self._is_unheard():
+                self._forgive_all()
             self._confirm_suspects()
             self._ask_suspects()
             self._end_period()
@@ -285,8 +293,14 @@
         if dead is not None:
             self._spread(dead)
 
+    def _is_unheard(self) -> bool:
+        """Tell whether this node's own link may be why others don't answer it."""
+        unheard_s = self._clock.monotonic() - self._answered_s
+        doubts_itself_s = _UNHEARD_PERIODS * self._timing.period_s
+        return doubts_itself_s < unheard_s < self._timing.alone_s
+
     def _forgive_all(self) -> None:
-        """Restart all suspicions: this node was paused, not the others."""
+        """Restart all suspicions: it was this node that was late, or not heard."""
         now_s = self._clock.monotonic()
         self._suspected = {
             node_id: suspicion._replace(since_s=now_s)
@@ -363,6 +377,7 @@
         self._datagrams.send(address, "ack", **fields)
 
     def _on_ack(self, ack: Message, address: Address) -> None:
+        self._answered_s = self._clock.monotonic()
         self._take_in(ack, address)
         future = self._acks.get(ack.sequence)
         if future is not None and not future.done():
