Move RemoteCall out of the peer link into its own module

One call on a link (RemoteCall) and what is told of a gate with its end (GateState) now stand in proxy/remote_call.py.

--- a/burdockdock/proxy/call.py
+++ b/burdockdock/proxy/call.py
@@ -4,7 +4,7 @@
 
 from burdockdock.protocol import WindowClosed
 from burdockdock.protocol.calls import AnswerHead, CallRequest
-from burdockdock.proxy.peer_link import RemoteCall
+from burdockdock.proxy.remote_call import RemoteCall
 
 _REPLAY_BYTES = 64 * 1024
 
--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -23,7 +23,8 @@
 from burdockdock.proxy.balancer import LARGE_ANSWERS, Balancer
 from burdockdock.proxy.call import Call, Caller, ReplayableBody
 from burdockdock.proxy.endpoints import Endpoints
-from burdockdock.proxy.peer_link import GateState, PeerLink, PeerLinks, RemoteCall
+from burdockdock.proxy.peer_link import PeerLink, PeerLinks
+from burdockdock.proxy.remote_call import GateState, RemoteCall
 from burdockdock.proxy.reply_times import PROMPT_REFUSALS, ReplyTimes
 
 _OUTCOME_INTERVAL_S = 0.02
--- a/burdockdock/proxy/peer_link.py
+++ b/burdockdock/proxy/peer_link.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import itertools
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
@@ -11,17 +11,9 @@
 
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.logs import log_event
-from burdockdock.protocol import (
-    MALFORMED,
-    FrameConnection,
-    Message,
-    SendWindow,
-    WindowClosed,
-)
+from burdockdock.protocol import MALFORMED, FrameConnection, Message
 from burdockdock.protocol.calls import (
-    AnswerHead,
     CallRequest,
-    GateResults,
     frame_call_start,
     read_answer_head,
     read_failure,
@@ -29,6 +21,7 @@
 )
 from burdockdock.protocol.codec import frame
 from burdockdock.protocol.handshake import PeerIdentity, greet
+from burdockdock.proxy.remote_call import GateState, RemoteCall
 
 CONNECT_TIMEOUT_S = 1.0
 # Calls given up on one link whose late refusals are still looked at.
@@ -47,98 +40,6 @@
     heard: asyncio.Future[None]
 
 
-class GateState(NamedTuple):
-    """What another node told of its gate.
-
-    :param calls: calls that run and wait there.
-    """
-
-    calls: int
-    results: GateResults
-
-
-class RemoteCall:
-    """One attempt of a call at another node.
-
-    ``refusal`` is what that node told of itself when it refused or failed the call;
-    ``on_late_refusal`` is told one that comes when the call was given up.
-    """
-
-    def __init__(self, call_id: int, link: "PeerLink") -> None:
-        self._call_id = call_id
-        self._link = link
-        self._window = SendWindow()
-        loop = asyncio.get_running_loop()
-        self._head: asyncio.Future[AnswerHead | Failure] = loop.create_future()
-        self._pieces: deque[bytes] = deque()
-        self._ended = False
-        self._failure: Failure | None = None
-        self.refusal: GateState | None = None
-        self.on_late_refusal: Callable[[Failure], None] | None = None
-        self._arrived = asyncio.Event()
-
-    async def head(self) -> AnswerHead | Failure:
-        """Wait for the beginning of the answer."""
-        return await self._head
-
-    async def send_body(self, data: bytes, *, end: bool) -> None:
-        """Send a piece of the request's body once there is room for it.
-
-        :raises WindowClosed: if the call is over.
-        """
-        if data:
-            await self._window.reserve(len(data))
-        self._link.send(frame("callBody", callId=self._call_id, data=data, end=end))
-
-    async def read_body(self) -> bytes | Failure | None:
-        """Return the next piece of the answer, None at its end."""
-        while not self._pieces:
-            if self._failure is not None:
-                return self._failure
-            if self._ended:
-                return None
-            self._arrived.clear()
-            await self._arrived.wait()
-        data = b"".join(self._pieces)
-        self._pieces.clear()
-        if not self._ended:
-            self._link.send(frame("credit", callId=self._call_id, sizeBytes=len(data)))
-        return data
-
-    def cancel(self) -> None:
-        """Tell the other node that the answer is no longer wanted."""
-        if not self._ended and self._failure is None:
-            self._link.send(frame("callCancel", callId=self._call_id))
-        self._link.forget(self._call_id)
-        self._window.close()
-
-    def receive_head(self, head: AnswerHead) -> None:
-        """Take in the beginning of the answer."""
-        self._ended = head.end
-        if not self._head.done():
-            self._head.set_result(head)
-        self._arrived.set()
-
-    def receive_body(self, data: bytes, end: bool) -> None:
-        """Take in a piece of the answer."""
-        if data:
-            self._pieces.append(data)
-        self._ended |= end
-        self._arrived.set()
-
-    def receive_failure(self, failure: Failure) -> None:
-        """Take in that there will be no whole answer."""
-        self._failure = failure
-        if not self._head.done():
-            self._head.set_result(failure)
-        self._window.close()
-        self._arrived.set()
-
-    def grant(self, size_bytes: int) -> None:
-        """Take in credit for the request's body."""
-        self._window.grant(size_bytes)
-
-
 class PeerLink:
     """One connection to another node, shared by all calls to it.
 
@@ -409,6 +310,3 @@
         )
         self._links[host, port] = link
         return link
-
-
-__all__ = ["PeerLink", "PeerLinks", "RemoteCall", "WindowClosed"]
--- a/tests/proxy/test_forwarder.py
+++ b/tests/proxy/test_forwarder.py
@@ -16,7 +16,8 @@
 from burdockdock.proxy import forwarder
 from burdockdock.proxy.call import Call
 from burdockdock.proxy.forwarder import Forwarder
-from burdockdock.proxy.peer_link import GateState, PeerLink
+from burdockdock.proxy.peer_link import PeerLink
+from burdockdock.proxy.remote_call import GateState
 from tests.proxy.fake_connection import FakeConnection
 from tests.support import PATIENCE_S, async_test, eventually
 
