Let one function of the drain set that calls are refused

The end in time and the end by timeout each set the flag themselves, while the timer after the notice called _refuse_calls; now all three call it. What it does, and when, is the same.

--- a/burdockdock/node/draining.py
+++ b/burdockdock/node/draining.py
@@ -91,12 +91,12 @@
             await _wait_for_answers(context)
             # A call that is read from now on would be cut by the close: it gets its
             # refusal, and is passed on to nobody.
-            context.refusing = True
+            _refuse_calls(context)
             await asyncio.sleep(_LAST_REFUSALS_S)
             await _wait_for_answers(context)
             await _finish_in_time(finish)
     except TimeoutError:
-        context.refusing = True
+        _refuse_calls(context)
         log_event(
             "node.drain_timeout", calls=context.open_calls, gate_calls=gate.running
         )
