Move what asks after a broken call out of the forwarder

Finding out what became of a call whose connection broke is a job of its own (proxy/outcomes.py), called as before through Forwarder._settle, which the tests of the fault matrix replace. The attempt that both handle moves to proxy/attempts.py, and Call itself says how much time it has left.

No line changed otherwise, but for arguments in place of self.

The forwarder keeps its mean times of routes beside what the balancer keeps of the same answers: the balancer holds the last mean that each node told, of whatever route, the forwarder a moving mean of each route over all nodes that sinks with its refusals. Neither can be had from the other.

--- a/burdockdock/proxy/attempts.py
+++ b/burdockdock/proxy/attempts.py
@@ -2,7 +2,10 @@
 
 from typing import NamedTuple
 
+from burdockdock.coordination.membership import Member
 from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.proxy.peer_link import PeerLink
+from burdockdock.proxy.remote_call import RemoteCall
 
 # Reason of a refusal that the backend server itself made; all other refusals as not
 # run come from nodes, before anything reached a backend server.
@@ -17,6 +20,15 @@
 _FREE_SLOT_TRIES_AFTER_WAIT = 2
 
 
+class Attempt(NamedTuple):
+    """A call as it was sent to one node, in monotonic seconds."""
+
+    member: Member
+    link: PeerLink
+    remote: RemoteCall
+    started_s: float
+
+
 class AttemptFailure(NamedTuple):
     """A failed attempt and the node that it went to, empty without one."""
 
--- a/burdockdock/proxy/call.py
+++ b/burdockdock/proxy/call.py
@@ -52,6 +52,10 @@
     large_answer: bool = False
     may_wait: bool = True
 
+    def left_ms(self, now_s: float) -> int:
+        """Return the time left to the deadline, from now in monotonic seconds."""
+        return int((self.deadline_s - now_s) * 1000)
+
 
 class ReplayableBody:
     """A request's body of which the beginning can be sent again."""
--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import functools
-from typing import NamedTuple
 
 from burdockdock.clock import Clock
 from burdockdock.coordination.backoff import FleetRetryBudget
@@ -16,6 +15,7 @@
     BACKEND_REFUSED,
     FREE_SLOT_TRIES,
     MAX_MOVES,
+    Attempt,
     AttemptFailure,
     Tried,
     is_refused_by_node,
@@ -23,11 +23,11 @@
 from burdockdock.proxy.balancer import LARGE_ANSWERS, Balancer
 from burdockdock.proxy.call import Call, Caller, ReplayableBody
 from burdockdock.proxy.endpoints import Endpoints
+from burdockdock.proxy.outcomes import settle
 from burdockdock.proxy.peer_link import PeerLink, PeerLinks
 from burdockdock.proxy.remote_call import GateState, RemoteCall
 from burdockdock.proxy.reply_times import PROMPT_REFUSALS, ReplyTimes
 
-_OUTCOME_INTERVAL_S = 0.02
 # Of the time left, what a link may take to open; the rest is for another node.
 _OPENING_SHARE = 0.5
 # With calls sent on a link and nothing heard for so long, it is asked for a sign of
@@ -36,7 +36,6 @@
 _PROBE_S = 0.1
 # What an answer that was ended at its deadline takes to be told here.
 _LAST_PIECE_S = 0.25
-_ANSWER_LOST = "answer_lost"
 _DEADLINE_PASSED = "deadline_passed"
 _NO_BACKEND_SERVER = "no_backend_server"
 _SHED_STATUSES = frozenset({429, 503})
@@ -61,13 +60,6 @@
 )
 
 
-class _Attempt(NamedTuple):
-    member: Member
-    link: PeerLink
-    remote: RemoteCall
-    started_s: float
-
-
 class Forwarder:
     """Sends calls to other nodes' gates."""
 
@@ -89,6 +81,7 @@
         self._budget = retry_budget
         self._reply_times = ReplyTimes(clock=clock)
         self._typical = TypicalTimes()
+        self._settle = functools.partial(settle, links=links, clock=clock)
 
     async def forward(self, call: Call, caller: Caller) -> Failure | None:
         """Carry a call to its answer.
@@ -220,7 +213,7 @@
         )
         started_s = self._clock.monotonic()
         link.note_asked(started_s)
-        attempt = _Attempt(member, link, link.start(request), started_s)
+        attempt = Attempt(member, link, link.start(request), started_s)
         return await self._follow(attempt, call, caller, body)
 
     async def _is_silent(self, link: PeerLink) -> bool:
@@ -251,7 +244,7 @@
         return link
 
     async def _follow(
-        self, attempt: _Attempt, call: Call, caller: Caller, body: ReplayableBody
+        self, attempt: Attempt, call: Call, caller: Caller, body: ReplayableBody
     ) -> AnswerHead | Failure:
         """Send the rest of the body while waiting for the answer."""
         upload = None
@@ -273,13 +266,13 @@
                 upload.cancel()
             attempt.remote.cancel()
 
-    def _take_in(self, attempt: _Attempt, call: Call, state: GateState) -> None:
+    def _take_in(self, attempt: Attempt, call: Call, state: GateState) -> None:
         """Take in what a gate told of itself."""
         self._balancer.tell_load(attempt.member.node_id, *state)
         if state.results.service_s:
             self._typical.record(call.request.route, state.results.service_s)
 
-    def _time_reply(self, attempt: _Attempt, head: AnswerHead | Failure) -> None:
+    def _time_reply(self, attempt: Attempt, head: AnswerHead | Failure) -> None:
         """Learn from a reply how long the way there and back takes."""
         node_id = attempt.member.node_id
         took_s = self._clock.monotonic() - attempt.started_s
@@ -302,38 +295,8 @@
         except TimeoutError:
             return Failure(Verdict.MAY_HAVE_RUN, _DEADLINE_PASSED)
 
-    async def _settle(self, attempt: _Attempt, call: Call, failure: Failure) -> Failure:
-        """Find out what became of a call whose connection broke."""
-        if failure.reason != "peer_connection_broken" or call.request.idempotent:
-            return failure
-        while (left_ms := self._left_ms(call)) > 0:
-            outcome = await self._ask_outcome(attempt, call, left_ms)
-            if outcome is None:
-                return failure
-            if outcome.reason != "running":
-                return _as_told_to_caller(outcome)
-            await asyncio.sleep(_OUTCOME_INTERVAL_S)
-        return failure
-
-    async def _ask_outcome(
-        self, attempt: _Attempt, call: Call, left_ms: int
-    ) -> Failure | None:
-        """Ask the same incarnation of a node; another one knows nothing."""
-        try:
-            async with asyncio.timeout(left_ms / 1000):
-                member = attempt.member
-                link = await self._links.get(member.host, member.port)
-                if isinstance(link, Failure) or link.peer != attempt.link.peer:
-                    return None
-                outcome = await link.query_outcome(
-                    call.request.request_id, time_left_ms=left_ms
-                )
-        except TimeoutError:
-            return None
-        return None if outcome.reason == "peer_connection_broken" else outcome
-
     async def _relay(
-        self, attempt: _Attempt, call: Call, head: AnswerHead, caller: Caller
+        self, attempt: Attempt, call: Call, head: AnswerHead, caller: Caller
     ) -> None:
         await caller.send_head(head)
         while True:
@@ -413,7 +376,7 @@
         return int((call.target_s - self._clock.monotonic()) * 1000) or -1
 
     def _left_ms(self, call: Call) -> int:
-        return int((call.deadline_s - self._clock.monotonic()) * 1000)
+        return call.left_ms(self._clock.monotonic())
 
 
 def _is_fault(result: AnswerHead | Failure) -> bool:
@@ -421,9 +384,3 @@
     if isinstance(result, Failure):
         return result.reason not in _HEALTHY_REFUSALS
     return result.status >= 500 and result.status not in _SHED_STATUSES
-
-
-def _as_told_to_caller(outcome: Failure) -> Failure:
-    if outcome.verdict is Verdict.RAN:
-        return Failure(Verdict.RAN, _ANSWER_LOST, "the request ran, its answer is lost")
-    return outcome
