Move the head of an answer out of the client of backend servers

What the head of a backend server's answer says, and which of its headers can be passed on, has nothing to do with libcurl and stands in gate/backend_head.py.

--- a/burdockdock/gate/curl_client.py
+++ b/burdockdock/gate/curl_client.py
@@ -1,13 +1,13 @@
 """HTTP client for backend servers: streams both ways and never sends twice."""
 
 import asyncio
-import re
 from collections import deque
 from typing import NamedTuple
 
 import pycurl
 
 from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.gate.backend_head import BackendHead, body_length, parse_head
 
 _PAUSE_ABOVE_BYTES = 256 * 1024
 _CONNECT_TIMEOUT_MS = 1000
@@ -16,11 +16,6 @@
 # A kept connection is not used again after this, before a backend server that says
 # nothing of its own limit might close it.
 _MAX_IDLE_S = 5
-_LENGTH = "content-length"
-_CODING = "transfer-encoding"
-# What a header's name is made of, and what no value may hold.
-_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
-_FORBIDDEN = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 _STOP_POLLING = pycurl.POLL_REMOVE
 # Errors of which libcurl knows that no byte of the request was sent.
 _NOT_SENT_ERRORS = {
@@ -50,14 +45,6 @@
     resend_allowed: bool = False
 
 
-class BackendHead(NamedTuple):
-    """Status line and headers of a backend server's answer."""
-
-    status: int
-    reason: str
-    headers: tuple[tuple[str, str], ...]
-
-
 def connect_timeout_ms(timeout_ms: int) -> int:
     """Return how long a request with a time-out may take to connect, in ms."""
     return max(1, min(_CONNECT_TIMEOUT_MS, int(timeout_ms * _CONNECT_SHARE)))
@@ -311,11 +298,11 @@
             self._end_of_head()
 
     def _end_of_head(self) -> None:
-        head = _parse_head(self._head_lines)
+        head = parse_head(self._head_lines)
         # An interim answer, or the trailer after a body.
         if head is None or head.status < 200 or self._head.done():
             return
-        self._left_bytes = _body_length(head)
+        self._left_bytes = body_length(head)
         self._head.set_result(head)
 
     def _on_body(self, data: bytes) -> int | None:
@@ -347,40 +334,3 @@
         if self._read_paused:
             self._read_paused = False
             self._client.resume(self)
-
-
-def _parse_head(lines: list[bytes]) -> BackendHead | None:
-    if not lines:
-        return None
-    words = lines[0].decode("latin-1").split(None, 2)
-    if len(words) < 2 or not words[1].isdecimal():
-        return None
-    reason = words[2].strip() if len(words) > 2 else ""
-    return BackendHead(int(words[1]), reason, _parse_headers(lines[1:]))
-
-
-def _body_length(head: BackendHead) -> int:
-    """Return the length of an answer's body, -1 where its head does not tell it."""
-    length = next((v for n, v in head.headers if n.lower() == _LENGTH), "")
-    return int(length) if length.isascii() and length.isdecimal() else -1
-
-
-def _parse_headers(lines: list[bytes]) -> tuple[tuple[str, str], ...]:
-    """Return the headers that can be passed on, with a body's length once at most."""
-    headers: list[tuple[str, str]] = []
-    names: set[str] = set()
-    for line in lines:
-        name, _, value = (
-            part.strip() for part in line.decode("latin-1").partition(":")
-        )
-        is_length = name.lower() == _LENGTH
-        if not _NAME.fullmatch(name) or _FORBIDDEN.search(value):
-            continue
-        if is_length and _LENGTH in names:
-            continue
-        names.add(name.lower())
-        headers.append((name, value))
-    if _CODING in names:
-        # The body that libcurl hands out has a length of its own then.
-        headers = [header for header in headers if header[0].lower() != _LENGTH]
-    return tuple(headers)
--- a/burdockdock/gate/exchange.py
+++ b/burdockdock/gate/exchange.py
@@ -1,7 +1,8 @@
 """Headers of requests to a backend server, and which of its answers are believed."""
 
 from burdockdock.coordination.verdict import Failure, Verdict
-from burdockdock.gate.curl_client import BackendHead, BackendRequest
+from burdockdock.gate.backend_head import BackendHead
+from burdockdock.gate.curl_client import BackendRequest
 from burdockdock.gate.headers import CallHeaders
 from burdockdock.gate.model import BackendServer
 from burdockdock.protocol.calls import CallRequest
--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -8,11 +8,8 @@
 from burdockdock.coordination.limiter import SlotLimiter
 from burdockdock.coordination.typical import TypicalTimes
 from burdockdock.coordination.verdict import Failure, Verdict
-from burdockdock.gate.curl_client import (
-    BackendHead,
-    CurlClient,
-    Transfer,
-)
+from burdockdock.gate.backend_head import BackendHead
+from burdockdock.gate.curl_client import CurlClient, Transfer
 from burdockdock.gate.exchange import backend_request, check_answer
 from burdockdock.gate.headers import OWN_HEADERS, CallHeaders
 from burdockdock.gate.model import (
--- a/tests/gate/test_gate.py
+++ b/tests/gate/test_gate.py
@@ -6,7 +6,7 @@
 
 from burdockdock.clock import ManualClock
 from burdockdock.coordination.verdict import Failure, Verdict
-from burdockdock.gate.curl_client import BackendHead
+from burdockdock.gate.backend_head import BackendHead
 from burdockdock.gate.exchange import check_answer
 from burdockdock.gate.gate import Gate
 from burdockdock.gate.model import BackendServer
