Move the passing on of bodies out of the gate

Passing an answer on to the call's stream, and a request's body to the backend server, needs nothing of the gate but its load and results as they are when the answer begins (gate/passing.py).

No line changed otherwise, but for arguments in place of self and the two names.

--- a/burdockdock/gate/call_server.py
+++ b/burdockdock/gate/call_server.py
@@ -3,7 +3,8 @@
 import asyncio
 
 from burdockdock.coordination.verdict import Failure, Verdict
-from burdockdock.gate.gate import PIECE_BYTES, Gate
+from burdockdock.gate.gate import Gate
+from burdockdock.gate.passing import PIECE_BYTES
 from burdockdock.logs import log_event
 from burdockdock.protocol import FrameConnection, Message, SendWindow, WindowClosed
 from burdockdock.protocol.calls import (
--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -8,7 +8,6 @@
 from burdockdock.coordination.limiter import SlotLimiter
 from burdockdock.coordination.typical import TypicalTimes
 from burdockdock.coordination.verdict import Failure, Verdict
-from burdockdock.gate.backend_head import BackendHead
 from burdockdock.gate.curl_client import CurlClient, Transfer
 from burdockdock.gate.exchange import backend_request, check_answer
 from burdockdock.gate.headers import OWN_HEADERS, CallHeaders
@@ -18,11 +17,11 @@
     CallResult,
     CallStream,
 )
+from burdockdock.gate.passing import pass_on_answer, pass_on_body
 from burdockdock.gate.results import LatestResults
 from burdockdock.logs import log_event
 from burdockdock.metrics import Metrics
-from burdockdock.protocol import WindowClosed
-from burdockdock.protocol.calls import AnswerHead, CallRequest, GateResults
+from burdockdock.protocol.calls import CallRequest, GateResults
 
 # Other nodes learn within this that the backend server leaves; what is on its way
 # until then is still served.
@@ -31,8 +30,6 @@
 # 0.1 s behind them. A few calls may exceed it, each by its smallest share.
 _ANSWERS_BYTES = 128 * 1024
 _SMALLEST_SHARE_BYTES = 16 * 1024
-# The longest piece of an answer in one frame.
-PIECE_BYTES = 32 * 1024
 # A wait in vain ends this long before the deadline, for the refusal's way back.
 _REFUSAL_WAY_S = 0.005
 
@@ -262,7 +259,15 @@
                 self._end_without_answer(request, stream, head, started_s)
                 return
             verdict = Verdict.RAN
-            complete = await self._relay(request, transfer, head, stream, deadline_s)
+            complete = await pass_on_answer(
+                transfer,
+                head,
+                stream,
+                load=self.load,
+                results=self.results(request.route),
+                deadline_s=deadline_s,
+                clock=self._clock,
+            )
             self._record(request, started_s, status=head.status, complete=complete)
         finally:
             if upload is not None:
@@ -300,46 +305,7 @@
     ) -> "asyncio.Task[None] | None":
         if request.body_length == 0:
             return None
-        return asyncio.create_task(_upload(request, stream, transfer))
-
-    async def _relay(
-        self,
-        request: CallRequest,
-        transfer: Transfer,
-        head: BackendHead,
-        stream: CallStream,
-        deadline_s: float,
-    ) -> bool:
-        """Pass the answer on; return whether it was whole.
-
-        :raises WindowClosed: if nobody takes it. That is no fault of the backend
-            server, and must not hold its slot.
-        """
-        data, ended = transfer.take_ready_body(most_bytes=PIECE_BYTES)
-        stream.send_head(
-            AnswerHead(
-                head.status,
-                head.reason,
-                head.headers,
-                data,
-                ended,
-                self.load,
-                self.results(request.route),
-            )
-        )
-        while not ended:
-            piece = await transfer.read_body()
-            if isinstance(piece, Failure):
-                stream.fail(piece._replace(verdict=Verdict.RAN))
-                return False
-            ended = piece is None
-            try:
-                async with asyncio.timeout(deadline_s - self._clock.monotonic()):
-                    await stream.send_body(piece or b"", end=ended)
-            except TimeoutError:
-                stream.fail(Failure(Verdict.RAN, "answer_not_taken"))
-                raise WindowClosed from None
-        return True
+        return asyncio.create_task(pass_on_body(request, stream, transfer))
 
     def _end_without_answer(
         self,
@@ -365,12 +331,3 @@
     ) -> None:
         seconds_s = self._clock.monotonic() - started_s
         self._results.record(request, seconds_s, status=status, complete=complete)
-
-
-async def _upload(request: CallRequest, stream: CallStream, transfer: Transfer) -> None:
-    """Pass the request's body to the backend server as fast as it takes it."""
-    data, end = request.body, request.end
-    await transfer.send_body(data, end=end)
-    while not end:
-        data, end = await stream.read_body()
-        await transfer.send_body(data, end=end)
