--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import functools
-from typing import NamedTuple
 
 from burdockdock.clock import Clock
 from burdockdock.coordination.backoff import FleetRetryBudget
@@ -16,6 +15,7 @@
     BACKEND_REFUSED,
     FREE_SLOT_TRIES,
     MAX_MOVES,
+    Attempt,
     AttemptFailure,
     Tried,
     is_refused_by_node,
@@ -23,24 +23,17 @@
 from burdockdock.proxy.balancer import LARGE_ANSWERS, Balancer
 from burdockdock.proxy.call import Call, Caller, ReplayableBody
 from burdockdock.proxy.endpoints import Endpoints
-from burdockdock.proxy.peer_link import GateState, PeerLink, PeerLinks, RemoteCall
+from burdockdock.proxy.outcomes import settle
+from burdockdock.proxy.peer_link import PeerLinks
+from burdockdock.proxy.remote_call import GateState, RemoteCall
 from burdockdock.proxy.reply_times import PROMPT_REFUSALS, ReplyTimes
+from burdockdock.proxy.usable_link import usable_link
 
-_OUTCOME_INTERVAL_S = 0.02
-# Of the time left, what a link may take to open; the rest is for another node.
-_OPENING_SHARE = 0.5
-# With calls sent on a link and nothing heard for so long, it is asked for a sign of
-# life before another call is sent, and has so long for it.
-_SILENCE_S = 0.3
-_PROBE_S = 0.1
 # What an answer that was ended at its deadline takes to be told here.
 _LAST_PIECE_S = 0.25
-_ANSWER_LOST = "answer_lost"
 _DEADLINE_PASSED = "deadline_passed"
 _NO_BACKEND_SERVER = "no_backend_server"
 _SHED_STATUSES = frozenset({429, 503})
-# An opened link took two ways there and back: to connect and to greet.
-_OPENING_TRIPS = 2
 _TOO_SLOW = "peer_too_slow"
 # Refusals that say something about load or a planned stop, not about faults.
 _HEALTHY_REFUSALS = frozenset(
@@ -60,13 +53,6 @@
 )
 
 
-class _Attempt(NamedTuple):
-    member: Member
-    link: PeerLink
-    remote: RemoteCall
-    started_s: float
-
-
 class Forwarder:
     """Sends calls to other nodes' gates."""
 
@@ -80,7 +66,6 @@
         metrics: Metrics,
         retry_budget: FleetRetryBudget,
     ) -> None:
-        self._links = links
         self._endpoints = endpoints
         self._balancer = balancer
         self._clock = clock
@@ -88,6 +73,10 @@
         self._budget = retry_budget
         self._reply_times = ReplyTimes(clock=clock)
         self._typical = TypicalTimes()
+        self._usable_link = functools.partial(
+            usable_link, links=links, clock=clock, reply_times=self._reply_times
+        )
+        self._settle = functools.partial(settle, links=links, clock=clock)
 
     async def forward(self, call: Call, caller: Caller) -> Failure | None:
         """Carry a call to its answer.
@@ -185,19 +174,9 @@
 
         :param may_wait: whether it may wait there, or must find a slot free.
         """
-        link = self._links.open_link(member.host, member.port)
-        if link is None:
-            found = await self._open_in_time(member, call)
-            if isinstance(found, Failure):
-                return found
-            link = found
-        if link.peer.node_id != member.node_id:
-            # It may be gone without a word, and its address used by this member.
-            peer_id = link.peer.node_id
-            self._links.retire(peer_id, member.host, member.port, reason="other_node")
-            return Failure(Verdict.NOT_RUN, "other_node", peer_id)
-        if await self._is_silent(link):
-            return Failure(Verdict.NOT_RUN, "peer_silent", member.node_id)
+        link = await self._usable_link(member, call)
+        if isinstance(link, Failure):
+            return link
         if self._left_ms(call) <= 0:
             return Failure(Verdict.NOT_RUN, _DEADLINE_PASSED)
         # A refusal on the way at the deadline would leave the caller in doubt.
@@ -219,38 +198,11 @@
         )
         started_s = self._clock.monotonic()
         link.note_asked(started_s)
-        attempt = _Attempt(member, link, link.start(request), started_s)
+        attempt = Attempt(member, link, link.start(request), started_s)
         return await self._follow(attempt, call, caller, body)
 
-    async def _is_silent(self, link: PeerLink) -> bool:
-        """Tell whether calls were sent on a link, nothing came, nor does on asking."""
-        now_s = self._clock.monotonic()
-        if link.asked_at_s is None or now_s - link.asked_at_s < _SILENCE_S:
-            return False
-        probe = link.probe(now_s)
-        try:
-            async with asyncio.timeout(probe.sent_at_s + _PROBE_S - now_s):
-                await asyncio.shield(probe.heard)
-        except TimeoutError:
-            return True
-        return False
-
-    async def _open_in_time(self, member: Member, call: Call) -> PeerLink | Failure:
-        """Open a link while there is time to use it, or to ask another node."""
-        started_s = self._clock.monotonic()
-        left_s = call.deadline_s - started_s
-        try:
-            async with asyncio.timeout(left_s * _OPENING_SHARE):
-                link = await self._links.get(member.host, member.port)
-        except TimeoutError:
-            return Failure(Verdict.NOT_RUN, "peer_not_reached_in_time", member.node_id)
-        if not isinstance(link, Failure):
-            took_s = self._clock.monotonic() - started_s
-            self._reply_times.record(member.node_id, took_s / _OPENING_TRIPS)
-        return link
-
     async def _follow(
-        self, attempt: _Attempt, call: Call, caller: Caller, body: ReplayableBody
+        self, attempt: Attempt, call: Call, caller: Caller, body: ReplayableBody
     ) -> AnswerHead | Failure:
         """Send the rest of the body while waiting for the answer."""
         upload = None
@@ -272,13 +224,13 @@
                 upload.cancel()
             attempt.remote.cancel()
 
-    def _take_in(self, attempt: _Attempt, call: Call, state: GateState) -> None:
+    def _take_in(self, attempt: Attempt, call: Call, state: GateState) -> None:
         """Take in what a gate told of itself."""
         self._balancer.tell_load(attempt.member.node_id, *state)
         if state.results.service_s:
             self._typical.record(call.request.route, state.results.service_s)
 
-    def _time_reply(self, attempt: _Attempt, head: AnswerHead | Failure) -> None:
+    def _time_reply(self, attempt: Attempt, head: AnswerHead | Failure) -> None:
         """Learn from a reply how long the way there and back takes."""
         node_id = attempt.member.node_id
         took_s = self._clock.monotonic() - attempt.started_s
@@ -301,38 +253,8 @@
         except TimeoutError:
             return Failure(Verdict.MAY_HAVE_RUN, _DEADLINE_PASSED)
 
-    async def _settle(self, attempt: _Attempt, call: Call, failure: Failure) -> Failure:
-        """Find out what became of a call whose connection broke."""
-        if failure.reason != "peer_connection_broken" or call.request.idempotent:
-            return failure
-        while (left_ms := self._left_ms(call)) > 0:
-            outcome = await self._ask_outcome(attempt, call, left_ms)
-            if outcome is None:
-                return failure
-            if outcome.reason != "running":
-                return _as_told_to_caller(outcome)
-            await asyncio.sleep(_OUTCOME_INTERVAL_S)
-        return failure
-
-    async def _ask_outcome(
-        self, attempt: _Attempt, call: Call, left_ms: int
-    ) -> Failure | None:
-        """Ask the same incarnation of a node; another one knows nothing."""
-        try:
-            async with asyncio.timeout(left_ms / 1000):
-                member = attempt.member
-                link = await self._links.get(member.host, member.port)
-                if isinstance(link, Failure) or link.peer != attempt.link.peer:
-                    return None
-                outcome = await link.query_outcome(
-                    call.request.request_id, time_left_ms=left_ms
-                )
-        except TimeoutError:
-            return None
-        return None if outcome.reason == "peer_connection_broken" else outcome
-
     async def _relay(
-        self, attempt: _Attempt, call: Call, head: AnswerHead, caller: Caller
+        self, attempt: Attempt, call: Call, head: AnswerHead, caller: Caller
     ) -> None:
         await caller.send_head(head)
         while True:
@@ -412,7 +334,7 @@
         return int((call.target_s - self._clock.monotonic()) * 1000) or -1
 
     def _left_ms(self, call: Call) -> int:
-        return int((call.deadline_s - self._clock.monotonic()) * 1000)
+        return call.left_ms(self._clock.monotonic())
 
 
 def _is_fault(result: AnswerHead | Failure) -> bool:
@@ -420,9 +342,3 @@
     if isinstance(result, Failure):
         return result.reason not in _HEALTHY_REFUSALS
     return result.status >= 500 and result.status not in _SHED_STATUSES
-
-
-def _as_told_to_caller(outcome: Failure) -> Failure:
-    if outcome.verdict is Verdict.RAN:
-        return Failure(Verdict.RAN, _ANSWER_LOST, "the request ran, its answer is lost")
-    return outcome
