Move the steps of an exchange out of the sync client, and end member exchanges

An exchange for the members' sake that had begun could be dropped when the members changed meanwhile, which they do in a rollout; it goes on to its end now (a test of the queue), since it tells the peer something too.

--- a/burdockdock/overlay/fetches.py
+++ b/burdockdock/overlay/fetches.py
@@ -26,11 +26,14 @@
 
     :param cause: what told of it, for the logs.
     :param is_wanted: tells whether this node still lacks it.
+    :param to_its_end: whether a fetch that began goes on though nothing lacks any more,
+        such as one that tells the peer something too.
     """
 
     address: Address
     cause: str
     is_wanted: Callable[[], bool]
+    to_its_end: bool = False
 
 
 class FetchQueue:
@@ -159,5 +162,5 @@
     def _drop_unwanted(self) -> None:
         """End the fetches of what another one has brought."""
         for source, task in list(self._active.values()):
-            if not source.is_wanted():
+            if not source.to_its_end and not source.is_wanted():
                 task.cancel()
--- a/burdockdock/overlay/sync.py
+++ b/burdockdock/overlay/sync.py
@@ -1,6 +1,7 @@
 """Exchange of what two nodes lack, over a connection of its own."""
 
 import asyncio
+import functools
 import random
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from types import MappingProxyType
@@ -12,10 +13,10 @@
 from burdockdock.coordination.membership import Member, MembershipTable
 from burdockdock.coordination.records import Record, RecordStore
 from burdockdock.coordination.verdict import Failure, Verdict
-from burdockdock.logs import log_event
 from burdockdock.overlay.datagrams import Address
 from burdockdock.overlay.failure_detector import PeerDigest
 from burdockdock.overlay.fetches import FetchQueue, Source
+from burdockdock.overlay.progress import Progress
 from burdockdock.overlay.spread import DeltaCodec
 from burdockdock.protocol import MALFORMED, FrameConnection, Message
 from burdockdock.protocol.codec import frame
@@ -39,24 +40,6 @@
 _GIVEN_UP = Failure(Verdict.NOT_RUN, "not_needed", "another peer was quicker")
 
 
-class _Progress:
-    """How far an exchange came.
-
-    :param started_s: monotonic seconds.
-    """
-
-    def __init__(self, started_s: float) -> None:
-        self.started_s = started_s
-        self.greeted_s = 0.0
-        self.records = 0
-        self.connection: FrameConnection | None = None
-
-    @property
-    def received_bytes(self) -> int:
-        """Bytes that have arrived."""
-        return self.connection.received_bytes if self.connection else 0
-
-
 class SyncClient:
     """Fetches what this node lacks from other nodes.
 
@@ -90,7 +73,7 @@
         self._rng = rng
         self._connect = connect or _tcp_connect()
         self._head_key = head_key
-        self._progress: dict[Address, _Progress] = {}
+        self._progress: dict[Address, Progress] = {}
         self._fetches = FetchQueue(
             fetch=self._fetch,
             received_bytes=self._received_from,
@@ -110,14 +93,15 @@
 
         :param cause: what let this node ask, for the logs.
         """
-        progress = _Progress(self._clock.monotonic())
+        progress = Progress(self._clock)
         self._progress[host, port] = progress
         outcome: PeerIdentity | Failure = _GIVEN_UP
         try:
             outcome = await self._exchange_while_it_goes_on(host, port, progress)
         finally:
             self._progress.pop((host, port), None)
-            self._log_end(f"{host}:{port}", cause, progress, outcome)
+            failure = outcome if isinstance(outcome, Failure) else None
+            progress.log_end(f"{host}:{port}", cause, failure)
         return outcome
 
     def pull_from(self, node_id: str, *, cause: str) -> None:
@@ -131,13 +115,16 @@
         """Fetch from a peer whose digest shows that this node lacks something."""
         known = self._records.digest
         if self._is_behind(digest, known):
-            self._fetch_if_still(digest, lambda: self._is_behind(digest, known))
+            is_behind = functools.partial(self._is_behind, digest, known)
+            self._fetch_if_still(Source(digest.address, "digest", is_behind))
         elif digest.member_digest != self._membership.digest:
             now_s = self._clock.monotonic()
             if now_s - self._last_member_sync_s >= _MEMBER_SYNC_INTERVAL_S:
                 self._last_member_sync_s = now_s
                 members = self._membership.digest
-                self._fetch_if_still(digest, lambda: members == self._membership.digest)
+                is_same = lambda: members == self._membership.digest
+                source = Source(digest.address, "members", is_same, to_its_end=True)
+                self._fetch_if_still(source)
 
     def close(self) -> None:
         """Stop the fetches that are under way."""
@@ -169,12 +156,9 @@
         """Tell whether a version was heard of that is not here."""
         return any(self._records.lacking(key) for key in self._records.heard_keys())
 
-    def _fetch_if_still(
-        self, digest: PeerDigest, is_wanted: Callable[[], bool]
-    ) -> None:
-        """Wait for news on its way, then fetch if nothing changed meanwhile."""
+    def _fetch_if_still(self, source: Source) -> None:
+        """Wait for news on its way, then fetch if that is wanted still."""
         settle_s = _SETTLE_S * self._rng.uniform(0.5, 1.5)
-        source = Source(digest.address, "digest", is_wanted)
         asyncio.get_running_loop().call_later(settle_s, self._fetches.add, source)
 
     async def _fetch(self, source: Source) -> PeerIdentity | Failure:
@@ -194,7 +178,7 @@
         return Source((member.host, member.port), "lacking", self._lacks_anything)
 
     async def _exchange_while_it_goes_on(
-        self, host: str, port: int, progress: _Progress
+        self, host: str, port: int, progress: Progress
     ) -> PeerIdentity | Failure:
         """Exchange state; give up when nothing more arrives."""
         exchange = asyncio.ensure_future(self._exchange(host, port, progress))
@@ -214,7 +198,7 @@
             exchange.cancel()
 
     async def _exchange(
-        self, host: str, port: int, progress: _Progress
+        self, host: str, port: int, progress: Progress
     ) -> PeerIdentity | Failure:
         async with asyncio.timeout(_CONNECT_TIMEOUT_S):
             connection = await self._connect(host, port)
@@ -223,7 +207,7 @@
             peer = await greet(connection, self._own)
             if isinstance(peer, Failure):
                 return peer
-            progress.greeted_s = self._clock.monotonic() - progress.started_s
+            progress.note_greeting()
             reply = await self._ask(connection)
             if reply is None:
                 return Failure(Verdict.NOT_RUN, "peer_closed", f"{host}:{port}")
@@ -267,26 +251,6 @@
             self._request(connection, taken=taken, pushed=pushed)
         return bool(pushed)
 
-    def _log_end(
-        self,
-        peer: str,
-        cause: str,
-        progress: _Progress,
-        outcome: PeerIdentity | Failure,
-    ) -> None:
-        failure = outcome if isinstance(outcome, Failure) else None
-        log_event(
-            "sync.ended",
-            peer=peer,
-            cause=cause,
-            reason=failure.reason if failure else "done",
-            detail=failure.detail if failure else "",
-            records=progress.records,
-            received_bytes=progress.received_bytes,
-            greeted_s=progress.greeted_s,
-            seconds_s=self._clock.monotonic() - progress.started_s,
-        )
-
     async def _ask(self, connection: FrameConnection) -> Message | None:
         """Ask for all that this node lacks."""
         digests = list(self._membership.bucket_digests)
--- a/tests/overlay/test_fetches.py
+++ b/tests/overlay/test_fetches.py
@@ -164,3 +164,16 @@
             self.assertEqual([], peers.asked)
 
         run_virtually(check())
+
+    def test_an_exchange_that_began_goes_on_where_it_tells_the_peer_too(self) -> None:
+        async def check() -> None:
+            peers = _Peers()
+            peers.silent = {3}
+            peers.queue.add(peers.source(3)._replace(to_its_end=True))
+            await asyncio.sleep(0.1)
+            peers.lacks = False
+            await asyncio.sleep(2.0)
+            self.assertEqual([], peers.ended)
+            peers.queue.close()
+
+        run_virtually(check())
