Keep the links of the fleet in virtual time in a module of their own

The links (pipes, paths, streams) are in links.py, the nodes and what is under way between them stay. No line changed otherwise than in its name.

--- a/bench/long_versions.py
+++ b/bench/long_versions.py
@@ -12,7 +12,7 @@
 
 import click
 
-from tests.overlay.link_network import LinkSpeed
+from tests.overlay.links import LinkSpeed
 from tests.overlay.long_version import Figures, long_delta, spread_long_version
 
 _RESULTS = Path(__file__).parent / "results"
--- a/tests/overlay/long_version.py
+++ b/tests/overlay/long_version.py
@@ -9,7 +9,8 @@
 from burdockdock.configuration.model import Sections
 from burdockdock.coordination.records import Record
 from burdockdock.node.config_state import CONFIG_KEY
-from tests.overlay.link_network import LinkNetwork, LinkNode, LinkSpeed
+from tests.overlay.link_network import LinkNetwork, LinkNode
+from tests.overlay.links import LinkSpeed
 from tests.virtual_time import run_virtually
 
 # What users are promised, from the last change on.
--- a/tests/overlay/test_link_network.py
+++ b/tests/overlay/test_link_network.py
@@ -6,7 +6,8 @@
 import testtools
 from tornado.iostream import StreamClosedError
 
-from tests.overlay.link_network import LinkNetwork, LinkSpeed, LinkStream
+from tests.overlay.link_network import LinkNetwork
+from tests.overlay.links import LinkSpeed, LinkStream
 from tests.virtual_time import run_virtually
 
 _LINK = LinkSpeed(8e6, 8e6)
--- a/tests/overlay/test_long_exchanges.py
+++ b/tests/overlay/test_long_exchanges.py
@@ -10,7 +10,8 @@
 from burdockdock.node.config_state import CONFIG_KEY
 from burdockdock.overlay.long_replies import LongReplies, Peer
 from burdockdock.protocol.members import pack_member
-from tests.overlay.link_network import LinkNetwork, LinkSpeed
+from tests.overlay.link_network import LinkNetwork
+from tests.overlay.links import LinkSpeed
 from tests.overlay.long_version import (
     SOURCES,
     first_document,
--- a/tests/overlay/test_long_versions.py
+++ b/tests/overlay/test_long_versions.py
@@ -5,7 +5,7 @@
 
 import testtools
 
-from tests.overlay.link_network import LinkSpeed
+from tests.overlay.links import LinkSpeed
 from tests.overlay.long_version import (
     SOURCES,
     Figures,
