--- a/tests/overlay/test_long_replies.py
+++ b/tests/overlay/test_long_replies.py
@@ -18,6 +18,14 @@
     return Peer(node_id, zone)
 
 
+async def _taken_places() -> LongReplies:
+    """Return places that "a" and "b" hold."""
+    places = LongReplies()
+    await places.begin(_peer("a"))
+    await places.begin(_peer("b"))
+    return places
+
+
 class LongRepliesTest(testtools.TestCase):
     """Tests of who gets a place, and who is sent on."""
 
@@ -36,9 +44,7 @@
 
     def test_who_has_its_reply_is_named_to_those_who_wait_longest_yet(self) -> None:
         async def check() -> None:
-            places = LongReplies()
-            await places.begin(_peer("a"))
-            await places.begin(_peer("b"))
+            places = await _taken_places()
             asked = [_peer("c"), _peer("d", "y"), _peer("e"), _peer("f")]
             waiting = [asyncio.ensure_future(places.begin(peer)) for peer in asked]
             await _settle()
@@ -54,9 +60,7 @@
 
     def test_a_waiter_that_gives_up_leaves_no_place_taken(self) -> None:
         async def check() -> None:
-            places = LongReplies()
-            await places.begin(_peer("a"))
-            await places.begin(_peer("b"))
+            places = await _taken_places()
             third = asyncio.ensure_future(places.begin(_peer("c")))
             await _settle()
             third.cancel()
@@ -69,9 +73,7 @@
 
     def test_a_waiter_that_gives_up_with_its_place_gives_it_back(self) -> None:
         async def check() -> None:
-            places = LongReplies()
-            await places.begin(_peer("a"))
-            await places.begin(_peer("b"))
+            places = await _taken_places()
             third = asyncio.ensure_future(places.begin(_peer("c")))
             await _settle()
             places.end(_peer("a"), taken=False)
@@ -98,9 +100,7 @@
 
     def test_a_place_goes_past_a_waiter_that_is_being_cancelled(self) -> None:
         async def check() -> None:
-            places = LongReplies()
-            await places.begin(_peer("a"))
-            await places.begin(_peer("b"))
+            places = await _taken_places()
             third = asyncio.ensure_future(places.begin(_peer("c")))
             await _settle()
             third.cancel()
