--- a/burdockdock/overlay/sync.py
+++ b/burdockdock/overlay/sync.py
@@ -288,10 +288,6 @@
             )
         )
 
-    def _take_in(self, reply: Message) -> None:
-        self._take_members(reply)
-        self._take_records(reply)
-
     def _take_members(self, reply: Message) -> None:
         for packed in reply.members:
             merge_member(self._membership, packed)
--- a/tests/overlay/test_spread.py
+++ b/tests/overlay/test_spread.py
@@ -126,7 +126,9 @@
             bucketDigests=list(self.membership.bucket_digests),
         )
         reply = other.server.reply_to(decode(request).syncRequest)
-        self.client._take_in(decode(reply[HEADER_BYTES:]).syncReply)
+        message = decode(reply[HEADER_BYTES:]).syncReply
+        self.client._take_members(message)
+        self.client._take_records(message)
 
     def _accept(self, record: Record) -> bool:
         accepted = self.config.accept(record)
