Believe no late message of a backend server that left before its node spoke

Change: where nobody told which start left, it began before now; earlier starts are not believed for 15 s. Not for ever, since clocks differ and may step. Test: test_a_late_message_of_a_start_that_nobody_told_is_not_believed failed before.

--- a/burdockdock/node/announcements.py
+++ b/burdockdock/node/announcements.py
@@ -19,6 +19,8 @@
 _CHECK_S = 0.5
 # Instances that left whose messages may still arrive late.
 _MOST_LEFT = 16
+# How long messages of a start that was not told may still arrive.
+_UNTOLD_START_S = 15.0
 
 
 class BackendState(StrEnum):
@@ -44,6 +46,17 @@
     cold_s: float | None = None
 
 
+class _Left(NamedTuple):
+    """An instance that left.
+
+    :param started_ms: its latest start that left, in Unix milliseconds.
+    :param until_s: monotonic seconds until which an earlier start is not believed.
+    """
+
+    started_ms: int
+    until_s: float
+
+
 class BackendWatch:
     """Keeps what the backend server said last, and passes on what is new in it.
 
@@ -71,7 +84,7 @@
         self._expected = expected
         self._silence_s = max(_SHORTEST_SILENCE_S, _SILENT_INTERVALS * interval_s)
         self._last: Announcement | None = None
-        self._left: dict[str, int] = {}
+        self._left: dict[str, _Left] = {}
         self._heard_s = float("-inf")
         self._told: dict[str, object] = {}
 
@@ -126,19 +139,33 @@
             self._change(ready=False)
 
     def _remember_left(self, instance_id: str, started_ms: int) -> None:
-        """Keep the latest start of the last few instances that left."""
-        latest_ms = max(started_ms, self._left.pop(instance_id, 0))
-        self._left[instance_id] = latest_ms
+        """Keep the latest start of the last few instances that left.
+
+        Where nobody told which start it was, it began before now. Clocks differ, so
+        that this is not held against the instance for ever.
+        """
+        left = _Left(started_ms, float("inf"))
+        if not started_ms:
+            until_s = self._clock.monotonic() + _UNTOLD_START_S
+            left = _Left(int(self._clock.now().timestamp() * 1000), until_s)
+        known = self._left.pop(instance_id, left)
+        self._left[instance_id] = max(left, known)
         while len(self._left) > _MOST_LEFT:
             del self._left[next(iter(self._left))]
 
+    def _has_left(self, announcement: Announcement) -> bool:
+        """Tell whether the start that an announcement comes from has left."""
+        left = self._left.get(announcement.backend.instance_id)
+        if left is None or announcement.started_ms > left.started_ms:
+            return False
+        return self._clock.monotonic() < left.until_s
+
     def _check(self, announcement: Announcement) -> Failure | None:
         backend = announcement.backend
         place = (backend.service, backend.host, backend.port)
         if self._expected is not None and place != self._expected:
             return Failure(Verdict.NOT_RUN, "other_backend_server", str(place))
-        left_ms = self._left.get(backend.instance_id)
-        if left_ms is not None and announcement.started_ms <= left_ms:
+        if self._has_left(announcement):
             return Failure(Verdict.NOT_RUN, "gone", "this start of it has left")
         last = self._last
         if last is None or not announcement.sequence:
--- a/tests/node/test_announcements.py
+++ b/tests/node/test_announcements.py
@@ -102,6 +102,25 @@
         self.assertEqual([], self.changes)
         self.assertEqual("", self._reason(_announce(1, started_ms=2000)))
 
+    def test_a_late_message_of_a_start_that_nobody_told_is_not_believed(self) -> None:
+        # The node started again between the leave message and a late announcement.
+        self.watch.leave("i-1")
+        born_ms = int(self.clock.now().timestamp() * 1000) - 10_000
+        self.clock.advance(2.1)
+        self.assertEqual("gone", self._reason(_announce(9, started_ms=born_ms)))
+
+    def test_a_start_after_one_that_nobody_told_is_believed(self) -> None:
+        self.watch.leave("i-1")
+        self.clock.advance(2.0)
+        born_ms = int(self.clock.now().timestamp() * 1000)
+        self.assertEqual("", self._reason(_announce(1, started_ms=born_ms)))
+
+    def test_a_clock_that_was_ahead_keeps_no_start_away_for_ever(self) -> None:
+        self.watch.leave("i-1")
+        born_ms = int(self.clock.now().timestamp() * 1000) - 3_000
+        self.clock.advance(20.0)
+        self.assertEqual("", self._reason(_announce(9, started_ms=born_ms)))
+
     def test_few_of_those_that_left_are_kept(self) -> None:
         for i in range(100):
             self.watch.leave(f"i-{i}", 1000)
