Close the connection of an answer that belongs to another request

Change: the head is checked in libcurl's callback, which aborts the transfer of a refused answer and so closes the connection, unless the answer proves that the request didn't run. Where answers repeat ids, a refusal without one is no proof any more: it may be the copy of an earlier one.

Conclusion: a late copy costs the one request that reads it, and no request is told 'not run' by it.

--- a/burdockdock/gate/curl_client.py
+++ b/burdockdock/gate/curl_client.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 from typing import NamedTuple
 
 import pycurl
@@ -22,6 +23,8 @@
 # connections without having announced their own limit.
 _MAX_CONNECTION_IDLE_S = 5
 _STOP_POLLING = pycurl.POLL_REMOVE
+# Returned by the header callback to make libcurl abort the transfer.
+_ABORT_TRANSFER = -1
 # libcurl errors that occur before any byte of the request is sent, and their reasons.
 _NOT_SENT_ERRORS = {
     pycurl.E_COULDNT_CONNECT: "connection_refused",
@@ -77,10 +80,20 @@
         self._transfers: dict[pycurl.Curl, Transfer] = {}
         self._idle_handles: list[pycurl.Curl] = []
 
-    def start(self, request: BackendRequest) -> "Transfer":
-        """Start a transfer."""
+    def start(
+        self,
+        request: BackendRequest,
+        *,
+        check_head: Callable[[BackendHead], Failure | None] = lambda _: None,
+    ) -> "Transfer":
+        """Start a transfer.
+
+        :param check_head: returns a failure for an answer that must not be used. Unless
+            the failure proves that the request didn't run, its connection is closed,
+            since the request's own answer may still arrive on it.
+        """
         easy = self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
-        transfer = Transfer(easy, request, self)
+        transfer = Transfer(easy, request, self, check_head=check_head)
         self._transfers[easy] = transfer
         self._multi.add_handle(easy)
         return transfer
@@ -167,9 +180,15 @@
     """One request to a backend server and its answer."""
 
     def __init__(
-        self, easy: pycurl.Curl, request: BackendRequest, client: CurlClient
+        self,
+        easy: pycurl.Curl,
+        request: BackendRequest,
+        client: CurlClient,
+        *,
+        check_head: Callable[[BackendHead], Failure | None],
     ) -> None:
         self.easy = easy
+        self._check_head = check_head
         self.body_started = False
         self._client = client
         self._send_count = 0
@@ -312,21 +331,27 @@
         self._send_count += 1
         return pycurl.PREREQFUNC_OK
 
-    def _on_header(self, line: bytes) -> None:
+    def _on_header(self, line: bytes) -> int | None:
         if line.startswith(b"HTTP/"):
             self._head_lines = [line]
         elif line.strip():
             self._head_lines.append(line)
         else:
-            self._on_head_end()
+            return self._on_head_end()
+        return None
 
-    def _on_head_end(self) -> None:
+    def _on_head_end(self) -> int | None:
         head = parse_head(self._head_lines)
         # Ignore interim answers and the trailers after a body.
         if head is None or head.status < 200 or self._head.done():
-            return
+            return None
+        rejection = self._check_head(head)
+        if rejection is not None:
+            self._head.set_result(rejection)
+            return None if rejection.verdict is Verdict.NOT_RUN else _ABORT_TRANSFER
         self._remaining_bytes = body_length(head)
         self._head.set_result(head)
+        return None
 
     def _on_body(self, data: bytes) -> int | None:
         if self._incoming_bytes >= _BODY_BUFFER_LIMIT_BYTES:
--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -1,6 +1,7 @@
 """Admission control for one backend server: deduplication, slots and the call."""
 
 import asyncio
+import functools
 from collections.abc import Callable
 
 from burdockdock.clock import Clock
@@ -268,15 +269,13 @@
                 self._backend,
                 time_left_s=deadline_s - started_s,
                 resend_allowed=self.resend_allowed,
-            )
+            ),
+            check_head=functools.partial(check_answer, self._headers, request),
         )
         verdict = Verdict.MAY_HAVE_RUN
         upload = self._start_upload(request, stream, transfer)
         try:
             head = await transfer.head()
-            if not isinstance(head, Failure):
-                rejection = check_answer(self._headers, request, head)
-                head = head if rejection is None else rejection
             if isinstance(head, Failure):
                 verdict = head.verdict
                 self._fail_call(request, stream, head, started_s)
