Run pipelined requests of one connection concurrently

Cause: the office's callers of letter-status and proof-copy send their requests before earlier ones are answered, and tornado's server reads one request at a time.

Change: proxy.caller_connection reads ahead and gives each request a tornado connection of its own on the caller's stream; proxy.caller_stream holds back an answer until it has the turn. listener.py becomes the server, caller_request.py (moved) the one request.

Left: a caller that closes only its sending side still counts as one that left.

--- a/burdockdock/node/draining.py
+++ b/burdockdock/node/draining.py
@@ -4,13 +4,12 @@
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
-from tornado.httpserver import HTTPServer
-
 from burdockdock.clock import Clock
 from burdockdock.gate.gate import Gate
 from burdockdock.logs import log_event
 from burdockdock.node.settings import NodeSettings
 from burdockdock.proxy.context import CallContext
+from burdockdock.proxy.listener import CallerServer
 
 # Time for the membership change to reach the other nodes.
 _GOSSIP_NOTICE_S = 1.0
@@ -64,7 +63,7 @@
 async def drain(
     context: CallContext,
     gate: Gate,
-    caller_server: HTTPServer,
+    caller_server: CallerServer,
     *,
     finish: Callable[[], Awaitable[None]],
     timing: DrainTiming,
--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -3,8 +3,6 @@
 import asyncio
 import random
 
-from tornado.httpserver import HTTPServer
-
 from burdockdock.clock import Clock, SystemClock
 from burdockdock.coordination.membership import Member, MembershipTable, MemberState
 from burdockdock.coordination.ranking import MemberRanking
@@ -46,7 +44,7 @@
 from burdockdock.platform_api.client import PlatformClient
 from burdockdock.protocol.handshake import PeerIdentity
 from burdockdock.proxy.endpoints import Endpoints
-from burdockdock.proxy.listener import serve_callers
+from burdockdock.proxy.listener import CallerServer, serve_callers
 from burdockdock.proxy.peer_link import PeerLinks
 
 
@@ -72,7 +70,7 @@
         incarnation = int(self._clock.now().timestamp() * 1000)
         self.metrics = Metrics()
         self._identity = PeerIdentity(settings.mesh, settings.name, incarnation)
-        self._caller_server: HTTPServer | None = None
+        self._caller_server: CallerServer | None = None
         self._build_state(incarnation)
         self._build_overlay()
         self._build_call_path()
@@ -240,7 +238,10 @@
             port=settings.operators[1],
         )
         self._caller_server = serve_callers(
-            self.context, host=settings.callers[0], port=settings.callers[1]
+            self.context,
+            host=settings.callers[0],
+            port=settings.callers[1],
+            max_pipelined_calls=settings.pipelined_calls,
         )
         log_event(
             "node.serving",
--- a/burdockdock/node/settings.py
+++ b/burdockdock/node/settings.py
@@ -8,6 +8,7 @@
 
 from burdockdock.configuration.model import Problem
 from burdockdock.overlay.datagrams import Address
+from burdockdock.proxy.listener import DEFAULT_MAX_PIPELINED_CALLS
 
 _ALLOWED_KEYS = {
     "node": {"name", "mesh", "region", "availability_zone"},
@@ -15,7 +16,13 @@
     "platform": {"url", "form"},
     "peers": {"seeds"},
     "backend_server": {"service", "address", "announce_interval"},
-    "limits": {"drain_timeout_s", "grace_period", "retry_share", "retry_reserve"},
+    "limits": {
+        "drain_timeout_s",
+        "grace_period",
+        "pipelined_calls",
+        "retry_share",
+        "retry_reserve",
+    },
     "operators": {"notify_url"},
 }
 PLATFORM_FORMS = ("own", "objects")
@@ -54,6 +61,7 @@
     :param grace_period_s: seconds from the stop signal to the kill, 0 for no kill.
     :param retry_share: retries per call that the fleet may send to backend servers.
     :param retry_reserve: retries per service that the fleet may send beyond that share.
+    :param pipelined_calls: calls of one caller's connection that run concurrently.
     """
 
     name: str
@@ -76,6 +84,7 @@
     grace_period_s: float = 0.0
     retry_share: float = DEFAULT_RETRY_SHARE
     retry_reserve: float = DEFAULT_RETRY_RESERVE
+    pipelined_calls: int = DEFAULT_MAX_PIPELINED_CALLS
 
 
 def read_settings(path: Path) -> NodeSettings | list[Problem]:
@@ -127,6 +136,9 @@
         retry_reserve=reader.number(
             "limits", "retry_reserve", DEFAULT_RETRY_RESERVE, 0, 1_000_000
         ),
+        pipelined_calls=reader.integer(
+            "limits", "pipelined_calls", DEFAULT_MAX_PIPELINED_CALLS, 1, 1000
+        ),
     )
     return reader.problems or settings
 
@@ -196,6 +208,16 @@
             return default
         return value
 
+    def integer(
+        self, section: str, key: str, default: int, minimum: int, maximum: int
+    ) -> int:
+        """Return a whole number, or the default if it is absent or not valid."""
+        value = self.number(section, key, default, minimum, maximum)
+        if value != int(value):
+            self._add_problem(section, key, f"give a whole number, not {value:g}")
+            return default
+        return int(value)
+
     def choice(self, section: str, key: str, allowed: tuple[str, ...]) -> str:
         """Return one of the allowed values, the first if absent."""
         text = self.text(section, key) or allowed[0]
--- a/burdockdock/proxy/call_factory.py
+++ b/burdockdock/proxy/call_factory.py
@@ -34,10 +34,16 @@
 
 
 def make_call(
-    context: CallContext, start_line: RequestStartLine, headers: HTTPHeaders
+    context: CallContext,
+    start_line: RequestStartLine,
+    headers: HTTPHeaders,
+    *,
+    arrived_at_s: float | None = None,
 ) -> Call | Failure:
     """Find the route of a request and build its call.
 
+    :param arrived_at_s: monotonic time from which the call's timeout counts, now if
+        not given.
     :returns: a failure if this node can't forward the request.
     """
     if context.refusing:
@@ -65,7 +71,7 @@
         now=context.clock.now(),
     )
     timeout_ms = _parse_integer(headers.get(names.timeout), policy.timeout_ms)
-    now_s = context.clock.monotonic()
+    now_s = context.clock.monotonic() if arrived_at_s is None else arrived_at_s
     timeout_ms = _limit_to_shutdown(context, min(timeout_ms, policy.timeout_ms), now_s)
     if not timeout_ms:
         return Failure(Verdict.NOT_RUN, "node_stopping")
--- a/burdockdock/proxy/caller_request.py
+++ b/burdockdock/proxy/caller_request.py
@@ -1,13 +1,12 @@
-"""HTTP server for callers."""
+"""One request of a caller: passes it to the forwarder and sends its answer."""
 
 import asyncio
+from typing import Protocol
 
-from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPConnection,
     HTTPHeaders,
     HTTPMessageDelegate,
-    HTTPServerConnectionDelegate,
     RequestStartLine,
     ResponseStartLine,
 )
@@ -24,11 +23,13 @@
     record_call_latency,
 )
 from burdockdock.proxy.call_factory import make_call
-from burdockdock.proxy.caller_stream import CallerStream, pop_expect_continue
+from burdockdock.proxy.caller_stream import (
+    CallerStream,
+    discard_input,
+    pop_expect_continue,
+)
 from burdockdock.proxy.context import CallContext
 
-MAX_HEADER_BYTES = 64 * 1024
-MAX_BODY_BYTES = 1 << 40
 _MAX_BUFFERED_BODY_BYTES = 256 * 1024
 # How long to read the rest of a request's body after its answer. Closing the connection
 # with unread bytes resets it, which discards an answer that is still on its way.
@@ -38,42 +39,47 @@
 _CALL_NOT_BUILT = Failure(Verdict.NOT_RUN, "no_call")
 
 
-class Listener(HTTPServerConnectionDelegate):
-    """Creates the handler of each request that tornado reads."""
-
-    def __init__(self, context: CallContext) -> None:
-        self._context = context
+class Pipeline(Protocol):
+    """The requests of one connection."""
 
-    def start_request(
-        self, server_conn: object, request_conn: HTTPConnection
-    ) -> HTTPMessageDelegate:
-        """Return the handler of one request."""
-        return _CallerRequest(self._context, request_conn)
+    @property
+    def reading_stopped(self) -> bool:
+        """Whether no further request may start."""
+        ...
 
+    def note_change(self) -> None:
+        """Check again whether the next request may be read."""
+        ...
 
-def serve_callers(context: CallContext, *, host: str, port: int) -> HTTPServer:
-    """Start the HTTP server for callers."""
-    server = HTTPServer(
-        Listener(context),
-        max_header_size=MAX_HEADER_BYTES,
-        max_body_size=MAX_BODY_BYTES,
-        idle_connection_timeout=300,
-    )
-    server.listen(port, address=host, backlog=1024)
-    return server
+    def stop_reading(self, request: "CallerRequest") -> bool:
+        """Start no further request; return whether this one is the last."""
+        ...
 
 
-class _CallerRequest(HTTPMessageDelegate):
+class CallerRequest(HTTPMessageDelegate):
     """One request of a caller.
 
     Tornado delivers the request's parts here while the call is already running.
+
+    ``started`` tells whether the request's head has arrived, and ``received`` whether
+    all of it has. ``allows_next`` tells whether the request behind it may be read.
     """
 
-    def __init__(self, context: CallContext, connection: HTTPConnection) -> None:
+    def __init__(
+        self,
+        context: CallContext,
+        connection: HTTPConnection,
+        stream: CallerStream,
+        *,
+        pipeline: Pipeline,
+    ) -> None:
+        self.stream = stream
+        self.started = False
+        self.allows_next = False
         self._context = context
         self._connection = connection
-        self._stream = CallerStream(connection.stream, self._on_tornado_error_line)
-        connection.stream = self._stream
+        self._pipeline = pipeline
+        stream.on_foreign_write = self._on_tornado_error_line
         self._body_chunks: list[bytes] = []
         self._buffered_bytes = 0
         self._body_ended = False
@@ -102,10 +108,18 @@
         self._request_headers = HTTPHeaders()
         self._status = 0
 
+    @property
+    def received(self) -> bool:
+        """Whether the whole request has arrived."""
+        return self._body_ended
+
     def headers_received(
         self, start_line: RequestStartLine, headers: HTTPHeaders
-    ) -> None:
-        """Start the call."""
+    ) -> "asyncio.Future[None] | None":
+        """Start the call, unless the answer before it ends the connection."""
+        if self._pipeline.reading_stopped:
+            return asyncio.ensure_future(discard_input(self.stream.raw))
+        self.started = True
         self._method, _, self._version = start_line
         self._request_headers = headers
         self._context.open_calls += 1
@@ -116,7 +130,8 @@
         # its ``finally`` block.
         self._task.add_done_callback(self._on_call_done)
         if pop_expect_continue(start_line, headers):
-            self._stream.send_continue()
+            self.stream.send_continue()
+        return None
 
     def data_received(self, chunk: bytes) -> "asyncio.Future[None] | None":
         """Buffer a chunk of the body.
@@ -138,9 +153,12 @@
         """Handle the end of the request's body."""
         self._body_ended = True
         self._arrived.set()
+        self._pipeline.note_change()
 
     def on_connection_close(self) -> None:
         """Cancel the call, because its caller is gone."""
+        if self._closed:
+            return
         if self._task is not None and not self._answer_ended:
             self._task.cancel()
         self._note_closed()
@@ -161,16 +179,19 @@
             self._body_malformed = True
             self._task.cancel()
         if self._answer_started or self._body_forwarded:
-            self.abort()
-            return asyncio.ensure_future(asyncio.sleep(0))
+            return asyncio.ensure_future(self._abort_in_turn())
         self._status = _BAD_REQUEST_STATUS
         return asyncio.ensure_future(
-            self._stream.write_final_line(line, timeout_s=_REQUEST_DRAIN_TIMEOUT_S)
+            self.stream.write_final_line(line, timeout_s=_REQUEST_DRAIN_TIMEOUT_S)
         )
 
+    async def _abort_in_turn(self) -> None:
+        await self.stream.wait_turn()
+        self.abort()
+
     async def _drain_after_answer(self) -> None:
         """Let the caller read its complete answer, and send nothing after it."""
-        await self._stream.drain_input(_REQUEST_DRAIN_TIMEOUT_S)
+        await self.stream.drain_input(_REQUEST_DRAIN_TIMEOUT_S)
         self._note_closed()
         if self._task is not None:
             await asyncio.wait({self._task})
@@ -193,18 +214,19 @@
         return data, self._body_ended
 
     async def send_head(self, head: AnswerHead) -> None:
-        """Send the head of the answer."""
+        """Send the head of the answer, after the answers to all requests before it."""
+        await self.stream.wait_turn()
         headers = answer_headers(head, self._method)
         self._body_bytes_left = answer_body_bytes(headers, self._method, head.status)
         if self._body_bytes_left < 0 and self._version != "HTTP/1.1":
             self._close_delimited = True
             # Otherwise tornado would announce that the connection stays open.
             self._request_headers.pop("Connection", None)
-            self._stream.reset_on_close(True)
-        if self._context.draining:
+            self.stream.reset_on_close(True)
+        if self._context.draining and self._pipeline.stop_reading(self):
             headers["Connection"] = "close"
         start_line = ResponseStartLine("HTTP/1.1", head.status, head.reason)
-        with self._stream.answer_write():
+        with self.stream.answer_write():
             written = self._connection.write_headers(start_line, headers)
         self._answer_started = True
         self._status = head.status
@@ -213,7 +235,7 @@
     async def send_body(self, data: bytes) -> None:
         """Send a chunk of the answer's body, and wait until it was written."""
         if self._method != "HEAD":
-            with self._stream.answer_write():
+            with self.stream.answer_write():
                 written = self._connection.write(data)
             await self._wait_written(written)
             self._body_bytes_left -= len(data)
@@ -229,7 +251,7 @@
         """Close the caller's connection before the answer is complete."""
         self._answer_ended = True
         self._connection.detach()
-        self._stream.close()
+        self.stream.abort()
         self._resume_reading()
 
     async def _finish_request(self) -> None:
@@ -239,17 +261,17 @@
         if self._body_bytes_left == 0:
             await self._drain_request_body()
         if not self._close_delimited:
-            with self._stream.answer_write():
+            with self.stream.answer_write():
                 self._connection.finish()
         try:
             # The last chunk of a chunked answer may not have been sent yet.
-            if self._stream.writing():
-                await self._stream.wait_flushed()
+            if self.stream.writing():
+                await self.stream.wait_flushed()
         except StreamClosedError:
             log_event("call.end_unread", status=self._status)
         if self._close_delimited:
-            self._stream.reset_on_close(False)
-            self._stream.shutdown_write()
+            self.stream.reset_on_close(False)
+            self.stream.shutdown_write()
             await self._drain_request_body()
             self._connection.close()
 
@@ -275,7 +297,8 @@
         call: Call | Failure = _CALL_NOT_BUILT
         failure: Failure | None = None
         try:
-            call = make_call(context, start_line, headers)
+            call = await self._make_call(start_line, headers, started_s)
+            self._allow_next(call)
             failure = call if isinstance(call, Failure) else await self._forward(call)
             if failure is not None:
                 await self._refuse(failure)
@@ -296,6 +319,36 @@
             )
             record_call_latency(context, call, started_s)
 
+    async def _make_call(
+        self, start_line: RequestStartLine, headers: HTTPHeaders, arrived_at_s: float
+    ) -> Call | Failure:
+        """Build the call; one that isn't idempotent waits for the calls before it.
+
+        :param arrived_at_s: monotonic seconds.
+        """
+        call = make_call(self._context, start_line, headers)
+        if self.stream.has_turn or isinstance(call, Failure) or call.request.idempotent:
+            return call
+        await self.stream.wait_turn()
+        # The configuration may have changed while the call waited.
+        return make_call(self._context, start_line, headers, arrived_at_s=arrived_at_s)
+
+    def _allow_next(self, call: Call | Failure) -> None:
+        """Allow the request behind this one to be read, if both may run concurrently.
+
+        Nothing starts behind a call that isn't idempotent, since a closing connection
+        must leave no doubt about what has run behind it.
+        """
+        if not isinstance(call, Failure):
+            is_short = 0 <= call.request.body_length <= _MAX_BUFFERED_BODY_BYTES
+            if not (call.request.idempotent and is_short):
+                return
+        connection_header = self._request_headers.get("Connection", "").lower()
+        self.allows_next = (
+            self._version == "HTTP/1.1" and "close" not in connection_header
+        )
+        self._pipeline.note_change()
+
     async def _forward(self, call: Call) -> Failure | None:
         return await self._context.forwarder.forward(call, _CallerAdapter(self))
 
@@ -315,7 +368,7 @@
         await self._refuse(failure)
         await self._finish_request()
         # The exception may have left the connection in any state.
-        self._stream.close()
+        self.stream.close()
 
     def _failure_after_cancel(self) -> Failure | None:
         """Return the failure of a cancelled call, None if its answer was complete."""
@@ -346,7 +399,7 @@
 class _CallerAdapter:
     """Implements ``Caller`` for the forwarder on a caller's request."""
 
-    def __init__(self, request: _CallerRequest) -> None:
+    def __init__(self, request: CallerRequest) -> None:
         self.read_body = request.read_body
         self.send_head = request.send_head
         self.send_body = request.send_body
--- a/burdockdock/proxy/caller_stream.py
+++ b/burdockdock/proxy/caller_stream.py
@@ -1,4 +1,7 @@
-"""A caller's connection that lets only answers be written to it."""
+"""A caller's connection as one request sees it, which lets only its answer be written.
+
+Tornado's connection of a request reads from it and writes to it.
+"""
 
 import asyncio
 import contextlib
@@ -18,28 +21,71 @@
 
 
 class CallerStream:
-    """Wraps the stream of a tornado connection and intercepts writes by tornado.
+    """Wraps the stream of a caller's connection for one request.
+
+    The answers to pipelined requests are sent in the order of the requests, so an
+    answer may only be written once the request has the turn.
 
     Tornado refuses a malformed message by writing an error line to the stream, even in
     the middle of an answer. A write outside of ``answer_write`` is therefore not made,
     but passed to ``on_foreign_write``, which decides how to handle it.
 
-    :param on_foreign_write: called with the data; tornado waits for its future.
+    :param end: ends the connection when tornado closes it after the answer.
     """
 
-    def __init__(
-        self,
-        stream: IOStream,
-        on_foreign_write: "Callable[[bytes], asyncio.Future[None]]",
-    ) -> None:
+    def __init__(self, stream: IOStream, end: Callable[[], None]) -> None:
         self.raw = stream
-        self._on_foreign_write = on_foreign_write
+        self.on_foreign_write: Callable[[bytes], asyncio.Future[None]] | None = None
+        self.has_turn = False
+        self._end = end
         self._in_answer_write = False
+        self._turn_came = asyncio.Event()
+        self._continue_requested = False
+        self._write_ended = False
+        self._close_callback: Callable[[], None] | None = None
 
     def __getattr__(self, name: str) -> Any:
-        """Delegate everything but writes to the wrapped stream."""
+        """Delegate everything else to the wrapped stream."""
         return getattr(self.raw, name)
 
+    def take_turn(self) -> None:
+        """Let the answer be written."""
+        if self.has_turn:
+            return
+        self.has_turn = True
+        self._turn_came.set()
+        if self._continue_requested:
+            self.send_continue()
+
+    async def wait_turn(self) -> None:
+        """Wait until all answers before this one are complete."""
+        if not self.has_turn:
+            await self._turn_came.wait()
+
+    def set_close_callback(self, callback: Callable[[], None] | None) -> None:
+        """Set what to call when the connection closes."""
+        self._close_callback = callback
+
+    def run_close_callback(self) -> None:
+        """Handle that the connection was closed."""
+        callback, self._close_callback = self._close_callback, None
+        if callback is not None:
+            callback()
+
+    def set_nodelay(self, _value: bool) -> None:
+        """Leave the option as it is, which tornado sets and clears for each answer."""
+
+    def close(self) -> None:
+        """End the connection after an answer, as tornado does where it isn't kept."""
+        if self._write_ended:
+            self.raw.close()
+        else:
+            self._end()
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self.raw.close()
+
     @contextlib.contextmanager
     def answer_write(self) -> Iterator[None]:
         """Let writes inside the context through, as parts of the answer.
@@ -56,7 +102,7 @@
         """Write a part of the answer, or pass any other data to the callback."""
         if self._in_answer_write:
             return self.raw.write(data)
-        return self._on_foreign_write(data)
+        return self.on_foreign_write(data)
 
     def wait_flushed(self) -> "asyncio.Future[None]":
         """Return a future that is done once all written data was sent."""
@@ -64,7 +110,8 @@
 
     def send_continue(self) -> None:
         """Send the 100 Continue line, which asks the caller for the request's body."""
-        if not self.raw.closed():
+        self._continue_requested = not self.has_turn
+        if self.has_turn and not self.raw.closed():
             self.raw.write(_CONTINUE_LINE)
 
     def reset_on_close(self, enabled: bool) -> None:
@@ -82,15 +129,15 @@
         :param timeout_s: how long to read what the caller still sends.
         :raises StreamClosedError: if the connection is already closed.
         """
+        await self.wait_turn()
         await self.raw.write(line)
         self.shutdown_write()
         await self.drain_input(timeout_s)
 
     def shutdown_write(self) -> None:
         """Close the sending side; the caller reads end of file after the last byte."""
-        if not self.raw.closed():
-            with contextlib.suppress(OSError):
-                self.raw.socket.shutdown(socket.SHUT_WR)
+        self._write_ended = True
+        shutdown_write(self.raw)
 
     async def drain_input(self, timeout_s: float) -> None:
         """Read and discard input until the caller closes or the time is over.
@@ -98,12 +145,23 @@
         Closing a socket with unread bytes resets the connection, which discards the
         answer if it is still on its way.
         """
-        try:
+        with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(timeout_s):
-                while True:
-                    await self.raw.read_bytes(_READ_CHUNK_BYTES, partial=True)
-        except (TimeoutError, StreamClosedError):
-            return
+                await discard_input(self.raw)
+
+
+def shutdown_write(stream: IOStream) -> None:
+    """Close the sending side of a connection unless it is closed."""
+    if not stream.closed():
+        with contextlib.suppress(OSError):
+            stream.socket.shutdown(socket.SHUT_WR)
+
+
+async def discard_input(stream: IOStream) -> None:
+    """Read and discard input until the connection closes."""
+    with contextlib.suppress(StreamClosedError):
+        while True:
+            await stream.read_bytes(_READ_CHUNK_BYTES, partial=True)
 
 
 def pop_expect_continue(start_line: RequestStartLine, headers: HTTPHeaders) -> bool:
--- a/tests/node/test_settings.py
+++ b/tests/node/test_settings.py
@@ -24,6 +24,8 @@
             (("[limits]", "[limit]"), ("limit", "")),
             (("drain_timeout_s = 60", "drain_timeout_s = 60s"), ("limits", "drain")),
             (("drain_timeout_s = 60", "drain_s = 60"), ("limits", "drain_s")),
+            (("pipelined_calls = 16", "pipelined_calls = 1.5"), ("limits", "pipel")),
+            (("pipelined_calls = 16", "pipelined_calls = 0"), ("limits", "pipel")),
             (
                 ("callers = 127.0.0.1:8080", "callers = host:8080"),
                 ("listen", "callers"),
--- a/tests/proxy/caller_server.py
+++ b/tests/proxy/caller_server.py
@@ -6,12 +6,13 @@
 from typing import NamedTuple
 
 import testtools
-from tornado.httpserver import HTTPServer
 
 from burdockdock.clock import SystemClock
 from burdockdock.metrics import Metrics
 from burdockdock.protocol.calls import CallRequest
-from burdockdock.proxy import listener
+from burdockdock.proxy import caller_request
+from burdockdock.proxy.listener import CallerServer as Server
+from burdockdock.proxy.listener import serve_callers
 from burdockdock.standin.local_fleet import free_port
 
 HOST = "127.0.0.1"
@@ -22,11 +23,11 @@
     """A running server for callers and its fake call context."""
 
     context: SimpleNamespace
-    server: HTTPServer
+    server: Server
     port: int
 
 
-def _build_call(*_: object) -> SimpleNamespace:
+def _build_call(*_: object, **__: object) -> SimpleNamespace:
     return SimpleNamespace(request=REQUEST)
 
 
@@ -40,7 +41,7 @@
 
     :param make_call: builds the call of a request; by default all get the same call.
     """
-    test.patch(listener, "make_call", make_call)
+    test.patch(caller_request, "make_call", make_call)
     context = SimpleNamespace(
         forwarder=forwarder,
         clock=SystemClock(),
@@ -53,6 +54,6 @@
         snapshot=lambda: SimpleNamespace(version=1),
     )
     port = free_port()
-    server = listener.serve_callers(context, host=HOST, port=port)
+    server = serve_callers(context, host=HOST, port=port)
     test.addCleanup(server.stop)
     return CallerServer(context, server, port)
--- a/tests/proxy/test_call_completion.py
+++ b/tests/proxy/test_call_completion.py
@@ -132,7 +132,7 @@
 
         class Failing:
             async def forward(self, call: object, caller: Caller) -> None:
-                (connection,) = server._connections
+                (connection,) = server.connections
                 connection.stream.close()
                 raise RuntimeError("an exception in this node")
 
