Use the rest of a list in which another writer left an odd entry

Cause: an entry of the roster with a port out of range was handed to the socket, whose OverflowError ended the task that meets peers, again at each try; an entry nested deeper than Python's parser goes, or a number of more than 4,300 digits, made the whole list of the store unreadable, as if the store were away; a heartbeat's port wasn't checked, and an order's target version could be any value, whose text was stored as a version.

One tuple names what malformed values raise.

--- a/burdockdock/node/roster.py
+++ b/burdockdock/node/roster.py
@@ -1,5 +1,6 @@
 """The roster: node addresses on the platform, used by starting nodes for discovery."""
 
+import ipaddress
 import random
 from typing import Any
 
@@ -12,6 +13,7 @@
 _KEY_PREFIX = "roster/"
 _MAX_ADDRESSES_PER_ZONE = 8
 _MAX_WRITE_ATTEMPTS = 5
+_MAX_PORT = 65_535
 
 
 class Roster:
@@ -99,6 +101,21 @@
     for item in listed if isinstance(listed, list) else ():
         if isinstance(item, list) and len(item) == 2:
             host, port = item
-            if isinstance(host, str) and isinstance(port, int):
+            if _is_host(host) and _is_port(port):
                 found.append((host, port))
     return found
+
+
+def _is_host(value: Any) -> bool:
+    """Return whether a value is an IP address."""
+    if not isinstance(value, str):
+        return False
+    try:
+        ipaddress.ip_address(value)
+    except ValueError:
+        return False
+    return True
+
+
+def _is_port(value: Any) -> bool:
+    return type(value) is int and 0 < value <= _MAX_PORT
--- a/burdockdock/platform/announcements.py
+++ b/burdockdock/platform/announcements.py
@@ -12,18 +12,19 @@
 from burdockdock.logs import log_event
 from burdockdock.node.announcements import LATE, Announcement, BackendState
 from burdockdock.node.interface import BackendActions
-from burdockdock.platform.values import parse_duration_ms
+from burdockdock.platform.values import MALFORMED, parse_duration_ms
 
 _HEARTBEAT_CALL = "instances.heartbeat"
 _DEREGISTER_CALL = "instances.deregister"
 _MAX_SLOTS = 100_000
+_MAX_PORT = 65_535
 
 
 def decode_heartbeat(instance_id: str, body: bytes) -> Announcement | Failure:
     """Decode a heartbeat; return a Failure if a field is missing or invalid."""
     try:
         return _build_announcement(instance_id, json.loads(body))
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except MALFORMED as error:
         return Failure(Verdict.NOT_RUN, "unreadable", repr(error))
 
 
@@ -34,7 +35,7 @@
     """
     try:
         return _check_integer(json.loads(body).get("born", 0), 0, 1 << 62)
-    except (TypeError, ValueError, AttributeError):
+    except MALFORMED:
         return 0
 
 
@@ -44,7 +45,7 @@
         service=_check_text(fields["service"]),
         version=_check_text(fields["version"]),
         host=host,
-        port=int(port),
+        port=_check_integer(int(port), 1, _MAX_PORT),
         slots=_check_integer(fields["slots"], 1, _MAX_SLOTS),
         instance_id=_check_text(instance_id),
     )
--- a/burdockdock/platform/configuration.py
+++ b/burdockdock/platform/configuration.py
@@ -6,7 +6,12 @@
 from burdockdock.configuration.model import Sections
 from burdockdock.configuration.source import UNREADABLE, ConfigSource
 from burdockdock.coordination.verdict import Failure, Verdict
-from burdockdock.platform.values import parse_duration_ms, parse_table, parse_version
+from burdockdock.platform.values import (
+    MALFORMED,
+    parse_duration_ms,
+    parse_table,
+    parse_version,
+)
 from burdockdock.platform_api import PlatformClient, PlatformObject
 
 _CONFIG_KEY = "config/main"
@@ -29,7 +34,7 @@
     try:
         version = parse_version(found.value["version"])
         sections = _decode_sections(found.value)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except MALFORMED as error:
         return Failure(Verdict.NOT_RUN, UNREADABLE, repr(error))
     return ConfigDocument(version, sections, author="operator")
 
--- a/burdockdock/platform/orders.py
+++ b/burdockdock/platform/orders.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 from burdockdock.coordination.verdict import Failure, Verdict
-from burdockdock.platform.values import parse_duration_ms
+from burdockdock.platform.values import MALFORMED, parse_duration_ms
 from burdockdock.platform_api import PlatformObject
 from burdockdock.rollout.model import Phase, Rollout
 from burdockdock.rollout.orders import Order, OrderFormat
@@ -18,9 +18,11 @@
     if not found.version:
         return Order(service, "", 0.0, withdrawn=True)
     try:
-        to_version = str(found.value["target-version"])
+        to_version = found.value["target-version"]
+        if not isinstance(to_version, str) or not to_version:
+            raise ValueError("target-version is not a non-empty string")
         duration_s = parse_duration_ms(found.value["duration"]) / 1000
-    except (KeyError, TypeError, ValueError) as error:
+    except MALFORMED as error:
         return Failure(Verdict.NOT_RUN, "order_unreadable", repr(error))
     return Order(service, to_version, duration_s, _reported_outcome(found, to_version))
 
--- a/burdockdock/platform/values.py
+++ b/burdockdock/platform/values.py
@@ -7,6 +7,15 @@
 # rejects with an OverflowError, not with a ValueError.
 _DURATION_PATTERN = re.compile(r"(\d{1,12}(?:\.\d{1,9})?)(ms|s)")
 _MS_PER_UNIT = {"ms": 1, "s": 1000}
+# Raised when a message of another writer doesn't have the expected form.
+MALFORMED = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 
 
 def parse_duration_ms(text: Any) -> int:
--- a/burdockdock/platform_api/client.py
+++ b/burdockdock/platform_api/client.py
@@ -1,7 +1,6 @@
 """Client of the platform's object API: reads, conditional updates and watches."""
 
 import asyncio
-import json
 import random
 import uuid
 from collections.abc import Callable
@@ -22,6 +21,7 @@
     PlatformObject,
     WatchResult,
 )
+from burdockdock.platform_api.json_text import parse_json
 
 MAX_VALUE_BYTES = 1_000_000
 _BACKOFF_BASE_S = 0.1
@@ -311,8 +311,8 @@
                 Verdict.MAY_HAVE_RUN, f"status {status}: {body[:200]!r}"
             )
         try:
-            response = _Response(status, json.loads(body) if body else {})
-        except (ValueError, RecursionError):
+            response = _Response(status, parse_json(body) if body else {})
+        except ValueError:
             if status == 200:
                 return self._record_failure(
                     Verdict.MAY_HAVE_RUN, f"status {status} without a JSON body"
