Check idle callers' connections by a timer, not by a task each

Change: one timer handle a connection; the check looks at the stream first. New test: an idle connection is closed and one with a running call isn't. Conclusion: tests of proxy that open callers' connections pass.

--- a/burdockdock/proxy/caller_connection.py
+++ b/burdockdock/proxy/caller_connection.py
@@ -58,6 +58,7 @@
         self._changed = asyncio.Event()
         self._ended = asyncio.Event()
         self._idle_since_s = 0.0
+        self._idle_timer: asyncio.TimerHandle | None = None
 
     async def serve(self) -> None:
         """Serve requests until the connection has ended."""
@@ -65,12 +66,12 @@
         # Answers are written whole, so there is nothing that Nagle's algorithm saves.
         self.stream.set_nodelay(True)
         self._idle_since_s = self._context.clock.monotonic()
-        idle_check = asyncio.create_task(self._close_when_idle())
+        self._check_idle_later(_IDLE_TIMEOUT_S)
         while not self._reading_stopped and not self.stream.closed():
             self._read_next_request()
             await self._wait_until_next_may_start()
         await self._ended.wait()
-        idle_check.cancel()
+        self._idle_timer.cancel()
 
     async def close(self) -> None:
         """Close the connection at once, and wait until its requests have ended."""
@@ -176,18 +177,22 @@
             async with asyncio.timeout(_LEFT_CALLER_CHECK_INTERVAL_S):
                 await self._changed.wait()
         except TimeoutError:
-            if _input_has_ended(self.stream.socket):
+            if not self.stream.closed() and _input_has_ended(self.stream.socket):
                 self.stream.close()
 
-    async def _close_when_idle(self) -> None:
-        left_s = _IDLE_TIMEOUT_S
-        while left_s > 0:
-            await asyncio.sleep(left_s)
-            now_s = self._context.clock.monotonic()
-            if any(request.started for request in self._requests):
-                self._idle_since_s = now_s
-            left_s = self._idle_since_s + _IDLE_TIMEOUT_S - now_s
-        self.stream.close()
+    def _check_idle_later(self, delay_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        self._idle_timer = loop.call_later(delay_s, self._close_if_idle)
+
+    def _close_if_idle(self) -> None:
+        now_s = self._context.clock.monotonic()
+        if any(request.started for request in self._requests):
+            self._idle_since_s = now_s
+        left_s = self._idle_since_s + _IDLE_TIMEOUT_S - now_s
+        if left_s > 0:
+            self._check_idle_later(left_s)
+        else:
+            self.stream.close()
 
 
 def _keeps_open(task: "asyncio.Task[bool]") -> bool:
--- a/tests/proxy/test_pipelining.py
+++ b/tests/proxy/test_pipelining.py
@@ -13,10 +13,11 @@
 
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.protocol.calls import AnswerHead
+from burdockdock.proxy import caller_connection
 from burdockdock.proxy.call import Caller
 from tests import streams
 from tests.proxy.caller_server import HOST, REQUEST, CallerServer, start_caller_server
-from tests.support import async_test, eventually
+from tests.support import PATIENCE_S, async_test, eventually
 
 _LEFT_CALLER_TIMEOUT_S = 0.5
 _MANY_REQUESTS = 10_000
@@ -274,6 +275,16 @@
         limit = server.server.max_pipelined_calls
         self.assertTrue(limit <= forwarder.calls <= 2 * limit, forwarder.calls)
 
+    @async_test
+    async def test_idle_connection_is_closed_and_a_busy_one_is_not(self) -> None:
+        self.patch(caller_connection, "_IDLE_TIMEOUT_S", 0.2)
+        _, forwarder, reader, _ = await self._connect(_request("a"))
+        await asyncio.sleep(0.5)
+        forwarder.answer("a")
+        self.assertEqual(b"a", (await _read_answer(reader))[2])
+        async with asyncio.timeout(PATIENCE_S):
+            self.assertEqual(b"", await reader.read())
+
 
 class _LargeAnswers:
     """Answers with more than the connection can buffer."""
