--- a/tests/proxy/test_forwarder.py
+++ b/tests/proxy/test_forwarder.py
@@ -42,7 +42,7 @@
         """Do nothing."""
 
 
-class _FakeLink:
+class FakeLink:
     """An open link to one node."""
 
     def __init__(self, node_id: str, result: Failure | None) -> None:
@@ -65,7 +65,7 @@
         """Do nothing, so that this link never counts as silent."""
 
 
-class _ForwarderFixture:
+class ForwarderFixture:
     """A forwarder whose members have fake links.
 
     :param links: by node id; None for a link that never opens.
@@ -73,7 +73,7 @@
 
     def __init__(
         self,
-        links: dict[str, _FakeLink | PeerLink | None],
+        links: dict[str, FakeLink | PeerLink | None],
         clock: ManualClock | SystemClock | None = None,
     ) -> None:
         self.clock = clock or SystemClock()
@@ -101,11 +101,11 @@
         async with asyncio.timeout(PATIENCE_S):
             return await self.forwarder.forward(call, None)
 
-    def get_if_open(self, host: str, port: int) -> _FakeLink | PeerLink | None:
+    def get_if_open(self, host: str, port: int) -> FakeLink | PeerLink | None:
         """Return the link to a node, None if it is not open."""
         return self._links[host]
 
-    async def get(self, host: str, port: int) -> _FakeLink:
+    async def get(self, host: str, port: int) -> FakeLink:
         """Wait forever, as for a link that never opens."""
         await asyncio.Event().wait()
 
@@ -135,13 +135,13 @@
 
     @async_test
     async def test_a_call_ends_in_time_if_no_link_opens(self) -> None:
-        failure = await _ForwarderFixture({"a": None, "b": None}).call()
+        failure = await ForwarderFixture({"a": None, "b": None}).call()
         self.assertIs(Verdict.NOT_RUN, failure.verdict)
 
     @async_test
     async def test_another_node_is_tried_while_there_is_time(self) -> None:
-        link = _FakeLink("b", _QUEUE_FULL)
-        await _ForwarderFixture({"a": None, "b": link}).call()
+        link = FakeLink("b", _QUEUE_FULL)
+        await ForwarderFixture({"a": None, "b": link}).call()
         self.assertTrue(link.sent)
 
 
@@ -149,7 +149,7 @@
     """Tests of nodes whose immediate refusals take long to arrive."""
 
     async def _record_slow_refusal(
-        self, fixture: _ForwarderFixture, link: _FakeLink, seconds_s: float
+        self, fixture: ForwarderFixture, link: FakeLink, seconds_s: float
     ) -> None:
         """Let one call measure how long a refusal takes."""
         link.before_result = lambda: fixture.clock.advance(seconds_s)
@@ -159,8 +159,8 @@
 
     @async_test
     async def test_a_node_that_would_refuse_too_late_is_not_sent_the_call(self) -> None:
-        link = _FakeLink("a", _QUEUE_FULL)
-        fixture = _ForwarderFixture({"a": link}, ManualClock())
+        link = FakeLink("a", _QUEUE_FULL)
+        fixture = ForwarderFixture({"a": link}, ManualClock())
         await self._record_slow_refusal(fixture, link, 0.3)
         failure = await fixture.call()
         self.assertEqual([], link.sent)
@@ -168,8 +168,8 @@
 
     @async_test
     async def test_another_node_is_sent_the_call_instead(self) -> None:
-        slow, near = _FakeLink("a", _QUEUE_FULL), _FakeLink("b", _QUEUE_FULL)
-        fixture = _ForwarderFixture({"a": slow, "b": near}, ManualClock())
+        slow, near = FakeLink("a", _QUEUE_FULL), FakeLink("b", _QUEUE_FULL)
+        fixture = ForwarderFixture({"a": slow, "b": near}, ManualClock())
         await self._record_slow_refusal(fixture, slow, 0.3)
         near.sent.clear()
         await fixture.call()
@@ -178,8 +178,8 @@
 
     @async_test
     async def test_the_time_left_excludes_the_reply_time(self) -> None:
-        link = _FakeLink("a", _QUEUE_FULL)
-        fixture = _ForwarderFixture({"a": link}, ManualClock())
+        link = FakeLink("a", _QUEUE_FULL)
+        fixture = ForwarderFixture({"a": link}, ManualClock())
         await self._record_slow_refusal(fixture, link, 0.08)
         await fixture.call()
         # The time left is sent in whole milliseconds, rounded down.
@@ -188,8 +188,8 @@
 
     @async_test
     async def test_a_refusal_after_the_deadline_updates_the_reply_time(self) -> None:
-        link = _FakeLink("a", None)
-        fixture = _ForwarderFixture({"a": link}, ManualClock())
+        link = FakeLink("a", None)
+        fixture = ForwarderFixture({"a": link}, ManualClock())
         failure = await fixture.call()
         self.assertEqual((Verdict.MAY_HAVE_RUN, "deadline_passed"), failure[:2])
         fixture.clock.advance(0.4)
@@ -203,9 +203,9 @@
 
     @async_test
     async def test_a_call_with_less_time_than_its_route_takes_is_not_sent(self) -> None:
-        link = _FakeLink("a", _QUEUE_FULL)
+        link = FakeLink("a", _QUEUE_FULL)
         link.refusal = GateState(1, GateResults(service_s=0.5))
-        fixture = _ForwarderFixture({"a": link}, ManualClock())
+        fixture = ForwarderFixture({"a": link}, ManualClock())
         await fixture.call()
         link.sent.clear()
         failure = await fixture.call()
@@ -214,9 +214,9 @@
 
     @async_test
     async def test_the_expected_duration_of_a_route_expires(self) -> None:
-        link = _FakeLink("a", _QUEUE_FULL)
+        link = FakeLink("a", _QUEUE_FULL)
         link.refusal = GateState(1, GateResults(service_s=0.3))
-        fixture = _ForwarderFixture({"a": link}, ManualClock())
+        fixture = ForwarderFixture({"a": link}, ManualClock())
         await fixture.call()
         link.sent.clear()
         for _ in range(40):
@@ -227,13 +227,13 @@
 class SilentLinkTest(testtools.TestCase):
     """Tests of a link on which nothing is received."""
 
-    async def _with_silent_link(self) -> tuple[_ForwarderFixture, FakeConnection]:
+    async def _with_silent_link(self) -> tuple[ForwarderFixture, FakeConnection]:
         """Return a fixture whose link received no reply to a call for 1 s."""
         connection = FakeConnection()
         link = PeerLink(
             connection, PeerIdentity("mesh", "a", 1), count_late=lambda: None
         )
-        fixture = _ForwarderFixture({"a": link}, ManualClock())
+        fixture = ForwarderFixture({"a": link}, ManualClock())
         await fixture.call()
         fixture.clock.advance(1.0)
         return fixture, connection
@@ -267,8 +267,8 @@
     async def test_the_reason_is_that_of_the_attempt_that_may_have_run(self) -> None:
         lost = Failure(Verdict.MAY_HAVE_RUN, "backend_connection_broken", "reset")
         refusal = Failure(Verdict.NOT_RUN, "draining")
-        links = {name: _FakeLink(name, refusal) for name in "bcdef"}
-        failure = await _ForwarderFixture({"a": _FakeLink("a", lost), **links}).call(
+        links = {name: FakeLink(name, refusal) for name in "bcdef"}
+        failure = await ForwarderFixture({"a": FakeLink("a", lost), **links}).call(
             idempotent=True
         )
         self.assertTrue(all(link.sent for link in links.values()))
