Ask gates for free slots only while some have them

Ruled out by profiles of three nodes: no single function dominates; the work grows with the attempts.

Change: proxy.free_slots keeps, by service, the share of the gates that had a free slot when asked. Below 0.15 calls queue at once and aren't tried again after they queued in vain; a call that finds two queues full is refused.

--- a/burdockdock/proxy/attempts.py
+++ b/burdockdock/proxy/attempts.py
@@ -4,20 +4,20 @@
 
 from burdockdock.coordination.membership import Member
 from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.proxy.free_slots import MAX_FREE_SLOT_ATTEMPTS_AFTER_WAIT
 from burdockdock.proxy.peer_link import PeerLink
 from burdockdock.proxy.remote_call import RemoteCall
 
 # Reason of a refusal by the backend server itself. Any other failure with the verdict
 # NOT_RUN comes from a node, before the request reached a backend server.
 BACKEND_REFUSED = "backend_refused"
-# Nodes that are asked for a free slot before the call queues for one.
-MAX_FREE_SLOT_ATTEMPTS = 3
 # Other nodes that are tried after nodes that refused the call or are unreachable.
 MAX_FAILOVERS = 4
 _QUEUE_FULL = "queue_full"
 # Refusals of calls that queued and got no slot; these don't queue again elsewhere.
 _REASONS_AFTER_WAIT = frozenset({"too_late_to_wait", "queue_timeout"})
-_FREE_SLOT_ATTEMPTS_AFTER_WAIT = 2
+# Gates at which a call may find the queue full before it is refused.
+_MAX_QUEUEING_ATTEMPTS = 2
 
 
 class Attempt(NamedTuple):
@@ -54,6 +54,9 @@
     :param free_slot_attempts_left: further nodes that may be asked for a free slot.
     :param failed_ids: nodes that failed or refused the call.
     :param full_ids: nodes that had no free slot.
+    :param free_slot_attempts_after_wait: nodes that may be asked for a free slot after
+        the call queued and got none.
+    :param queueing_attempts_left: further nodes whose queue may turn out to be full.
     :param must_not_wait: the call already queued and got no slot, or has no time to
         queue, so that it only runs where a slot is free.
     """
@@ -64,6 +67,8 @@
     failed_ids: frozenset[str] = frozenset()
     full_ids: frozenset[str] = frozenset()
     must_not_wait: bool = False
+    free_slot_attempts_after_wait: int = MAX_FREE_SLOT_ATTEMPTS_AFTER_WAIT
+    queueing_attempts_left: int = _MAX_QUEUEING_ATTEMPTS
 
     @property
     def excluded(self) -> frozenset[str]:
@@ -77,6 +82,8 @@
             return self._after_full(node_id)
         if outcome.failure.reason in _REASONS_AFTER_WAIT:
             return self._after_wait(node_id)
+        if outcome.failure.reason == _QUEUE_FULL:
+            return self._after_full_queue(node_id)
         failed_ids = self.failed_ids | {node_id}
         if is_refused_by_node(outcome.failure):
             if not self.failovers_left or node_id in self.failed_ids:
@@ -90,14 +97,25 @@
 
     def _after_wait(self, node_id: str) -> "RetryState | None":
         """Allow a few more attempts at a free slot after queueing without success."""
-        if self.must_not_wait:
+        if self.must_not_wait or not self.free_slot_attempts_after_wait:
             return None
         return self._replace(
-            free_slot_attempts_left=_FREE_SLOT_ATTEMPTS_AFTER_WAIT,
+            free_slot_attempts_left=self.free_slot_attempts_after_wait,
             full_ids=frozenset({node_id}),
             must_not_wait=True,
         )
 
+    def _after_full_queue(self, node_id: str) -> "RetryState | None":
+        """Queue at another node unless enough queues were full."""
+        left = self.queueing_attempts_left - 1
+        if not left or not self.failovers_left or node_id in self.failed_ids:
+            return None
+        return self._replace(
+            queueing_attempts_left=left,
+            failovers_left=self.failovers_left - 1,
+            failed_ids=self.failed_ids | {node_id},
+        )
+
     def _after_full(self, node_id: str) -> "RetryState | None":
         """Ask another node, or let the call queue if all that were asked are full."""
         left = self.free_slot_attempts_left - 1
--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -14,7 +14,6 @@
 from burdockdock.proxy.attempts import (
     BACKEND_REFUSED,
     MAX_FAILOVERS,
-    MAX_FREE_SLOT_ATTEMPTS,
     Attempt,
     AttemptFailure,
     RetryState,
@@ -23,6 +22,11 @@
 from burdockdock.proxy.balancer import LARGE_ANSWER_PENALTIES, Balancer
 from burdockdock.proxy.call import Call, Caller, ReplayableBody
 from burdockdock.proxy.endpoints import Endpoints
+from burdockdock.proxy.free_slots import (
+    MAX_FREE_SLOT_ATTEMPTS,
+    MAX_FREE_SLOT_ATTEMPTS_AFTER_WAIT,
+    FreeSlotOdds,
+)
 from burdockdock.proxy.outcomes import resolve_outcome
 from burdockdock.proxy.peer_link import PeerLinks
 from burdockdock.proxy.remote_call import GateState, RemoteCall
@@ -36,11 +40,12 @@
 _NO_BACKEND_SERVER = "no_backend_server"
 _LOAD_SHEDDING_STATUSES = frozenset({429, 503})
 _PEER_TOO_SLOW = "peer_too_slow"
+_QUEUE_FULL = "queue_full"
 # Reasons that don't count against a member's health: load, lack of time, planned stops
 # and outdated routing.
 _NON_FAULT_REASONS = frozenset(
     {
-        "queue_full",
+        _QUEUE_FULL,
         "tenant_queue_full",
         "queue_timeout",
         "draining",
@@ -75,6 +80,7 @@
         self._budget = retry_budget
         self._reply_times = ReplyTimes(clock=clock)
         self._durations = DurationEstimator()
+        self._free_slots = FreeSlotOdds(clock=clock)
         self._usable_link = functools.partial(
             usable_link, links=links, clock=clock, reply_times=self._reply_times
         )
@@ -93,17 +99,7 @@
         body_failure = await self._read_body_prefix(call, body)
         if body_failure is not None:
             return body_failure
-        # A call with a large answer queues for a near backend server rather than look
-        # for a free slot at a distant one.
-        free_slot_attempts = (
-            0 if call.large_answer and call.may_wait else MAX_FREE_SLOT_ATTEMPTS
-        )
-        retry_state = RetryState(
-            call.retries,
-            MAX_FAILOVERS,
-            free_slot_attempts,
-            must_not_wait=not call.may_wait,
-        )
+        retry_state = self._initial_state(call)
         strongest_failure: Failure | None = None
         while True:
             outcome = await self._attempt(call, caller, body, retry_state)
@@ -126,6 +122,24 @@
         # refusal doesn't change that.
         return strongest_failure
 
+    def _initial_state(self, call: Call) -> RetryState:
+        """Return the attempts that a call has.
+
+        A call with a large answer queues for a near backend server rather than look for
+        a free slot at a distant one.
+        """
+        asks = self._free_slots.is_worth_asking(call.request.service)
+        asks_first = not call.may_wait or (asks and not call.large_answer)
+        return RetryState(
+            call.retries,
+            MAX_FAILOVERS,
+            MAX_FREE_SLOT_ATTEMPTS if asks_first else 0,
+            must_not_wait=not call.may_wait,
+            free_slot_attempts_after_wait=(
+                MAX_FREE_SLOT_ATTEMPTS_AFTER_WAIT if asks else 0
+            ),
+        )
+
     async def _read_body_prefix(
         self, call: Call, body: ReplayableBody
     ) -> Failure | None:
@@ -160,6 +174,8 @@
                 or not body.replayable
             )
             result = await self._send_to(member, call, caller, body, may_wait=may_wait)
+            if not may_wait:
+                self._record_free_slot(call, result)
             failed = _is_backend_fault(result)
         finally:
             self._balancer.finished(member.node_id, failed=failed)
@@ -167,6 +183,12 @@
             return AttemptFailure(member.node_id, result)
         return None
 
+    def _record_free_slot(self, call: Call, result: AnswerHead | Failure) -> None:
+        """Record whether a gate that was asked for a free slot had one."""
+        is_refused = isinstance(result, Failure) and result.verdict is Verdict.NOT_RUN
+        if not is_refused or result.reason == _QUEUE_FULL:
+            self._free_slots.record(call.request.service, found=not is_refused)
+
     def _pick(self, call: Call, retry_state: RetryState) -> Member | None:
         """Choose a member by load, or by the caller's idempotency key if it sent one.
 
--- /dev/null
+++ b/burdockdock/proxy/free_slots.py
@@ -0,0 +1,48 @@
+"""Estimates whether it is worth asking other gates for a free slot before queueing.
+
+While a service is saturated, nearly every gate that is asked refuses. Each attempt
+then costs both nodes processor time that the calls need, and delays the refusal.
+"""
+
+from typing import NamedTuple
+
+from burdockdock.clock import Clock
+
+# Gates that are asked for a free slot before the call queues at one of them.
+MAX_FREE_SLOT_ATTEMPTS = 3
+# Gates that are asked after the call has queued and got no slot.
+MAX_FREE_SLOT_ATTEMPTS_AFTER_WAIT = 2
+_MIN_WORTHWHILE_ODDS = 0.15
+_SMOOTHING_FACTOR = 0.2
+# Without new answers the odds rise again, so that free slots are found soon.
+_HALF_LIFE_S = 1.0
+
+
+class _Odds(NamedTuple):
+    share_free: float
+    updated_at_s: float
+
+
+class FreeSlotOdds:
+    """Moving share of the gates of each service that had a free slot when asked."""
+
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        self._odds: dict[str, _Odds] = {}
+
+    def record(self, service: str, *, found: bool) -> None:
+        """Record whether a gate that was asked had a free slot."""
+        share = self._share_free(service)
+        share += _SMOOTHING_FACTOR * (float(found) - share)
+        self._odds[service] = _Odds(share, self._clock.monotonic())
+
+    def is_worth_asking(self, service: str) -> bool:
+        """Return whether gates are likely enough to have a free slot."""
+        return self._share_free(service) >= _MIN_WORTHWHILE_ODDS
+
+    def _share_free(self, service: str) -> float:
+        odds = self._odds.get(service)
+        if odds is None:
+            return 1.0
+        age_s = self._clock.monotonic() - odds.updated_at_s
+        return 1.0 - (1.0 - odds.share_free) * 0.5 ** (age_s / _HALF_LIFE_S)
--- a/tests/proxy/test_sampled_placement.py
+++ b/tests/proxy/test_sampled_placement.py
@@ -14,13 +14,13 @@
 from burdockdock.clock import ManualClock
 from burdockdock.coordination.membership import Member
 from burdockdock.protocol.calls import GateResults
-from burdockdock.proxy.attempts import MAX_FREE_SLOT_ATTEMPTS
 from burdockdock.proxy.balancer import (
     DEFAULT_PENALTIES,
     LARGE_ANSWER_PENALTIES,
     Balancer,
     DistancePenalties,
 )
+from burdockdock.proxy.free_slots import MAX_FREE_SLOT_ATTEMPTS
 from burdockdock.proxy.pool import DEFAULT_QUOTAS, Locality, Pool, SampleQuotas
 
 _MEMBER_COUNT = 64
