--- /dev/null
+++ b/burdockdock/proxy/attempt_results.py
@@ -0,0 +1,72 @@
+"""Classifies and logs the results of a call's attempts."""
+
+from burdockdock.coordination.verdict import Failure
+from burdockdock.logs import log_event
+from burdockdock.protocol.calls import AnswerHead, CallRequest
+from burdockdock.proxy.attempts import BACKEND_REFUSED
+
+DEADLINE_PASSED = "deadline_passed"
+PEER_TOO_SLOW = "peer_too_slow"
+QUEUE_FULL = "queue_full"
+_LOAD_SHEDDING_STATUSES = frozenset({429, 503})
+# Reasons that don't count against a member's health: load, lack of time, planned stops
+# and outdated routing.
+_NON_FAULT_REASONS = frozenset(
+    {
+        QUEUE_FULL,
+        "tenant_queue_full",
+        "queue_timeout",
+        "draining",
+        DEADLINE_PASSED,
+        "too_little_time",
+        "backend_leaving",
+        "not_here",
+        "version_stopped",
+        PEER_TOO_SLOW,
+        BACKEND_REFUSED,
+    }
+)
+
+
+def is_backend_fault(result: AnswerHead | Failure) -> bool:
+    """Return whether a result counts as a failure in the member's health."""
+    if isinstance(result, Failure):
+        return result.reason not in _NON_FAULT_REASONS
+    return result.status >= 500 and result.status not in _LOAD_SHEDDING_STATUSES
+
+
+def log_failed_attempt(
+    request: CallRequest, node_id: str, failure: Failure, *, left_ms: int
+) -> None:
+    """Log why an attempt at a node failed.
+
+    :param left_ms: time until the call's deadline.
+    """
+    log_event(
+        "call.attempt_failed",
+        request=request.request_id,
+        service=request.service,
+        node_tried=node_id,
+        verdict=failure.verdict.name.lower(),
+        reason=failure.reason,
+        detail=failure.detail,
+        left_ms=left_ms,
+    )
+
+
+def log_aborted_answer(
+    request: CallRequest, node_id: str, failure: Failure, *, left_ms: int
+) -> None:
+    """Log why an answer that had begun was aborted.
+
+    :param left_ms: time until the call's deadline.
+    """
+    log_event(
+        "call.answer_broken_off",
+        request=request.request_id,
+        service=request.service,
+        node_tried=node_id,
+        reason=failure.reason,
+        detail=failure.detail,
+        left_ms=left_ms,
+    )
--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -8,11 +8,17 @@
 from burdockdock.coordination.duration_estimator import DurationEstimator
 from burdockdock.coordination.membership import Member
 from burdockdock.coordination.verdict import Failure, Verdict, may_retry
-from burdockdock.logs import log_event
 from burdockdock.metrics import Metrics
 from burdockdock.protocol.calls import AnswerHead
+from burdockdock.proxy.attempt_results import (
+    DEADLINE_PASSED,
+    PEER_TOO_SLOW,
+    QUEUE_FULL,
+    is_backend_fault,
+    log_aborted_answer,
+    log_failed_attempt,
+)
 from burdockdock.proxy.attempts import (
-    BACKEND_REFUSED,
     MAX_FAILOVERS,
     Attempt,
     AttemptFailure,
@@ -36,28 +42,7 @@
 # Grace period after the deadline in which the remote node can still report that it
 # ended the answer.
 _ANSWER_END_GRACE_S = 0.25
-_DEADLINE_PASSED = "deadline_passed"
 _NO_BACKEND_SERVER = "no_backend_server"
-_LOAD_SHEDDING_STATUSES = frozenset({429, 503})
-_PEER_TOO_SLOW = "peer_too_slow"
-_QUEUE_FULL = "queue_full"
-# Reasons that don't count against a member's health: load, lack of time, planned stops
-# and outdated routing.
-_NON_FAULT_REASONS = frozenset(
-    {
-        _QUEUE_FULL,
-        "tenant_queue_full",
-        "queue_timeout",
-        "draining",
-        _DEADLINE_PASSED,
-        "too_little_time",
-        "backend_leaving",
-        "not_here",
-        "version_stopped",
-        _PEER_TOO_SLOW,
-        BACKEND_REFUSED,
-    }
-)
 
 
 class Forwarder:
@@ -111,7 +96,12 @@
                 or failure.verdict >= strongest_failure.verdict
             ):
                 strongest_failure = failure
-            self._log_failed_attempt(call, outcome)
+            log_failed_attempt(
+                call.request,
+                outcome.node_id,
+                failure,
+                left_ms=self._time_left_ms(call),
+            )
             next_state = retry_state.after(outcome)
             has_attempt_left = 0 if next_state is None else 1
             if not self._should_retry(call, body, failure, has_attempt_left):
@@ -176,7 +166,7 @@
             result = await self._send_to(member, call, caller, body, may_wait=may_wait)
             if not may_wait:
                 self._record_free_slot(call, result)
-            failed = _is_backend_fault(result)
+            failed = is_backend_fault(result)
         finally:
             self._balancer.finished(member.node_id, failed=failed)
         if isinstance(result, Failure):
@@ -186,7 +176,7 @@
     def _record_free_slot(self, call: Call, result: AnswerHead | Failure) -> None:
         """Record whether a gate that was asked for a free slot had one."""
         is_refused = isinstance(result, Failure) and result.verdict is Verdict.NOT_RUN
-        if not is_refused or result.reason == _QUEUE_FULL:
+        if not is_refused or result.reason == QUEUE_FULL:
             self._free_slots.record(call.request.service, found=not is_refused)
 
     def _pick(self, call: Call, retry_state: RetryState) -> Member | None:
@@ -221,14 +211,14 @@
         if isinstance(link, Failure):
             return link
         if self._time_left_ms(call) <= 0:
-            return Failure(Verdict.NOT_RUN, _DEADLINE_PASSED)
+            return Failure(Verdict.NOT_RUN, DEADLINE_PASSED)
         # Reserve time for the reply: if the deadline passed while a refusal is on its
         # way, it would be unknown whether the call ran.
         reply_s = self._reply_times.expected_s(member.node_id)
         time_left_ms = self._time_left_ms(call) - round(reply_s * 1000)
         if time_left_ms <= 0:
             return Failure(
-                Verdict.NOT_RUN, _PEER_TOO_SLOW, f"replies in {reply_s:.3f} s"
+                Verdict.NOT_RUN, PEER_TOO_SLOW, f"replies in {reply_s:.3f} s"
             )
         needed_s = self._durations.min_time_left_s(call.request.route)
         if time_left_ms < needed_s * 1000:
@@ -289,7 +279,7 @@
             self._reply_times.bound(node_id, took_s)
         elif head.reason in PROMPT_REFUSALS:
             self._reply_times.record(node_id, took_s)
-        elif head.reason == _DEADLINE_PASSED:
+        elif head.reason == DEADLINE_PASSED:
             attempt.remote.on_late_refusal = functools.partial(
                 self._record_reply_time, attempt
             )
@@ -302,7 +292,7 @@
             async with asyncio.timeout(left_s):
                 return await remote.head()
         except TimeoutError:
-            return Failure(Verdict.MAY_HAVE_RUN, _DEADLINE_PASSED)
+            return Failure(Verdict.MAY_HAVE_RUN, DEADLINE_PASSED)
 
     async def _relay_answer(
         self, attempt: Attempt, call: Call, head: AnswerHead, caller: Caller
@@ -311,7 +301,13 @@
         while True:
             chunk = await self._next_chunk(attempt.remote, call)
             if isinstance(chunk, Failure):
-                self._log_aborted_answer(call, attempt.member, chunk)
+                self._metrics.count("answers_broken_off", label=chunk.reason)
+                log_aborted_answer(
+                    call.request,
+                    attempt.member.node_id,
+                    chunk,
+                    left_ms=self._time_left_ms(call),
+                )
                 caller.abort()
                 return
             if chunk is None:
@@ -354,30 +350,6 @@
         except TimeoutError:
             return Failure(Verdict.RAN, "answer_stopped")
 
-    def _log_aborted_answer(self, call: Call, member: Member, failure: Failure) -> None:
-        self._metrics.count("answers_broken_off", label=failure.reason)
-        log_event(
-            "call.answer_broken_off",
-            request=call.request.request_id,
-            service=call.request.service,
-            node_tried=member.node_id,
-            reason=failure.reason,
-            detail=failure.detail,
-            left_ms=self._time_left_ms(call),
-        )
-
-    def _log_failed_attempt(self, call: Call, outcome: AttemptFailure) -> None:
-        log_event(
-            "call.attempt_failed",
-            request=call.request.request_id,
-            service=call.request.service,
-            node_tried=outcome.node_id,
-            verdict=outcome.failure.verdict.name.lower(),
-            reason=outcome.failure.reason,
-            detail=outcome.failure.detail,
-            left_ms=self._time_left_ms(call),
-        )
-
     def _target_time_left_ms(self, call: Call) -> int:
         """Return the time left until the target, 0 if the call has no target.
 
@@ -389,10 +361,3 @@
 
     def _time_left_ms(self, call: Call) -> int:
         return call.time_left_ms(self._clock.monotonic())
-
-
-def _is_backend_fault(result: AnswerHead | Failure) -> bool:
-    """Return whether a result counts as a failure in the member's health."""
-    if isinstance(result, Failure):
-        return result.reason not in _NON_FAULT_REASONS
-    return result.status >= 500 and result.status not in _LOAD_SHEDDING_STATUSES
