--- a/burdockdock/proxy/caller_request.py
+++ b/burdockdock/proxy/caller_request.py
@@ -29,8 +29,8 @@
     pop_expect_continue,
 )
 from burdockdock.proxy.context import CallContext
+from burdockdock.proxy.request_body import MAX_BUFFERED_BODY_BYTES, RequestBody
 
-_MAX_BUFFERED_BODY_BYTES = 256 * 1024
 # How long to read the rest of a request's body after its answer. Closing the connection
 # with unread bytes resets it, which discards an answer that is still on its way.
 _REQUEST_DRAIN_TIMEOUT_S = 1.0
@@ -80,16 +80,9 @@
         self._connection = connection
         self._pipeline = pipeline
         stream.on_foreign_write = self._on_tornado_error_line
-        self._body_chunks: list[bytes] = []
-        self._buffered_bytes = 0
-        self._body_ended = False
+        self._body = RequestBody()
         self._closed = False
-        self._arrived = asyncio.Event()
-        self._room_in_buffer: asyncio.Future[None] | None = None
         self._task: asyncio.Task[None] | None = None
-        # Whether the forwarder got a part of the body, or its end without any data, so
-        # that the call may have run.
-        self._body_forwarded = False
         self._answer_started = False
         # Whether nothing more will be sent: the answer is complete or aborted, or the
         # call's task has ended.
@@ -111,7 +104,7 @@
     @property
     def received(self) -> bool:
         """Whether the whole request has arrived."""
-        return self._body_ended
+        return self._body.ended
 
     def headers_received(
         self, start_line: RequestStartLine, headers: HTTPHeaders
@@ -141,18 +134,11 @@
         """
         if self._answer_ended:
             return None
-        self._body_chunks.append(chunk)
-        self._buffered_bytes += len(chunk)
-        self._arrived.set()
-        if self._buffered_bytes < _MAX_BUFFERED_BODY_BYTES:
-            return None
-        self._room_in_buffer = asyncio.get_running_loop().create_future()
-        return self._room_in_buffer
+        return self._body.append(chunk)
 
     def finish(self) -> None:
         """Handle the end of the request's body."""
-        self._body_ended = True
-        self._arrived.set()
+        self._body.end()
         self._pipeline.note_change()
 
     def on_connection_close(self) -> None:
@@ -178,7 +164,7 @@
         if self._task is not None:
             self._body_malformed = True
             self._task.cancel()
-        if self._answer_started or self._body_forwarded:
+        if self._answer_started or self._body.forwarded:
             return asyncio.ensure_future(self._abort_in_turn())
         self._status = _BAD_REQUEST_STATUS
         return asyncio.ensure_future(
@@ -198,20 +184,11 @@
 
     def _note_closed(self) -> None:
         self._closed = True
-        self._arrived.set()
-        self._resume_reading()
+        self._body.close()
 
     async def read_body(self) -> tuple[bytes, bool]:
         """Return the buffered part of the body and whether it is the last."""
-        while not self._body_chunks and not self._body_ended:
-            self._arrived.clear()
-            await self._arrived.wait()
-        data = b"".join(self._body_chunks)
-        self._body_chunks.clear()
-        self._buffered_bytes = 0
-        self._body_forwarded = True
-        self._resume_reading()
-        return data, self._body_ended
+        return await self._body.read()
 
     async def send_head(self, head: AnswerHead) -> None:
         """Send the head of the answer, after the answers to all requests before it."""
@@ -245,14 +222,14 @@
         self._answer_ended = True
         self._answer_complete = True
         self._completed_at_s = self._context.clock.monotonic()
-        self._resume_reading()
+        self._body.stop_buffering()
 
     def abort(self) -> None:
         """Close the caller's connection before the answer is complete."""
         self._answer_ended = True
         self._connection.detach()
         self.stream.abort()
-        self._resume_reading()
+        self._body.stop_buffering()
 
     async def _finish_request(self) -> None:
         """Finish the answer, and end the connection or leave it to the next request."""
@@ -279,9 +256,7 @@
         """Wait for the rest of the request's body, which is discarded."""
         try:
             async with asyncio.timeout(_REQUEST_DRAIN_TIMEOUT_S):
-                while not self._body_ended and not self._closed:
-                    self._arrived.clear()
-                    await self._arrived.wait()
+                await self._body.wait_end()
         except TimeoutError:
             log_event("call.body_unread", timeout_s=_REQUEST_DRAIN_TIMEOUT_S)
 
@@ -340,7 +315,7 @@
         must leave no doubt about what has run behind it.
         """
         if not isinstance(call, Failure):
-            is_short = 0 <= call.request.body_length <= _MAX_BUFFERED_BODY_BYTES
+            is_short = 0 <= call.request.body_length <= MAX_BUFFERED_BODY_BYTES
             if not (call.request.idempotent and is_short):
                 return
         connection_header = self._request_headers.get("Connection", "").lower()
@@ -356,7 +331,7 @@
         # Nothing reads the body any more: a connection that waits for room in the
         # buffer would never end.
         self._answer_ended = True
-        self._resume_reading()
+        self._body.stop_buffering()
         self._context.open_calls -= 1
 
     async def _report_internal_failure(self, failure: Failure) -> None:
@@ -376,7 +351,7 @@
             return None
         if self._body_malformed:
             self._context.metrics.count("call_failures", label=_MALFORMED_BODY)
-            refused = not self._answer_started and not self._body_forwarded
+            refused = not self._answer_started and not self._body.forwarded
             verdict = Verdict.NOT_RUN if refused else Verdict.MAY_HAVE_RUN
             return Failure(verdict, _MALFORMED_BODY)
         self._context.metrics.count("calls_abandoned")
@@ -390,11 +365,6 @@
         await self.send_body(refusal.body)
         self.mark_answer_complete()
 
-    def _resume_reading(self) -> None:
-        """Let tornado read on if it waits for room in the buffer."""
-        if self._room_in_buffer is not None and not self._room_in_buffer.done():
-            self._room_in_buffer.set_result(None)
-
 
 class _CallerAdapter:
     """Implements ``Caller`` for the forwarder on a caller's request."""
--- a/tests/proxy/test_listener.py
+++ b/tests/proxy/test_listener.py
@@ -6,8 +6,8 @@
 
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.protocol.calls import AnswerHead
-from burdockdock.proxy import caller_request
 from burdockdock.proxy.call import Caller
+from burdockdock.proxy.request_body import MAX_BUFFERED_BODY_BYTES
 from tests import streams
 from tests.proxy.caller_server import HOST, start_caller_server
 from tests.support import PATIENCE_S, async_test, eventually
@@ -59,9 +59,7 @@
         forwarder = _UnreadBodyForwarder()
         context, server, port = start_caller_server(self, forwarder)
         _, writer = await streams.open_connection(HOST, port)
-        writer.write(
-            _LARGE_POST_HEAD + b"x" * 4 * caller_request._MAX_BUFFERED_BODY_BYTES
-        )
+        writer.write(_LARGE_POST_HEAD + b"x" * 4 * MAX_BUFFERED_BODY_BYTES)
         await eventually(lambda: context.open_calls)
         # Time for the buffers to fill up, so that the connection waits for room.
         await asyncio.sleep(0.2)
