Soak with callers that pipeline their requests

Why: the soak's callers waited for each answer, so that nothing exercised pipelined requests beside restarts, stops and faults. Change: four more callers send two to five GET requests at once and read the answers in order; requests behind a closing answer must not have run, by the invariants that hold already.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 from burdockdock.standin.local_fleet import NodeHandle
@@ -10,6 +11,11 @@
 
 _RESPONSE_TIMEOUT_S = 40.0
 _RECONNECT_DELAY_S = 0.05
+_MAX_PIPELINED_REQUESTS = 5
+
+_CallFunction = Callable[
+    [asyncio.StreamReader, asyncio.StreamWriter, str, random.Random], Awaitable[bool]
+]
 
 
 class Sent(NamedTuple):
@@ -78,16 +84,24 @@
         self._stopped = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
 
-    def start(self, node: NodeHandle, rng: random.Random) -> None:
-        """Start a caller that sends its requests to one node."""
-        self._tasks.append(asyncio.create_task(self._run(node, rng)))
+    def start(
+        self, node: NodeHandle, rng: random.Random, *, pipelined: bool = False
+    ) -> None:
+        """Start a caller that sends its requests to one node.
+
+        :param pipelined: whether it sends a few requests before it reads the answers.
+        """
+        call = self._call_pipelined if pipelined else self._call_once
+        self._tasks.append(asyncio.create_task(self._run(node, rng, call)))
 
     async def stop(self) -> None:
         """Stop the callers after their current requests."""
         self._stopped.set()
         await asyncio.gather(*self._tasks)
 
-    async def _run(self, node: NodeHandle, rng: random.Random) -> None:
+    async def _run(
+        self, node: NodeHandle, rng: random.Random, call: _CallFunction
+    ) -> None:
         while not self._stopped.is_set():
             try:
                 reader, writer = await asyncio.open_connection(HOST, node.callers_port)
@@ -96,22 +110,58 @@
                 continue
             must_close = False
             while not (must_close or self._stopped.is_set()):
-                must_close = await self._call(
-                    reader, writer, self._draw_request(node.place.name, rng)
-                )
+                must_close = await call(reader, writer, node.place.name, rng)
             writer.transport.abort()
 
-    async def _call(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, sent: Sent
+    async def _call_once(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        node: str,
+        rng: random.Random,
     ) -> bool:
         """Send one request and record its outcome.
 
         :returns: whether the connection can't be used again.
         """
-        status, whole, answer, must_close = await _exchange(reader, writer, sent)
-        right = answer == expected_answer(sent.request_id, sent.size_bytes)
-        accepted = self._versions.accepted
-        self.seen.append(Seen(sent, status, whole, right, time.time(), accepted))
+        return await self._call(reader, writer, [self._draw_request(node, rng)])
+
+    async def _call_pipelined(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        node: str,
+        rng: random.Random,
+    ) -> bool:
+        """Send a few GET requests at once, and record their outcomes.
+
+        :returns: whether the connection can't be used again.
+        """
+        batch = [
+            self._draw_request(node, rng)._replace(method="GET")
+            for _ in range(rng.randint(2, _MAX_PIPELINED_REQUESTS))
+        ]
+        return await self._call(reader, writer, batch)
+
+    async def _call(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        batch: list[Sent],
+    ) -> bool:
+        """Send requests, then read their answers; the last may end the connection.
+
+        Requests behind an answer that ends it have no answer.
+        """
+        must_close = not await _send(writer, batch)
+        for sent in batch:
+            result = 0, False, b"", True
+            if not must_close:
+                result = await _receive(reader, sent)
+            status, whole, answer, must_close = result
+            right = answer == expected_answer(sent.request_id, sent.size_bytes)
+            accepted = self._versions.accepted
+            self.seen.append(Seen(sent, status, whole, right, time.time(), accepted))
         return must_close
 
     def _draw_request(self, node: str, rng: random.Random) -> Sent:
@@ -135,10 +185,21 @@
         )
 
 
-async def _exchange(
-    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, sent: Sent
+async def _send(writer: asyncio.StreamWriter, batch: list[Sent]) -> bool:
+    """Send requests; return whether the connection took them."""
+    try:
+        async with asyncio.timeout(_RESPONSE_TIMEOUT_S):
+            writer.write(b"".join(map(_encode_request, batch)))
+            await writer.drain()
+            return True
+    except (OSError, TimeoutError):
+        return False
+
+
+async def _receive(
+    reader: asyncio.StreamReader, sent: Sent
 ) -> tuple[int, bool, bytes, bool]:
-    """Send a request and read its response.
+    """Read the response to a request.
 
     :returns: the status, whether the body is complete, the body, and whether the
         connection closes.
@@ -146,8 +207,6 @@
     status = 0
     try:
         async with asyncio.timeout(_RESPONSE_TIMEOUT_S):
-            writer.write(_encode_request(sent))
-            await writer.drain()
             head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
             status = int(head.split()[1])
             must_close = "connection: close" in head
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -17,6 +17,7 @@
 
 _NODE_COUNT = 5
 _CALLER_COUNT = 10
+_PIPELINED_CALLER_COUNT = 4
 _MEAN_ACTION_INTERVAL_S = 1.2
 # Limit on the nodes and backend servers that actions take down at the same time.
 _MAX_SERVERS_DOWN = 2
@@ -160,6 +161,10 @@
         for i in range(_CALLER_COUNT):
             node = list(testbed.nodes.values())[i % _NODE_COUNT]
             callers.start(node, random.Random(f"{options.seed} {i}"))
+        for i in range(_PIPELINED_CALLER_COUNT):
+            node = list(testbed.nodes.values())[i % _NODE_COUNT]
+            rng = random.Random(f"{options.seed} pipelined {i}")
+            callers.start(node, rng, pipelined=True)
         await _Scenario(testbed, options).run(options.seconds_s)
         await _check_recovery(testbed, callers)
         await testbed.stop()
