--- a/tests/gate/test_late_answers.py
+++ b/tests/gate/test_late_answers.py
@@ -96,7 +96,12 @@
     """Tests of the calls that share a connection with a late copy of an answer."""
 
     async def _run_calls(
-        self, late_copy: bytes, *, count: int = 4, headers: CallHeaders = _HEADERS
+        self,
+        late_copy: bytes,
+        *,
+        count: int = 4,
+        headers: CallHeaders = _HEADERS,
+        idempotent: bool = True,
     ) -> tuple[list[_Stream], _BackendServer]:
         backend = _BackendServer(late_copy)
         server = await streams.start_server(backend.serve, _HOST, 0)
@@ -114,8 +119,8 @@
                 "r",
                 "work",
                 3000,
-                True,
-                "GET",
+                idempotent,
+                "GET" if idempotent else "POST",
                 "/",
                 (("Request-Id", request_id),),
             )
@@ -147,6 +152,13 @@
     async def test_late_refusal_without_an_id_is_no_proof(self) -> None:
         self._assert_only_the_second_call_failed(*await self._run_calls(_refusal("")))
 
+    @async_test
+    async def test_non_idempotent_requests_share_no_connection(self) -> None:
+        late_copy = _refusal("Request-Id: id-0\r\n")
+        calls, backend = await self._run_calls(late_copy, idempotent=False)
+        self.assertEqual([0, 1, 2, 3], [connection for connection, _ in backend.served])
+        self.assertIs(Verdict.MAY_HAVE_RUN, calls[1].failure.verdict)
+
     @async_test
     async def test_own_refusal_is_proof_and_keeps_the_connection(self) -> None:
         late_copy = _refusal("Request-Id: id-1\r\n")
