--- a/burdockdock/proxy/attempt_results.py
+++ b/burdockdock/proxy/attempt_results.py
@@ -3,11 +3,10 @@
 from burdockdock.coordination.verdict import Failure
 from burdockdock.logs import log_event
 from burdockdock.protocol.calls import AnswerHead, CallRequest
-from burdockdock.proxy.attempts import BACKEND_REFUSED
+from burdockdock.proxy.attempts import BACKEND_REFUSED, QUEUE_FULL
 
 DEADLINE_PASSED = "deadline_passed"
 PEER_TOO_SLOW = "peer_too_slow"
-QUEUE_FULL = "queue_full"
 _LOAD_SHEDDING_STATUSES = frozenset({429, 503})
 # Reasons that don't count against a member's health: load, lack of time, planned stops
 # and outdated routing.
--- a/burdockdock/proxy/attempts.py
+++ b/burdockdock/proxy/attempts.py
@@ -11,9 +11,10 @@
 # Reason of a refusal by the backend server itself. Any other failure with the verdict
 # NOT_RUN comes from a node, before the request reached a backend server.
 BACKEND_REFUSED = "backend_refused"
+# Reason of a gate without a free slot, or with a full queue if the call may wait.
+QUEUE_FULL = "queue_full"
 # Other nodes that are tried after nodes that refused the call or are unreachable.
 MAX_FAILOVERS = 4
-_QUEUE_FULL = "queue_full"
 # Refusals of calls that queued and got no slot; these don't queue again elsewhere.
 _REASONS_AFTER_WAIT = frozenset({"too_late_to_wait", "queue_timeout"})
 # Gates at which a call may find the queue full before it is refused.
@@ -78,11 +79,11 @@
     def after(self, outcome: AttemptFailure) -> "RetryState | None":
         """Return the state after a failed attempt, None if no attempt is left."""
         node_id = outcome.node_id
-        if outcome.failure.reason == _QUEUE_FULL and self.free_slot_attempts_left:
+        if outcome.failure.reason == QUEUE_FULL and self.free_slot_attempts_left:
             return self._after_full(node_id)
         if outcome.failure.reason in _REASONS_AFTER_WAIT:
             return self._after_wait(node_id)
-        if outcome.failure.reason == _QUEUE_FULL:
+        if outcome.failure.reason == QUEUE_FULL:
             return self._after_full_queue(node_id)
         failed_ids = self.failed_ids | {node_id}
         if is_refused_by_node(outcome.failure):
--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -13,13 +13,13 @@
 from burdockdock.proxy.attempt_results import (
     DEADLINE_PASSED,
     PEER_TOO_SLOW,
-    QUEUE_FULL,
     is_backend_fault,
     log_aborted_answer,
     log_failed_attempt,
 )
 from burdockdock.proxy.attempts import (
     MAX_FAILOVERS,
+    QUEUE_FULL,
     Attempt,
     AttemptFailure,
     RetryState,
