Log odd entries of the platform's lists

Cause: the reread; an entry that was skipped or whose value was replaced left no line, so that nobody could find its writer. The new test fails without the lines.

--- a/burdockdock/node/roster.py
+++ b/burdockdock/node/roster.py
@@ -96,16 +96,20 @@
 
 def _parse_addresses(value: dict[str, Any]) -> list[Address]:
     """Return the addresses of a roster object, skipping malformed items."""
-    listed = value.get("addresses")
-    found = []
-    for item in listed if isinstance(listed, list) else ():
-        if isinstance(item, list) and len(item) == 2:
-            host, port = item
-            if _is_host(host) and _is_port(port):
-                found.append((host, port))
+    listed = value.get("addresses", [])
+    items = listed if isinstance(listed, list) else [listed]
+    found = [(item[0], item[1]) for item in items if _is_address(item)]
+    if len(found) < len(items):
+        log_event("roster.odd_entries", skipped=len(items) - len(found))
     return found
 
 
+def _is_address(item: Any) -> bool:
+    if not isinstance(item, list) or len(item) != 2:
+        return False
+    return _is_host(item[0]) and _is_port(item[1])
+
+
 def _is_host(value: Any) -> bool:
     """Return whether a value is an IP address."""
     if not isinstance(value, str):
@@ -118,4 +122,5 @@
 
 
 def _is_port(value: Any) -> bool:
+    # A bool is an int too.
     return type(value) is int and 0 < value <= _MAX_PORT
--- a/burdockdock/platform_api/client.py
+++ b/burdockdock/platform_api/client.py
@@ -311,7 +311,8 @@
                 Verdict.MAY_HAVE_RUN, f"status {status}: {body[:200]!r}"
             )
         try:
-            response = _Response(status, parse_json(body) if body else {})
+            decoded = parse_json(body, on_replaced=_log_odd_values) if body else {}
+            response = _Response(status, decoded)
         except ValueError:
             if status == 200:
                 return self._record_failure(
@@ -339,6 +340,10 @@
         return Failure(verdict, "platform_unavailable", detail)
 
 
+def _log_odd_values(reason: str) -> None:
+    log_event("platform.odd_values", reason=reason)
+
+
 def _force_reconnect(curl: pycurl.Curl) -> None:
     """Open a new connection: after a failure, all pooled ones may be dead."""
     curl.setopt(pycurl.FRESH_CONNECT, 1)
--- a/burdockdock/platform_api/json_text.py
+++ b/burdockdock/platform_api/json_text.py
@@ -6,6 +6,7 @@
 
 import json
 import re
+from collections.abc import Callable
 from typing import Any
 
 _MAX_DEPTH = 64
@@ -15,17 +16,22 @@
 _CLOSING = (b"]", b"}")
 
 
-def parse_json(text: bytes) -> Any:
+def parse_json(
+    text: bytes, *, on_replaced: Callable[[str], None] = lambda _: None
+) -> Any:
     """Parse a JSON text; values beyond the limits become null.
 
     The limits apply only to texts that can't be decoded as they are.
 
+    :param on_replaced: called with the reason if values were replaced.
     :raises ValueError: if the text is not valid JSON.
     """
     try:
         return json.loads(text)
-    except (ValueError, RecursionError):
-        return json.loads(_without_deep_values(text), parse_int=_parse_integer)
+    except (ValueError, RecursionError) as error:
+        value = json.loads(_without_deep_values(text), parse_int=_parse_integer)
+        on_replaced(str(error))
+        return value
 
 
 def _parse_integer(digits: str) -> int | None:
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -6,6 +6,7 @@
 import asyncio
 import random
 
+import eliot
 import testtools
 
 from burdockdock.clock import SystemClock
@@ -85,6 +86,22 @@
             found = await _addresses_in(_roster_list(odd))
             self.assertEqual([tuple(_GOOD_ADDRESS)], found, odd[:80])
 
+    @async_test
+    async def test_odd_entries_are_logged(self) -> None:
+        events: list[str] = []
+
+        def collect(event: dict) -> None:
+            events.append(event.get("message_type", ""))
+
+        eliot.add_destinations(collect)
+        self.addCleanup(eliot.remove_destination, collect)
+        # Eliot delivers events from before the first destination was added.
+        events.clear()
+        await _addresses_in(_roster_list(_ODD_VALUES[0]))
+        self.assertEqual(1, events.count("platform.odd_values"))
+        await _addresses_in(_roster_list(b'{"addresses":[["10.0.0.9",0]]}'))
+        self.assertEqual(1, events.count("roster.odd_entries"))
+
     @async_test
     async def test_odd_addresses_are_not_used(self) -> None:
         platform = FakePlatform()
