--- a/burdockdock/proxy/caller_connection.py
+++ b/burdockdock/proxy/caller_connection.py
@@ -63,7 +63,7 @@
     async def serve(self) -> None:
         """Serve requests until the connection has ended."""
         self.stream.set_close_callback(self._on_stream_closed)
-        # Answers are written whole, so there is nothing that Nagle's algorithm saves.
+        # Set once here; tornado would set and clear it for each answer.
         self.stream.set_nodelay(True)
         self._idle_since_s = self._context.clock.monotonic()
         self._check_idle_later(_IDLE_TIMEOUT_S)
