Refuse late calls of a planned stop that may not end

Cause: call_factory shortened the time of every call of a stopping node, also of those that came after callers had been told of the stop.

Change: from half a second before the end of the notice on, a call that can't have all of its time is refused at once as not run.

Why it works: what is passed on late either ends, or reaches its own time-out or deadline, before the node ends calls.

--- a/burdockdock/node/draining.py
+++ b/burdockdock/node/draining.py
@@ -15,6 +15,9 @@
 _GOSSIP_NOTICE_S = 1.0
 # A client that polls readiness once a second stops sending calls after two failures.
 _READINESS_NOTICE_S = 3.0
+# How long before the end of the notice calls are refused unless they can use all of
+# their time before the node stops. It covers a signal that is handled late.
+_WHOLE_TIME_LEAD_S = 0.5
 # How long calls on open keep-alive connections are still served after the listener
 # has stopped accepting new connections.
 _KEEPALIVE_CALLS_S = 1.0
@@ -77,6 +80,7 @@
     started_s = clock.monotonic()
     log_event("node.draining", calls=context.open_calls)
     context.answer_by_s = started_s + timing.answer_timeout_s
+    context.whole_time_from_s = started_s + timing.notice_s - _WHOLE_TIME_LEAD_S
     context.draining = True
     await asyncio.sleep(timing.notice_s)
     caller_server.stop()
--- a/burdockdock/proxy/call_factory.py
+++ b/burdockdock/proxy/call_factory.py
@@ -123,8 +123,14 @@
 
 
 def _limit_to_shutdown(context: CallContext, timeout_ms: int, now_s: float) -> int:
-    """Return a call's timeout, shortened so that it ends before this node stops."""
+    """Return a call's timeout, shortened so that it ends before this node stops.
+
+    Callers that still send calls after the notice would see a shortened one cut while
+    its backend server works on it, so such a call gets no time at all.
+    """
     left_ms = max(0.0, context.answer_by_s - now_s) * 1000
+    if timeout_ms > left_ms and now_s >= context.whole_time_from_s:
+        return 0
     return int(min(timeout_ms, left_ms))
 
 
--- a/burdockdock/proxy/context.py
+++ b/burdockdock/proxy/context.py
@@ -16,8 +16,10 @@
     While ``draining``, the node asks callers by ``Connection: close`` to send their
     next calls to other nodes. While ``refusing``, it refuses every new call,
     because none could end before the node stops. ``answer_by_s`` bounds the deadlines
-    of calls, in monotonic seconds. If ``may_wait`` is false, calls don't queue: they
-    get a free slot or are refused. ``open_calls`` counts the calls in progress.
+    of calls, in monotonic seconds. A call that arrives from ``whole_time_from_s`` on is
+    refused unless all of its time passes before ``answer_by_s``. If ``may_wait`` is
+    false, calls don't queue: they get a free slot or are refused. ``open_calls`` counts
+    the calls in progress.
 
     :param missing_version: returns the configuration version that is known to exist
         but has not arrived at this node, 0 for none.
@@ -53,6 +55,7 @@
         self.draining = False
         self.refusing = False
         self.answer_by_s = float("inf")
+        self.whole_time_from_s = float("inf")
         self.may_wait = True
         self.open_calls = 0
 
--- a/tests/node/test_stopping.py
+++ b/tests/node/test_stopping.py
@@ -6,7 +6,7 @@
 import sys
 import time
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from subprocess import PIPE, STDOUT, Popen
 
 import testtools
@@ -71,8 +71,8 @@
             ):
                 await asyncio.sleep(0.1)
 
-    async def announce(self) -> None:
-        """Announce the backend server to the node once."""
+    async def announce(self, node: NodeHandle) -> None:
+        """Announce the backend server to a node once."""
         body = {
             "service": "work",
             "version": "1",
@@ -81,7 +81,7 @@
             "slots": 64,
         }
         request = HTTPRequest(
-            f"{self.node.operators_url}/backend", method="POST", body=json.dumps(body)
+            f"{node.operators_url}/backend", method="POST", body=json.dumps(body)
         )
         await CurlAsyncHTTPClient().fetch(request)
 
@@ -105,8 +105,11 @@
 
 
 @asynccontextmanager
-async def _deployment() -> AsyncIterator[_Deployment]:
-    """Run a platform and a serving node with an announced backend server."""
+async def _deployment(*, announced: bool = True) -> AsyncIterator[_Deployment]:
+    """Run a platform and a serving node.
+
+    :param announced: whether to announce the backend server to it.
+    """
     fleet = LocalFleet(mesh="test")
     deployment = _Deployment(fleet)
     try:
@@ -114,7 +117,8 @@
         await deployment.apply_config()
         deployment.start_node()
         await fleet.wait_ready(members=1, timeout_s=PATIENCE_S)
-        await deployment.announce()
+        if announced:
+            await deployment.announce(deployment.node)
         yield deployment
     finally:
         if deployment.node.process.poll() is None:
@@ -134,6 +138,49 @@
         pass
 
 
+class _SlowBackend:
+    """Backend server that takes ``duration_s`` for a call; ``started`` counts them."""
+
+    def __init__(self) -> None:
+        self.started = 0
+        self.duration_s = 0.02
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer the calls of one connection."""
+        with suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                self.started += 1
+                await asyncio.sleep(self.duration_s)
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+
+async def _post_until_answered(
+    connection: tuple[asyncio.StreamReader, asyncio.StreamWriter],
+) -> None:
+    """Send calls until one is answered, since nodes learn of backend servers late."""
+    async with asyncio.timeout(PATIENCE_S):
+        while await _post_status(connection) != b"200":
+            await asyncio.sleep(0.05)
+
+
+async def _post_status(
+    connection: tuple[asyncio.StreamReader, asyncio.StreamWriter],
+) -> bytes:
+    """Send a request; return the status of its answer, empty without one."""
+    reader, writer = connection
+    try:
+        writer.write(b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n")
+        head = await reader.readuntil(b"\r\n\r\n")
+        length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+        await reader.readexactly(length)
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return b""
+    return head.split()[1]
+
+
 class HungDrainTest(testtools.TestCase):
     """Tests of a process whose drain hangs."""
 
@@ -254,6 +301,32 @@
             for _, writer in pairs:
                 writer.close()
 
+    @async_test
+    async def test_calls_late_in_the_grace_period_are_refused_or_answered(self) -> None:
+        # Guards against calls on kept connections that the end of a stop cuts.
+        backend = _SlowBackend()
+        async with _deployment(announced=False) as deployment:
+            await streams.start_server(backend.serve, _HOST, deployment.backend_port)
+            # The backend server's own node goes on, so its gate serves to the end.
+            other = deployment.fleet.start_node(NodePlace("other", "r", "z"))
+            await deployment.fleet.wait_ready(members=2, timeout_s=PATIENCE_S)
+            await deployment.announce(other)
+            connections = [await deployment.connect() for _ in range(8)]
+            await asyncio.gather(*(_post_until_answered(c) for c in connections))
+            backend.started = 0
+            # Longer than before, so that the gate doesn't expect it.
+            backend.duration_s = 1.0
+            stop = asyncio.create_task(deployment.stop())
+            calls = []
+            for connection in connections:
+                calls.append(asyncio.create_task(_post_status(connection)))
+                await asyncio.sleep(0.25)
+            statuses = await asyncio.gather(*calls)
+            await stop
+        self.assertEqual(backend.started, statuses.count(b"200"), statuses)
+        # A call that crosses the close of its connection has no answer.
+        self.assertEqual(set(), set(statuses) - {b"200", b"503", b""}, statuses)
+
     @async_test
     async def test_stop_while_joining_with_an_unresponsive_platform(self) -> None:
         async def serve(
--- a/tests/proxy/test_traffic_split.py
+++ b/tests/proxy/test_traffic_split.py
@@ -79,6 +79,7 @@
             node_id="n",
             clock=self.clock,
             answer_by_s=float("inf"),
+            whole_time_from_s=float("inf"),
             replaced_headers=frozenset(),
             may_wait=True,
         )
