Let a stopping gate refuse calls that may not end

Change: from one second after the stop, when the other nodes have been told, the gate refuses calls whose deadline lies after the time by which this node answers. They are refused as not run, so callers' nodes try other ones.

Evidence: test_call_that_the_shutdown_would_cut_is_refused; the gate had no such check before.

--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -74,6 +74,8 @@
         self._backend: BackendServer | None = None
         self.resend_allowed = False
         self._draining = False
+        self._whole_time_from_s = float("inf")
+        self._answer_by_s = float("inf")
         self._running = 0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -118,6 +120,15 @@
         elif self._refuses_calls_from_s == float("inf"):
             self._refuses_calls_from_s = self._clock.monotonic() + _LEAVE_PROPAGATION_S
 
+    def limit_to_shutdown(self, *, from_s: float, answer_by_s: float) -> None:
+        """Refuse calls that may take longer than this node runs.
+
+        :param from_s: monotonic time from which such calls are refused.
+        :param answer_by_s: monotonic time by which calls must be answered.
+        """
+        self._whole_time_from_s = from_s
+        self._answer_by_s = answer_by_s
+
     def start_draining(self) -> None:
         """Refuse new calls from now on."""
         self._draining = True
@@ -225,10 +236,16 @@
         return self._dedupe.claim(request.request_id, deadline_s=deadline_s)
 
     def _admission_refusal(self, request: CallRequest) -> Failure | None:
-        if self._draining:
+        if self._draining or self._shutdown_would_cut(request):
             return Failure(Verdict.NOT_RUN, "draining")
         return self._backend_refusal(request)
 
+    def _shutdown_would_cut(self, request: CallRequest) -> bool:
+        """Return whether this node may stop before the call's deadline."""
+        now_s = self._clock.monotonic()
+        ends_late = now_s + request.time_left_ms / 1000 > self._answer_by_s
+        return ends_late and now_s >= self._whole_time_from_s
+
     def _backend_refusal(self, request: CallRequest) -> Failure | None:
         """Return why the backend server can't take the request, None if it can."""
         if self._clock.monotonic() >= self._refuses_calls_from_s:
--- a/burdockdock/node/draining.py
+++ b/burdockdock/node/draining.py
@@ -82,6 +82,9 @@
     context.answer_by_s = started_s + timing.answer_timeout_s
     context.whole_time_from_s = started_s + timing.notice_s - _WHOLE_TIME_LEAD_S
     context.draining = True
+    gate.limit_to_shutdown(
+        from_s=started_s + _GOSSIP_NOTICE_S, answer_by_s=context.answer_by_s
+    )
     await asyncio.sleep(timing.notice_s)
     caller_server.stop()
     gate.start_draining()
--- a/tests/gate/test_gate.py
+++ b/tests/gate/test_gate.py
@@ -61,6 +61,20 @@
         gate.announce(BackendServer("work", "2", "127.0.0.1", 1, 1))
         self.assertEqual("version_stopped", await self._refusal(gate))
 
+    @async_test
+    async def test_call_that_the_shutdown_would_cut_is_refused(self) -> None:
+        # Guards against calls of other nodes that the end of a stop cuts at work.
+        clock = ManualClock()
+        gate = Gate(clock=clock, metrics=Metrics())
+        gate.announce(BackendServer("work", "1", "127.0.0.1", 1, 1))
+        stopped_at_s = clock.monotonic()
+        gate.limit_to_shutdown(from_s=stopped_at_s + 1, answer_by_s=stopped_at_s + 3)
+        self.assertFalse(gate._shutdown_would_cut(_REQUEST._replace(time_left_ms=9000)))
+        clock.advance(1.5)
+        self.assertFalse(gate._shutdown_would_cut(_REQUEST))
+        clock.advance(1.0)
+        self.assertEqual("draining", await self._refusal(gate))
+
     @async_test
     async def test_call_that_cannot_start_in_time_is_refused_at_once(self) -> None:
         gate = Gate(clock=ManualClock(), metrics=Metrics())
--- a/tests/node/test_draining.py
+++ b/tests/node/test_draining.py
@@ -24,6 +24,9 @@
         self.running = 0
         self.idle = asyncio.Event()
 
+    def limit_to_shutdown(self, *, from_s: float, answer_by_s: float) -> None:
+        """Refuse calls that may take longer than the node runs."""
+
     def start_draining(self) -> None:
         """Refuse new calls."""
         self.draining = True
