Keep on the platform which backend servers left

What callers saw: after a node was killed and started again, a heartbeat that its instance had sent before it deregistered put the instance to use again.

Cause: the acknowledged departures stood in the memory of the process only.

Evidence: without the kill the node refuses the same heartbeat as gone; with it, backend.changed of the new process shows the instance as ready at the late heartbeat.

A starting node reads it once; numbered messages of a ready instance wait for that. While the platform can't be read, two messages of the same start, a second apart, are asked for. The parts beside the backend server are built in node.backend_parts, which takes them out of node.py.

Calls to the platform: one read more for each start of a process.

Why it works: an acknowledgement follows the write, so the next process knows of it before it believes that the instance is ready.

--- a/burdockdock/node/announcements.py
+++ b/burdockdock/node/announcements.py
@@ -9,20 +9,17 @@
 from burdockdock.gate.gate import Gate
 from burdockdock.gate.model import BackendServer
 from burdockdock.logs import log_event
+from burdockdock.node.departures import LATE, Departures
 from burdockdock.node.settings import NodeSettings
 
-# Refusal reason of an announcement that arrived after a newer one of the same start.
-LATE = "late"
 # Announcements may arrive seconds late.
 _MIN_SILENCE_TIMEOUT_S = 4.0
 # This many consecutive announcements are never lost by chance.
 _MISSED_ANNOUNCEMENTS_LIMIT = 3
 _SILENCE_CHECK_INTERVAL_S = 0.5
-# Number of departed instances whose delayed messages are still recognized.
-_MAX_REMEMBERED_DEPARTURES = 16
-# Delayed messages of a departed start may arrive for this long; used if its start time
-# is unknown.
-_UNKNOWN_START_REJECTION_S = 15.0
+# If it can't be read what left before this process started, an instance is believed
+# after two of its messages, this far apart: late ones are single.
+_CONFIRMATION_S = 1.0
 
 
 class BackendState(StrEnum):
@@ -48,16 +45,14 @@
     cold_s: float | None = None
 
 
-class _Departure(NamedTuple):
-    """A departed instance.
+class _Held(NamedTuple):
+    """An announcement that isn't believed yet.
 
-    :param started_ms: its latest departed start, in Unix milliseconds.
-    :param until_s: monotonic time in seconds until which messages of this start and
-        of earlier ones are refused.
+    :param since_s: monotonic time in seconds of the first one of the same start.
     """
 
-    started_ms: int
-    until_s: float
+    announcement: Announcement
+    since_s: float
 
 
 class BackendWatch:
@@ -68,6 +63,10 @@
         seconds of its warm-up.
     :param interval_s: seconds between its announcements, 0 if unknown.
     :param expected: service, host and port from the settings, None to accept any.
+    :param departures: the instances that left.
+    :param on_leaving: called when an instance leaves, or says that it is about to.
+    :param history_known: whether ``departures`` has those of earlier processes. If not,
+        a numbered announcement of a ready instance has to wait for them.
     """
 
     def __init__(
@@ -79,6 +78,9 @@
         on_start: Callable[[float | None], None],
         interval_s: float = 0.0,
         expected: tuple[str, str, int] | None = None,
+        departures: Departures | None = None,
+        on_leaving: Callable[[], None] = lambda: None,
+        history_known: bool = True,
     ) -> None:
         self._gate = gate
         self._clock = clock
@@ -89,7 +91,11 @@
             _MIN_SILENCE_TIMEOUT_S, _MISSED_ANNOUNCEMENTS_LIMIT * interval_s
         )
         self._last: Announcement | None = None
-        self._departures: dict[str, _Departure] = {}
+        self._departures = departures or Departures(clock=clock)
+        self._on_leaving = on_leaving
+        self._history_known = history_known
+        self._history_unreadable = False
+        self._held: _Held | None = None
         self._last_announcement_s = float("-inf")
         self._published: dict[str, object] = {}
 
@@ -104,14 +110,27 @@
                 detail=refusal.detail,
             )
             return refusal
-        last = self._last
-        self._last_announcement_s = self._clock.monotonic()
-        self._last = announcement
-        if last is None or _start_key(last) != _start_key(announcement):
-            self._on_start(announcement.cold_s)
-        self._publish(announcement)
+        if self._has_to_wait(announcement):
+            self._hold(announcement)
+            return None
+        self._apply(announcement)
         return None
 
+    def history_known(self) -> None:
+        """Note that ``departures`` has those of earlier processes."""
+        self._history_known = True
+        last, held = self._last, self._held
+        self._held = None
+        if last is not None and self._departure_refusal(last) is not None:
+            self._last = last._replace(state=BackendState.GONE)
+            self._publish(self._last)
+        if held is not None:
+            self.handle_announcement(held.announcement)
+
+    def history_unreadable(self) -> None:
+        """Note that the departures of earlier processes can't be read for now."""
+        self._history_unreadable = True
+
     def handle_departure(self, instance_id: str, started_ms: int = 0) -> None:
         """Record that an instance departed; refuse its later messages.
 
@@ -123,7 +142,10 @@
         )
         if is_current_instance and not started_ms:
             started_ms = last.started_ms
-        self._record_departure(instance_id, started_ms)
+        self._departures.record_gone(instance_id, started_ms)
+        # What keeps late messages of a draining instance out is saved already.
+        if not is_current_instance or last.state is not BackendState.DRAINING:
+            self._on_leaving()
         if not is_current_instance or started_ms < last.started_ms:
             log_event(
                 "backend.unknown_left", instance=instance_id, started_ms=started_ms
@@ -147,37 +169,69 @@
             )
             self._publish_changes(ready=False)
 
-    def _record_departure(self, instance_id: str, started_ms: int) -> None:
-        """Record the latest start of a departed instance; keep the last few instances.
+    def _apply(self, announcement: Announcement) -> None:
+        last = self._last
+        self._held = None
+        self._last_announcement_s = self._clock.monotonic()
+        self._last = announcement
+        is_new_start = last is None or _start_key(last) != _start_key(announcement)
+        if is_new_start:
+            self._on_start(announcement.cold_s)
+        self._publish(announcement)
+        if announcement.state is BackendState.READY or not announcement.sequence:
+            return
+        if is_new_start or last.state is BackendState.READY:
+            self._departures.record_draining(
+                *_start_key(announcement), announcement.sequence
+            )
+            self._on_leaving()
+
+    def _has_to_wait(self, announcement: Announcement) -> bool:
+        """Return whether an announcement can't be believed yet.
 
-        An unknown start time is assumed to be at most the current time. Clocks differ,
-        so this assumption expires; otherwise a later start could be refused forever.
+        It may be a late one of an instance that left when an earlier process ran.
         """
-        departure = _Departure(started_ms, float("inf"))
-        if not started_ms:
-            until_s = self._clock.monotonic() + _UNKNOWN_START_REJECTION_S
-            departure = _Departure(int(self._clock.now().timestamp() * 1000), until_s)
-        known = self._departures.pop(instance_id, departure)
-        self._departures[instance_id] = max(departure, known)
-        while len(self._departures) > _MAX_REMEMBERED_DEPARTURES:
-            del self._departures[next(iter(self._departures))]
-
-    def _has_departed(self, announcement: Announcement) -> bool:
-        """Return whether the announcement is from a departed start."""
-        departure = self._departures.get(announcement.backend.instance_id)
-        if departure is None or announcement.started_ms > departure.started_ms:
+        if self._history_known or not announcement.sequence:
             return False
-        return self._clock.monotonic() < departure.until_s
+        if announcement.state is not BackendState.READY:
+            return False
+        last, held = self._last, self._held
+        if last is not None and _start_key(last) == _start_key(announcement):
+            return False
+        if held is None or not self._history_unreadable:
+            return True
+        if _start_key(held.announcement) != _start_key(announcement):
+            return True
+        confirmed_after_s = self._clock.monotonic() - held.since_s
+        is_newer = announcement.sequence > held.announcement.sequence
+        return not is_newer or confirmed_after_s < _CONFIRMATION_S
+
+    def _hold(self, announcement: Announcement) -> None:
+        """Keep the newest announcement, and when the first one of its start came."""
+        held = self._held
+        since_s = self._clock.monotonic()
+        if held is not None:
+            same_start = _start_key(held.announcement) == _start_key(announcement)
+            since_s = held.since_s if same_start else since_s
+            if _recency(announcement) < _recency(held.announcement):
+                announcement = held.announcement
+        self._held = _Held(announcement, since_s)
+
+    def _departure_refusal(self, announcement: Announcement) -> Failure | None:
+        return self._departures.refusal(
+            *_start_key(announcement),
+            announcement.sequence,
+            ready=announcement.state is BackendState.READY,
+        )
 
     def _validate(self, announcement: Announcement) -> Failure | None:
         backend = announcement.backend
         address = (backend.service, backend.host, backend.port)
         if self._expected is not None and address != self._expected:
             return Failure(Verdict.NOT_RUN, "other_backend_server", str(address))
-        if self._has_departed(announcement):
-            return Failure(
-                Verdict.NOT_RUN, "gone", "this start of the instance has left"
-            )
+        refusal = self._departure_refusal(announcement)
+        if refusal is not None:
+            return refusal
         last = self._last
         if last is None or not announcement.sequence:
             return None
@@ -222,6 +276,10 @@
     return announcement.backend.instance_id, announcement.started_ms
 
 
+def _recency(announcement: Announcement) -> tuple[int, int]:
+    return announcement.started_ms, announcement.sequence
+
+
 def expected_backend(settings: NodeSettings) -> tuple[str, str, int] | None:
     """Return the service, host and port required in announcements, None for any."""
     if not settings.backend_service:
--- a/burdockdock/node/interface.py
+++ b/burdockdock/node/interface.py
@@ -1,6 +1,6 @@
 """Interfaces of a node to its platform, its callers and its backend server."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 from tornado.httpserver import HTTPServer
@@ -21,10 +21,13 @@
         refused, else None.
     :param handle_departure: records that an instance departed, given its id and its
         start time in Unix milliseconds, 0 if unknown.
+    :param wait_saved: waits until what says that instances leave is kept beyond the
+        process, before it is acknowledged.
     """
 
     handle_announcement: Callable[[Announcement], Failure | None]
     handle_departure: Callable[[str, int], None]
+    wait_saved: Callable[[], Awaitable[None]]
 
 
 # Starts the HTTP server for backend server announcements on a host and port.
--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import random
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 from burdockdock.clock import Clock, SystemClock
 from burdockdock.coordination.membership import Member, MembershipTable, MemberState
@@ -11,12 +13,8 @@
 from burdockdock.gate.model import BackendServer, CallResult
 from burdockdock.logs import log_event
 from burdockdock.metrics import Metrics
-from burdockdock.node.announcements import (
-    Announcement,
-    BackendState,
-    BackendWatch,
-    expected_backend,
-)
+from burdockdock.node.announcements import Announcement, BackendState
+from burdockdock.node.backend_parts import build_backend_parts
 from burdockdock.node.config_state import CONFIG_KEY, ConfigState
 from burdockdock.node.draining import drain, drain_timing
 from burdockdock.node.interface import (
@@ -185,13 +183,14 @@
             running_calls=lambda: self.gate.running,
             order_format=self._interface.order_format,
         )
-        self._backend_watch = BackendWatch(
+        self._backend_watch, self._departure_log = build_backend_parts(
+            settings,
             gate=self.gate,
+            platform=self.platform,
             clock=self._clock,
+            rng=self._rng,
             change_own=self._change_own,
             on_start=self.rollouts.backend_started,
-            interval_s=settings.announce_interval_s,
-            expected=expected_backend(settings),
         )
 
     async def start(self) -> None:
@@ -219,9 +218,11 @@
             actions=BackendActions(
                 self._backend_watch.handle_announcement,
                 self._backend_watch.handle_departure,
+                self._departure_log.wait_saved,
             ),
             is_ready=self.is_ready,
         )
+        self._run_in_background("departure_log", self._departure_log.run)
         await self._bootstrap.join()
         self.spreader.broadcast_member(self.membership.own)
         self._start_tasks()
@@ -264,9 +265,13 @@
             "rollouts": self.rollouts.run,
             "backend_watch": self._backend_watch.run,
         }
-        self._tasks += [
-            asyncio.create_task(supervise(name, loop)) for name, loop in loops.items()
-        ]
+        for name, loop in loops.items():
+            self._run_in_background(name, loop)
+
+    def _run_in_background(
+        self, name: str, loop: Callable[[], Coroutine[Any, Any, None]]
+    ) -> None:
+        self._tasks.append(asyncio.create_task(supervise(name, loop)))
 
     async def drain(self) -> None:
         """Announce that this node leaves, finish its calls, then close it."""
--- a/burdockdock/platform/announcements.py
+++ b/burdockdock/platform/announcements.py
@@ -10,7 +10,8 @@
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.gate.model import BackendServer
 from burdockdock.logs import log_event
-from burdockdock.node.announcements import LATE, Announcement, BackendState
+from burdockdock.node.announcements import Announcement, BackendState
+from burdockdock.node.departures import LATE
 from burdockdock.node.interface import BackendActions
 from burdockdock.platform.values import MALFORMED, parse_duration_ms
 
@@ -80,7 +81,7 @@
     def initialize(self, actions: BackendActions) -> None:
         self._actions = actions
 
-    def post(self) -> None:
+    async def post(self) -> None:
         """Process a message. A heartbeat that arrives out of order is not an error."""
         call = self.get_query_argument("call", "")
         instance_id = self.get_query_argument("of", "")
@@ -88,16 +89,17 @@
             self._actions.handle_departure(
                 instance_id, decode_started_ms(self.request.body)
             )
+            await self._actions.wait_saved()
             self.write({})
             return
-        refusal = self._process_heartbeat(call, instance_id)
+        refusal = await self._process_heartbeat(call, instance_id)
         if refusal is not None and refusal.reason != LATE:
             self.set_status(400)
             self.write({"error": f"{refusal.reason}: {refusal.detail}"})
             return
         self.write({})
 
-    def _process_heartbeat(self, call: str, instance_id: str) -> Failure | None:
+    async def _process_heartbeat(self, call: str, instance_id: str) -> Failure | None:
         if call != _HEARTBEAT_CALL:
             return Failure(Verdict.NOT_RUN, "unknown_call", call)
         result = decode_heartbeat(instance_id, self.request.body)
@@ -108,7 +110,10 @@
                 reason=result.detail,
             )
             return result
-        return self._actions.handle_announcement(result)
+        refusal = self._actions.handle_announcement(result)
+        if result.state is not BackendState.READY:
+            await self._actions.wait_saved()
+        return refusal
 
 
 class _ReadinessHandler(RequestHandler):
--- a/tests/node/test_announcements.py
+++ b/tests/node/test_announcements.py
@@ -7,6 +7,7 @@
 from burdockdock.clock import ManualClock
 from burdockdock.gate.model import BackendServer
 from burdockdock.node.announcements import Announcement, BackendState, BackendWatch
+from burdockdock.node.departures import Departures
 
 _BACKEND_ADDRESS = ("work", "10.0.0.9", 8080)
 
@@ -45,9 +46,12 @@
         super().setUp()
         self._create_watch()
 
-    def _create_watch(self, *, interval_s: float = 0.0) -> None:
+    def _create_watch(
+        self, *, interval_s: float = 0.0, history_known: bool = True
+    ) -> None:
         self.gate = _RecordingGate()
         self.clock = ManualClock()
+        self.departures = Departures(clock=self.clock)
         self.cold_s: list[float | None] = []
         self.changes: list[dict] = []
         self.start_count = 0
@@ -58,6 +62,8 @@
             on_start=self._record_start,
             interval_s=interval_s,
             expected=_BACKEND_ADDRESS,
+            departures=self.departures,
+            history_known=history_known,
         )
 
     def _record_start(self, cold_s: float | None) -> None:
@@ -139,6 +145,47 @@
         )
         self.assertEqual("", self._refusal_reason(_announcement(1, instance="i-0")))
 
+    def test_ready_instance_waits_for_the_departures_of_earlier_processes(self) -> None:
+        self._create_watch(history_known=False)
+        self.watch.handle_announcement(_announcement(2))
+        self.clock.advance(1.5)
+        self.watch.handle_announcement(_announcement(3))
+        self.assertEqual([], self.changes)
+        self.watch.history_known()
+        self.assertEqual([True], [c["ready"] for c in self.changes])
+
+    def test_instance_that_left_before_the_node_started_stays_out(self) -> None:
+        # Guards against a late message that puts an instance to use again.
+        self._create_watch(history_known=False)
+        self.watch.handle_announcement(_announcement(2))
+        self.departures.record_gone("i-1", 1000)
+        self.watch.history_known()
+        self.assertEqual([], self.changes)
+
+    def test_leaving_instance_does_not_wait_for_earlier_departures(self) -> None:
+        self._create_watch(history_known=False)
+        draining = _announcement(2, state=BackendState.DRAINING)
+        self.watch.handle_announcement(draining)
+        self.assertTrue(self.gate.leaving)
+
+    def test_second_message_confirms_an_instance_while_departures_are_unreadable(
+        self,
+    ) -> None:
+        self._create_watch(history_known=False)
+        self.watch.history_unreadable()
+        for advance_s, sequence, ready in (
+            (0.0, 2, []),
+            (0.1, 4, []),
+            (1.0, 3, []),
+            (0.1, 5, [True]),
+        ):
+            self.clock.advance(advance_s)
+            self.watch.handle_announcement(_announcement(sequence))
+            self.assertEqual(ready, [c["ready"] for c in self.changes], sequence)
+        self.departures.record_gone("i-1", 1000)
+        self.watch.history_known()
+        self.assertFalse(self.changes[-1]["ready"])
+
     def test_departure_of_another_instance_is_ignored(self) -> None:
         self.watch.handle_announcement(_announcement(1))
         self.watch.handle_departure("i-0")
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -7,7 +7,8 @@
 from tornado.httpclient import HTTPRequest
 
 from burdockdock.coordination.verdict import Failure, Verdict
-from burdockdock.node.announcements import LATE, Announcement, BackendState
+from burdockdock.node.announcements import Announcement, BackendState
+from burdockdock.node.departures import LATE
 from burdockdock.node.interface import BackendActions
 from burdockdock.platform.announcements import (
     decode_heartbeat,
@@ -86,9 +87,11 @@
         def handle_departure(instance_id: str, started_ms: int) -> None:
             deregistrations.append((instance_id, started_ms))
 
-        serve_announcements(
-            BackendActions(handle_announcement, handle_departure), _HOST, port
-        )
+        async def wait_saved() -> None:
+            """Act as if all departures had been saved."""
+
+        actions = BackendActions(handle_announcement, handle_departure, wait_saved)
+        serve_announcements(actions, _HOST, port)
         body = json.dumps(_HEARTBEAT).encode()
         heartbeat = "instances.heartbeat"
         self.assertEqual(200, await self._post(port, heartbeat, body))
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -111,24 +111,45 @@
         """Start a backend server beside a node, and send its first heartbeat."""
         host, port = node._settings.backend_address
         Application([(r"/.*", _EchoBackend)]).listen(port, address=host)
-        heartbeat = {
+        await self.announce(node, self.heartbeat(node, seq=1))
+
+    def heartbeat(self, node: Node, *, seq: int, state: str = "ready") -> str:
+        """Return a heartbeat of the backend server beside a node."""
+        host, port = node._settings.backend_address
+        fields = {
             "service": "work",
             "address": f"{host}:{port}",
             "zone": "z",
             "version": "v1",
             "slots": 4,
-            "state": "ready",
+            "state": state,
             "cold-remaining": "0ms",
-            "seq": 1,
+            "seq": seq,
             "born": 5,
         }
-        await self.announce(node, json.dumps(heartbeat))
+        return json.dumps(fields)
 
-    async def announce(self, node: Node, body: str) -> int:
-        """Send a heartbeat to a node; return the status code."""
+    async def announce(
+        self, node: Node, body: str, *, call: str = "instances.heartbeat"
+    ) -> int:
+        """Send a heartbeat or another call to a node; return the status code."""
         port = node._settings.announcements[1]
-        url = f"http://{_HOST}:{port}/api/rpc?call=instances.heartbeat&of=i-1"
-        return (await _fetch(HTTPRequest(url, method="POST", body=body))).code
+        url = f"http://{_HOST}:{port}/api/rpc?call={call}&of=i-1"
+        # A kept connection would lead to the node that was there before a restart.
+        headers = {"Connection": "close"}
+        request = HTTPRequest(url, method="POST", body=body, headers=headers)
+        return (await _fetch(request)).code
+
+    async def restart(self, node: Node) -> Node:
+        """Close a node without a notice, and start another in its place."""
+        node._caller_server.stop()
+        await node.close()
+        # Its sockets are closed in the next turns of the event loop.
+        await asyncio.sleep(0.05)
+        self.nodes.remove(node)
+        restarted = self.make_node(node._settings.name, node._settings)
+        await restarted.start()
+        return restarted
 
     async def readiness(self, node: Node) -> int:
         """Send a readiness check to a node; return the status code."""
@@ -248,6 +269,48 @@
         await deployment.close()
 
 
+class RestartTest(testtools.TestCase):
+    """Tests of what a node knows of its instance after a restart."""
+
+    async def _leave_and_restart(self, *calls: str) -> tuple[_Deployment, Node]:
+        """Let an instance make calls that say it leaves, then restart its node."""
+        deployment = _Deployment()
+        deployment.start_store()
+        await deployment.store.put("config", "main", spec=_config(7))
+        node = deployment.make_node("a")
+        await node.start()
+        await deployment.start_backend_server(node)
+        for call in calls:
+            body = deployment.heartbeat(node, seq=3, state="draining")
+            self.assertEqual(200, await deployment.announce(node, body, call=call))
+        return deployment, await deployment.restart(node)
+
+    @async_test
+    async def test_late_heartbeat_of_an_instance_that_left(self) -> None:
+        # Guards against an instance in use again after a restart of its node.
+        for call in ("instances.deregister", "instances.heartbeat"):
+            deployment, node = await self._leave_and_restart(call)
+            await deployment.announce(node, deployment.heartbeat(node, seq=2))
+            await asyncio.sleep(0.3)
+            self.assertFalse(node.membership.own.ready, call)
+            await deployment.close()
+
+    @async_test
+    async def test_heartbeat_of_a_later_start(self) -> None:
+        deployment, node = await self._leave_and_restart("instances.deregister")
+        later = {**json.loads(deployment.heartbeat(node, seq=1)), "born": 6}
+        await deployment.announce(node, json.dumps(later))
+        await eventually(lambda: node.membership.own.ready)
+        await deployment.close()
+
+    @async_test
+    async def test_heartbeat_of_an_instance_that_stayed(self) -> None:
+        deployment, node = await self._leave_and_restart()
+        await deployment.announce(node, deployment.heartbeat(node, seq=2))
+        await eventually(lambda: node.membership.own.ready)
+        await deployment.close()
+
+
 class TemplateTest(testtools.TestCase):
     """Tests of the settings file that the platform renders from the template."""
 
