Send no request again past the gate's admission

Cause: libcurl sends an idempotent request again by itself if a reused connection ends before the answer's first byte. The guard let it, since that is right for a connection that was dead. It is not for a request that ran and lost its answer, and the resend passes by admission, deadline and budget.

Change: a resend is allowed only if the connection ended within 20 ms and the gate would still admit the request. Otherwise the call fails as one that may have run, and the caller's node decides.

Why it works: what may have reached the backend server is repeated by the forwarder alone, with the time that is left and from the retry budget.

--- a/burdockdock/gate/curl_client.py
+++ b/burdockdock/gate/curl_client.py
@@ -43,8 +43,6 @@
     :param timeout_ms: limit for the whole transfer.
     :param fresh_connection: open a new connection, because a reused one may turn out
         to be dead, which makes the outcome uncertain.
-    :param resend_allowed: let libcurl resend the request if a reused connection is
-        dead.
     """
 
     method: str
@@ -53,7 +51,6 @@
     body_length: int
     timeout_ms: int
     fresh_connection: bool
-    resend_allowed: bool = False
 
 
 def connect_timeout_ms(timeout_ms: int) -> int:
@@ -85,15 +82,21 @@
         request: BackendRequest,
         *,
         check_head: Callable[[BackendHead], Failure | None] = lambda _: None,
+        may_resend: Callable[[float], bool] = lambda _: False,
     ) -> "Transfer":
         """Start a transfer.
 
         :param check_head: returns a failure for an answer that must not be used. Unless
             the failure proves that the request didn't run, its connection is closed,
             since the request's own answer may still arrive on it.
+        :param may_resend: returns whether libcurl may send the request once more, given
+            the seconds since it was sent. It does so by itself if a reused connection
+            ends without an answer.
         """
         easy = self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
-        transfer = Transfer(easy, request, self, check_head=check_head)
+        transfer = Transfer(
+            easy, request, self, check_head=check_head, may_resend=may_resend
+        )
         self._transfers[easy] = transfer
         self._multi.add_handle(easy)
         return transfer
@@ -112,6 +115,10 @@
             self._timer.cancel()
         self._multi.close()
 
+    def now_s(self) -> float:
+        """Return the event loop's time in seconds."""
+        return self._loop.time()
+
     def resume(self, transfer: "Transfer") -> None:
         """Resume a paused transfer; must not be called from a libcurl callback."""
         if self._is_active(transfer):
@@ -186,13 +193,15 @@
         client: CurlClient,
         *,
         check_head: Callable[[BackendHead], Failure | None],
+        may_resend: Callable[[float], bool],
     ) -> None:
         self.easy = easy
         self._check_head = check_head
+        self._may_resend = may_resend
+        self._sent_at_s = 0.0
         self.body_started = False
         self._client = client
         self._send_count = 0
-        self._resend_allowed = request.resend_allowed
         self._head_lines: list[bytes] = []
         self._head: asyncio.Future[BackendHead | Failure] = client._loop.create_future()
         self._outgoing: deque[bytes] = deque()
@@ -322,12 +331,11 @@
                 easy.setopt(pycurl.INFILESIZE_LARGE, request.body_length)
 
     def _before_send(self, *_addresses: object) -> int:
-        """Abort automatic resends unless they are allowed.
-
-        libcurl resends a request by itself if a reused connection is dead.
-        """
-        if self._send_count and not self._resend_allowed:
+        """Abort libcurl's own resends unless they are allowed."""
+        now_s = self._client.now_s()
+        if self._send_count and not self._may_resend(now_s - self._sent_at_s):
             return pycurl.PREREQFUNC_ABORT
+        self._sent_at_s = now_s
         self._send_count += 1
         return pycurl.PREREQFUNC_OK
 
--- a/burdockdock/gate/exchange.py
+++ b/burdockdock/gate/exchange.py
@@ -12,6 +12,8 @@
 _METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
 _MISDIRECTED_REQUEST_STATUS = 421
 _MIN_TIMEOUT_S = 0.001
+# Time within which the backend server's machine resets a connection that it forgot.
+_DEAD_CONNECTION_S = 0.02
 
 
 def check_answer(
@@ -62,13 +64,11 @@
     backend: BackendServer,
     *,
     time_left_s: float,
-    resend_allowed: bool,
 ) -> BackendRequest:
     """Build the HTTP request to the backend server.
 
     :param names: names of the headers that the backend server uses.
     :param time_left_s: seconds until the call's deadline.
-    :param resend_allowed: let libcurl resend the request even if that isn't safe.
     """
     timeout_ms = int(max(_MIN_TIMEOUT_S, time_left_s) * 1000)
     headers = _curl_headers(request)
@@ -84,13 +84,20 @@
         body_length=request.body_length,
         timeout_ms=timeout_ms,
         fresh_connection=not request.idempotent,
-        resend_allowed=resend_allowed or _is_safe_to_resend(request),
     )
 
 
-def _is_safe_to_resend(request: CallRequest) -> bool:
-    """Return whether libcurl may resend the request if a reused connection is dead."""
-    return request.idempotent and not request.body_length
+def may_resend(request: CallRequest, since_sent_s: float) -> bool:
+    """Return whether a request may be sent once more on another connection.
+
+    A reused connection that ends at once was dead, so that nothing arrived. One that
+    ends later may have carried the request to the backend server: it is the caller's
+    node that may try again, with the time that is left and from its retry budget.
+
+    :param since_sent_s: seconds from sending the request to the connection's end.
+    """
+    was_dead = since_sent_s < _DEAD_CONNECTION_S
+    return was_dead and request.idempotent and not request.body_length
 
 
 def _curl_headers(request: CallRequest) -> list[str]:
--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -11,7 +11,7 @@
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.gate.body_streaming import stream_answer, stream_request_body
 from burdockdock.gate.curl_client import CurlClient, Transfer
-from burdockdock.gate.exchange import backend_request, check_answer
+from burdockdock.gate.exchange import backend_request, check_answer, may_resend
 from burdockdock.gate.headers import OWN_HEADERS, CallHeaders
 from burdockdock.gate.model import (
     DEFAULT_SLOTS,
@@ -285,9 +285,9 @@
                 request,
                 self._backend,
                 time_left_s=deadline_s - started_s,
-                resend_allowed=self.resend_allowed,
             ),
             check_head=functools.partial(check_answer, self._headers, request),
+            may_resend=functools.partial(self._may_resend, request),
         )
         verdict = Verdict.MAY_HAVE_RUN
         upload = self._start_upload(request, stream, transfer)
@@ -319,6 +319,16 @@
             transfer.cancel()
             self._finish_request_id(request, verdict)
 
+    def _may_resend(self, request: CallRequest, since_sent_s: float) -> bool:
+        """Return whether libcurl may send a request once more.
+
+        The backend server may have started to leave since the request was admitted.
+        """
+        if self.resend_allowed:
+            return True
+        admitted = self._admission_refusal(request) is None
+        return admitted and may_resend(request, since_sent_s)
+
     def _log_call_end(
         self, request: CallRequest, verdict: Verdict, started_s: float
     ) -> None:
--- a/tests/gate/test_curl_client.py
+++ b/tests/gate/test_curl_client.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP client for backend servers."""
 
 import asyncio
+from collections.abc import Callable
 
 import testtools
 
@@ -58,9 +59,15 @@
 class CurlClientTest(testtools.TestCase):
     """Tests of transfers that reuse handles and connections."""
 
-    async def _second_post(self, **options: object) -> tuple[object, int]:
+    async def _second_post(
+        self,
+        *,
+        may_resend: Callable[[float], bool] = lambda _: False,
+        **options: object,
+    ) -> tuple[object, int]:
         """Send two POST requests to a server that closes the connection on the second.
 
+        :param may_resend: whether libcurl may resend the second.
         :returns: the outcome of the second request, and the number of
             requests that the server received.
         """
@@ -72,7 +79,9 @@
             await first.head()
             while isinstance(await first.read_body(), bytes):
                 pass
-            second = client.start(_request(server.port, **options))
+            second = client.start(
+                _request(server.port, **options), may_resend=may_resend
+            )
             return await second.head(), server.received_requests
         finally:
             client.close()
@@ -81,7 +90,7 @@
     @async_test
     async def test_libcurl_resends_without_the_guard(self) -> None:
         """Reproduces the fault that the guard prevents: one call is received twice."""
-        head, received_requests = await self._second_post(resend_allowed=True)
+        head, received_requests = await self._second_post(may_resend=lambda _: True)
         self.assertEqual((200, 3), (head.status, received_requests))
 
     @async_test
