Take no head for whole that lacks its last byte

What callers saw (another operator's report): a 200 with an empty body, framed as whole, after an instance had stopped in the middle of its answer's head.

Cause: at the end of a connection libcurl takes a lone carriage return for the end of the head. Chunked answers and those without a length then count as whole, with an empty body.

Evidence: five forms of answers were cut after each of their bytes, by a close and by a reset; the cut before the last line feed of the head was the only one that looked whole.

Change: a header line without a line feed aborts the transfer, as one that may have run.

Why it works: every line of a whole head ends in a line feed, and libcurl passes one without only when the connection has ended.

--- a/burdockdock/gate/curl_client.py
+++ b/burdockdock/gate/curl_client.py
@@ -340,6 +340,10 @@
         return pycurl.PREREQFUNC_OK
 
     def _on_header(self, line: bytes) -> int | None:
+        if not line.endswith(b"\n"):
+            # The connection ended in the middle of the head. libcurl takes a lone
+            # carriage return for its end, and the answer for a whole one.
+            return _ABORT_TRANSFER
         if line.startswith(b"HTTP/"):
             self._head_lines = [line]
         elif line.strip():
