Let versions spread past members that stop

Cause, as far as shown: members that have stopped stay in the tables for seconds, and all three ways by which a node hears of a version went by them: its parents in both trees, the random pings after a version, and its own probe.

Why it works: a node that stays depends on others that stay, and hears from three of them within a second when its own probe meets a node that is gone.

--- a/burdockdock/coordination/ranking.py
+++ b/burdockdock/coordination/ranking.py
@@ -22,6 +22,7 @@
         self._generation = -1
         self._zones: dict[str, list[Member]] = {}
         self._ranked_members: dict[_RankingKey, list[Member]] = {}
+        self._tree_orders: dict[_RankingKey, list[Member]] = {}
         self._rank_cache: dict[_RankingKey, dict[str, bytes]] = {}
 
     @property
@@ -43,6 +44,19 @@
             self._ranked_members[key] = self._sort_by_rank(key, members)
         return self._ranked_members[key]
 
+    def tree_order(self, salt: str, availability_zone: str) -> list[Member]:
+        """Return the live members of a zone, ranked, with those that leave last.
+
+        Members at the end of a broadcast tree have no children, so nobody misses a
+        message because his parent stops.
+        """
+        self._refresh()
+        key = _RankingKey(salt, availability_zone)
+        if key not in self._tree_orders:
+            ranked = self.in_zone(salt, availability_zone)
+            self._tree_orders[key] = sorted(ranked, key=lambda m: m.leaving)
+        return self._tree_orders[key]
+
     def in_all_zones(self, salt: str) -> list[Member]:
         """Return the live members of all availability zones, ranked with a salt."""
         self._refresh()
@@ -57,6 +71,7 @@
             return
         self._generation = self._membership.generation
         self._ranked_members.clear()
+        self._tree_orders.clear()
         self._zones = {}
         for member in self._membership.live():
             self._zones.setdefault(member.availability_zone, []).append(member)
--- a/burdockdock/overlay/failure_detector.py
+++ b/burdockdock/overlay/failure_detector.py
@@ -183,8 +183,7 @@
 
     def _send_digest_pings(self) -> None:
         self._digest_timer = None
-        for member in self._random_members(_DIGEST_PING_COUNT):
-            self.ping(member)
+        self._ping_all(self._random_members(_DIGEST_PING_COUNT))
 
     def ping(self, member: Member) -> None:
         """Send a ping without waiting for the ack."""
@@ -216,12 +215,23 @@
         try:
             if await self._wait_for_ack(future, self._timing.ack_timeout_s):
                 return True
-            self._send_ping_requests(target, self._choose_helpers(target), sequence)
+            helpers = self._choose_helpers(target)
+            self._send_ping_requests(target, helpers, sequence)
+            self._ping_all(helpers)
             left_s = self._timing.period_s - self._timing.ack_timeout_s
             return await self._wait_for_ack(future, left_s)
         finally:
             self._acks.pop(sequence, None)
 
+    def _ping_all(self, members: list[Member]) -> None:
+        """Ping members for what they know.
+
+        While many nodes stop, several targets in a row may be gone, and this node would
+        learn of no newer record from their acks.
+        """
+        for member in members:
+            self.ping(member)
+
     def _send_ping_requests(
         self, target: Member, helpers: list[Member], sequence: int = 0
     ) -> None:
@@ -264,10 +274,15 @@
     def _random_members(self, count: int, *, exclude: str = "") -> list[Member]:
         """Return up to ``count`` random live members other than this node.
 
+        Those that leave are returned only if there are too few others.
+
         :param exclude: node id of a member to leave out as well.
         """
         excluded = (self._membership.own.node_id, exclude)
         candidates = [m for m in self._membership.live() if m.node_id not in excluded]
+        staying = [m for m in candidates if not m.leaving]
+        if len(staying) >= count:
+            candidates = staying
         return self._rng.sample(candidates, min(count, len(candidates)))
 
     def _suspect(self, target: Member) -> None:
@@ -335,7 +350,8 @@
         }
 
     def _on_member_change(self, member: Member, known: Member | None) -> None:
-        if member.node_id == self._membership.own.node_id:
+        # The trees may miss a member, whose next version then waits for dead parents.
+        if member.state is MemberState.DEAD or self._is_own(member):
             self._gossip.add(member)
         if member.state is MemberState.SUSPECT:
             suspicion = _Suspicion(member.incarnation, self._clock.monotonic())
@@ -343,6 +359,9 @@
         else:
             self._suspicions.pop(member.node_id, None)
 
+    def _is_own(self, member: Member) -> bool:
+        return member.node_id == self._membership.own.node_id
+
     def _gossip_finding(self, member: Member | None) -> None:
         """Log and gossip a state change that this node detected itself.
 
--- a/burdockdock/overlay/spread.py
+++ b/burdockdock/overlay/spread.py
@@ -207,7 +207,8 @@
         targets = []
         for salt in _TREE_SALTS:
             zones = self._ranking.zones()
-            targets += entry_nodes(self._ranking.in_zone(salt, zone) for zone in zones)
+            orders = [self._ranking.tree_order(salt, zone) for zone in zones]
+            targets += entry_nodes(orders)
         return self._exclude_own(targets + self._child_targets())
 
     def _child_targets(self) -> list[Member]:
@@ -221,7 +222,7 @@
         own = self._membership.own
         child_members = []
         for salt in _TREE_SALTS:
-            order = self._ranking.in_zone(salt, own.availability_zone)
+            order = self._ranking.tree_order(salt, own.availability_zone)
             index = next(
                 (i for i, m in enumerate(order) if m.node_id == own.node_id), None
             )
