--- a/burdockdock/gate/exchange.py
+++ b/burdockdock/gate/exchange.py
@@ -90,9 +90,10 @@
 def may_resend(request: CallRequest, since_sent_s: float) -> bool:
     """Return whether a request may be sent once more on another connection.
 
-    A reused connection that ends at once was dead, so that nothing arrived. One that
-    ends later may have carried the request to the backend server: it is the caller's
-    node that may try again, with the time that is left and from its retry budget.
+    A reused connection that ends at once was most likely dead. One that ends later has
+    probably carried the request to the backend server: it is the caller's node that may
+    try again, with the time that is left and from its retry budget. A backend server
+    that breaks off as soon as it has read the request looks like a dead connection.
 
     :param since_sent_s: seconds from sending the request to the connection's end.
     """
