Log which connection an answer came on, and heads that hold two answers

Cause: not found yet. The logs can't tell the hypotheses apart: neither the connection, nor whether it carried requests before, nor the status that was read, nor the shape of a head stood in them.

Change: gate.ended says status, connection (its local port) and whether the request was the first on it. gate.two_answers names the line of a head in which another answer's status line begins. No answer is judged differently.

--- a/burdockdock/gate/curl_client.py
+++ b/burdockdock/gate/curl_client.py
@@ -12,7 +12,12 @@
 import pycurl
 
 from burdockdock.coordination.verdict import Failure, Verdict
-from burdockdock.gate.backend_head import BackendHead, body_length, parse_head
+from burdockdock.gate.backend_head import (
+    BackendHead,
+    body_length,
+    parse_head,
+    second_status_line,
+)
 
 # Reading an answer pauses while this much of its body is buffered.
 _BODY_BUFFER_LIMIT_BYTES = 256 * 1024
@@ -199,10 +204,19 @@
         self._check_head = check_head
         self._may_resend = may_resend
         self._sent_at_s = 0.0
+        self._opened_connection = False
+        # Local port of the connection, 0 before the request is sent, and whether it
+        # carried no request before this one.
+        self.connection_port = 0
+        self.first_on_connection = False
         self.body_started = False
         self._client = client
         self._send_count = 0
         self._head_lines: list[bytes] = []
+        # Whether a status line has come without the empty line that ends its head.
+        self._in_head = False
+        # The line of the head that shows the start of another answer.
+        self.line_of_other_answer = b""
         self._head: asyncio.Future[BackendHead | Failure] = client._loop.create_future()
         self._outgoing: deque[bytes] = deque()
         self._outgoing_ended = request.body_length == 0
@@ -319,6 +333,7 @@
         easy.setopt(pycurl.MAXAGE_CONN, _MAX_CONNECTION_IDLE_S)
         easy.setopt(pycurl.HEADERFUNCTION, self._on_header)
         easy.setopt(pycurl.WRITEFUNCTION, self._on_body)
+        easy.setopt(pycurl.SOCKOPTFUNCTION, self._on_socket_opened)
         easy.setopt(pycurl.PREREQFUNCTION, self._before_send)
         if request.fresh_connection:
             easy.setopt(pycurl.FRESH_CONNECT, 1)
@@ -330,11 +345,20 @@
             if request.body_length > 0:
                 easy.setopt(pycurl.INFILESIZE_LARGE, request.body_length)
 
-    def _before_send(self, *_addresses: object) -> int:
+    def _on_socket_opened(self, _fd: int, _purpose: int) -> int:
+        self._opened_connection = True
+        return pycurl.SOCKOPT_OK
+
+    def _before_send(
+        self, _ip: str, _local_ip: str, _port: int, local_port: int
+    ) -> int:
         """Abort libcurl's own resends unless they are allowed."""
         now_s = self._client.now_s()
         if self._send_count and not self._may_resend(now_s - self._sent_at_s):
             return pycurl.PREREQFUNC_ABORT
+        self.connection_port = local_port
+        self.first_on_connection = self._opened_connection
+        self._opened_connection = False
         self._sent_at_s = now_s
         self._send_count += 1
         return pycurl.PREREQFUNC_OK
@@ -345,10 +369,14 @@
             # carriage return for its end, and the answer for a whole one.
             return _ABORT_TRANSFER
         if line.startswith(b"HTTP/"):
+            if self._in_head:
+                self.line_of_other_answer = line
+            self._in_head = True
             self._head_lines = [line]
         elif line.strip():
             self._head_lines.append(line)
         else:
+            self._in_head = False
             return self._on_head_end()
         return None
 
@@ -357,6 +385,8 @@
         # Ignore interim answers and the trailers after a body.
         if head is None or head.status < 200 or self._head.done():
             return None
+        other = second_status_line(self._head_lines)
+        self.line_of_other_answer = self.line_of_other_answer or other or b""
         rejection = self._check_head(head)
         if rejection is not None:
             self._head.set_result(rejection)
--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -35,6 +35,7 @@
 # Queueing ends at least this long before the deadline, so that a refusal reaches the
 # caller's node in time.
 _REFUSAL_TRANSIT_S = 0.005
+_MAX_LOGGED_LINE_BYTES = 200
 
 
 class Gate:
@@ -290,6 +291,7 @@
             may_resend=functools.partial(self._may_resend, request),
         )
         verdict = Verdict.MAY_HAVE_RUN
+        status = 0
         upload = self._start_upload(request, stream, transfer)
         try:
             head = await transfer.head()
@@ -298,6 +300,7 @@
                 self._fail_call(request, stream, head, started_s)
                 return
             verdict = Verdict.RAN
+            status = head.status
             complete = await stream_answer(
                 transfer,
                 head,
@@ -315,7 +318,8 @@
                 upload.cancel()
             if verdict is not Verdict.RAN and not transfer.sent:
                 verdict = Verdict.NOT_RUN
-            self._log_call_end(request, verdict, started_s)
+            _log_two_answers(request, transfer)
+            self._log_call_end(request, verdict, started_s, transfer, status=status)
             transfer.cancel()
             self._finish_request_id(request, verdict)
 
@@ -330,7 +334,13 @@
         return admitted and may_resend(request, since_sent_s)
 
     def _log_call_end(
-        self, request: CallRequest, verdict: Verdict, started_s: float
+        self,
+        request: CallRequest,
+        verdict: Verdict,
+        started_s: float,
+        transfer: Transfer,
+        *,
+        status: int,
     ) -> None:
         backend = self._backend
         log_event(
@@ -339,6 +349,9 @@
             route=request.route,
             instance=backend.instance_id if backend else "",
             verdict=verdict.name.lower(),
+            status=status,
+            connection=transfer.connection_port,
+            first=transfer.first_on_connection,
             seconds_s=self._clock.monotonic() - started_s,
             in_use=self._limiter.in_use,
             queued=self._limiter.queued,
@@ -383,3 +396,16 @@
     ) -> None:
         duration_s = self._clock.monotonic() - started_s
         self._results.record(request, duration_s, status=status, complete=complete)
+
+
+def _log_two_answers(request: CallRequest, transfer: Transfer) -> None:
+    """Log that a head held the start of another answer, and where."""
+    if transfer.line_of_other_answer:
+        log_event(
+            "gate.two_answers",
+            request=request.request_id,
+            line=transfer.line_of_other_answer[:_MAX_LOGGED_LINE_BYTES].decode(
+                "latin-1"
+            ),
+            connection=transfer.connection_port,
+        )
