Take no head for an answer that holds two of them

Cause: a late copy of an earlier answer breaks off inside its head, and the request's own answer follows on the connection. libcurl and the gate read one head: its status is the copy's, its id and signature are the own answer's, so that every check passes. A status line that couldn't be parsed was ignored, and the connection was used again although the call had failed.

Change: gate.head_lines reads heads strictly. A status line that begins anywhere but at the start of a head makes the call fail as two_answers, a status line that is none as malformed_head; either closes the connection. no_answer says in its detail that the head has no end. The event gate.two_answers gives way to this failure.

Why it works: whatever the copy's part is, the own answer behind it starts with a status line, which then stands where no head has one. The test's reading of the kept lines names the new place of the list; its bound stays.

--- a/burdockdock/gate/backend_head.py
+++ b/burdockdock/gate/backend_head.py
@@ -8,7 +8,6 @@
 # A valid header name (a token of RFC 9110), and characters that no value may contain.
 _HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _FORBIDDEN_VALUE_CHARS = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
-_STATUS_LINE_START = re.compile(rb"HTTP/\d(?:\.\d)? \d{3}(?!\d)")
 
 
 class BackendHead(NamedTuple):
@@ -30,17 +29,6 @@
     return BackendHead(int(status_parts[1]), reason, _parse_headers(lines[1:]))
 
 
-def second_status_line(lines: list[bytes]) -> bytes | None:
-    """Return the line in which the status line of another answer begins, else None.
-
-    :param lines: status line and header lines as they were received.
-    """
-    for number, line in enumerate(lines):
-        if _STATUS_LINE_START.search(line, 1 if number == 0 else 0):
-            return line
-    return None
-
-
 def body_length(head: BackendHead) -> int:
     """Return the length of the body in bytes, -1 if the head does not state it."""
     length = next((v for n, v in head.headers if n.lower() == _CONTENT_LENGTH), "")
--- a/burdockdock/gate/curl_client.py
+++ b/burdockdock/gate/curl_client.py
@@ -12,12 +12,8 @@
 import pycurl
 
 from burdockdock.coordination.verdict import Failure, Verdict
-from burdockdock.gate.backend_head import (
-    BackendHead,
-    body_length,
-    parse_head,
-    second_status_line,
-)
+from burdockdock.gate.backend_head import BackendHead, body_length
+from burdockdock.gate.head_lines import HeadLines
 
 # Reading an answer pauses while this much of its body is buffered.
 _BODY_BUFFER_LIMIT_BYTES = 256 * 1024
@@ -212,11 +208,7 @@
         self.body_started = False
         self._client = client
         self._send_count = 0
-        self._head_lines: list[bytes] = []
-        # Whether a status line has come without the empty line that ends its head.
-        self._in_head = False
-        # The line of the head that shows the start of another answer.
-        self.line_of_other_answer = b""
+        self._head_lines = HeadLines()
         self._head: asyncio.Future[BackendHead | Failure] = client._loop.create_future()
         self._outgoing: deque[bytes] = deque()
         self._outgoing_ended = request.body_length == 0
@@ -298,7 +290,9 @@
             self._failure = self._classify_error(code, message)
         if not self._head.done():
             # A Failure is falsy, so ``self._failure or no_answer`` would be wrong.
-            no_answer = Failure(Verdict.MAY_HAVE_RUN, "no_answer")
+            no_answer = Failure(
+                Verdict.MAY_HAVE_RUN, "no_answer", "the head has no end"
+            )
             self._head.set_result(no_answer if self._failure is None else self._failure)
         self._incoming_changed.set()
         self._outgoing_drained.set()
@@ -364,30 +358,13 @@
         return pycurl.PREREQFUNC_OK
 
     def _on_header(self, line: bytes) -> int | None:
-        if not line.endswith(b"\n"):
-            # The connection ended in the middle of the head. libcurl takes a lone
-            # carriage return for its end, and the answer for a whole one.
-            return _ABORT_TRANSFER
-        if line.startswith(b"HTTP/"):
-            if self._in_head:
-                self.line_of_other_answer = line
-            self._in_head = True
-            self._head_lines = [line]
-        elif line.strip():
-            self._head_lines.append(line)
-        else:
-            self._in_head = False
-            return self._on_head_end()
-        return None
-
-    def _on_head_end(self) -> int | None:
-        head = parse_head(self._head_lines)
-        # Ignore interim answers and the trailers after a body.
-        if head is None or head.status < 200 or self._head.done():
+        if self._head.done():
+            # A trailer, or its end.
+            return None if line.endswith(b"\n") else _ABORT_TRANSFER
+        head = self._head_lines.add(line)
+        if head is None:
             return None
-        other = second_status_line(self._head_lines)
-        self.line_of_other_answer = self.line_of_other_answer or other or b""
-        rejection = self._check_head(head)
+        rejection = head if isinstance(head, Failure) else self._check_head(head)
         if rejection is not None:
             self._head.set_result(rejection)
             return None if rejection.verdict is Verdict.NOT_RUN else _ABORT_TRANSFER
--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -35,7 +35,6 @@
 # Queueing ends at least this long before the deadline, so that a refusal reaches the
 # caller's node in time.
 _REFUSAL_TRANSIT_S = 0.005
-_MAX_LOGGED_LINE_BYTES = 200
 
 
 class Gate:
@@ -318,7 +317,6 @@
                 upload.cancel()
             if verdict is not Verdict.RAN and not transfer.sent:
                 verdict = Verdict.NOT_RUN
-            _log_two_answers(request, transfer)
             self._log_call_end(request, verdict, started_s, transfer, status=status)
             transfer.cancel()
             self._finish_request_id(request, verdict)
@@ -396,16 +394,3 @@
     ) -> None:
         duration_s = self._clock.monotonic() - started_s
         self._results.record(request, duration_s, status=status, complete=complete)
-
-
-def _log_two_answers(request: CallRequest, transfer: Transfer) -> None:
-    """Log that a head held the start of another answer, and where."""
-    if transfer.line_of_other_answer:
-        log_event(
-            "gate.two_answers",
-            request=request.request_id,
-            line=transfer.line_of_other_answer[:_MAX_LOGGED_LINE_BYTES].decode(
-                "latin-1"
-            ),
-            connection=transfer.connection_port,
-        )
--- /dev/null
+++ b/burdockdock/gate/head_lines.py
@@ -0,0 +1,53 @@
+"""Collects the lines of an answer's head and tells whether they are one whole head.
+
+A late copy of an earlier answer may break off anywhere, with the request's own answer
+right behind it. Read as one head, the two would have the status of the first and the id
+and signature of the second.
+"""
+
+import re
+
+from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.gate.backend_head import BackendHead, parse_head
+
+_STATUS_LINE_START = re.compile(rb"HTTP/\d(?:\.\d)? \d{3}(?!\d)")
+_MIN_FINAL_STATUS = 200
+_MAX_DETAIL_BYTES = 200
+
+
+class HeadLines:
+    """Collects the lines of interim heads and of the final head as they arrive."""
+
+    def __init__(self) -> None:
+        self.lines: list[bytes] = []
+
+    def add(self, line: bytes) -> BackendHead | Failure | None:
+        """Add a line.
+
+        :param line: with its line end, as it was received.
+        :returns: the final head once it is whole, a failure if the lines can't be one
+            head, else None.
+        """
+        if not line.endswith(b"\n"):
+            # libcurl takes a lone carriage return for the end of a cut head.
+            return _failure("backend_connection_broken", line)
+        if not line.strip():
+            return self._take_head()
+        if _STATUS_LINE_START.search(line, 0 if self.lines else 1):
+            return _failure("two_answers", line)
+        self.lines.append(line)
+        return None
+
+    def _take_head(self) -> BackendHead | Failure | None:
+        lines, self.lines = self.lines, []
+        if not lines:
+            return None
+        head = parse_head(lines)
+        if head is None:
+            return _failure("malformed_head", lines[0])
+        return head if head.status >= _MIN_FINAL_STATUS else None
+
+
+def _failure(reason: str, line: bytes) -> Failure:
+    detail = line[:_MAX_DETAIL_BYTES].decode("latin-1").strip()
+    return Failure(Verdict.MAY_HAVE_RUN, reason, detail)
--- /dev/null
+++ b/tests/gate/test_head_lines.py
@@ -0,0 +1,69 @@
+"""Tests of the lines of heads."""
+
+import testtools
+
+from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.gate.backend_head import BackendHead
+from burdockdock.gate.head_lines import HeadLines
+
+
+def _read(*lines: bytes) -> BackendHead | Failure | None:
+    """Return what the first of the lines gives that gives anything."""
+    head_lines = HeadLines()
+    for line in lines:
+        result = head_lines.add(line)
+        if result is not None:
+            return result
+    return None
+
+
+class HeadLinesTest(testtools.TestCase):
+    """Tests of whole heads and of bytes that are none."""
+
+    def _assert_failure(self, reason: str, *lines: bytes) -> None:
+        result = _read(*lines)
+        self.assertIsInstance(result, Failure, lines)
+        self.assertEqual((Verdict.MAY_HAVE_RUN, reason), result[:2], lines)
+
+    def test_whole_head(self) -> None:
+        head = _read(b"HTTP/1.1 200 OK\r\n", b"A: b\r\n", b"\r\n")
+        self.assertEqual(BackendHead(200, "OK", (("A", "b"),)), head)
+
+    def test_lines_that_end_in_a_line_feed_only(self) -> None:
+        head = _read(b"HTTP/1.1 200 OK\n", b"A: b\n", b"\n")
+        self.assertEqual(BackendHead(200, "OK", (("A", "b"),)), head)
+
+    def test_interim_heads_are_left_out(self) -> None:
+        interim = (b"HTTP/1.1 103 Early\r\n", b"A: b\r\n", b"\r\n")
+        head = _read(*interim, *interim, b"HTTP/1.1 204 Empty\r\n", b"\r\n")
+        self.assertEqual(BackendHead(204, "Empty", ()), head)
+
+    def test_head_without_its_end(self) -> None:
+        self.assertIsNone(_read(b"HTTP/1.1 200 OK\r\n", b"A: b\r\n"))
+
+    def test_line_that_is_cut(self) -> None:
+        self._assert_failure("backend_connection_broken", b"HTTP/1.1 200 OK\r")
+
+    def test_status_line_of_another_answer(self) -> None:
+        own = b"HTTP/1.1 500 Failed\r\n"
+        for status_line in (b"HTTP/1.1 200", b"HTTP/1.1 200 O", b"HTTP/1.1 200 OK\r"):
+            self._assert_failure("two_answers", status_line + own)
+        self._assert_failure("two_answers", b"HTTP/1.1 200 OK\r\n", own)
+        for start in (b"Da", b"Date:", b"Date: Sun, 0", b"Date: Sun\r"):
+            self._assert_failure("two_answers", b"HTTP/1.1 200 OK\r\n", start + own)
+
+    def test_interim_head_that_breaks_off(self) -> None:
+        lines = (b"HTTP/1.1 103 Early\r\n", b"HTTP/1.1 200 OK\r\n")
+        self._assert_failure("two_answers", *lines)
+
+    def test_values_that_name_a_protocol(self) -> None:
+        for value in (b"HTTP/1.1", b"HTTP/1.1 proxy-1", b"HTTP/2 20000"):
+            lines = (b"HTTP/1.1 200 OK\r\n", b"Via: " + value + b"\r\n", b"\r\n")
+            self.assertIsInstance(_read(*lines), BackendHead, value)
+
+    def test_status_that_is_no_number(self) -> None:
+        self._assert_failure("malformed_head", b"HTTP/1.1 OK\r\n", b"\r\n")
+
+    def test_detail_is_bounded(self) -> None:
+        failure = _read(b"HTTP/1.1 200 OK\r\n", b"A" * 5000 + b"HTTP/1.1 500 X\r\n")
+        self.assertEqual(200, len(failure.detail))
--- a/tests/gate/test_misbehaving_backends.py
+++ b/tests/gate/test_misbehaving_backends.py
@@ -105,7 +105,7 @@
             await transfer.head()
             while isinstance(await transfer.read_body(), bytes):
                 pass
-            return sum(len(line) for line in transfer._head_lines)
+            return sum(len(line) for line in transfer._head_lines.lines)
         finally:
             client.close()
             server.close()
