Take no answer without an id on a connection that carried other requests

Cause: where backend servers repeat request ids, an answer without one was taken for the request's own. A late copy that has no id was thus taken for the answer to whichever request came next on the connection.

The record doesn't show that its cases came this way: successes in place of other successes would be reported too, and they aren't.

An answer without an id is taken only on a connection that carried no request before, which the transfer tells by the socket that libcurl opened for it.

Why it works: on a connection of its own no other request can have an answer.

--- a/burdockdock/gate/curl_client.py
+++ b/burdockdock/gate/curl_client.py
@@ -7,7 +7,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 import pycurl
 
@@ -61,6 +61,16 @@
     )
 
 
+class HeadCheck(Protocol):
+    """Returns the failure to report instead of an answer, None for a valid answer."""
+
+    def __call__(
+        self, head: BackendHead, *, first_on_connection: bool
+    ) -> Failure | None:
+        """Check the head of an answer."""
+        ...
+
+
 class CurlClient:
     """Runs libcurl transfers on the running asyncio event loop.
 
@@ -82,14 +92,15 @@
         self,
         request: BackendRequest,
         *,
-        check_head: Callable[[BackendHead], Failure | None] = lambda _: None,
+        check_head: HeadCheck = lambda head, *, first_on_connection: None,
         may_resend: Callable[[float], bool] = lambda _: False,
     ) -> "Transfer":
         """Start a transfer.
 
-        :param check_head: returns a failure for an answer that must not be used. Unless
-            the failure proves that the request didn't run, its connection is closed,
-            since the request's own answer may still arrive on it.
+        :param check_head: called with each final head and whether its connection
+            carried no request before; returns a failure for an answer that must not be
+            used. Unless the failure proves that the request didn't run, the connection
+            is closed, since the request's own answer may still arrive on it.
         :param may_resend: returns whether libcurl may send the request once more, given
             the seconds since it was sent. It does so by itself if a reused connection
             ends without an answer.
@@ -193,7 +204,7 @@
         request: BackendRequest,
         client: CurlClient,
         *,
-        check_head: Callable[[BackendHead], Failure | None],
+        check_head: HeadCheck,
         may_resend: Callable[[float], bool],
     ) -> None:
         self.easy = easy
@@ -364,7 +375,7 @@
         head = self._head_lines.add(line)
         if head is None:
             return None
-        rejection = head if isinstance(head, Failure) else self._check_head(head)
+        rejection = self._rejection(head)
         if rejection is not None:
             self._head.set_result(rejection)
             return None if rejection.verdict is Verdict.NOT_RUN else _ABORT_TRANSFER
@@ -372,6 +383,11 @@
         self._head.set_result(head)
         return None
 
+    def _rejection(self, head: BackendHead | Failure) -> Failure | None:
+        if isinstance(head, Failure):
+            return head
+        return self._check_head(head, first_on_connection=self.first_on_connection)
+
     def _on_body(self, data: bytes) -> int | None:
         if self._incoming_bytes >= _BODY_BUFFER_LIMIT_BYTES:
             self._download_paused = True
--- a/burdockdock/gate/exchange.py
+++ b/burdockdock/gate/exchange.py
@@ -1,7 +1,5 @@
-"""Builds requests to a backend server and validates its answers."""
+"""Builds requests to a backend server."""
 
-from burdockdock.coordination.verdict import Failure, Verdict
-from burdockdock.gate.backend_head import BackendHead
 from burdockdock.gate.curl_client import BackendRequest
 from burdockdock.gate.headers import CallHeaders
 from burdockdock.gate.model import BackendServer
@@ -10,54 +8,11 @@
 # Headers that libcurl adds to a request unless they are set or disabled.
 _CURL_DEFAULT_HEADERS = ("Accept", "User-Agent", "Expect")
 _METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
-_MISDIRECTED_REQUEST_STATUS = 421
 _MIN_TIMEOUT_S = 0.001
 # Time within which the backend server's machine resets a connection that it forgot.
 _DEAD_CONNECTION_S = 0.02
 
 
-def check_answer(
-    names: CallHeaders, request: CallRequest, head: BackendHead
-) -> Failure | None:
-    """Check that an answer is the backend server's answer to this request.
-
-    An answer is rejected if it repeats the id of another request. Where answers are
-    signed, a success is also rejected if it has no signature or an encoded body. The
-    request counts as not run only if a header of the answer says so, or if the status
-    is 421 where requests name the expected instance. Where answers repeat ids, a
-    refusal without one proves nothing: it may be a late copy of an earlier refusal.
-
-    :param names: names of the headers that the backend server uses.
-    :returns: None if the answer is valid, else the failure to report instead of it.
-    """
-    values = {name.lower(): value for name, value in head.headers}
-    echoed_id = values.get(names.request_id.lower())
-    if names.caller_sets_request_id and echoed_id not in (None, request.request_id):
-        return Failure(Verdict.MAY_HAVE_RUN, "other_requests_answer", echoed_id)
-    refusal = _refusal(names, head.status, values)
-    if refusal is not None:
-        if names.caller_sets_request_id and echoed_id is None:
-            return Failure(Verdict.MAY_HAVE_RUN, "refusal_without_id", refusal.reason)
-        return refusal
-    if not names.signature or not 200 <= head.status < 300:
-        return None
-    if names.signature.lower() not in values or "content-encoding" in values:
-        return Failure(Verdict.MAY_HAVE_RUN, "not_the_backends_answer")
-    return None
-
-
-def _refusal(names: CallHeaders, status: int, values: dict[str, str]) -> Failure | None:
-    """Return the failure of a request that an answer calls not run, else None.
-
-    :param values: of the answer's headers, by name in lower case.
-    """
-    if names.not_run and names.not_run.lower() in values:
-        return Failure(Verdict.NOT_RUN, "backend_refused", f"status {status}")
-    if names.expected_instance and status == _MISDIRECTED_REQUEST_STATUS:
-        return Failure(Verdict.NOT_RUN, "other_instance")
-    return None
-
-
 def backend_request(
     names: CallHeaders,
     request: CallRequest,
--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -9,9 +9,10 @@
 from burdockdock.coordination.duration_estimator import DurationEstimator
 from burdockdock.coordination.limiter import SlotLimiter
 from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.gate.answer_rules import check_answer
 from burdockdock.gate.body_streaming import stream_answer, stream_request_body
 from burdockdock.gate.curl_client import CurlClient, Transfer
-from burdockdock.gate.exchange import backend_request, check_answer, may_resend
+from burdockdock.gate.exchange import backend_request, may_resend
 from burdockdock.gate.headers import OWN_HEADERS, CallHeaders
 from burdockdock.gate.model import (
     DEFAULT_SLOTS,
--- a/tests/gate/test_gate.py
+++ b/tests/gate/test_gate.py
@@ -1,4 +1,4 @@
-"""Tests of the calls that a gate refuses and the answers that it accepts."""
+"""Tests of the calls that a gate refuses."""
 
 import asyncio
 
@@ -6,12 +6,9 @@
 
 from burdockdock.clock import ManualClock
 from burdockdock.coordination.verdict import Failure, Verdict
-from burdockdock.gate.backend_head import BackendHead
-from burdockdock.gate.exchange import check_answer
 from burdockdock.gate.gate import Gate
 from burdockdock.gate.model import BackendServer
 from burdockdock.metrics import Metrics
-from burdockdock.platform.headers import HEADERS
 from burdockdock.protocol.calls import CallRequest
 from tests.support import async_test, eventually
 
@@ -170,31 +167,3 @@
         gate.announce(BackendServer("work", "2", "127.0.0.1", 1, 1))
         reason = await self._refusal_of_queued_call(gate, lambda: stopped.add("2"))
         self.assertEqual("version_stopped", reason)
-
-
-class CheckAnswerTest(testtools.TestCase):
-    """Tests of the validation of a backend server's answers."""
-
-    def _verdict(self, status: int, **headers: str) -> Verdict | None:
-        pairs = {"Request-Id": "id-1", "Response-Signature": "s"}
-        pairs.update({k.replace("_", "-"): v for k, v in headers.items()})
-        head = BackendHead(status, "", tuple((k, v) for k, v in pairs.items() if v))
-        failure = check_answer(HEADERS, _REQUEST, head)
-        return None if failure is None else failure.verdict
-
-    def test_valid_answers_are_accepted(self) -> None:
-        for status in (200, 204, 404, 500, 503, 504):
-            self.assertIsNone(self._verdict(status))
-        self.assertIsNone(self._verdict(500, Response_Signature=""))
-
-    def test_only_an_explicit_refusal_means_not_run(self) -> None:
-        self.assertIs(Verdict.NOT_RUN, self._verdict(503, Not_Executed="1"))
-        self.assertIs(Verdict.NOT_RUN, self._verdict(421, Instance_Id="i-2"))
-        self.assertIs(Verdict.NOT_RUN, self._verdict(400, Not_Executed="1"))
-
-    def test_success_must_be_signed_unencoded_and_for_this_request(self) -> None:
-        uncertain = Verdict.MAY_HAVE_RUN
-        self.assertIs(uncertain, self._verdict(200, Response_Signature=""))
-        self.assertIs(uncertain, self._verdict(200, Content_Encoding="gzip"))
-        self.assertIs(uncertain, self._verdict(200, Request_Id="id-0"))
-        self.assertIs(uncertain, self._verdict(500, Request_Id="id-0"))
