Send a request again on a connection of its own

Cause: an id names a request, not its arrival. If a gate gets a request again, by a retry after a lost link for instance, libcurl may send it on the connection that carried its first arrival. A late copy of the first answer then bears the expected id.

That requests of the record came to a backend server twice isn't shown.

Change: the gate remembers hashes of the ids that it sent for as long as a connection that carried them may be used, 61 s, since none is used again after 60 s. A request that was sent before gets a new connection.

Why it works: no connection carries two arrivals of one id, so on each connection an id names one arrival.

--- a/burdockdock/gate/curl_client.py
+++ b/burdockdock/gate/curl_client.py
@@ -23,6 +23,10 @@
 # Longest idle time after which a connection is reused. Backend servers may close idle
 # connections without having announced their own limit.
 _MAX_CONNECTION_IDLE_S = 5
+# Age beyond which a connection is not reused, in whole seconds, which libcurl rounds.
+_MAX_CONNECTION_AGE_S = 60
+# Time after a request was sent within which its connection may be reused.
+MAX_REUSE_S = _MAX_CONNECTION_AGE_S + 1
 _STOP_POLLING = pycurl.POLL_REMOVE
 # Returned by the header callback to make libcurl abort the transfer.
 _ABORT_TRANSFER = -1
@@ -42,8 +46,9 @@
     :param headers: header lines in the format of libcurl's ``HTTPHEADER`` option.
     :param body_length: length of the body in bytes, -1 if unknown, 0 without a body.
     :param timeout_ms: limit for the whole transfer.
-    :param fresh_connection: open a new connection, because a reused one may turn out
-        to be dead, which makes the outcome uncertain.
+    :param fresh_connection: open a new connection. A reused one may turn out to be
+        dead, which makes the outcome uncertain, or may carry a late copy of the answer
+        to an earlier arrival of the same request.
     """
 
     method: str
@@ -336,6 +341,7 @@
         easy.setopt(pycurl.CONNECTTIMEOUT_MS, connect_timeout_ms(request.timeout_ms))
         easy.setopt(pycurl.TIMEOUT_MS, max(1, request.timeout_ms))
         easy.setopt(pycurl.MAXAGE_CONN, _MAX_CONNECTION_IDLE_S)
+        easy.setopt(pycurl.MAXLIFETIME_CONN, _MAX_CONNECTION_AGE_S)
         easy.setopt(pycurl.HEADERFUNCTION, self._on_header)
         easy.setopt(pycurl.WRITEFUNCTION, self._on_body)
         easy.setopt(pycurl.SOCKOPTFUNCTION, self._on_socket_opened)
--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -11,7 +11,7 @@
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.gate.answer_rules import check_answer
 from burdockdock.gate.body_streaming import stream_answer, stream_request_body
-from burdockdock.gate.curl_client import CurlClient, Transfer
+from burdockdock.gate.curl_client import MAX_REUSE_S, CurlClient, Transfer
 from burdockdock.gate.exchange import backend_request, may_resend
 from burdockdock.gate.headers import OWN_HEADERS, CallHeaders
 from burdockdock.gate.model import (
@@ -21,6 +21,7 @@
     CallStream,
 )
 from burdockdock.gate.results import ResultTracker
+from burdockdock.gate.sent_requests import SentRequests
 from burdockdock.logs import log_event
 from burdockdock.metrics import Metrics
 from burdockdock.protocol.calls import CallRequest, GateResults
@@ -66,6 +67,7 @@
         self._refuses_calls_from_s = float("inf")
         self._metrics = metrics
         self._client = CurlClient()
+        self._sent_requests = SentRequests(clock=clock, kept_s=MAX_REUSE_S)
         self._limiter = SlotLimiter(slots=DEFAULT_SLOTS, clock=clock)
         self._dedupe = DedupeTable(clock=clock)
         self._durations = DurationEstimator()
@@ -286,6 +288,7 @@
                 request,
                 self._backend,
                 time_left_s=deadline_s - started_s,
+                was_sent=self._sent_requests.add(request.request_id),
             ),
             check_head=functools.partial(check_answer, self._headers, request),
             may_resend=functools.partial(self._may_resend, request),
