--- a/bench/overload.py
+++ b/bench/overload.py
@@ -16,7 +16,8 @@
 from burdockdock.clock import SystemClock
 from burdockdock.configuration.acceptance import accept_over_newest
 from burdockdock.configuration.ini import read_sections
-from burdockdock.gate.curl_client import BackendRequest, CurlClient
+from burdockdock.gate.curl_client import CurlClient
+from burdockdock.gate.transfer import BackendRequest
 from burdockdock.platform_api import PlatformClient
 from burdockdock.standin.local_fleet import LocalFleet, NodePlace
 
--- a/burdockdock/gate/body_streaming.py
+++ b/burdockdock/gate/body_streaming.py
@@ -5,8 +5,8 @@
 from burdockdock.clock import Clock
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.gate.backend_head import BackendHead
-from burdockdock.gate.curl_client import Transfer
 from burdockdock.gate.model import CallStream
+from burdockdock.gate.transfer import Transfer
 from burdockdock.protocol import ReceiverGone
 from burdockdock.protocol.calls import AnswerHead, CallRequest, GateResults
 
--- a/burdockdock/gate/exchange.py
+++ b/burdockdock/gate/exchange.py
@@ -1,8 +1,8 @@
 """Builds requests to a backend server."""
 
-from burdockdock.gate.curl_client import BackendRequest
 from burdockdock.gate.headers import CallHeaders
 from burdockdock.gate.model import BackendServer
+from burdockdock.gate.transfer import BackendRequest
 from burdockdock.protocol.calls import CallRequest
 
 # Headers that libcurl adds to a request unless they are set or disabled.
--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -11,7 +11,7 @@
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.gate.answer_rules import check_answer
 from burdockdock.gate.body_streaming import stream_answer, stream_request_body
-from burdockdock.gate.curl_client import MAX_REUSE_S, CurlClient, Transfer
+from burdockdock.gate.curl_client import CurlClient
 from burdockdock.gate.exchange import backend_request, may_resend
 from burdockdock.gate.headers import OWN_HEADERS, CallHeaders
 from burdockdock.gate.model import (
@@ -22,6 +22,7 @@
 )
 from burdockdock.gate.results import ResultTracker
 from burdockdock.gate.sent_requests import SentRequests
+from burdockdock.gate.transfer import MAX_REUSE_S, Transfer
 from burdockdock.logs import log_event
 from burdockdock.metrics import Metrics
 from burdockdock.protocol.calls import CallRequest, GateResults
--- a/tests/gate/test_curl_client.py
+++ b/tests/gate/test_curl_client.py
@@ -6,7 +6,8 @@
 import testtools
 
 from burdockdock.coordination.verdict import Failure, Verdict
-from burdockdock.gate.curl_client import BackendRequest, CurlClient, connect_timeout_ms
+from burdockdock.gate.curl_client import CurlClient
+from burdockdock.gate.transfer import BackendRequest, connect_timeout_ms
 from tests import streams
 from tests.support import async_test
 
--- a/tests/gate/test_cut_answers.py
+++ b/tests/gate/test_cut_answers.py
@@ -5,7 +5,8 @@
 import testtools
 
 from burdockdock.coordination.verdict import Failure
-from burdockdock.gate.curl_client import BackendRequest, CurlClient
+from burdockdock.gate.curl_client import CurlClient
+from burdockdock.gate.transfer import BackendRequest
 from tests import streams
 from tests.support import async_test
 
--- a/tests/gate/test_misbehaving_backends.py
+++ b/tests/gate/test_misbehaving_backends.py
@@ -7,9 +7,10 @@
 
 from burdockdock.clock import SystemClock
 from burdockdock.coordination.verdict import Failure
-from burdockdock.gate.curl_client import BackendRequest, CurlClient
+from burdockdock.gate.curl_client import CurlClient
 from burdockdock.gate.gate import Gate
 from burdockdock.gate.model import BackendServer
+from burdockdock.gate.transfer import BackendRequest
 from burdockdock.metrics import Metrics
 from burdockdock.protocol import ReceiverGone
 from burdockdock.protocol.calls import AnswerHead, CallRequest
