Accept only the form of status line that is found behind a part of a head

What callers saw: none of the users' cases is known to have come this way; a review of the mend found it.

The search also took an address for a status (Via: HTTP/1.1 192.168.0.7:80), and a header line that begins with a carriage return ended the head for libcurl, as no_answer with the connection kept. Nothing tested the age of connections.

Change: one pattern says how a head starts and what may not stand inside of one; any other first line is a malformed_head, as is a line that begins with a carriage return. Tests hold that a request is remembered for longer than its connection may be used. test_values_that_name_a_protocol has an address in place of a five-digit number, which no head of that form can be mistaken for now; cut trailers are tested.

Why it works: whatever is accepted as the start of a head is also found elsewhere.

--- a/burdockdock/gate/backend_head.py
+++ b/burdockdock/gate/backend_head.py
@@ -18,15 +18,11 @@
     headers: tuple[tuple[str, str], ...]
 
 
-def parse_head(lines: list[bytes]) -> BackendHead | None:
-    """Parse a status line and header lines; return None if there is no valid status."""
-    if not lines:
-        return None
-    status_parts = lines[0].decode("latin-1").split(None, 2)
-    if len(status_parts) < 2 or not status_parts[1].isdecimal():
-        return None
-    reason = status_parts[2].strip() if len(status_parts) > 2 else ""
-    return BackendHead(int(status_parts[1]), reason, _parse_headers(lines[1:]))
+def parse_head(lines: list[bytes]) -> BackendHead:
+    """Parse a status line, which must be valid, and header lines."""
+    _, status, *reason = lines[0].decode("latin-1").split(None, 2)
+    reason_text = reason[0].strip() if reason else ""
+    return BackendHead(int(status), reason_text, _parse_headers(lines[1:]))
 
 
 def body_length(head: BackendHead) -> int:
--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -22,7 +22,7 @@
 )
 from burdockdock.gate.results import ResultTracker
 from burdockdock.gate.sent_requests import SentRequests
-from burdockdock.gate.transfer import MAX_REUSE_S, Transfer
+from burdockdock.gate.transfer import MAX_CONNECTION_AGE_S, Transfer
 from burdockdock.logs import log_event
 from burdockdock.metrics import Metrics
 from burdockdock.protocol.calls import CallRequest, GateResults
@@ -38,6 +38,8 @@
 # Queueing ends at least this long before the deadline, so that a refusal reaches the
 # caller's node in time.
 _REFUSAL_TRANSIT_S = 0.005
+# Connections may be used for up to 1 s beyond the age, which libcurl rounds.
+_SENT_REQUESTS_KEPT_S = MAX_CONNECTION_AGE_S + 2.0
 
 
 class Gate:
@@ -68,7 +70,7 @@
         self._refuses_calls_from_s = float("inf")
         self._metrics = metrics
         self._client = CurlClient()
-        self._sent_requests = SentRequests(clock=clock, kept_s=MAX_REUSE_S)
+        self._sent_requests = SentRequests(clock=clock, kept_s=_SENT_REQUESTS_KEPT_S)
         self._limiter = SlotLimiter(slots=DEFAULT_SLOTS, clock=clock)
         self._dedupe = DedupeTable(clock=clock)
         self._durations = DurationEstimator()
--- a/burdockdock/gate/head_lines.py
+++ b/burdockdock/gate/head_lines.py
@@ -10,7 +10,10 @@
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.gate.backend_head import BackendHead, parse_head
 
-_STATUS_LINE_START = re.compile(rb"HTTP/\d(?:\.\d)? \d{3}(?!\d)")
+# Heads must start so. No other form is accepted, so that each one behind the part of
+# another head is found.
+_STATUS_LINE_START = re.compile(rb"HTTP/1\.[01] \d{3}(?=[ \r\n])")
+_HEAD_ENDS = (b"\r\n", b"\n")
 _MIN_FINAL_STATUS = 200
 _MAX_DETAIL_BYTES = 200
 
@@ -31,9 +34,18 @@
         if not line.endswith(b"\n"):
             # libcurl takes a lone carriage return for the end of a cut head.
             return _failure("backend_connection_broken", line)
-        if not line.strip():
+        if line in _HEAD_ENDS:
             return self._take_head()
-        if _STATUS_LINE_START.search(line, 0 if self.lines else 1):
+        if line.startswith(b"\r"):
+            # libcurl takes it for the end of the head.
+            return _failure("malformed_head", line)
+        return self._add_to_head(line)
+
+    def _add_to_head(self, line: bytes) -> Failure | None:
+        is_first = not self.lines
+        if is_first and not _STATUS_LINE_START.match(line):
+            return _failure("malformed_head", line)
+        if _STATUS_LINE_START.search(line, 1 if is_first else 0):
             return _failure("two_answers", line)
         self.lines.append(line)
         return None
@@ -43,8 +55,6 @@
         if not lines:
             return None
         head = parse_head(lines)
-        if head is None:
-            return _failure("malformed_head", lines[0])
         return head if head.status >= _MIN_FINAL_STATUS else None
 
 
--- a/burdockdock/gate/transfer.py
+++ b/burdockdock/gate/transfer.py
@@ -24,9 +24,7 @@
 # connections without having announced their own limit.
 _MAX_CONNECTION_IDLE_S = 5
 # Age beyond which a connection is not reused, in whole seconds, which libcurl rounds.
-_MAX_CONNECTION_AGE_S = 60
-# Time after a request was sent within which its connection may be reused.
-MAX_REUSE_S = _MAX_CONNECTION_AGE_S + 1
+MAX_CONNECTION_AGE_S = 60
 # Returned by the header callback to make libcurl abort the transfer.
 _ABORT_TRANSFER = -1
 # libcurl errors that occur before any byte of the request is sent, and their reasons.
@@ -234,7 +232,7 @@
         easy.setopt(pycurl.CONNECTTIMEOUT_MS, connect_timeout_ms(request.timeout_ms))
         easy.setopt(pycurl.TIMEOUT_MS, max(1, request.timeout_ms))
         easy.setopt(pycurl.MAXAGE_CONN, _MAX_CONNECTION_IDLE_S)
-        easy.setopt(pycurl.MAXLIFETIME_CONN, _MAX_CONNECTION_AGE_S)
+        easy.setopt(pycurl.MAXLIFETIME_CONN, MAX_CONNECTION_AGE_S)
         easy.setopt(pycurl.HEADERFUNCTION, self._on_header)
         easy.setopt(pycurl.WRITEFUNCTION, self._on_body)
         easy.setopt(pycurl.SOCKOPTFUNCTION, self._on_socket_opened)
--- a/tests/gate/test_answers_of_earlier_arrivals.py
+++ b/tests/gate/test_answers_of_earlier_arrivals.py
@@ -9,8 +9,9 @@
 
 import testtools
 
-from burdockdock.clock import SystemClock
+from burdockdock.clock import Clock, ManualClock, SystemClock
 from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.gate import transfer
 from burdockdock.gate.gate import Gate
 from burdockdock.gate.headers import CallHeaders
 from burdockdock.gate.model import BackendServer
@@ -121,11 +122,14 @@
 class EarlierArrivalTest(testtools.TestCase):
     """Tests of late copies of answers on connections that are used again."""
 
-    async def _start(self, stutter: bytes) -> tuple[Gate, _StutteringBackend]:
+    async def _start(
+        self, stutter: bytes, *, clock: Clock | None = None
+    ) -> tuple[Gate, _StutteringBackend]:
         backend = _StutteringBackend(stutter)
         server = await streams.start_server(backend.serve, _HOST, 0)
         port = server.sockets[0].getsockname()[1]
-        gate = Gate(clock=SystemClock(), metrics=Metrics(), headers=_HEADERS)
+        clock = clock or SystemClock()
+        gate = Gate(clock=clock, metrics=Metrics(), headers=_HEADERS)
         gate.announce(BackendServer("work", "1", _HOST, port, 4))
         return gate, backend
 
@@ -147,6 +151,25 @@
             await _call(gate, request_id)
         self.assertEqual([0, 0, 0], backend.connection_of_arrival)
 
+    @async_test
+    async def test_request_is_remembered_while_its_connection_may_be_used(self) -> None:
+        clock = ManualClock()
+        gate, backend = await self._start(b"", clock=clock)
+        await _call(gate, "id-1")
+        clock.advance(transfer.MAX_CONNECTION_AGE_S + 1.0)
+        await _call(gate, "id-1")
+        self.assertEqual([0, 1], backend.connection_of_arrival)
+
+    @async_test
+    async def test_old_connection_is_not_used_again(self) -> None:
+        # A request is not remembered for longer.
+        self.patch(transfer, "MAX_CONNECTION_AGE_S", 1)
+        gate, backend = await self._start(b"")
+        await _call(gate, "id-1")
+        await asyncio.sleep(2.1)
+        await _call(gate, "id-2")
+        self.assertEqual([0, 1], backend.connection_of_arrival)
+
     @async_test
     async def test_copy_that_breaks_off_in_its_head(self) -> None:
         # Guards against the status of one answer with the id and signature of another.
--- a/tests/gate/test_cut_answers.py
+++ b/tests/gate/test_cut_answers.py
@@ -23,6 +23,10 @@
         b"HTTP/1.1 103 Early\r\n\r\n" + _HEAD + b"Content-Length: 0\r\n\r\n",
         b"",
     ),
+    "trailer": (
+        _HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
+        b"4\r\nbody\r\n0\r\nX-A: b\r\n\r\n",
+    ),
     # Without a length only the head shows whether it is whole.
     "no length": (_HEAD + b"Connection: close\r\n\r\n", b""),
 }
--- a/tests/gate/test_head_lines.py
+++ b/tests/gate/test_head_lines.py
@@ -46,7 +46,8 @@
 
     def test_status_line_of_another_answer(self) -> None:
         own = b"HTTP/1.1 500 Failed\r\n"
-        for status_line in (b"HTTP/1.1 200", b"HTTP/1.1 200 O", b"HTTP/1.1 200 OK\r"):
+        self._assert_failure("malformed_head", b"HTTP/1.1 200" + own)
+        for status_line in (b"HTTP/1.1 200 O", b"HTTP/1.1 200 OK\r"):
             self._assert_failure("two_answers", status_line + own)
         self._assert_failure("two_answers", b"HTTP/1.1 200 OK\r\n", own)
         for start in (b"Da", b"Date:", b"Date: Sun, 0", b"Date: Sun\r"):
@@ -57,12 +58,39 @@
         self._assert_failure("two_answers", *lines)
 
     def test_values_that_name_a_protocol(self) -> None:
-        for value in (b"HTTP/1.1", b"HTTP/1.1 proxy-1", b"HTTP/2 20000"):
+        for value in (b"HTTP/1.1", b"HTTP/1.1 proxy-1", b"HTTP/1.1 192.168.0.7:80"):
             lines = (b"HTTP/1.1 200 OK\r\n", b"Via: " + value + b"\r\n", b"\r\n")
             self.assertIsInstance(_read(*lines), BackendHead, value)
 
-    def test_status_that_is_no_number(self) -> None:
-        self._assert_failure("malformed_head", b"HTTP/1.1 OK\r\n", b"\r\n")
+    def test_status_lines_of_other_forms(self) -> None:
+        # A form that is accepted alone but not found behind a part of another head
+        # would pass with the status of that part.
+        for start in (
+            b"HTTP/1.1 OK",
+            b"http/1.1 500",
+            b"HTTP/1.1\t500",
+            b"HTTP/1.1  500",
+            b"HTTP/1.1 0500",
+            b"HTTP/1.1 5000",
+            b"HTTP/2 500",
+            b" HTTP/1.1 500",
+            b"Date: now",
+        ):
+            self._assert_failure("malformed_head", start + b"\r\n")
+            self._assert_failure("malformed_head", start + b" X\r\n")
+
+    def test_status_lines_without_a_reason(self) -> None:
+        for line in (b"HTTP/1.0 500\r\n", b"HTTP/1.1 500 \r\n", b"HTTP/1.1 500\n"):
+            self.assertEqual(BackendHead(500, "", ()), _read(line, b"\n"))
+            self._assert_failure("two_answers", b"HTTP/1.1 200 X\r\n", b"Da" + line)
+
+    def test_line_that_begins_with_a_carriage_return(self) -> None:
+        # libcurl ends the head there and keeps the connection.
+        self._assert_failure("malformed_head", b"HTTP/1.1 200 OK\r\n", b"\rA: b\r\n")
+
+    def test_line_of_blanks_belongs_to_the_head(self) -> None:
+        head = _read(b"HTTP/1.1 200 OK\r\n", b"  \r\n", b"A: b\r\n", b"\r\n")
+        self.assertEqual((("A", "b"),), head.headers)
 
     def test_detail_is_bounded(self) -> None:
         failure = _read(b"HTTP/1.1 200 OK\r\n", b"A" * 5000 + b"HTTP/1.1 500 X\r\n")
