Read an answer to its end although its link has ended

What callers saw: no case is known; a whole answer could be broken off.

Cause: RemoteCall.read_body looked for a failure before the answer's end, and the end of a link is a failure for all calls on it that aren't forgotten yet.

Evidence: two tests of test_remote_call.py failed.

Change: the end counts first.

Why it works: nothing more is to come once the end has arrived.

--- a/burdockdock/proxy/remote_call.py
+++ b/burdockdock/proxy/remote_call.py
@@ -72,10 +72,10 @@
     async def read_body(self) -> bytes | Failure | None:
         """Return the next chunk of the answer body, or None at its end."""
         while not self._chunks:
-            if self._failure is not None:
-                return self._failure
             if self._ended:
                 return None
+            if self._failure is not None:
+                return self._failure
             self._arrived.clear()
             await self._arrived.wait()
         data = b"".join(self._chunks)
