Let nothing arrive again that the retry budget isn't charged for

Cause: if a kept connection ends before the first byte of an answer, libcurl sends the request again by itself, up to five times. The gate let it do so for 20 ms after the sending, with no charge. A refusal by a backend server (`other_instance`) was taken for one by a node, and the attempt after it was free; a charge whose attempt no backend server saw was kept.

Change: the gate sends each request once; libcurl may neither open a connection nor use one for a second sending. `proxy.arrival_charges` alone decides whether a call may arrive once more, and charges it; a charge that no arrival used is given back. A kept connection that ends within 20 ms is a failure of its own, `kept_connection_ended`: the caller's node sends an idempotent request to the same backend server once more, where the gate gives it a connection of its own. That is no further backend server, so that it uses none of the attempts of the route, and no fault of it, so that it counts neither against the member's health nor as evidence about its version; what the fresh connection shows does.

Why it works: an arrival needs a sending, a gate sends once for each call that it admits, and each admission is an attempt of a forwarder, which checks time and budget before it; the gate checks draining and the deadline for each of them.

Tests that changed: `test_request_on_a_dead_connection_is_sent_again` held that the gate serves such a request by an uncounted resend, which is the fault. In its place stand that the gate does not send it again, that it serves the request when it comes once more, and, in `test_forwarder`, that the caller's node sends it once more to the same backend server and only within the budget. `may_resend` is gone, and with it its test; that no kind of request is sent again is now asked of arrivals. The naive comparisons still run libcurl without the guard.

--- a/burdockdock/coordination/backoff.py
+++ b/burdockdock/coordination/backoff.py
@@ -49,6 +49,10 @@
         self._balance -= 1.0
         return True
 
+    def give_back(self) -> None:
+        """Undo the spending of one retry, which was not made."""
+        self._balance = min(self._reserve, self._balance + 1.0)
+
 
 class FleetRetryBudget:
     """This node's share of a retry budget for the whole fleet.
@@ -85,6 +89,10 @@
         budget = self._budgets.get(service)
         return budget is not None and budget.try_spend()
 
+    def give_back(self, service: str) -> None:
+        """Undo the spending of one retry of a service, which was not made."""
+        self._budgets[service].give_back()
+
 
 class TokenBucket:
     """Limits the rate of events such as handshakes.
--- a/burdockdock/gate/curl_client.py
+++ b/burdockdock/gate/curl_client.py
@@ -1,7 +1,6 @@
 """Asynchronous HTTP client for backend servers, built on libcurl."""
 
 import asyncio
-from collections.abc import Callable
 
 import pycurl
 
@@ -32,7 +31,6 @@
         request: BackendRequest,
         *,
         check_head: HeadCheck = lambda head, *, first_on_connection: None,
-        may_resend: Callable[[float], bool] = lambda _: False,
     ) -> Transfer:
         """Start a transfer.
 
@@ -40,14 +38,9 @@
             carried no request before; returns a failure for an answer that must not be
             used. Unless the failure proves that the request didn't run, the connection
             is closed, since the request's own answer may still arrive on it.
-        :param may_resend: returns whether libcurl may send the request once more, given
-            the seconds since it was sent. It does so by itself if a reused connection
-            ends without an answer.
         """
         easy = self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
-        transfer = Transfer(
-            easy, request, self, check_head=check_head, may_resend=may_resend
-        )
+        transfer = Transfer(easy, request, self, check_head=check_head)
         self._transfers[easy] = transfer
         self._multi.add_handle(easy)
         return transfer
--- a/burdockdock/gate/exchange.py
+++ b/burdockdock/gate/exchange.py
@@ -9,8 +9,6 @@
 _CURL_DEFAULT_HEADERS = ("Accept", "User-Agent", "Expect")
 _METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
 _MIN_TIMEOUT_S = 0.001
-# Time within which the backend server's machine resets a connection that it forgot.
-_DEAD_CONNECTION_S = 0.02
 
 
 def backend_request(
@@ -45,20 +43,6 @@
     )
 
 
-def may_resend(request: CallRequest, since_sent_s: float) -> bool:
-    """Return whether a request may be sent once more on another connection.
-
-    A reused connection that ends at once was most likely dead. One that ends later has
-    probably carried the request to the backend server: it is the caller's node that may
-    try again, with the time that is left and from its retry budget. A backend server
-    that breaks off as soon as it has read the request looks like a dead connection.
-
-    :param since_sent_s: seconds from sending the request to the connection's end.
-    """
-    was_dead = since_sent_s < _DEAD_CONNECTION_S
-    return was_dead and request.idempotent and not request.body_length
-
-
 def _curl_headers(request: CallRequest) -> list[str]:
     """Return the request's headers, with libcurl's default headers disabled."""
     headers = [
--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -12,10 +12,11 @@
 from burdockdock.gate.answer_rules import check_answer
 from burdockdock.gate.body_streaming import stream_answer, stream_request_body
 from burdockdock.gate.curl_client import CurlClient
-from burdockdock.gate.exchange import backend_request, may_resend
+from burdockdock.gate.exchange import backend_request
 from burdockdock.gate.headers import OWN_HEADERS, CallHeaders
 from burdockdock.gate.model import (
     DEFAULT_SLOTS,
+    KEPT_CONNECTION_ENDED,
     BackendServer,
     CallResult,
     CallStream,
@@ -43,9 +44,8 @@
 class Gate:
     """Admits calls to one backend server and runs them.
 
-    All calls to the backend server pass through its gate. Setting ``resend_allowed``
-    disables the guard against automatic resends by libcurl, so that measurements can
-    compare both.
+    All calls to the backend server pass through its gate, which sends each of them
+    once at most.
 
     :param observe: called with the result of each call that got past admission.
     :param headers: names of the headers that the backend server understands.
@@ -76,7 +76,6 @@
             durations=self._durations, metrics=metrics, observe=observe
         )
         self._backend: BackendServer | None = None
-        self.resend_allowed = False
         self._draining = False
         self._whole_time_from_s = float("inf")
         self._answer_by_s = float("inf")
@@ -292,7 +291,6 @@
                 was_sent=self._sent_requests.add(request.request_id),
             ),
             check_head=functools.partial(check_answer, self._headers, request),
-            may_resend=functools.partial(self._may_resend, request),
         )
         verdict = Verdict.MAY_HAVE_RUN
         status = 0
@@ -326,16 +324,6 @@
             transfer.cancel()
             self._finish_request_id(request, verdict)
 
-    def _may_resend(self, request: CallRequest, since_sent_s: float) -> bool:
-        """Return whether libcurl may send a request once more.
-
-        The backend server may have started to leave since the request was admitted.
-        """
-        if self.resend_allowed:
-            return True
-        admitted = self._admission_refusal(request) is None
-        return admitted and may_resend(request, since_sent_s)
-
     def _log_call_end(
         self,
         request: CallRequest,
@@ -389,9 +377,12 @@
             verdict=failure.verdict.name.lower(),
             detail=failure.detail,
         )
-        # 503 counts as load shedding, as the request did not run; 0 means no answer.
-        status = 503 if failure.verdict is Verdict.NOT_RUN else 0
-        self._record_result(request, started_s, status=status, complete=False)
+        # A connection that was dead is no evidence about the backend server.
+        if failure.reason != KEPT_CONNECTION_ENDED:
+            # 503 counts as load shedding, as the request did not run; 0 means no
+            # answer.
+            status = 503 if failure.verdict is Verdict.NOT_RUN else 0
+            self._record_result(request, started_s, status=status, complete=False)
         stream.fail(failure)
 
     def _record_result(
--- a/burdockdock/gate/model.py
+++ b/burdockdock/gate/model.py
@@ -6,6 +6,10 @@
 from burdockdock.protocol.calls import AnswerHead
 
 DEFAULT_SLOTS = 8
+# Reason of a failure: a connection that had carried other requests ended at once and
+# without an answer, as one does that the backend server had forgotten. The same gate
+# sends the request on a connection of its own if it arrives there again.
+KEPT_CONNECTION_ENDED = "kept_connection_ended"
 
 
 class BackendServer(NamedTuple):
--- a/burdockdock/gate/transfer.py
+++ b/burdockdock/gate/transfer.py
@@ -1,12 +1,10 @@
 """One request to a backend server and its answer, as a transfer of libcurl.
 
-It streams bodies in both directions, and sends a request only once unless a resend is
-allowed.
+It streams bodies in both directions, and sends a request only once.
 """
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
 import pycurl
@@ -14,6 +12,7 @@
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.gate.backend_head import BackendHead, body_length
 from burdockdock.gate.head_lines import HeadLines
+from burdockdock.gate.model import KEPT_CONNECTION_ENDED
 
 # Reading an answer pauses while this much of its body is buffered.
 _BODY_BUFFER_LIMIT_BYTES = 256 * 1024
@@ -27,6 +26,9 @@
 _MAX_CONNECTION_AGE_S = 60
 # Time after a request was sent within which its connection may be reused.
 MAX_REUSE_S = _MAX_CONNECTION_AGE_S + 1
+# Time after a request was sent within which the backend server's machine resets a
+# connection that it forgot.
+_DEAD_CONNECTION_S = 0.02
 # Returned by the header callback to make libcurl abort the transfer.
 _ABORT_TRANSFER = -1
 # libcurl errors that occur before any byte of the request is sent, and their reasons.
@@ -101,12 +103,11 @@
         client: TransferOwner,
         *,
         check_head: HeadCheck,
-        may_resend: Callable[[float], bool],
     ) -> None:
         self.easy = easy
         self._check_head = check_head
-        self._may_resend = may_resend
         self._sent_at_s = 0.0
+        self._resend_refused = False
         self._opened_connection = False
         # Local port of the connection, 0 before the request is sent, and whether it
         # carried no request before this one.
@@ -211,12 +212,25 @@
         if not self.sent:
             reason = _NOT_SENT_ERRORS.get(code, "not_sent")
             return Failure(Verdict.NOT_RUN, reason, message)
+        if self._was_connection_dead(code):
+            return Failure(Verdict.MAY_HAVE_RUN, KEPT_CONNECTION_ENDED, message)
         if code == pycurl.E_OPERATION_TIMEDOUT:
             return Failure(Verdict.MAY_HAVE_RUN, "backend_timeout", message)
         if code == pycurl.E_PARTIAL_FILE:
             return Failure(Verdict.RAN, "short_body", message)
         return Failure(Verdict.MAY_HAVE_RUN, "backend_connection_broken", message)
 
+    def _was_connection_dead(self, code: int) -> bool:
+        """Return whether the connection was most likely dead when it was used again.
+
+        A backend server that breaks off as soon as it has read the request looks like
+        this as well.
+        """
+        # libcurl can't send a body again; it gives up before it asks.
+        wants_resend = self._resend_refused or code == pycurl.E_SEND_FAIL_REWIND
+        since_sent_s = self._client.now_s() - self._sent_at_s
+        return wants_resend and since_sent_s < _DEAD_CONNECTION_S
+
     def _set_options(self, request: BackendRequest) -> None:
         easy = self.easy
         # Tornado decodes the caller's target as Latin-1; pycurl takes only ASCII text.
@@ -250,23 +264,34 @@
                 easy.setopt(pycurl.INFILESIZE_LARGE, request.body_length)
 
     def _on_socket_opened(self, _fd: int, _purpose: int) -> int:
+        if not self._may_send():
+            return pycurl.SOCKOPT_ERROR
         self._opened_connection = True
         return pycurl.SOCKOPT_OK
 
     def _before_send(
         self, _ip: str, _local_ip: str, _port: int, local_port: int
     ) -> int:
-        """Abort libcurl's own resends unless they are allowed."""
-        now_s = self._client.now_s()
-        if self._send_count and not self._may_resend(now_s - self._sent_at_s):
+        if not self._may_send():
             return pycurl.PREREQFUNC_ABORT
         self.connection_port = local_port
         self.first_on_connection = self._opened_connection
         self._opened_connection = False
-        self._sent_at_s = now_s
+        self._sent_at_s = self._client.now_s()
         self._send_count += 1
         return pycurl.PREREQFUNC_OK
 
+    def _may_send(self) -> bool:
+        """Return whether libcurl may send the request, which it may once.
+
+        It would send it again by itself if a kept connection ends before the first
+        byte of an answer.
+        """
+        if not self._send_count:
+            return True
+        self._resend_refused = True
+        return False
+
     def _on_header(self, line: bytes) -> int | None:
         if self._head.done():
             # A trailer, or its end.
--- a/burdockdock/proxy/attempt_results.py
+++ b/burdockdock/proxy/attempt_results.py
@@ -1,6 +1,7 @@
 """Classifies and logs the results of a call's attempts."""
 
 from burdockdock.coordination.verdict import Failure
+from burdockdock.gate.model import KEPT_CONNECTION_ENDED
 from burdockdock.logs import log_event
 from burdockdock.protocol.calls import AnswerHead, CallRequest
 from burdockdock.proxy.attempts import BACKEND_REFUSED, QUEUE_FULL
@@ -8,8 +9,8 @@
 DEADLINE_PASSED = "deadline_passed"
 PEER_TOO_SLOW = "peer_too_slow"
 _LOAD_SHEDDING_STATUSES = frozenset({429, 503})
-# Reasons that don't count against a member's health: load, lack of time, planned stops
-# and outdated routing.
+# Reasons that don't count against a member's health: load, lack of time, planned stops,
+# outdated routing and a kept connection that was dead.
 _NON_FAULT_REASONS = frozenset(
     {
         QUEUE_FULL,
@@ -26,6 +27,7 @@
         "version_stopped",
         PEER_TOO_SLOW,
         BACKEND_REFUSED,
+        KEPT_CONNECTION_ENDED,
     }
 )
 
--- a/burdockdock/proxy/attempts.py
+++ b/burdockdock/proxy/attempts.py
@@ -4,13 +4,16 @@
 
 from burdockdock.coordination.membership import Member
 from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.gate.model import KEPT_CONNECTION_ENDED
 from burdockdock.proxy.free_slots import MAX_FREE_SLOT_ATTEMPTS_AFTER_WAIT
 from burdockdock.proxy.peer_link import PeerLink
 from burdockdock.proxy.remote_call import RemoteCall
 
 # Reason of a refusal by the backend server itself. Any other failure with the verdict
-# NOT_RUN comes from a node, before the request reached a backend server.
+# NOT_RUN counts as a refusal by a node.
 BACKEND_REFUSED = "backend_refused"
+# Refusals by backend servers, which a request has reached though it didn't run.
+_REFUSALS_BY_BACKENDS = frozenset({BACKEND_REFUSED, "other_instance"})
 # Reason of a gate without a free slot, or with a full queue if the call may wait.
 QUEUE_FULL = "queue_full"
 # Other nodes that are tried after nodes that refused the call or are unreachable.
@@ -58,6 +61,9 @@
     :param free_slot_attempts_after_wait: nodes that may be asked for a free slot after
         the call queued and got none.
     :param queueing_attempts_left: further nodes whose queue may turn out to be full.
+    :param again_id: node to which the next attempt is sent once more, on a connection
+        of its own; empty for any node.
+    :param repeated_ids: nodes to which the call was sent once more for that reason.
     :param must_not_wait: the call already queued and got no slot, or has no time to
         queue, so that it only runs where a slot is free.
     """
@@ -70,6 +76,8 @@
     must_not_wait: bool = False
     free_slot_attempts_after_wait: int = MAX_FREE_SLOT_ATTEMPTS_AFTER_WAIT
     queueing_attempts_left: int = _MAX_QUEUEING_ATTEMPTS
+    again_id: str = ""
+    repeated_ids: frozenset[str] = frozenset()
 
     @property
     def excluded(self) -> frozenset[str]:
@@ -78,6 +86,19 @@
 
     def after(self, outcome: AttemptFailure) -> "RetryState | None":
         """Return the state after a failed attempt, None if no attempt is left."""
+        node_id = outcome.node_id
+        is_dead = outcome.failure.reason == KEPT_CONNECTION_ENDED
+        if is_dead and node_id not in self.repeated_ids:
+            return self._after_dead_connection(node_id)
+        return self._replace(again_id="")._after_other(outcome)
+
+    def _after_dead_connection(self, node_id: str) -> "RetryState":
+        """Send the call to the same backend server, which is no further one."""
+        return self._replace(
+            again_id=node_id, repeated_ids=self.repeated_ids | {node_id}
+        )
+
+    def _after_other(self, outcome: AttemptFailure) -> "RetryState | None":
         node_id = outcome.node_id
         if outcome.failure.reason == QUEUE_FULL and self.free_slot_attempts_left:
             return self._after_full(node_id)
@@ -129,6 +150,12 @@
         )
 
 
+def has_arrived(failure: Failure) -> bool:
+    """Return whether a request may have reached a backend server."""
+    may_have_run = failure.verdict is not Verdict.NOT_RUN
+    return may_have_run or failure.reason in _REFUSALS_BY_BACKENDS
+
+
 def is_refused_by_node(failure: Failure) -> bool:
     """Return whether a node refused the call before it reached a backend server."""
     return failure.verdict is Verdict.NOT_RUN and failure.reason != BACKEND_REFUSED
--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+from collections.abc import Iterable
 
 from burdockdock.clock import Clock
 from burdockdock.coordination.backoff import FleetRetryBudget
@@ -10,6 +11,7 @@
 from burdockdock.coordination.verdict import Failure, Verdict, may_retry
 from burdockdock.metrics import Metrics
 from burdockdock.protocol.calls import AnswerHead
+from burdockdock.proxy.arrival_charges import ArrivalCharges
 from burdockdock.proxy.attempt_results import (
     DEADLINE_PASSED,
     PEER_TOO_SLOW,
@@ -23,7 +25,6 @@
     Attempt,
     AttemptFailure,
     RetryState,
-    is_refused_by_node,
 )
 from burdockdock.proxy.balancer import LARGE_ANSWER_PENALTIES, Balancer
 from burdockdock.proxy.call import Call, Caller, ReplayableBody
@@ -85,12 +86,14 @@
         if body_failure is not None:
             return body_failure
         retry_state = self._initial_state(call)
+        charges = ArrivalCharges(call.request.service, budget=self._budget)
         strongest_failure: Failure | None = None
         while True:
             outcome = await self._attempt(call, caller, body, retry_state)
             if outcome is None:
                 return None
             failure = outcome.failure
+            charges.record_failure(failure)
             if (
                 strongest_failure is None
                 or failure.verdict >= strongest_failure.verdict
@@ -103,11 +106,13 @@
                 left_ms=self._time_left_ms(call),
             )
             next_state = retry_state.after(outcome)
-            has_attempt_left = 0 if next_state is None else 1
-            if not self._should_retry(call, body, failure, has_attempt_left):
+            if next_state is None or not self._should_retry(
+                call, body, failure, charges
+            ):
                 break
-            retry_state = next_state or retry_state
+            retry_state = next_state
             self._metrics.count("retries", label=failure.reason)
+        charges.end()
         # Keep the strongest verdict: if an earlier attempt may have run, a later
         # refusal doesn't change that.
         return strongest_failure
@@ -188,6 +193,10 @@
         if call.key:
             return self._endpoints.member_for_key(service, call.key)
         members = self._endpoints.for_call(service, full=retry_state.excluded)
+        if retry_state.again_id:
+            member = _find(members, retry_state.again_id)
+            if member is not None:
+                return member
         if call.large_answer:
             return self._balancer.pick(
                 members, excluded=retry_state.excluded, penalties=LARGE_ANSWER_PENALTIES
@@ -320,23 +329,15 @@
         call: Call,
         body: ReplayableBody,
         failure: Failure,
-        has_attempt_left: int,
+        charges: ArrivalCharges,
     ) -> bool:
-        """Return whether to make another attempt; charge the retry budget if needed.
-
-        A retry after a refusal by a node spends no budget, since the refused attempt
-        cost the backend servers nothing.
-        """
+        """Return whether to make another attempt; charge it if needed."""
         return (
-            has_attempt_left > 0
-            and failure.reason != _NO_BACKEND_SERVER
+            failure.reason != _NO_BACKEND_SERVER
             and may_retry(failure, idempotent=call.request.idempotent)
             and body.replayable
             and self._time_left_ms(call) > 0
-            and (
-                is_refused_by_node(failure)
-                or self._budget.try_spend(call.request.service)
-            )
+            and charges.may_arrive()
         )
 
     async def _next_chunk(
@@ -361,3 +362,7 @@
 
     def _time_left_ms(self, call: Call) -> int:
         return call.time_left_ms(self._clock.monotonic())
+
+
+def _find(members: Iterable[Member], node_id: str) -> Member | None:
+    return next((m for m in members if m.node_id == node_id), None)
--- a/tests/gate/test_curl_client.py
+++ b/tests/gate/test_curl_client.py
@@ -1,7 +1,6 @@
 """Tests of the HTTP client for backend servers."""
 
 import asyncio
-from collections.abc import Callable
 
 import testtools
 
@@ -63,12 +62,12 @@
     async def _second_post(
         self,
         *,
-        may_resend: Callable[[float], bool] = lambda _: False,
+        resends: bool = False,
         **options: object,
     ) -> tuple[object, int]:
         """Send two POST requests to a server that closes the connection on the second.
 
-        :param may_resend: whether libcurl may resend the second.
+        :param resends: let libcurl resend the second, without the guard.
         :returns: the outcome of the second request, and the number of
             requests that the server received.
         """
@@ -80,9 +79,9 @@
             await first.head()
             while isinstance(await first.read_body(), bytes):
                 pass
-            second = client.start(
-                _request(server.port, **options), may_resend=may_resend
-            )
+            second = client.start(_request(server.port, **options))
+            if resends:
+                second._may_send = lambda: True
             return await second.head(), server.received_requests
         finally:
             client.close()
@@ -91,7 +90,7 @@
     @async_test
     async def test_libcurl_resends_without_the_guard(self) -> None:
         """Reproduces the fault that the guard prevents: one call is received twice."""
-        head, received_requests = await self._second_post(may_resend=lambda _: True)
+        head, received_requests = await self._second_post(resends=True)
         self.assertEqual((200, 3), (head.status, received_requests))
 
     @async_test
--- a/tests/gate/test_resends.py
+++ b/tests/gate/test_resends.py
@@ -1,4 +1,4 @@
-"""Tests of requests that a gate sends once more by itself."""
+"""Tests that a gate sends each request once, also if its connection ends."""
 
 import asyncio
 
@@ -6,9 +6,9 @@
 
 from burdockdock.clock import SystemClock
 from burdockdock.coordination.verdict import Verdict
-from burdockdock.gate import exchange
+from burdockdock.gate import transfer
 from burdockdock.gate.gate import Gate
-from burdockdock.gate.model import BackendServer
+from burdockdock.gate.model import KEPT_CONNECTION_ENDED, BackendServer
 from burdockdock.metrics import Metrics
 from burdockdock.protocol.calls import CallRequest
 from tests import streams
@@ -66,24 +66,30 @@
 class ResendTest(testtools.TestCase):
     """Tests of requests whose connection ends without an answer."""
 
-    async def _call_twice(self, *, work_s: float, leaves: bool = False) -> _Stream:
+    async def _call_twice(
+        self, *, work_s: float, leaves: bool = False, **change: object
+    ) -> _Stream:
         """Make two calls on one connection; return the second.
 
         :param leaves: whether the backend server leaves while it runs the second.
+        :param change: of the second request's fields.
         """
         self.backend = _LossyBackend(work_s)
         server = await streams.start_server(self.backend.serve, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
-        gate = Gate(clock=SystemClock(), metrics=Metrics())
-        gate.announce(BackendServer("work", "1", "127.0.0.1", port, 1))
-        await gate.run(_REQUEST, _Stream())
+        self.results = []
+        self.gate = Gate(
+            clock=SystemClock(), metrics=Metrics(), observe=self.results.append
+        )
+        self.gate.announce(BackendServer("work", "1", "127.0.0.1", port, 1))
+        await self.gate.run(_REQUEST, _Stream())
         stream = _Stream()
         # A request that was sent before would get a connection of its own.
-        second = _REQUEST._replace(request_id="id-2")
-        call = asyncio.create_task(gate.run(second, stream))
+        self.second = _REQUEST._replace(request_id="id-2", **change)
+        call = asyncio.create_task(self.gate.run(self.second, stream))
         if leaves:
             await asyncio.sleep(0)
-            gate.start_draining()
+            self.gate.start_draining()
         await call
         return stream
 
@@ -93,23 +99,57 @@
         stream = await self._call_twice(work_s=_WORK_S)
         self.assertEqual(2, self.backend.arrivals)
         self.assertIs(Verdict.MAY_HAVE_RUN, stream.failure.verdict)
+        self.assertEqual("backend_connection_broken", stream.failure.reason)
+        self.assertEqual([False, True], [result.failed for result in self.results])
 
     @async_test
-    async def test_request_on_a_dead_connection_is_sent_again(self) -> None:
-        self.patch(exchange, "_DEAD_CONNECTION_S", 60.0)
-        stream = await self._call_twice(work_s=0.0)
+    async def test_request_on_a_dead_connection_is_not_sent_again_by_the_gate(
+        self,
+    ) -> None:
+        # Guards against arrivals that no retry budget is charged for.
+        self.patch(transfer, "_DEAD_CONNECTION_S", 60.0)
+        for change in ({}, {"method": "PUT", "body_length": 4, "body": b"body"}):
+            stream = await self._call_twice(work_s=0.0, **change)
+            self.assertEqual(2, self.backend.arrivals, change)
+            self.assertEqual(
+                (Verdict.MAY_HAVE_RUN, KEPT_CONNECTION_ENDED), stream.failure[:2]
+            )
+
+    @async_test
+    async def test_request_on_a_dead_connection_is_served_when_it_comes_again(
+        self,
+    ) -> None:
+        self.patch(transfer, "_DEAD_CONNECTION_S", 60.0)
+        await self._call_twice(work_s=0.0)
+        stream = _Stream()
+        await self.gate.run(self.second, stream)
         self.assertEqual((200, 3), (stream.status, self.backend.arrivals))
 
+    @async_test
+    async def test_dead_connection_is_no_evidence_about_the_backend_server(
+        self,
+    ) -> None:
+        self.patch(transfer, "_DEAD_CONNECTION_S", 60.0)
+        await self._call_twice(work_s=0.0)
+        self.assertEqual([False], [result.failed for result in self.results])
+
     @async_test
     async def test_leaving_backend_server_gets_no_request_again(self) -> None:
-        self.patch(exchange, "_DEAD_CONNECTION_S", 60.0)
+        self.patch(transfer, "_DEAD_CONNECTION_S", 60.0)
         stream = await self._call_twice(work_s=_WORK_S, leaves=True)
         self.assertEqual(2, self.backend.arrivals)
         self.assertIs(Verdict.MAY_HAVE_RUN, stream.failure.verdict)
+        again = _Stream()
+        await self.gate.run(self.second, again)
+        self.assertEqual(2, self.backend.arrivals)
+        self.assertEqual((Verdict.NOT_RUN, "draining"), again.failure[:2])
 
-    def test_only_idempotent_requests_without_a_body_are_sent_again(self) -> None:
-        for change in ({"idempotent": False}, {"body_length": 3}):
-            request = _REQUEST._replace(**change)
-            self.assertFalse(exchange.may_resend(request, 0.0), change)
-        self.assertTrue(exchange.may_resend(_REQUEST, 0.0))
-        self.assertFalse(exchange.may_resend(_REQUEST, 0.021))
+    @async_test
+    async def test_no_kind_of_request_is_sent_again(self) -> None:
+        for change in (
+            {"idempotent": False},
+            {"body_length": 4, "body": b"body"},
+            {"method": "HEAD"},
+        ):
+            await self._call_twice(work_s=0.0, **change)
+            self.assertEqual(2, self.backend.arrivals, change)
--- a/tests/proxy/fault_matrix.py
+++ b/tests/proxy/fault_matrix.py
@@ -6,7 +6,7 @@
 import asyncio
 import json
 from collections.abc import Awaitable, Callable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPError, HTTPRequest
@@ -15,7 +15,9 @@
 
 from burdockdock.coordination.membership import Member
 from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.gate.curl_client import CurlClient
 from burdockdock.gate.model import BackendServer
+from burdockdock.gate.transfer import Transfer
 from tests.fleet import CONFIG, HOST, Fleet, running_fleet
 from tests.relay import Moment, Relay
 from tests.support import eventually
@@ -97,7 +99,7 @@
     def _disable_safeguards(self) -> None:
         """Retry after any error, without dedupe, outcome queries or resend checks."""
         forwarder = self.fleet.nodes["a"].context.forwarder
-        forwarder._should_retry = lambda call, body, failure, left: left > 0
+        forwarder._should_retry = lambda call, body, failure, charges: True
 
         async def resolve_outcome(
             attempt: object, call: object, failure: Failure
@@ -107,7 +109,7 @@
         forwarder._resolve_outcome = resolve_outcome
         for node in self.fleet.nodes.values():
             node.gate._claim = lambda request, deadline_s: None
-            node.gate.resend_allowed = True
+            _allow_resends(node.gate._client)
 
     async def _connect(self, host: str, port: int) -> IOStream:
         """Connect node a to other nodes, to node b through the relay."""
@@ -122,6 +124,18 @@
             self.backend.close()
 
 
+def _allow_resends(client: CurlClient) -> None:
+    """Let libcurl send requests again by itself."""
+    start = client.start
+
+    def start_unguarded(*args: Any, **options: Any) -> Transfer:
+        transfer = start(*args, **options)
+        transfer._may_send = lambda: True
+        return transfer
+
+    client.start = start_unguarded
+
+
 async def _cut(testbed: _Testbed, relay: Relay) -> None:
     relay.cut()
 
--- a/tests/proxy/test_forwarder.py
+++ b/tests/proxy/test_forwarder.py
@@ -9,6 +9,7 @@
 from burdockdock.coordination.backoff import FleetRetryBudget
 from burdockdock.coordination.membership import Member
 from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.gate.model import KEPT_CONNECTION_ENDED
 from burdockdock.metrics import Metrics
 from burdockdock.protocol.calls import CallRequest, GateResults
 from burdockdock.protocol.codec import frame
@@ -75,6 +76,8 @@
         self,
         links: dict[str, FakeLink | PeerLink | None],
         clock: ManualClock | SystemClock | None = None,
+        *,
+        reserve: float = 9.0,
     ) -> None:
         self.clock = clock or SystemClock()
         self._links = links
@@ -82,13 +85,14 @@
             Member(name, name, 1, "r", "z", 1, ready=True, service="work", slots=1)
             for name in links
         ]
+        self.budget = FleetRetryBudget(share=0.0, reserve=reserve, nodes=lambda: 1)
         self.forwarder = Forwarder(
             links=self,
             endpoints=self,
             balancer=self,
             clock=self.clock,
             metrics=Metrics(),
-            retry_budget=FleetRetryBudget(share=0.0, reserve=9.0, nodes=lambda: 1),
+            retry_budget=self.budget,
         )
 
     async def call(self, *, idempotent: bool = False, retries: int = 1) -> Failure:
@@ -128,6 +132,9 @@
 
 
 _QUEUE_FULL = Failure(Verdict.NOT_RUN, "queue_full")
+_DEAD = Failure(Verdict.MAY_HAVE_RUN, KEPT_CONNECTION_ENDED)
+_DRAINING = Failure(Verdict.NOT_RUN, "draining")
+_LOST = Failure(Verdict.MAY_HAVE_RUN, "backend_connection_broken")
 
 
 class LinkOpeningTest(testtools.TestCase):
@@ -273,3 +280,85 @@
         )
         self.assertTrue(all(link.sent for link in links.values()))
         self.assertEqual(lost, failure)
+
+
+class DeadConnectionTest(testtools.TestCase):
+    """Tests of calls that met a dead connection to a backend server."""
+
+    async def _call(
+        self, *results: Failure, retries: int = 1, reserve: float = 9.0
+    ) -> tuple[int, int]:
+        """Make an idempotent call; each backend server fails all that it gets.
+
+        :returns: how often the first and the second of two nodes got the call.
+        """
+        links = {
+            name: FakeLink(name, result)
+            for name, result in zip("ab", results, strict=True)
+        }
+        fixture = ForwarderFixture(links, reserve=reserve)
+        await fixture.call(idempotent=True, retries=retries)
+        return len(links["a"].sent), len(links["b"].sent)
+
+    @async_test
+    async def test_the_same_backend_server_gets_the_call_once_more(self) -> None:
+        # Guards against a loss of calls that may be sent to one backend server only.
+        self.assertEqual((2, 0), await self._call(_DEAD, _DEAD, retries=0))
+
+    @async_test
+    async def test_a_further_one_is_tried_afterwards(self) -> None:
+        self.assertEqual((2, 2), await self._call(_DEAD, _DEAD, retries=1))
+
+    @async_test
+    async def test_no_arrival_without_budget(self) -> None:
+        for arrivals, reserve in ((2, 1.0), (3, 2.0), (4, 9.0)):
+            sent = await self._call(_DEAD, _DEAD, reserve=reserve)
+            self.assertEqual(arrivals, sum(sent), reserve)
+
+    @async_test
+    async def test_a_request_that_may_run_once_is_not_sent_again(self) -> None:
+        link = FakeLink("a", _DEAD)
+        await ForwarderFixture({"a": link}).call(idempotent=False)
+        self.assertEqual(1, len(link.sent))
+
+
+class ArrivalChargeTest(testtools.TestCase):
+    """Tests of what the retry budget is charged."""
+
+    async def _call(self, *results: Failure, retries: int = 1) -> tuple[int, int]:
+        """Make an idempotent call to nodes with these results.
+
+        :returns: the attempts that were made, and the charges of nine that were used.
+        """
+        links = {
+            name: FakeLink(name, result)
+            for name, result in zip("abcdefg", results, strict=False)
+        }
+        fixture = ForwarderFixture(links)
+        await fixture.call(idempotent=True, retries=retries)
+        left = 0
+        while fixture.budget.try_spend("work"):
+            left += 1
+        return sum(len(link.sent) for link in links.values()), 9 - left
+
+    @async_test
+    async def test_attempts_that_no_backend_server_saw_cost_nothing(self) -> None:
+        self.assertEqual((5, 0), await self._call(*[_DRAINING] * 5))
+
+    @async_test
+    async def test_arrivals_that_a_backend_server_rejects_are_charged(self) -> None:
+        # Guards against repeated arrivals at addresses of other backend servers.
+        for reason in ("other_instance", "backend_refused"):
+            rejection = Failure(Verdict.NOT_RUN, reason)
+            attempts, charges = await self._call(*[rejection] * 5, retries=3)
+            self.assertGreater(attempts, 3, reason)
+            self.assertEqual(attempts - 1, charges, reason)
+
+    @async_test
+    async def test_a_charge_without_an_arrival_is_given_back(self) -> None:
+        self.assertEqual((6, 0), await self._call(_LOST, *[_DRAINING] * 5))
+
+    @async_test
+    async def test_a_charge_pays_for_one_arrival_after_refusals(self) -> None:
+        result = await self._call(_LOST, _DRAINING, _DRAINING, _LOST)
+        self.assertEqual((4, 1), result)
