Move the call to the backend server out of the gate

Cause: gate.py had 400 lines with two jobs, admission and the call that follows it.

Change: gate.backend_call sends admitted calls and forwards their answers; gate.gate (289 lines) claims, queues and refuses. Code is moved, not changed, but that `gate.ended` names the instance to which the request was sent, also if another one has announced itself meanwhile.

--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -1,4 +1,4 @@
-"""Admission control for one backend server: deduplication, slots and the call."""
+"""Admission control for one backend server: deduplication and slots."""
 
 import asyncio
 import functools
@@ -9,21 +9,15 @@
 from burdockdock.coordination.duration_estimator import DurationEstimator
 from burdockdock.coordination.limiter import SlotLimiter
 from burdockdock.coordination.verdict import Failure, Verdict
-from burdockdock.gate.answer_rules import check_answer
-from burdockdock.gate.body_streaming import stream_answer, stream_request_body
-from burdockdock.gate.curl_client import CurlClient
-from burdockdock.gate.exchange import backend_request
+from burdockdock.gate.backend_call import BackendCalls
 from burdockdock.gate.headers import OWN_HEADERS, CallHeaders
 from burdockdock.gate.model import (
     DEFAULT_SLOTS,
-    KEPT_CONNECTION_ENDED,
     BackendServer,
     CallResult,
     CallStream,
 )
 from burdockdock.gate.results import ResultTracker
-from burdockdock.gate.sent_requests import SentRequests
-from burdockdock.gate.transfer import MAX_REUSE_S, Transfer
 from burdockdock.logs import log_event
 from burdockdock.metrics import Metrics
 from burdockdock.protocol.calls import CallRequest, GateResults
@@ -64,17 +58,21 @@
     ) -> None:
         self._is_stopped = is_stopped
         self._clock = clock
-        self._headers = headers
         self._refuses_calls_from_s = float("inf")
         self._metrics = metrics
-        self._client = CurlClient()
-        self._sent_requests = SentRequests(clock=clock, kept_s=MAX_REUSE_S)
         self._limiter = SlotLimiter(slots=DEFAULT_SLOTS, clock=clock)
         self._dedupe = DedupeTable(clock=clock)
         self._durations = DurationEstimator()
         self._results = ResultTracker(
             durations=self._durations, metrics=metrics, observe=observe
         )
+        self._backend_calls = BackendCalls(
+            clock=clock,
+            metrics=metrics,
+            headers=headers,
+            limiter=self._limiter,
+            results=self._results,
+        )
         self._backend: BackendServer | None = None
         self._draining = False
         self._whole_time_from_s = float("inf")
@@ -188,7 +186,13 @@
                 self._dedupe.release(request.request_id)
                 self._send_refusal(request, refusal, stream)
                 return
-            await self._call_backend(request, stream, deadline_s)
+            await self._backend_calls.run(
+                request,
+                self._backend,
+                stream,
+                deadline_s=deadline_s,
+                on_end=functools.partial(self._finish_request_id, request),
+            )
         finally:
             self._limiter.release(request.workspace)
 
@@ -277,116 +281,9 @@
         )
         stream.fail(refusal)
 
-    async def _call_backend(
-        self, request: CallRequest, stream: CallStream, deadline_s: float
-    ) -> None:
-        """Send the request; once its first byte is sent, it may have run."""
-        started_s = self._clock.monotonic()
-        transfer = self._client.start(
-            backend_request(
-                self._headers,
-                request,
-                self._backend,
-                time_left_s=deadline_s - started_s,
-                was_sent=self._sent_requests.add(request.request_id),
-            ),
-            check_head=functools.partial(check_answer, self._headers, request),
-        )
-        verdict = Verdict.MAY_HAVE_RUN
-        status = 0
-        upload = self._start_upload(request, stream, transfer)
-        try:
-            head = await transfer.head()
-            if isinstance(head, Failure):
-                verdict = head.verdict
-                self._fail_call(request, stream, head, started_s)
-                return
-            verdict = Verdict.RAN
-            status = head.status
-            complete = await stream_answer(
-                transfer,
-                head,
-                stream,
-                load=self.load,
-                results=self.results(request.route),
-                deadline_s=deadline_s,
-                clock=self._clock,
-            )
-            self._record_result(
-                request, started_s, status=head.status, complete=complete
-            )
-        finally:
-            if upload is not None:
-                upload.cancel()
-            if verdict is not Verdict.RAN and not transfer.sent:
-                verdict = Verdict.NOT_RUN
-            self._log_call_end(request, verdict, started_s, transfer, status=status)
-            transfer.cancel()
-            self._finish_request_id(request, verdict)
-
-    def _log_call_end(
-        self,
-        request: CallRequest,
-        verdict: Verdict,
-        started_s: float,
-        transfer: Transfer,
-        *,
-        status: int,
-    ) -> None:
-        backend = self._backend
-        log_event(
-            "gate.ended",
-            request=request.request_id,
-            route=request.route,
-            instance=backend.instance_id if backend else "",
-            verdict=verdict.name.lower(),
-            status=status,
-            connection=transfer.connection_port,
-            first=transfer.first_on_connection,
-            seconds_s=self._clock.monotonic() - started_s,
-            in_use=self._limiter.in_use,
-            queued=self._limiter.queued,
-        )
-
     def _finish_request_id(self, request: CallRequest, verdict: Verdict) -> None:
         """Record the outcome if the request may have run, else release its id."""
         if verdict is Verdict.NOT_RUN:
             self._dedupe.release(request.request_id)
         else:
             self._dedupe.finish(request.request_id, verdict)
-
-    def _start_upload(
-        self, request: CallRequest, stream: CallStream, transfer: Transfer
-    ) -> "asyncio.Task[None] | None":
-        if request.body_length == 0:
-            return None
-        return asyncio.create_task(stream_request_body(request, stream, transfer))
-
-    def _fail_call(
-        self,
-        request: CallRequest,
-        stream: CallStream,
-        failure: Failure,
-        started_s: float,
-    ) -> None:
-        self._metrics.count("gate_failures", label=failure.reason)
-        log_event(
-            "gate.failed",
-            request=request.request_id,
-            reason=failure.reason,
-            verdict=failure.verdict.name.lower(),
-            detail=failure.detail,
-        )
-        # A connection that was dead is no evidence about the backend server.
-        if failure.reason != KEPT_CONNECTION_ENDED:
-            # 503 counts as load shedding, as the request did not run; 0 means no
-            # answer.
-            status = 503 if failure.verdict is Verdict.NOT_RUN else 0
-            self._record_result(request, started_s, status=status, complete=False)
-        stream.fail(failure)
-
-    def _record_result(
-        self, request: CallRequest, started_s: float, *, status: int, complete: bool
-    ) -> None:
-        duration_s = self._clock.monotonic() - started_s
-        self._results.record(request, duration_s, status=status, complete=complete)
--- a/tests/proxy/fault_matrix.py
+++ b/tests/proxy/fault_matrix.py
@@ -109,7 +109,7 @@
         forwarder._resolve_outcome = resolve_outcome
         for node in self.fleet.nodes.values():
             node.gate._claim = lambda request, deadline_s: None
-            _allow_resends(node.gate._client)
+            _allow_resends(node.gate._backend_calls._client)
 
     async def _connect(self, host: str, port: int) -> IOStream:
         """Connect node a to other nodes, to node b through the relay."""
