Work out in one place whether a stop would cut a call

Cause: `proxy.call_factory` and `gate.gate` each compared a call's time with the end of the stop.

Change: `coordination.shutdown.ShutdownLimit` holds the two times and compares; context and gate hold one each, with the time from which each of them refuses. What is refused is the same; tests that set the two times set the limit now.

--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -8,6 +8,7 @@
 from burdockdock.coordination.dedupe import DedupeTable
 from burdockdock.coordination.duration_estimator import DurationEstimator
 from burdockdock.coordination.limiter import SlotLimiter
+from burdockdock.coordination.shutdown import ShutdownLimit
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.gate.backend_call import BackendCalls
 from burdockdock.gate.headers import OWN_HEADERS, CallHeaders
@@ -75,8 +76,7 @@
         )
         self._backend: BackendServer | None = None
         self._draining = False
-        self._whole_time_from_s = float("inf")
-        self._answer_by_s = float("inf")
+        self._shutdown = ShutdownLimit()
         self._running = 0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -121,14 +121,9 @@
         elif self._refuses_calls_from_s == float("inf"):
             self._refuses_calls_from_s = self._clock.monotonic() + _LEAVE_PROPAGATION_S
 
-    def limit_to_shutdown(self, *, from_s: float, answer_by_s: float) -> None:
-        """Refuse calls that may take longer than this node runs.
-
-        :param from_s: monotonic time from which such calls are refused.
-        :param answer_by_s: monotonic time by which calls must be answered.
-        """
-        self._whole_time_from_s = from_s
-        self._answer_by_s = answer_by_s
+    def limit_to_shutdown(self, limit: ShutdownLimit) -> None:
+        """Refuse calls that may take longer than this node runs."""
+        self._shutdown = limit
 
     def start_draining(self) -> None:
         """Refuse new calls from now on."""
@@ -249,9 +244,9 @@
 
     def _shutdown_would_cut(self, request: CallRequest) -> bool:
         """Return whether this node may stop before the call's deadline."""
-        now_s = self._clock.monotonic()
-        ends_late = now_s + request.time_left_ms / 1000 > self._answer_by_s
-        return ends_late and now_s >= self._whole_time_from_s
+        return self._shutdown.would_cut(
+            request.time_left_ms / 1000, now_s=self._clock.monotonic()
+        )
 
     def _backend_refusal(self, request: CallRequest) -> Failure | None:
         """Return why the backend server can't take the request, None if it can."""
--- a/burdockdock/node/draining.py
+++ b/burdockdock/node/draining.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from burdockdock.clock import Clock
+from burdockdock.coordination.shutdown import ShutdownLimit
 from burdockdock.gate.gate import Gate
 from burdockdock.logs import log_event
 from burdockdock.node.settings import NodeSettings
@@ -79,11 +80,13 @@
     """
     started_s = clock.monotonic()
     log_event("node.draining", calls=context.open_calls)
-    context.answer_by_s = started_s + timing.answer_timeout_s
-    context.whole_time_from_s = started_s + timing.notice_s - _WHOLE_TIME_LEAD_S
+    context.shutdown = ShutdownLimit(
+        whole_time_from_s=started_s + timing.notice_s - _WHOLE_TIME_LEAD_S,
+        answer_by_s=started_s + timing.answer_timeout_s,
+    )
     context.draining = True
     gate.limit_to_shutdown(
-        from_s=started_s + _GOSSIP_NOTICE_S, answer_by_s=context.answer_by_s
+        context.shutdown._replace(whole_time_from_s=started_s + _GOSSIP_NOTICE_S)
     )
     await asyncio.sleep(timing.notice_s)
     caller_server.stop()
--- a/burdockdock/proxy/call_factory.py
+++ b/burdockdock/proxy/call_factory.py
@@ -128,10 +128,9 @@
     Callers that still send calls after the notice would see a shortened one cut while
     its backend server works on it, so such a call gets no time at all.
     """
-    left_ms = max(0.0, context.answer_by_s - now_s) * 1000
-    if timeout_ms > left_ms and now_s >= context.whole_time_from_s:
+    if context.shutdown.would_cut(timeout_ms / 1000, now_s=now_s):
         return 0
-    return int(min(timeout_ms, left_ms))
+    return int(min(timeout_ms, context.shutdown.time_left_s(now_s) * 1000))
 
 
 def _is_idempotent(route: Route, method: str) -> bool:
--- a/burdockdock/proxy/context.py
+++ b/burdockdock/proxy/context.py
@@ -5,6 +5,7 @@
 
 from burdockdock.clock import Clock
 from burdockdock.configuration.model import Snapshot
+from burdockdock.coordination.shutdown import ShutdownLimit
 from burdockdock.gate.headers import OWN_HEADERS, CallHeaders
 from burdockdock.metrics import Metrics
 from burdockdock.proxy.forwarder import Forwarder
@@ -15,11 +16,10 @@
 
     While ``draining``, the node asks callers by ``Connection: close`` to send their
     next calls to other nodes. While ``refusing``, it refuses every new call,
-    because none could end before the node stops. ``answer_by_s`` bounds the deadlines
-    of calls, in monotonic seconds. A call that arrives from ``whole_time_from_s`` on is
-    refused unless all of its time passes before ``answer_by_s``. If ``may_wait`` is
-    false, calls don't queue: they get a free slot or are refused. ``open_calls`` counts
-    the calls in progress.
+    because none could end before the node stops. ``shutdown`` bounds the deadlines of
+    calls and says which of them are refused before. If ``may_wait`` is false, calls
+    don't queue: they get a free slot or are refused. ``open_calls`` counts the calls in
+    progress.
 
     :param missing_version: returns the configuration version that is known to exist
         but has not arrived at this node, 0 for none.
@@ -54,8 +54,7 @@
         self.metrics = metrics
         self.draining = False
         self.refusing = False
-        self.answer_by_s = float("inf")
-        self.whole_time_from_s = float("inf")
+        self.shutdown = ShutdownLimit()
         self.may_wait = True
         self.open_calls = 0
 
--- a/tests/gate/test_gate.py
+++ b/tests/gate/test_gate.py
@@ -5,6 +5,7 @@
 import testtools
 
 from burdockdock.clock import ManualClock
+from burdockdock.coordination.shutdown import ShutdownLimit
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.gate.gate import Gate
 from burdockdock.gate.model import BackendServer
@@ -65,7 +66,7 @@
         gate = Gate(clock=clock, metrics=Metrics())
         gate.announce(BackendServer("work", "1", "127.0.0.1", 1, 1))
         stopped_at_s = clock.monotonic()
-        gate.limit_to_shutdown(from_s=stopped_at_s + 1, answer_by_s=stopped_at_s + 3)
+        gate.limit_to_shutdown(ShutdownLimit(stopped_at_s + 1, stopped_at_s + 3))
         self.assertFalse(gate._shutdown_would_cut(_REQUEST._replace(time_left_ms=9000)))
         clock.advance(1.5)
         self.assertFalse(gate._shutdown_would_cut(_REQUEST))
--- a/tests/node/test_draining.py
+++ b/tests/node/test_draining.py
@@ -7,6 +7,7 @@
 import testtools
 
 from burdockdock.clock import SystemClock
+from burdockdock.coordination.shutdown import ShutdownLimit
 from burdockdock.node import draining
 from burdockdock.node.draining import DrainTiming, drain, drain_timing
 from tests.support import async_test
@@ -24,7 +25,7 @@
         self.running = 0
         self.idle = asyncio.Event()
 
-    def limit_to_shutdown(self, *, from_s: float, answer_by_s: float) -> None:
+    def limit_to_shutdown(self, limit: ShutdownLimit) -> None:
         """Refuse calls that may take longer than the node runs."""
 
     def start_draining(self) -> None:
@@ -135,7 +136,9 @@
         before_s = clock.monotonic()
         await _start_drain(context, gate)
         self.assertTrue(
-            before_s < context.answer_by_s < before_s + _TIMING.shutdown_timeout_s
+            before_s
+            < context.shutdown.answer_by_s
+            < before_s + _TIMING.shutdown_timeout_s
         )
 
     @async_test
--- a/tests/proxy/test_call_factory.py
+++ b/tests/proxy/test_call_factory.py
@@ -13,6 +13,7 @@
     RouteMatch,
     Service,
 )
+from burdockdock.coordination.shutdown import ShutdownLimit
 from burdockdock.coordination.verdict import Failure
 from burdockdock.gate.headers import OWN_HEADERS
 from burdockdock.proxy.call import Call
@@ -41,8 +42,10 @@
         availability_zone="z",
         node_id="n",
         clock=clock,
-        answer_by_s=stopped_at_s + _ANSWER_BY_S,
-        whole_time_from_s=stopped_at_s + _WHOLE_TIME_FROM_S,
+        shutdown=ShutdownLimit(
+            whole_time_from_s=stopped_at_s + _WHOLE_TIME_FROM_S,
+            answer_by_s=stopped_at_s + _ANSWER_BY_S,
+        ),
         replaced_headers=frozenset(),
         may_wait=True,
     )
--- a/tests/proxy/test_traffic_split.py
+++ b/tests/proxy/test_traffic_split.py
@@ -21,6 +21,7 @@
     SplitPart,
 )
 from burdockdock.coordination.membership import Member
+from burdockdock.coordination.shutdown import ShutdownLimit
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.gate.headers import OWN_HEADERS
 from burdockdock.proxy.call import Call
@@ -78,8 +79,7 @@
             availability_zone="z",
             node_id="n",
             clock=self.clock,
-            answer_by_s=float("inf"),
-            whole_time_from_s=float("inf"),
+            shutdown=ShutdownLimit(),
             replaced_headers=frozenset(),
             may_wait=True,
         )
