Leave half of the retry budget to the calls of repeated runs

Cause: the calls of a run that is a repeat count as repeats at the service that they go to, and no budget is charged for them. A quarter of the budget was left for them. In a chain of two services the second gets as many of them as the first one's retries.

Change: proxies use half of what the settings allow. The page on the wire gives a call its own id and a deadline no later than its parent's, so that a node can't tell from a call which run made it; charging it exactly would need that.

Why it works: the requests for the called service include the calls of first runs, so that the budget of the service that calls, for its part, isn't larger than that of the called one. Two budgets of a half each fit. It doesn't hold for deeper chains, for runs with several calls, and with more nodes than half of the reserve, each of which still has one retry saved up.

--- a/burdockdock/node/proxy_setup.py
+++ b/burdockdock/node/proxy_setup.py
@@ -17,8 +17,10 @@
 from burdockdock.proxy.peer_link import PeerLinks
 
 # Share of the fleet's retry budget for retries by this proxy. The rest is left for the
-# calls that a backend server makes again while it handles a retried call.
-_PROXY_RETRY_SHARE = 0.75
+# calls that a backend server makes again while it handles a retried call: no message
+# says which calls these are. A service called once by each run of another gets at most
+# as many of them as the other's retries, whose budget isn't larger than its own.
+_PROXY_RETRY_SHARE = 0.5
 
 
 def build_context(
@@ -58,11 +60,7 @@
         balancer=balancer,
         clock=clock,
         metrics=metrics,
-        retry_budget=FleetRetryBudget(
-            share=settings.retry_share * _PROXY_RETRY_SHARE,
-            reserve=settings.retry_reserve * _PROXY_RETRY_SHARE,
-            nodes=lambda: len(membership),
-        ),
+        retry_budget=build_retry_budget(settings, nodes=lambda: len(membership)),
     )
     return CallContext(
         node_id=settings.name,
@@ -78,6 +76,20 @@
     )
 
 
+def build_retry_budget(
+    settings: NodeSettings, *, nodes: Callable[[], int]
+) -> FleetRetryBudget:
+    """Return the budget of the retries by one node's proxy.
+
+    :param nodes: returns the number of nodes that share the fleet's budget.
+    """
+    return FleetRetryBudget(
+        share=settings.retry_share * _PROXY_RETRY_SHARE,
+        reserve=settings.retry_reserve * _PROXY_RETRY_SHARE,
+        nodes=nodes,
+    )
+
+
 def forget_dead_nodes(balancer: Balancer) -> Callable[[Member, Member | None], None]:
     """Return a membership listener that drops the balancer's state of dead nodes."""
 
