--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -1,4 +1,4 @@
-"""Admission control for one backend server: deduplication, slots and the call."""
+"""Admission control for one backend server: deduplication and slots."""
 
 import asyncio
 import functools
@@ -8,11 +8,9 @@
 from burdockdock.coordination.dedupe import DedupeTable
 from burdockdock.coordination.duration_estimator import DurationEstimator
 from burdockdock.coordination.limiter import SlotLimiter
+from burdockdock.coordination.shutdown import ShutdownLimit
 from burdockdock.coordination.verdict import Failure, Verdict
-from burdockdock.gate.answer_rules import check_answer
-from burdockdock.gate.body_streaming import stream_answer, stream_request_body
-from burdockdock.gate.curl_client import CurlClient
-from burdockdock.gate.exchange import backend_request, may_resend
+from burdockdock.gate.backend_call import BackendCalls
 from burdockdock.gate.headers import OWN_HEADERS, CallHeaders
 from burdockdock.gate.model import (
     DEFAULT_SLOTS,
@@ -21,8 +19,6 @@
     CallStream,
 )
 from burdockdock.gate.results import ResultTracker
-from burdockdock.gate.sent_requests import SentRequests
-from burdockdock.gate.transfer import MAX_CONNECTION_AGE_S, Transfer
 from burdockdock.logs import log_event
 from burdockdock.metrics import Metrics
 from burdockdock.protocol.calls import CallRequest, GateResults
@@ -38,16 +34,13 @@
 # Queueing ends at least this long before the deadline, so that a refusal reaches the
 # caller's node in time.
 _REFUSAL_TRANSIT_S = 0.005
-# Connections may be used for up to 1 s beyond the age, which libcurl rounds.
-_SENT_REQUESTS_KEPT_S = MAX_CONNECTION_AGE_S + 2.0
 
 
 class Gate:
     """Admits calls to one backend server and runs them.
 
-    All calls to the backend server pass through its gate. Setting ``resend_allowed``
-    disables the guard against automatic resends by libcurl, so that measurements can
-    compare both.
+    All calls to the backend server pass through its gate, which sends each of them
+    once at most.
 
     :param observe: called with the result of each call that got past admission.
     :param headers: names of the headers that the backend server understands.
@@ -66,22 +59,24 @@
     ) -> None:
         self._is_stopped = is_stopped
         self._clock = clock
-        self._headers = headers
         self._refuses_calls_from_s = float("inf")
         self._metrics = metrics
-        self._client = CurlClient()
-        self._sent_requests = SentRequests(clock=clock, kept_s=_SENT_REQUESTS_KEPT_S)
         self._limiter = SlotLimiter(slots=DEFAULT_SLOTS, clock=clock)
         self._dedupe = DedupeTable(clock=clock)
         self._durations = DurationEstimator()
         self._results = ResultTracker(
             durations=self._durations, metrics=metrics, observe=observe
         )
+        self._backend_calls = BackendCalls(
+            clock=clock,
+            metrics=metrics,
+            headers=headers,
+            limiter=self._limiter,
+            results=self._results,
+        )
         self._backend: BackendServer | None = None
-        self.resend_allowed = False
         self._draining = False
-        self._whole_time_from_s = float("inf")
-        self._answer_by_s = float("inf")
+        self._shutdown = ShutdownLimit()
         self._running = 0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -126,14 +121,9 @@
         elif self._refuses_calls_from_s == float("inf"):
             self._refuses_calls_from_s = self._clock.monotonic() + _LEAVE_PROPAGATION_S
 
-    def limit_to_shutdown(self, *, from_s: float, answer_by_s: float) -> None:
-        """Refuse calls that may take longer than this node runs.
-
-        :param from_s: monotonic time from which such calls are refused.
-        :param answer_by_s: monotonic time by which calls must be answered.
-        """
-        self._whole_time_from_s = from_s
-        self._answer_by_s = answer_by_s
+    def limit_to_shutdown(self, limit: ShutdownLimit) -> None:
+        """Refuse calls that may take longer than this node runs."""
+        self._shutdown = limit
 
     def start_draining(self) -> None:
         """Refuse new calls from now on."""
@@ -191,7 +181,13 @@
                 self._dedupe.release(request.request_id)
                 self._send_refusal(request, refusal, stream)
                 return
-            await self._call_backend(request, stream, deadline_s)
+            await self._backend_calls.run(
+                request,
+                self._backend,
+                stream,
+                deadline_s=deadline_s,
+                on_end=functools.partial(self._finish_request_id, request),
+            )
         finally:
             self._limiter.release(request.workspace)
 
@@ -248,9 +244,9 @@
 
     def _shutdown_would_cut(self, request: CallRequest) -> bool:
         """Return whether this node may stop before the call's deadline."""
-        now_s = self._clock.monotonic()
-        ends_late = now_s + request.time_left_ms / 1000 > self._answer_by_s
-        return ends_late and now_s >= self._whole_time_from_s
+        return self._shutdown.would_cut(
+            request.time_left_ms / 1000, now_s=self._clock.monotonic()
+        )
 
     def _backend_refusal(self, request: CallRequest) -> Failure | None:
         """Return why the backend server can't take the request, None if it can."""
@@ -280,124 +276,9 @@
         )
         stream.fail(refusal)
 
-    async def _call_backend(
-        self, request: CallRequest, stream: CallStream, deadline_s: float
-    ) -> None:
-        """Send the request; once its first byte is sent, it may have run."""
-        started_s = self._clock.monotonic()
-        transfer = self._client.start(
-            backend_request(
-                self._headers,
-                request,
-                self._backend,
-                time_left_s=deadline_s - started_s,
-                was_sent=self._sent_requests.add(request.request_id),
-            ),
-            check_head=functools.partial(check_answer, self._headers, request),
-            may_resend=functools.partial(self._may_resend, request),
-        )
-        verdict = Verdict.MAY_HAVE_RUN
-        status = 0
-        upload = self._start_upload(request, stream, transfer)
-        try:
-            head = await transfer.head()
-            if isinstance(head, Failure):
-                verdict = head.verdict
-                self._fail_call(request, stream, head, started_s)
-                return
-            verdict = Verdict.RAN
-            status = head.status
-            complete = await stream_answer(
-                transfer,
-                head,
-                stream,
-                load=self.load,
-                results=self.results(request.route),
-                deadline_s=deadline_s,
-                clock=self._clock,
-            )
-            self._record_result(
-                request, started_s, status=head.status, complete=complete
-            )
-        finally:
-            if upload is not None:
-                upload.cancel()
-            if verdict is not Verdict.RAN and not transfer.sent:
-                verdict = Verdict.NOT_RUN
-            self._log_call_end(request, verdict, started_s, transfer, status=status)
-            transfer.cancel()
-            self._finish_request_id(request, verdict)
-
-    def _may_resend(self, request: CallRequest, since_sent_s: float) -> bool:
-        """Return whether libcurl may send a request once more.
-
-        The backend server may have started to leave since the request was admitted.
-        """
-        if self.resend_allowed:
-            return True
-        admitted = self._admission_refusal(request) is None
-        return admitted and may_resend(request, since_sent_s)
-
-    def _log_call_end(
-        self,
-        request: CallRequest,
-        verdict: Verdict,
-        started_s: float,
-        transfer: Transfer,
-        *,
-        status: int,
-    ) -> None:
-        backend = self._backend
-        log_event(
-            "gate.ended",
-            request=request.request_id,
-            route=request.route,
-            instance=backend.instance_id if backend else "",
-            verdict=verdict.name.lower(),
-            status=status,
-            connection=transfer.connection_port,
-            first=transfer.first_on_connection,
-            seconds_s=self._clock.monotonic() - started_s,
-            in_use=self._limiter.in_use,
-            queued=self._limiter.queued,
-        )
-
     def _finish_request_id(self, request: CallRequest, verdict: Verdict) -> None:
         """Record the outcome if the request may have run, else release its id."""
         if verdict is Verdict.NOT_RUN:
             self._dedupe.release(request.request_id)
         else:
             self._dedupe.finish(request.request_id, verdict)
-
-    def _start_upload(
-        self, request: CallRequest, stream: CallStream, transfer: Transfer
-    ) -> "asyncio.Task[None] | None":
-        if request.body_length == 0:
-            return None
-        return asyncio.create_task(stream_request_body(request, stream, transfer))
-
-    def _fail_call(
-        self,
-        request: CallRequest,
-        stream: CallStream,
-        failure: Failure,
-        started_s: float,
-    ) -> None:
-        self._metrics.count("gate_failures", label=failure.reason)
-        log_event(
-            "gate.failed",
-            request=request.request_id,
-            reason=failure.reason,
-            verdict=failure.verdict.name.lower(),
-            detail=failure.detail,
-        )
-        # 503 counts as load shedding, as the request did not run; 0 means no answer.
-        status = 503 if failure.verdict is Verdict.NOT_RUN else 0
-        self._record_result(request, started_s, status=status, complete=False)
-        stream.fail(failure)
-
-    def _record_result(
-        self, request: CallRequest, started_s: float, *, status: int, complete: bool
-    ) -> None:
-        duration_s = self._clock.monotonic() - started_s
-        self._results.record(request, duration_s, status=status, complete=complete)
