Split the failure detector into pings and suspicions

Why it is safe: code is moved, not changed, and all random choices stay in the detector in their order. The tests of the overlay pass; in two of them only the import of PeerDigest changes.

--- a/burdockdock/overlay/sync.py
+++ b/burdockdock/overlay/sync.py
@@ -15,8 +15,8 @@
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.overlay.datagrams import Address
 from burdockdock.overlay.exchange_progress import ExchangeProgress
-from burdockdock.overlay.failure_detector import PeerDigest
 from burdockdock.overlay.fetch_queue import FetchQueue, Source
+from burdockdock.overlay.pings import PeerDigest
 from burdockdock.overlay.spread import DeltaCodec
 from burdockdock.protocol import MALFORMED, FrameConnection, Message
 from burdockdock.protocol.codec import frame
--- a/tests/overlay/test_failure_detector.py
+++ b/tests/overlay/test_failure_detector.py
@@ -8,7 +8,8 @@
 from burdockdock.clock import SystemClock
 from burdockdock.coordination.membership import Member, MembershipTable
 from burdockdock.coordination.records import Record, RecordStore
-from burdockdock.overlay.failure_detector import FailureDetector, PeerDigest
+from burdockdock.overlay.failure_detector import FailureDetector
+from burdockdock.overlay.pings import PeerDigest
 from tests.support import async_test, eventually
 
 _NODE_COUNT = 6
--- a/tests/overlay/test_sync.py
+++ b/tests/overlay/test_sync.py
@@ -9,7 +9,7 @@
 from burdockdock.coordination.membership import Member, MembershipTable
 from burdockdock.coordination.records import Record, RecordStore
 from burdockdock.coordination.verdict import Failure, Verdict
-from burdockdock.overlay.failure_detector import PeerDigest
+from burdockdock.overlay.pings import PeerDigest
 from burdockdock.overlay.sync import SyncClient
 from burdockdock.protocol.handshake import PeerIdentity
 from tests.support import async_test, eventually
