Move the states and summaries of versions out of their tracker

Change: overlay.applied_status has the states, the summaries and their form in messages; overlay.applied sends and adds them up.

Why it is safe: code is moved, not changed. In test_applied.py only an import changes.

--- a/burdockdock/node/config_state.py
+++ b/burdockdock/node/config_state.py
@@ -11,7 +11,7 @@
 )
 from burdockdock.configuration.model import EMPTY_SNAPSHOT, Snapshot
 from burdockdock.coordination.records import Record
-from burdockdock.overlay.applied import AppliedState
+from burdockdock.overlay.applied_status import AppliedState
 from burdockdock.overlay.spread import DeltaCodec
 
 CONFIG_KEY = "config"
--- a/burdockdock/node/notices.py
+++ b/burdockdock/node/notices.py
@@ -5,7 +5,7 @@
 from burdockdock.logs import log_event
 from burdockdock.node.notifier import Notifier
 from burdockdock.node.status import report_laggard
-from burdockdock.overlay.applied import FleetStatus
+from burdockdock.overlay.applied_status import FleetStatus
 
 # Takes the status of the fleet and the seconds since the version was first seen.
 StatusCallback = Callable[[FleetStatus, float], None]
--- a/burdockdock/node/status.py
+++ b/burdockdock/node/status.py
@@ -3,7 +3,7 @@
 from typing import TypedDict
 
 from burdockdock.node.peer_server import PeerServer
-from burdockdock.overlay.applied import AppliedState, FleetStatus
+from burdockdock.overlay.applied_status import AppliedState, FleetStatus
 from burdockdock.overlay.datagrams import Datagrams
 from burdockdock.overlay.sync import SyncClient
 from burdockdock.rollout.model import Rollout
--- a/burdockdock/overlay/applied.py
+++ b/burdockdock/overlay/applied.py
@@ -8,11 +8,20 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import Any
 
 from burdockdock.clock import Clock, next_tick_s
 from burdockdock.coordination.membership import Member, MembershipTable
 from burdockdock.coordination.ranking import MemberRanking
+from burdockdock.overlay.applied_status import (
+    AppliedState,
+    FleetStatus,
+    ZoneSummary,
+    pack_state,
+    pack_summary,
+    unpack_state,
+    unpack_summary,
+)
 from burdockdock.overlay.datagrams import Address, Datagrams
 from burdockdock.protocol import Message
 
@@ -29,57 +38,6 @@
 _REPORTER_SALT = "reporter"
 
 
-class AppliedState(NamedTuple):
-    """The configuration version that a node applies.
-
-    :param refused_version: newest version that the node refused, 0 if none.
-    :param reason: why the node refused that version.
-    """
-
-    node_id: str
-    version: int
-    refused_version: int = 0
-    reason: str = ""
-
-
-class ZoneSummary(NamedTuple):
-    """Progress of a version in one availability zone.
-
-    :param applied: number of nodes that apply the version.
-    :param total: number of nodes in the zone.
-    :param refused: number of nodes that refused the version.
-    :param laggards: some of the nodes that apply an older version.
-    """
-
-    availability_zone: str
-    version: int
-    applied: int
-    total: int
-    refused: int
-    laggards: list[AppliedState]
-
-
-class FleetStatus(NamedTuple):
-    """Progress of the newest version in the whole fleet.
-
-    :param applied: number of nodes that apply the version.
-    :param total: number of nodes in the fleet.
-    :param refused: number of nodes that refused the version.
-    :param laggards: some of the nodes that apply an older version.
-    """
-
-    version: int
-    applied: int
-    total: int
-    refused: int
-    laggards: list[AppliedState]
-
-    @property
-    def in_force(self) -> bool:
-        """Whether every node applies the newest version."""
-        return self.applied == self.total
-
-
 class AppliedTracker:
     """Reports this node's version, and aggregates its zone's reports as the reporter.
 
@@ -185,7 +143,7 @@
             self._states[state.node_id] = state
             self._changed = True
         else:
-            self._send_to(reporter, entries=[_pack_state(state)])
+            self._send_to(reporter, entries=[pack_state(state)])
 
     def _needs_summary(self) -> bool:
         """Return whether something changed or a refresh of the summary is due."""
@@ -211,7 +169,7 @@
         for zone in self._ranking.zones():
             if zone != own.availability_zone:
                 reporter = self._reporter_of(zone)
-                self._send_to(reporter, summaries=[_pack_summary(summary)])
+                self._send_to(reporter, summaries=[pack_summary(summary)])
 
     def _own_zone_summary(self) -> ZoneSummary:
         zone = self._membership.own.availability_zone
@@ -293,10 +251,10 @@
         self._changed = True
         self._wake_event.set()
         for entry in message.entries:
-            self._states[entry.nodeId] = _unpack_state(entry)
+            self._states[entry.nodeId] = unpack_state(entry)
         now_s = self._clock.monotonic()
         for packed in message.summaries:
-            summary = _unpack_summary(packed)
+            summary = unpack_summary(packed)
             self._summaries[summary.availability_zone] = (summary, now_s)
 
     def _answer_query(self, address: Address) -> None:
@@ -314,11 +272,11 @@
             status.laggards,
         )
         self._datagrams.send(
-            address, "applied", nodeId="", summaries=[_pack_summary(summary)]
+            address, "applied", nodeId="", summaries=[pack_summary(summary)]
         )
 
     def _handle_query_answer(self, packed: Message) -> None:
-        summary = _unpack_summary(packed)
+        summary = unpack_summary(packed)
         status = FleetStatus(*summary[1:])
         for future in self._queries:
             if not future.done():
@@ -342,40 +300,3 @@
 
     def _zone_members(self, zone: str) -> list[Member]:
         return [m for m in self._ranking.zones().get(zone, []) if not m.leaving]
-
-
-def _pack_state(state: AppliedState) -> dict[str, Any]:
-    return {
-        "nodeId": state.node_id,
-        "version": state.version,
-        "refusedVersion": state.refused_version,
-        "reason": state.reason,
-    }
-
-
-def _unpack_state(packed: Message) -> AppliedState:
-    return AppliedState(
-        packed.nodeId, packed.version, packed.refusedVersion, packed.reason
-    )
-
-
-def _pack_summary(summary: ZoneSummary) -> dict[str, Any]:
-    return {
-        "availabilityZone": summary.availability_zone,
-        "version": summary.version,
-        "applied": summary.applied,
-        "total": summary.total,
-        "refused": summary.refused,
-        "laggards": [_pack_state(state) for state in summary.laggards],
-    }
-
-
-def _unpack_summary(packed: Message) -> ZoneSummary:
-    return ZoneSummary(
-        packed.availabilityZone,
-        packed.version,
-        packed.applied,
-        packed.total,
-        packed.refused,
-        [_unpack_state(entry) for entry in packed.laggards],
-    )
--- a/tests/overlay/test_applied.py
+++ b/tests/overlay/test_applied.py
@@ -9,7 +9,8 @@
 from burdockdock.coordination.membership import Member, MembershipTable
 from burdockdock.coordination.ranking import MemberRanking
 from burdockdock.overlay import applied
-from burdockdock.overlay.applied import AppliedState, AppliedTracker, FleetStatus
+from burdockdock.overlay.applied import AppliedTracker
+from burdockdock.overlay.applied_status import AppliedState, FleetStatus
 from burdockdock.protocol import decode, encode
 
 _NODE_COUNT = 12
