Split the change of the configuration off its commands

The client of the platform and the prefix of exceptions were each written twice.

Change: cli.config_change changes the configuration, cli.platform_access opens the platform and reads what is accepted there, cli.fleet_text describes the fleet. cli.move and cli.exception use the shared client and prefix.

Why it is safe: code is moved, not changed; no test changes.

--- a/burdockdock/cli/exception.py
+++ b/burdockdock/cli/exception.py
@@ -2,7 +2,7 @@
 
 import click
 
-from burdockdock.cli.config import change_config, read_accepted_or_exit
+from burdockdock.cli.config_change import EXCEPTION_SECTION_PREFIX, change_config
 from burdockdock.cli.output import (
     EXIT_REFUSED,
     author_option,
@@ -13,10 +13,9 @@
     run_async,
     show,
 )
+from burdockdock.cli.platform_access import read_accepted_or_exit
 from burdockdock.configuration.model import Sections
 
-_EXCEPTION_SECTION_PREFIX = "exception "
-
 
 @click.group()
 def exception() -> None:
@@ -54,13 +53,13 @@
         pairs["expires"] = expires
 
     def change(current: Sections) -> Sections:
-        if _EXCEPTION_SECTION_PREFIX + name in current:
+        if EXCEPTION_SECTION_PREFIX + name in current:
             fail(
                 EXIT_REFUSED,
                 f"not accepted: exception {name} exists; remove it first",
                 output=output,
             )
-        return {**current, _EXCEPTION_SECTION_PREFIX + name: pairs}
+        return {**current, EXCEPTION_SECTION_PREFIX + name: pairs}
 
     run_async(
         change_config(
@@ -92,12 +91,12 @@
     """Remove an exception."""
 
     def change(current: Sections) -> Sections:
-        if _EXCEPTION_SECTION_PREFIX + name not in current:
+        if EXCEPTION_SECTION_PREFIX + name not in current:
             fail(EXIT_REFUSED, f"there is no exception {name}", output=output)
         return {
             key: v
             for key, v in current.items()
-            if key != _EXCEPTION_SECTION_PREFIX + name
+            if key != EXCEPTION_SECTION_PREFIX + name
         }
 
     run_async(
@@ -119,9 +118,9 @@
     """List the exceptions and their reasons."""
     version, sections = run_async(read_accepted_or_exit(platform_url, output))
     found = {
-        name.removeprefix(_EXCEPTION_SECTION_PREFIX): pairs
+        name.removeprefix(EXCEPTION_SECTION_PREFIX): pairs
         for name, pairs in sections.items()
-        if name.startswith(_EXCEPTION_SECTION_PREFIX)
+        if name.startswith(EXCEPTION_SECTION_PREFIX)
     }
     lines = [
         f"{name}: {p['setting']} = {p['value']} for {p['scope']}"
--- a/burdockdock/cli/move.py
+++ b/burdockdock/cli/move.py
@@ -21,10 +21,10 @@
     show,
     show_progress,
 )
+from burdockdock.cli.platform_access import open_platform
 from burdockdock.clock import SystemClock
 from burdockdock.coordination.verdict import Failure
 from burdockdock.node.operator_client import call_node
-from burdockdock.platform_api import PlatformClient
 from burdockdock.rollout.model import ROLLOUT_PREFIX, Phase, Rollout, rollout_from
 from burdockdock.rollout.start import (
     ChangeFailure,
@@ -74,7 +74,7 @@
 
     async def run() -> Rollout | ChangeFailure:
         started = await start_rollout(
-            _open_platform(platform_url),
+            open_platform(platform_url),
             service=service,
             from_version=from_version,
             to_version=to_version,
@@ -96,7 +96,7 @@
 @output_option
 def list_moves(platform_url: str, output: str) -> None:
     """List the newest move of each service."""
-    found = run_async(_open_platform(platform_url).list(ROLLOUT_PREFIX))
+    found = run_async(open_platform(platform_url).list(ROLLOUT_PREFIX))
     if isinstance(found, Failure):
         fail(
             EXIT_UNAVAILABLE, f"platform request failed: {found.detail}", output=output
@@ -136,7 +136,7 @@
 
     async def run() -> Rollout | ChangeFailure:
         cancelled = await cancel_rollout(
-            _open_platform(platform_url),
+            open_platform(platform_url),
             service=service,
             author=author,
             reason=reason,
@@ -175,7 +175,7 @@
 
     If the platform fails after the first read, polling continues.
     """
-    platform = _open_platform(platform_url)
+    platform = open_platform(platform_url)
     wait_deadline_s = time.monotonic() + timeout_s
     last_line = ""
     rollout = await _read_rollout_or_exit(platform_url, service, output)
@@ -195,7 +195,7 @@
 async def _read_rollout_or_exit(
     platform_url: str, service: str, output: str
 ) -> Rollout:
-    found = await read_rollout(_open_platform(platform_url), service)
+    found = await read_rollout(open_platform(platform_url), service)
     if isinstance(found, Failure):
         fail(
             EXIT_UNAVAILABLE, f"platform request failed: {found.detail}", output=output
@@ -243,7 +243,3 @@
             param_hint="--finish-by",
         )
     return parsed_time
-
-
-def _open_platform(url: str) -> PlatformClient:
-    return PlatformClient(url, name="cli", clock=SystemClock())
--- a/burdockdock/cli/status.py
+++ b/burdockdock/cli/status.py
@@ -4,7 +4,7 @@
 
 import click
 
-from burdockdock.cli.config import describe_fleet
+from burdockdock.cli.fleet_text import describe_fleet
 from burdockdock.cli.output import (
     EXIT_UNAVAILABLE,
     fail,
