Split the HTTP calls off the client of the platform

Change: platform_api.transport makes the calls, platform_api.client has reads, updates and watches.

Why it is safe: code is moved, not changed; no test changes.

--- a/burdockdock/platform_api/client.py
+++ b/burdockdock/platform_api/client.py
@@ -6,14 +6,9 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-import pycurl
-from tornado.curl_httpclient import CurlAsyncHTTPClient
-from tornado.httpclient import HTTPError, HTTPRequest
-
 from burdockdock.clock import Clock
 from burdockdock.coordination.backoff import full_jitter
 from burdockdock.coordination.verdict import Failure, Verdict
-from burdockdock.logs import log_event
 from burdockdock.platform_api.dialect import (
     OWN_DIALECT,
     ApiCall,
@@ -21,21 +16,14 @@
     PlatformObject,
     WatchResult,
 )
-from burdockdock.platform_api.json_text import parse_json
+from burdockdock.platform_api.transport import PlatformTransport, Response
 
 MAX_VALUE_BYTES = 1_000_000
 _BACKOFF_BASE_S = 0.1
 # Also the longest time until a client notices that the platform is back.
 _BACKOFF_CAP_S = 2.5
-_CONNECT_TIMEOUT_S = 1.0
 # A watch without a response this long after its wait time has lost its connection.
 _WATCH_TIMEOUT_MARGIN_S = 0.5
-_MAX_CONCURRENT_CALLS = 16
-# Statuses with which the platform rejects a call without running it.
-_REFUSAL_STATUSES = frozenset({429, 503})
-# Statuses of calls that the platform processed.
-_PROCESSED_STATUSES = frozenset({200, 201, 204, 404, 409})
-_HISTORY_GONE_STATUS = 410
 # Errors that the decoders of a dialect raise on a response of another form.
 _DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
 
@@ -74,16 +62,18 @@
         dialect: Dialect = OWN_DIALECT,
         count: Callable[..., None] = lambda name, *, label: None,
     ) -> None:
-        self._url = url.rstrip("/")
         self._name = name
         self._clock = clock
         self._rng = rng or random.Random()
-        self._timeout_s = timeout_s
         self._dialect = dialect
-        self._count = count
-        self._http: CurlAsyncHTTPClient | None = None
-        self._outage_started_at_s: float | None = None
-        self.failures_in_row = 0
+        self._transport = PlatformTransport(
+            url, name=name, clock=clock, timeout_s=timeout_s, count=count
+        )
+
+    @property
+    def failures_in_row(self) -> int:
+        """Number of failed calls since the last that succeeded."""
+        return self._transport.failures_in_row
 
     def new_token(self) -> str:
         """Return a token that is unique to one write."""
@@ -91,8 +81,10 @@
 
     async def read(self, key: str) -> PlatformObject | Failure:
         """Read an object; if it is missing, return version 0 and an empty value."""
-        response = await self._call(self._dialect.encode_read(key), label="read")
-        if not isinstance(response, _Response):
+        response = await self._transport.call(
+            self._dialect.encode_read(key), label="read"
+        )
+        if not isinstance(response, Response):
             return response
         if response.status == 404:
             return PlatformObject(key, 0, {})
@@ -195,21 +187,15 @@
 
     async def delete(self, key: str) -> bool | Failure:
         """Delete an object of any version; succeed if there is none."""
-        response = await self._call(self._dialect.encode_delete(key), label="delete")
-        return True if isinstance(response, _Response) else response
+        response = await self._transport.call(
+            self._dialect.encode_delete(key), label="delete"
+        )
+        return True if isinstance(response, Response) else response
 
     async def pause_after_failure(self) -> None:
         """Wait for the backoff delay that follows from the consecutive failures."""
         await asyncio.sleep(self._retry_delay_s(max(0, self.failures_in_row - 1)))
 
-    def _http_client(self) -> CurlAsyncHTTPClient:
-        """Return the HTTP client; the first call binds it to the running event loop."""
-        if self._http is None:
-            self._http = CurlAsyncHTTPClient(
-                force_instance=True, max_clients=_MAX_CONCURRENT_CALLS
-            )
-        return self._http
-
     def _retry_delay_s(self, attempt: int) -> float:
         return full_jitter(
             attempt, base_s=_BACKOFF_BASE_S, cap_s=_BACKOFF_CAP_S, rng=self._rng
@@ -225,8 +211,8 @@
         timeout_s: float | None = None,
     ) -> WatchResult | Failure:
         """Make a call that returns the objects under a prefix."""
-        response = await self._call(call, label=label, timeout_s=timeout_s)
-        if not isinstance(response, _Response):
+        response = await self._transport.call(call, label=label, timeout_s=timeout_s)
+        if not isinstance(response, Response):
             return response
         return self._decode_or_fail(lambda: decode(prefix, response.body))
 
@@ -235,8 +221,8 @@
     ) -> PlatformObject | Conflict | Failure:
         if call.body is not None and len(call.body) > MAX_VALUE_BYTES:
             return Failure(Verdict.NOT_RUN, "too_large", f"{len(call.body)} bytes")
-        response = await self._call(call, label=label)
-        if not isinstance(response, _Response):
+        response = await self._transport.call(call, label=label)
+        if not isinstance(response, Response):
             return response
         if response.status == 404:
             return Conflict(PlatformObject(key, 0, {}))
@@ -246,9 +232,7 @@
             lambda: self._dialect.decode_written(key, response.body, value)
         )
 
-    async def _read_conflict(
-        self, key: str, response: "_Response"
-    ) -> Conflict | Failure:
+    async def _read_conflict(self, key: str, response: Response) -> Conflict | Failure:
         """Return the conflicting object; read it if the response lacks it."""
         try:
             return Conflict(self._dialect.decode_object(key, response.body))
@@ -263,98 +247,10 @@
         try:
             return decode()
         except _DECODE_ERRORS as error:
-            return self._record_failure(
+            return self._transport.record_failure(
                 Verdict.MAY_HAVE_RUN, f"response has an unexpected form: {error!r}"
             )
 
-    async def _call(
-        self, call: ApiCall, *, label: str, timeout_s: float | None = None
-    ) -> "_Response | Failure":
-        self._count("platform_calls", label=label)
-        request = HTTPRequest(
-            self._url + call.path,
-            method=call.method,
-            body=call.body,
-            headers={"X-Client": self._name, "Content-Type": "application/json"},
-            connect_timeout=_CONNECT_TIMEOUT_S,
-            request_timeout=timeout_s or self._timeout_s,
-            prepare_curl_callback=_force_reconnect if self.failures_in_row else None,
-        )
-        try:
-            # If the fetch were cancelled together with its caller, tornado would log
-            # the response that arrives later.
-            fetch = self._http_client().fetch(request, raise_error=False)
-            http_response = await asyncio.shield(fetch)
-        except (HTTPError, OSError) as error:
-            return self._record_failure(Verdict.MAY_HAVE_RUN, str(error))
-        if http_response.code == 599:
-            return self._record_failure(Verdict.MAY_HAVE_RUN, str(http_response.error))
-        if http_response.code in _REFUSAL_STATUSES:
-            return self._record_failure(
-                Verdict.NOT_RUN,
-                f"the platform refused the call: status {http_response.code}",
-            )
-        if http_response.code == 413:
-            return Failure(
-                Verdict.NOT_RUN, "too_large", "the platform refused the size"
-            )
-        if http_response.code == _HISTORY_GONE_STATUS:
-            self._record_success()
-            return Failure(
-                Verdict.NOT_RUN, "history_gone", "the revision is too old; list again"
-            )
-        return self._parse_response(http_response.code, http_response.body)
-
-    def _parse_response(self, status: int, body: bytes) -> "_Response | Failure":
-        if status not in _PROCESSED_STATUSES:
-            return self._record_failure(
-                Verdict.MAY_HAVE_RUN, f"status {status}: {body[:200]!r}"
-            )
-        try:
-            decoded = parse_json(body, on_replaced=_log_odd_values) if body else {}
-            response = _Response(status, decoded)
-        except ValueError:
-            if status == 200:
-                return self._record_failure(
-                    Verdict.MAY_HAVE_RUN, f"status {status} without a JSON body"
-                )
-            response = _Response(status, {})
-        self._record_success()
-        return response
-
-    def _record_success(self) -> None:
-        """Reset the count of failures, and log the end of an outage."""
-        self.failures_in_row = 0
-        if self._outage_started_at_s is not None:
-            outage_s = self._clock.monotonic() - self._outage_started_at_s
-            self._outage_started_at_s = None
-            log_event("platform.regained", outage_s=outage_s)
-
-    def _record_failure(self, verdict: Verdict, detail: str) -> Failure:
-        """Count a failed call, and log the start of an outage; return the Failure."""
-        self.failures_in_row += 1
-        self._count("platform_failures", label=verdict.name.lower())
-        if self._outage_started_at_s is None:
-            self._outage_started_at_s = self._clock.monotonic()
-            log_event("platform.lost", reason=detail)
-        return Failure(verdict, "platform_unavailable", detail)
-
-
-def _log_odd_values(reason: str) -> None:
-    log_event("platform.odd_values", reason=reason)
-
-
-def _force_reconnect(curl: pycurl.Curl) -> None:
-    """Open a new connection: after a failure, all pooled ones may be dead."""
-    curl.setopt(pycurl.FRESH_CONNECT, 1)
-
-
-class _Response(NamedTuple):
-    """A response of the platform with its decoded JSON body."""
-
-    status: int
-    body: Any
-
 
 def _find_own_write(conflict: Conflict, token: str) -> PlatformObject | None:
     """Return the current object if this write's token shows that it was applied."""
--- /dev/null
+++ b/burdockdock/platform_api/transport.py
@@ -0,0 +1,155 @@
+"""HTTP calls to the platform, their failures and its outages."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import pycurl
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPError, HTTPRequest
+
+from burdockdock.clock import Clock
+from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.logs import log_event
+from burdockdock.platform_api.dialect import ApiCall
+from burdockdock.platform_api.json_text import parse_json
+
+_CONNECT_TIMEOUT_S = 1.0
+_MAX_CONCURRENT_CALLS = 16
+# Statuses with which the platform rejects a call without running it.
+_REFUSAL_STATUSES = frozenset({429, 503})
+# Statuses of calls that the platform processed.
+_PROCESSED_STATUSES = frozenset({200, 201, 204, 404, 409})
+_HISTORY_GONE_STATUS = 410
+
+
+class Response(NamedTuple):
+    """A response of the platform with its decoded JSON body."""
+
+    status: int
+    body: Any
+
+
+class PlatformTransport:
+    """Makes calls to the platform, and notes its outages.
+
+    ``failures_in_row`` is the number of failed calls since the last that succeeded.
+
+    :param url: base URL of the object API.
+    :param name: name of the client, sent with each call.
+    :param timeout_s: timeout of one call in seconds.
+    :param count: increments a counter, given its name and label.
+    """
+
+    def __init__(
+        self,
+        url: str,
+        *,
+        name: str,
+        clock: Clock,
+        timeout_s: float,
+        count: Callable[..., None],
+    ) -> None:
+        self._url = url.rstrip("/")
+        self._name = name
+        self._clock = clock
+        self._timeout_s = timeout_s
+        self._count = count
+        self._http: CurlAsyncHTTPClient | None = None
+        self._outage_started_at_s: float | None = None
+        self.failures_in_row = 0
+
+    async def call(
+        self, call: ApiCall, *, label: str, timeout_s: float | None = None
+    ) -> Response | Failure:
+        """Make one call without retries.
+
+        :param label: kind of the call, for its counter.
+        :param timeout_s: timeout in seconds, None for that of all calls.
+        :returns: the response if the platform processed the call.
+        """
+        self._count("platform_calls", label=label)
+        request = HTTPRequest(
+            self._url + call.path,
+            method=call.method,
+            body=call.body,
+            headers={"X-Client": self._name, "Content-Type": "application/json"},
+            connect_timeout=_CONNECT_TIMEOUT_S,
+            request_timeout=timeout_s or self._timeout_s,
+            prepare_curl_callback=_force_reconnect if self.failures_in_row else None,
+        )
+        try:
+            # If the fetch were cancelled together with its caller, tornado would log
+            # the response that arrives later.
+            fetch = self._http_client().fetch(request, raise_error=False)
+            http_response = await asyncio.shield(fetch)
+        except (HTTPError, OSError) as error:
+            return self.record_failure(Verdict.MAY_HAVE_RUN, str(error))
+        if http_response.code == 599:
+            return self.record_failure(Verdict.MAY_HAVE_RUN, str(http_response.error))
+        if http_response.code in _REFUSAL_STATUSES:
+            return self.record_failure(
+                Verdict.NOT_RUN,
+                f"the platform refused the call: status {http_response.code}",
+            )
+        if http_response.code == 413:
+            return Failure(
+                Verdict.NOT_RUN, "too_large", "the platform refused the size"
+            )
+        if http_response.code == _HISTORY_GONE_STATUS:
+            self._record_success()
+            return Failure(
+                Verdict.NOT_RUN, "history_gone", "the revision is too old; list again"
+            )
+        return self._parse_response(http_response.code, http_response.body)
+
+    def _parse_response(self, status: int, body: bytes) -> Response | Failure:
+        if status not in _PROCESSED_STATUSES:
+            return self.record_failure(
+                Verdict.MAY_HAVE_RUN, f"status {status}: {body[:200]!r}"
+            )
+        try:
+            decoded = parse_json(body, on_replaced=_log_odd_values) if body else {}
+            response = Response(status, decoded)
+        except ValueError:
+            if status == 200:
+                return self.record_failure(
+                    Verdict.MAY_HAVE_RUN, f"status {status} without a JSON body"
+                )
+            response = Response(status, {})
+        self._record_success()
+        return response
+
+    def _record_success(self) -> None:
+        """Reset the count of failures, and log the end of an outage."""
+        self.failures_in_row = 0
+        if self._outage_started_at_s is not None:
+            outage_s = self._clock.monotonic() - self._outage_started_at_s
+            self._outage_started_at_s = None
+            log_event("platform.regained", outage_s=outage_s)
+
+    def record_failure(self, verdict: Verdict, detail: str) -> Failure:
+        """Count a failed call, and log the start of an outage; return the Failure."""
+        self.failures_in_row += 1
+        self._count("platform_failures", label=verdict.name.lower())
+        if self._outage_started_at_s is None:
+            self._outage_started_at_s = self._clock.monotonic()
+            log_event("platform.lost", reason=detail)
+        return Failure(verdict, "platform_unavailable", detail)
+
+    def _http_client(self) -> CurlAsyncHTTPClient:
+        """Return the HTTP client; the first call binds it to the running event loop."""
+        if self._http is None:
+            self._http = CurlAsyncHTTPClient(
+                force_instance=True, max_clients=_MAX_CONCURRENT_CALLS
+            )
+        return self._http
+
+
+def _log_odd_values(reason: str) -> None:
+    log_event("platform.odd_values", reason=reason)
+
+
+def _force_reconnect(curl: pycurl.Curl) -> None:
+    """Open a new connection: after a failure, all pooled ones may be dead."""
+    curl.setopt(pycurl.FRESH_CONNECT, 1)
