Move weights, lost links and the status out of the node

Beside the composition of the parts it decided on weights of versions, retired links, and filled in the status.

Change: proxy_setup builds the endpoints with their weights and has the listener that retires links, beside the one for the balancer; status reports the node.

Why it is safe: code is moved, not changed. The listener is subscribed at the same place, and the parts of the status are read in the same order around the question to the zone's reporter. No test changes.

--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from burdockdock.clock import Clock, SystemClock
-from burdockdock.coordination.membership import Member, MembershipTable, MemberState
+from burdockdock.coordination.membership import Member, MembershipTable
 from burdockdock.coordination.ranking import MemberRanking
 from burdockdock.coordination.records import Record, RecordStore
 from burdockdock.gate.gate import Gate
@@ -28,20 +28,18 @@
 from burdockdock.node.overlay_parts import build_overlay
 from burdockdock.node.peer_server import PeerServer
 from burdockdock.node.platform_setup import build_platform_components
-from burdockdock.node.proxy_setup import build_context
+from burdockdock.node.proxy_setup import (
+    build_context,
+    build_endpoints,
+    retire_links_to_lost_nodes,
+)
 from burdockdock.node.rollouts import RolloutParticipant
 from burdockdock.node.settings import NodeSettings
-from burdockdock.node.status import (
-    StatusReport,
-    report_control_bytes,
-    report_fleet,
-    report_move,
-)
+from burdockdock.node.status import StatusReport, report_status
 from burdockdock.node.supervise import supervise
 from burdockdock.overlay.sync_server import SyncServer
 from burdockdock.platform_api.client import PlatformClient
 from burdockdock.protocol.handshake import PeerIdentity
-from burdockdock.proxy.endpoints import Endpoints
 from burdockdock.proxy.listener import CallerServer, serve_callers
 from burdockdock.proxy.peer_link import PeerLinks
 
@@ -124,11 +122,11 @@
             headers=self._interface.headers,
             is_stopped=lambda b: self.rollouts.is_stopped(b.service, b.version),
         )
-        self._endpoints = Endpoints(
+        self._endpoints = build_endpoints(
             self.membership,
-            weights_of=self._weights_of,
+            snapshot=lambda: self.config.snapshot,
+            rollouts=lambda: self.rollouts,
             rng=self._rng,
-            new_version_of=lambda service: self.rollouts.new_version(service),
         )
         self.links = PeerLinks(self._identity, count=self.metrics.count)
         self.context = build_context(
@@ -144,7 +142,7 @@
             rng=self._rng,
             metrics=self.metrics,
         )
-        self.membership.subscribe(self._on_member_change)
+        self.membership.subscribe(retire_links_to_lost_nodes(self.links))
 
     def _build_control_plane(self) -> None:
         settings = self._settings
@@ -328,40 +326,20 @@
             log_event("config.refused", version=record.version, reason=state.reason)
         return accepted
 
-    def _weights_of(self, service: str) -> dict[str, float]:
-        found = self.config.snapshot.services.get(service)
-        has_rollout = self.rollouts.view.get(service) is not None
-        if not has_rollout and found is not None and found.initial_version:
-            return {found.initial_version: 1.0}
-        return self.rollouts.weights(service, self._endpoints.slots(service))
-
     def _on_call_result(self, result: CallResult) -> None:
         backend = self.gate.backend
         if backend is not None:
             self.rollouts.observe(result, backend)
 
-    def _on_member_change(self, member: Member, previous: Member | None) -> None:
-        """Retire the connections to a node that died or changed its address."""
-        address = (member.host, member.port)
-        if previous is not None and (previous.host, previous.port) != address:
-            self.links.retire(
-                previous.node_id, previous.host, previous.port, reason="member_moved"
-            )
-        if member.state is MemberState.DEAD:
-            self.links.retire(member.node_id, *address, reason="member_dead")
-
     async def _status(self) -> StatusReport:
-        return StatusReport(
-            node=self.membership.own.node_id,
-            availability_zone=self.membership.own.availability_zone,
+        return await report_status(
+            self.membership,
             config_version=self.config.snapshot.version,
             is_relay=self._relay.is_relay,
-            members=len(self.membership.live()),
-            dead_members=len(self.membership.dead()),
-            platform_failures_in_row=self.platform.failures_in_row,
-            fleet=report_fleet(await self.applied.status()),
-            moves=[report_move(rollout) for rollout in self.rollouts.view.all()],
-            control_bytes=report_control_bytes(
-                self.datagrams, self.sync, self._peer_server
-            ),
+            platform=self.platform,
+            applied=self.applied,
+            rollouts=self.rollouts.view,
+            datagrams=self.datagrams,
+            sync=self.sync,
+            server=self._peer_server,
         )
--- a/burdockdock/node/proxy_setup.py
+++ b/burdockdock/node/proxy_setup.py
@@ -9,6 +9,7 @@
 from burdockdock.coordination.membership import Member, MembershipTable, MemberState
 from burdockdock.gate.headers import CallHeaders
 from burdockdock.metrics import Metrics
+from burdockdock.node.rollouts import RolloutParticipant
 from burdockdock.node.settings import NodeSettings
 from burdockdock.proxy.balancer import Balancer
 from burdockdock.proxy.context import CallContext
@@ -21,6 +22,35 @@
 _PROXY_RETRY_SHARE = 0.75
 
 
+def build_endpoints(
+    membership: MembershipTable,
+    *,
+    snapshot: Callable[[], Snapshot],
+    rollouts: Callable[[], RolloutParticipant],
+    rng: random.Random,
+) -> Endpoints:
+    """Return the endpoints of all services, weighted by the rollouts.
+
+    :param snapshot: returns the configuration that this node applies.
+    :param rollouts: returns this node's part in the rollouts, which may be built later.
+    """
+
+    def weights_of(service: str) -> dict[str, float]:
+        found = snapshot().services.get(service)
+        has_rollout = rollouts().view.get(service) is not None
+        if not has_rollout and found is not None and found.initial_version:
+            return {found.initial_version: 1.0}
+        return rollouts().weights(service, endpoints.slots(service))
+
+    endpoints = Endpoints(
+        membership,
+        weights_of=weights_of,
+        rng=rng,
+        new_version_of=lambda service: rollouts().new_version(service),
+    )
+    return endpoints
+
+
 def build_context(
     settings: NodeSettings,
     *,
@@ -86,3 +116,20 @@
             balancer.forget(member.node_id)
 
     return on_member_change
+
+
+def retire_links_to_lost_nodes(
+    links: PeerLinks,
+) -> Callable[[Member, Member | None], None]:
+    """Return a membership listener that retires links to nodes that died or moved."""
+
+    def on_member_change(member: Member, previous: Member | None) -> None:
+        address = (member.host, member.port)
+        if previous is not None and (previous.host, previous.port) != address:
+            links.retire(
+                previous.node_id, previous.host, previous.port, reason="member_moved"
+            )
+        if member.state is MemberState.DEAD:
+            links.retire(member.node_id, *address, reason="member_dead")
+
+    return on_member_change
--- a/burdockdock/node/status.py
+++ b/burdockdock/node/status.py
@@ -2,11 +2,15 @@
 
 from typing import TypedDict
 
+from burdockdock.coordination.membership import MembershipTable
 from burdockdock.node.peer_server import PeerServer
+from burdockdock.overlay.applied import AppliedTracker
 from burdockdock.overlay.applied_status import AppliedState, FleetStatus
 from burdockdock.overlay.datagrams import Datagrams
 from burdockdock.overlay.sync import SyncClient
+from burdockdock.platform_api.client import PlatformClient
 from burdockdock.rollout.model import Rollout
+from burdockdock.rollout.owner import RolloutView
 
 
 class Laggard(TypedDict):
@@ -69,6 +73,33 @@
     control_bytes: ControlBytes
 
 
+async def report_status(
+    membership: MembershipTable,
+    *,
+    config_version: int,
+    is_relay: bool,
+    platform: PlatformClient,
+    applied: AppliedTracker,
+    rollouts: RolloutView,
+    datagrams: Datagrams,
+    sync: SyncClient,
+    server: PeerServer,
+) -> StatusReport:
+    """Return the status of a node, with the fleet's as its zone's reporter knows it."""
+    return StatusReport(
+        node=membership.own.node_id,
+        availability_zone=membership.own.availability_zone,
+        config_version=config_version,
+        is_relay=is_relay,
+        members=len(membership.live()),
+        dead_members=len(membership.dead()),
+        platform_failures_in_row=platform.failures_in_row,
+        fleet=report_fleet(await applied.status()),
+        moves=[report_move(rollout) for rollout in rollouts.all()],
+        control_bytes=report_control_bytes(datagrams, sync, server),
+    )
+
+
 def report_fleet(status: FleetStatus | None) -> FleetReport | None:
     """Return the fleet section of a status report."""
     if status is None:
