Split the answer off the request of a caller

Change: proxy.caller_answer sends the answer, proxy.caller_request runs the call.

Why it is safe: code is moved, not changed; the condition for a whole answer, which was written twice, has a name.

--- a/burdockdock/proxy/caller_request.py
+++ b/burdockdock/proxy/caller_request.py
@@ -8,14 +8,10 @@
     HTTPHeaders,
     HTTPMessageDelegate,
     RequestStartLine,
-    ResponseStartLine,
 )
-from tornado.iostream import StreamClosedError
 
 from burdockdock.coordination.verdict import Failure, Verdict
-from burdockdock.logs import log_event
-from burdockdock.protocol.calls import AnswerHead
-from burdockdock.proxy.answers import answer_body_bytes, answer_headers, build_refusal
+from burdockdock.proxy.answers import build_refusal
 from burdockdock.proxy.call import Call
 from burdockdock.proxy.call_end import (
     internal_failure,
@@ -23,6 +19,7 @@
     record_call_latency,
 )
 from burdockdock.proxy.call_factory import make_call
+from burdockdock.proxy.caller_answer import REQUEST_DRAIN_TIMEOUT_S, CallerAnswer
 from burdockdock.proxy.caller_stream import (
     CallerStream,
     discard_input,
@@ -31,9 +28,6 @@
 from burdockdock.proxy.context import CallContext
 from burdockdock.proxy.request_body import MAX_BUFFERED_BODY_BYTES, RequestBody
 
-# How long to read the rest of a request's body after its answer. Closing the connection
-# with unread bytes resets it, which discards an answer that is still on its way.
-_REQUEST_DRAIN_TIMEOUT_S = 1.0
 _BAD_REQUEST_STATUS = 400
 _MALFORMED_BODY = "malformed_body"
 _CALL_NOT_BUILT = Failure(Verdict.NOT_RUN, "no_call")
@@ -81,25 +75,18 @@
         self._pipeline = pipeline
         stream.on_foreign_write = self._on_tornado_error_line
         self._body = RequestBody()
+        self._answer = CallerAnswer(
+            context,
+            connection,
+            stream,
+            self._body,
+            stop_reading=lambda: pipeline.stop_reading(self),
+        )
         self._closed = False
         self._task: asyncio.Task[None] | None = None
-        self._answer_started = False
-        # Whether nothing more will be sent: the answer is complete or aborted, or the
-        # call's task has ended.
-        self._answer_ended = False
-        # Whether all parts of the answer were passed to the connection.
-        self._answer_complete = False
-        self._completed_at_s: float | None = None
         self._body_malformed = False
-        # Bytes of the answer's body that are still to be sent, negative if its length
-        # is unknown.
-        self._body_bytes_left = -1
-        # For HTTP/1.0 callers, closing the connection ends an answer without a length.
-        self._close_delimited = False
-        self._method = ""
         self._version = ""
         self._request_headers = HTTPHeaders()
-        self._status = 0
 
     @property
     def received(self) -> bool:
@@ -113,8 +100,9 @@
         if self._pipeline.reading_stopped:
             return asyncio.ensure_future(discard_input(self.stream.raw))
         self.started = True
-        self._method, _, self._version = start_line
+        self._version = start_line.version
         self._request_headers = headers
+        self._answer.set_request(start_line.method, start_line.version, headers)
         self._context.open_calls += 1
         # Without this, tornado reports a closed connection only while it reads.
         self._connection.set_close_callback(self.on_connection_close)
@@ -132,7 +120,7 @@
         :returns: a future for which tornado waits before it reads on, if the buffer is
             full.
         """
-        if self._answer_ended:
+        if self._answer.ended:
             return None
         return self._body.append(chunk)
 
@@ -145,7 +133,7 @@
         """Cancel the call, because its caller is gone."""
         if self._closed:
             return
-        if self._task is not None and not self._answer_ended:
+        if self._task is not None and not self._answer.ended:
             self._task.cancel()
         self._note_closed()
 
@@ -159,25 +147,25 @@
 
         :returns: a future after which tornado closes the connection.
         """
-        if self._answer_complete or not self._body_bytes_left:
+        if self._answer.whole:
             return asyncio.ensure_future(self._drain_after_answer())
         if self._task is not None:
             self._body_malformed = True
             self._task.cancel()
-        if self._answer_started or self._body.forwarded:
+        if self._answer.started or self._body.forwarded:
             return asyncio.ensure_future(self._abort_in_turn())
-        self._status = _BAD_REQUEST_STATUS
+        self._answer.status = _BAD_REQUEST_STATUS
         return asyncio.ensure_future(
-            self.stream.write_final_line(line, timeout_s=_REQUEST_DRAIN_TIMEOUT_S)
+            self.stream.write_final_line(line, timeout_s=REQUEST_DRAIN_TIMEOUT_S)
         )
 
     async def _abort_in_turn(self) -> None:
         await self.stream.wait_turn()
-        self.abort()
+        self._answer.abort()
 
     async def _drain_after_answer(self) -> None:
         """Let the caller read its complete answer, and send nothing after it."""
-        await self.stream.drain_input(_REQUEST_DRAIN_TIMEOUT_S)
+        await self.stream.drain_input(REQUEST_DRAIN_TIMEOUT_S)
         self._note_closed()
         if self._task is not None:
             await asyncio.wait({self._task})
@@ -186,86 +174,6 @@
         self._closed = True
         self._body.close()
 
-    async def read_body(self) -> tuple[bytes, bool]:
-        """Return the buffered part of the body and whether it is the last."""
-        return await self._body.read()
-
-    async def send_head(self, head: AnswerHead) -> None:
-        """Send the head of the answer, after the answers to all requests before it."""
-        await self.stream.wait_turn()
-        headers = answer_headers(head, self._method)
-        self._body_bytes_left = answer_body_bytes(headers, self._method, head.status)
-        if self._body_bytes_left < 0 and self._version != "HTTP/1.1":
-            self._close_delimited = True
-            # Otherwise tornado would announce that the connection stays open.
-            self._request_headers.pop("Connection", None)
-            self.stream.reset_on_close(True)
-        if self._context.draining and self._pipeline.stop_reading(self):
-            headers["Connection"] = "close"
-        start_line = ResponseStartLine("HTTP/1.1", head.status, head.reason)
-        with self.stream.answer_write():
-            written = self._connection.write_headers(start_line, headers)
-        self._answer_started = True
-        self._status = head.status
-        await self._wait_written(written)
-
-    async def send_body(self, data: bytes) -> None:
-        """Send a chunk of the answer's body, and wait until it was written."""
-        if self._method != "HEAD":
-            with self.stream.answer_write():
-                written = self._connection.write(data)
-            await self._wait_written(written)
-            self._body_bytes_left -= len(data)
-
-    def mark_answer_complete(self) -> None:
-        """Mark the answer as complete; the connection is finished later."""
-        self._answer_ended = True
-        self._answer_complete = True
-        self._completed_at_s = self._context.clock.monotonic()
-        self._body.stop_buffering()
-
-    def abort(self) -> None:
-        """Close the caller's connection before the answer is complete."""
-        self._answer_ended = True
-        self._connection.detach()
-        self.stream.abort()
-        self._body.stop_buffering()
-
-    async def _finish_request(self) -> None:
-        """Finish the answer, and end the connection or leave it to the next request."""
-        if not self._answer_complete:
-            return
-        if self._body_bytes_left == 0:
-            await self._drain_request_body()
-        if not self._close_delimited:
-            with self.stream.answer_write():
-                self._connection.finish()
-        try:
-            # The last chunk of a chunked answer may not have been sent yet.
-            if self.stream.writing():
-                await self.stream.wait_flushed()
-        except StreamClosedError:
-            log_event("call.end_unread", status=self._status)
-        if self._close_delimited:
-            self.stream.reset_on_close(False)
-            self.stream.shutdown_write()
-            await self._drain_request_body()
-            self._connection.close()
-
-    async def _drain_request_body(self) -> None:
-        """Wait for the rest of the request's body, which is discarded."""
-        try:
-            async with asyncio.timeout(_REQUEST_DRAIN_TIMEOUT_S):
-                await self._body.wait_end()
-        except TimeoutError:
-            log_event("call.body_unread", timeout_s=_REQUEST_DRAIN_TIMEOUT_S)
-
-    async def _wait_written(self, future: "asyncio.Future[None]") -> None:
-        try:
-            await future
-        except StreamClosedError:
-            raise asyncio.CancelledError from None
-
     async def _run(self, start_line: RequestStartLine, headers: HTTPHeaders) -> None:
         context = self._context
         started_s = context.clock.monotonic()
@@ -277,20 +185,25 @@
             failure = call if isinstance(call, Failure) else await self._forward(call)
             if failure is not None:
                 await self._refuse(failure)
-            await self._finish_request()
+            await self._answer.finish()
         except asyncio.CancelledError:
             failure = self._failure_after_cancel() or failure
         except Exception as error:
             failure = internal_failure(error)
             await self._report_internal_failure(failure)
         finally:
-            completed_at_s = self._completed_at_s
+            completed_at_s = self._answer.completed_at_s
             ended_s = (
                 context.clock.monotonic() if completed_at_s is None else completed_at_s
             )
             took_s = ended_s - started_s
             log_call_end(
-                context, call, headers, failure, status=self._status, took_s=took_s
+                context,
+                call,
+                headers,
+                failure,
+                status=self._answer.status,
+                took_s=took_s,
             )
             record_call_latency(context, call, started_s)
 
@@ -325,33 +238,34 @@
         self._pipeline.note_change()
 
     async def _forward(self, call: Call) -> Failure | None:
-        return await self._context.forwarder.forward(call, _CallerAdapter(self))
+        return await self._context.forwarder.forward(
+            call, _CallerAdapter(self._body, self._answer)
+        )
 
     def _on_call_done(self, _task: asyncio.Task[None]) -> None:
         # Nothing reads the body any more: a connection that waits for room in the
         # buffer would never end.
-        self._answer_ended = True
-        self._body.stop_buffering()
+        self._answer.end()
         self._context.open_calls -= 1
 
     async def _report_internal_failure(self, failure: Failure) -> None:
         """Report an exception in this node to the caller, unless the answer began."""
         self._context.metrics.count("calls_faulted")
-        if self._answer_started:
-            self.abort()
+        if self._answer.started:
+            self._answer.abort()
             return
         await self._refuse(failure)
-        await self._finish_request()
+        await self._answer.finish()
         # The exception may have left the connection in any state.
         self.stream.close()
 
     def _failure_after_cancel(self) -> Failure | None:
         """Return the failure of a cancelled call, None if its answer was complete."""
-        if self._answer_complete or not self._body_bytes_left:
+        if self._answer.whole:
             return None
         if self._body_malformed:
             self._context.metrics.count("call_failures", label=_MALFORMED_BODY)
-            refused = not self._answer_started and not self._body.forwarded
+            refused = not self._answer.started and not self._body.forwarded
             verdict = Verdict.NOT_RUN if refused else Verdict.MAY_HAVE_RUN
             return Failure(verdict, _MALFORMED_BODY)
         self._context.metrics.count("calls_abandoned")
@@ -361,17 +275,17 @@
         """Send the caller an answer with the verdict and the reason of a failure."""
         self._context.metrics.count("call_failures", label=failure.reason)
         refusal = build_refusal(failure, self._context.rng)
-        await self.send_head(refusal.head)
-        await self.send_body(refusal.body)
-        self.mark_answer_complete()
+        await self._answer.send_head(refusal.head)
+        await self._answer.send_body(refusal.body)
+        self._answer.mark_complete()
 
 
 class _CallerAdapter:
-    """Implements ``Caller`` for the forwarder on a caller's request."""
-
-    def __init__(self, request: CallerRequest) -> None:
-        self.read_body = request.read_body
-        self.send_head = request.send_head
-        self.send_body = request.send_body
-        self.finish = request.mark_answer_complete
-        self.abort = request.abort
+    """Implements ``Caller`` for the forwarder on a request and its answer."""
+
+    def __init__(self, body: RequestBody, answer: CallerAnswer) -> None:
+        self.read_body = body.read
+        self.send_head = answer.send_head
+        self.send_body = answer.send_body
+        self.finish = answer.mark_complete
+        self.abort = answer.abort
