Part the check whether an announcement has to wait

Cause: BackendWatch._has_to_wait had six returns, and whether two announcements are of the same start was compared in five places.

Change: _is_confirmed has the conditions for an instance that announces itself twice, _is_same_start the comparison.

Why it is safe: the conditions are the same, negated once for all of them. The tests of announcements and departures pass, without a change.

--- a/burdockdock/node/announcements.py
+++ b/burdockdock/node/announcements.py
@@ -174,7 +174,7 @@
         self._held = None
         self._last_announcement_s = self._clock.monotonic()
         self._last = announcement
-        is_new_start = last is None or _start_key(last) != _start_key(announcement)
+        is_new_start = not _is_same_start(last, announcement)
         if is_new_start:
             self._on_start(announcement.cold_s)
         self._publish(announcement)
@@ -191,27 +191,30 @@
 
         It may be a late one of an instance that left when an earlier process ran.
         """
-        if self._history_known or not announcement.sequence:
+        is_ready = announcement.state is BackendState.READY
+        if self._history_known or not (announcement.sequence and is_ready):
             return False
-        if announcement.state is not BackendState.READY:
-            return False
-        last, held = self._last, self._held
-        if last is not None and _start_key(last) == _start_key(announcement):
+        if _is_same_start(self._last, announcement):
             return False
+        return not self._is_confirmed(announcement)
+
+    def _is_confirmed(self, announcement: Announcement) -> bool:
+        """Return whether an instance is believed after two of its messages."""
+        held = self._held
         if held is None or not self._history_unreadable:
-            return True
-        if _start_key(held.announcement) != _start_key(announcement):
-            return True
+            return False
+        if not _is_same_start(held.announcement, announcement):
+            return False
         confirmed_after_s = self._clock.monotonic() - held.since_s
         is_newer = announcement.sequence > held.announcement.sequence
-        return not is_newer or confirmed_after_s < _CONFIRMATION_S
+        return is_newer and confirmed_after_s >= _CONFIRMATION_S
 
     def _hold(self, announcement: Announcement) -> None:
         """Keep the newest announcement, and when the first one of its start came."""
         held = self._held
         since_s = self._clock.monotonic()
         if held is not None:
-            same_start = _start_key(held.announcement) == _start_key(announcement)
+            same_start = _is_same_start(held.announcement, announcement)
             since_s = held.since_s if same_start else since_s
             if _recency(announcement) < _recency(held.announcement):
                 announcement = held.announcement
@@ -241,7 +244,7 @@
                 "earlier_start",
                 "a newer start has already announced itself",
             )
-        if _start_key(last) != _start_key(announcement):
+        if not _is_same_start(last, announcement):
             return None
         if announcement.sequence <= last.sequence:
             return Failure(
@@ -276,6 +279,10 @@
     return announcement.backend.instance_id, announcement.started_ms
 
 
+def _is_same_start(earlier: Announcement | None, announcement: Announcement) -> bool:
+    return earlier is not None and _start_key(earlier) == _start_key(announcement)
+
+
 def _recency(announcement: Announcement) -> tuple[int, int]:
     return announcement.started_ms, announcement.sequence
 
