Share the backend servers and streams of the gate's tests

Cause: five test modules of the gate each started a server and announced it to a gate, and four had a stream of their own that records an answer. The same code stood twice within test_misbehaving_backends and test_endless_bytes.

Change: tests.gate.backend_servers starts servers and gates, and reads request ids; tests.gate.recording_stream records.

--- a/tests/gate/test_answers_of_earlier_arrivals.py
+++ b/tests/gate/test_answers_of_earlier_arrivals.py
@@ -9,17 +9,14 @@
 
 import testtools
 
-from burdockdock.clock import SystemClock
-from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.coordination.verdict import Verdict
 from burdockdock.gate.gate import Gate
 from burdockdock.gate.headers import CallHeaders
-from burdockdock.gate.model import BackendServer
-from burdockdock.metrics import Metrics
-from burdockdock.protocol.calls import AnswerHead, CallRequest
-from tests import streams
+from burdockdock.protocol.calls import CallRequest
+from tests.gate.backend_servers import read_request_id, start_gate
+from tests.gate.recording_stream import RecordingStream
 from tests.support import async_test
 
-_HOST = "127.0.0.1"
 _HEADERS = CallHeaders(
     request_id="Request-Id",
     caller_sets_request_id=True,
@@ -69,7 +66,7 @@
         connection = self._connections
         self._connections += 1
         arrivals_here = 0
-        while request_id := await _read_request_id(reader):
+        while request_id := await read_request_id(reader):
             self.connection_of_arrival.append(connection)
             self._arrivals += 1
             arrivals_here += 1
@@ -80,36 +77,8 @@
         writer.close()
 
 
-async def _read_request_id(reader: asyncio.StreamReader) -> str:
-    """Return the id of the next request, empty at the end of the connection."""
-    try:
-        head = await reader.readuntil(b"\r\n\r\n")
-    except (asyncio.IncompleteReadError, ConnectionError):
-        return ""
-    return head.partition(b"Request-Id: ")[2].split(b"\r\n")[0].decode()
-
-
-class _Stream:
-    """Records the answer or the failure of a call."""
-
-    def __init__(self) -> None:
-        self.head: AnswerHead | None = None
-        self.failure: Failure | None = None
-
-    def send_head(self, head: AnswerHead) -> None:
-        """Record the head."""
-        self.head = head
-
-    async def send_body(self, data: bytes, *, end: bool) -> None:
-        """Ignore a part of the body."""
-
-    def fail(self, failure: Failure) -> None:
-        """Record the failure."""
-        self.failure = failure
-
-
-async def _call(gate: Gate, request_id: str) -> _Stream:
-    stream = _Stream()
+async def _call(gate: Gate, request_id: str) -> RecordingStream:
+    stream = RecordingStream()
     headers = (("Request-Id", request_id),)
     request = CallRequest(
         request_id, "t", "c", "r", "work", 10_000, True, "GET", "/", headers
@@ -123,10 +92,7 @@
 
     async def _start(self, stutter: bytes) -> tuple[Gate, _StutteringBackend]:
         backend = _StutteringBackend(stutter)
-        server = await streams.start_server(backend.serve, _HOST, 0)
-        port = server.sockets[0].getsockname()[1]
-        gate = Gate(clock=SystemClock(), metrics=Metrics(), headers=_HEADERS)
-        gate.announce(BackendServer("work", "1", _HOST, port, 4))
+        gate = await start_gate(backend.serve, slots=4, headers=_HEADERS)
         return gate, backend
 
     @async_test
--- a/tests/gate/test_cut_answers.py
+++ b/tests/gate/test_cut_answers.py
@@ -7,7 +7,7 @@
 from burdockdock.coordination.verdict import Failure
 from burdockdock.gate.curl_client import CurlClient
 from burdockdock.gate.transfer import BackendRequest
-from tests import streams
+from tests.gate.backend_servers import start_backend
 from tests.support import async_test
 
 _HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nResponse-Signature: s\r\n"
@@ -78,8 +78,7 @@
         """
         server = _CuttingServer()
         server.resets = resets
-        listening = await streams.start_server(server.serve, "127.0.0.1", 0)
-        port = listening.sockets[0].getsockname()[1]
+        port = await start_backend(server.serve)
         for name, (head, body) in _ANSWERS.items():
             answer = head if head_only else head + body
             for length in range(len(answer)):
@@ -103,8 +102,7 @@
     @async_test
     async def test_whole_answers_are_accepted(self) -> None:
         server = _CuttingServer()
-        listening = await streams.start_server(server.serve, "127.0.0.1", 0)
-        port = listening.sockets[0].getsockname()[1]
+        port = await start_backend(server.serve)
         for name, (head, body) in _ANSWERS.items():
             server.answer = head + body
             expected = b"body" if body else b""
--- a/tests/gate/test_endless_bytes.py
+++ b/tests/gate/test_endless_bytes.py
@@ -7,7 +7,7 @@
 
 from burdockdock.gate.curl_client import CurlClient
 from burdockdock.gate.transfer import BackendRequest
-from tests import streams
+from tests.gate.backend_servers import start_backend
 from tests.support import async_test
 
 _CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -60,17 +60,20 @@
         writer.close()
 
 
+async def _start_server(start: bytes, block: bytes) -> BackendRequest:
+    """Start a server that sends such bytes; return a request to it."""
+    port = await start_backend(_EndlessServer(start, block).serve)
+    return BackendRequest("GET", f"http://127.0.0.1:{port}/", [], 0, 60_000, True)
+
+
 class EndlessBytesTest(testtools.TestCase):
     """Tests of the memory that such bytes take at the node that called."""
 
     async def _kept_bytes(self, start: bytes, block: bytes) -> int:
-        server = _EndlessServer(start, block)
-        listening = await streams.start_server(server.serve, "127.0.0.1", 0)
-        port = listening.sockets[0].getsockname()[1]
+        request = await _start_server(start, block)
         client = CurlClient()
         before_bytes = _resident_bytes()
-        url = f"http://127.0.0.1:{port}/"
-        transfer = client.start(BackendRequest("GET", url, [], 0, 60_000, True))
+        transfer = client.start(request)
         try:
             await transfer.head()
             while isinstance(await transfer.read_body(), bytes):
@@ -88,13 +91,10 @@
 
     @async_test
     async def test_body_that_nobody_reads_is_not_kept(self) -> None:
-        server = _EndlessServer(b"HTTP/1.1 200 OK\r\n\r\n", b"b" * 65_536)
-        listening = await streams.start_server(server.serve, "127.0.0.1", 0)
-        port = listening.sockets[0].getsockname()[1]
+        request = await _start_server(b"HTTP/1.1 200 OK\r\n\r\n", b"b" * 65_536)
         client = CurlClient()
         before_bytes = _resident_bytes()
-        url = f"http://127.0.0.1:{port}/"
-        transfer = client.start(BackendRequest("GET", url, [], 0, 60_000, True))
+        transfer = client.start(request)
         await transfer.head()
         await asyncio.sleep(0.5)
         self.assertLess(_resident_bytes() - before_bytes, _MAX_KEPT_BYTES)
--- a/tests/gate/test_late_answers.py
+++ b/tests/gate/test_late_answers.py
@@ -6,22 +6,16 @@
 """
 
 import asyncio
-import re
 
 import testtools
 
-from burdockdock.clock import SystemClock
-from burdockdock.coordination.verdict import Failure, Verdict
-from burdockdock.gate.gate import Gate
+from burdockdock.coordination.verdict import Verdict
 from burdockdock.gate.headers import OWN_HEADERS, CallHeaders
-from burdockdock.gate.model import BackendServer
-from burdockdock.metrics import Metrics
-from burdockdock.protocol.calls import AnswerHead, CallRequest
-from tests import streams
+from burdockdock.protocol.calls import CallRequest
+from tests.gate.backend_servers import read_request_id, start_gate
+from tests.gate.recording_stream import RecordingStream
 from tests.support import async_test
 
-_HOST = "127.0.0.1"
-_REQUEST_ID = re.compile(rb"Request-Id: (\S+)\r\n")
 _HEADERS = CallHeaders(
     request_id="Request-Id", caller_sets_request_id=True, not_run="Not-Executed"
 )
@@ -57,8 +51,7 @@
         """Serve the requests of one connection."""
         connection = self._connections
         self._connections += 1
-        while head := await _read_head(reader):
-            request_id = _REQUEST_ID.search(head)[1].decode()
+        while request_id := await read_request_id(reader):
             self.served.append((connection, request_id))
             if len(self.served) == 2:
                 writer.write(self._late_copy)
@@ -66,32 +59,6 @@
             writer.write(_ok(request_id))
 
 
-async def _read_head(reader: asyncio.StreamReader) -> bytes:
-    try:
-        return await reader.readuntil(b"\r\n\r\n")
-    except (asyncio.IncompleteReadError, ConnectionError):
-        return b""
-
-
-class _Stream:
-    """Records the answer or the failure of a call."""
-
-    def __init__(self) -> None:
-        self.head: AnswerHead | None = None
-        self.failure: Failure | None = None
-
-    def send_head(self, head: AnswerHead) -> None:
-        """Record the head."""
-        self.head = head
-
-    async def send_body(self, data: bytes, *, end: bool) -> None:
-        """Ignore a part of the body."""
-
-    def fail(self, failure: Failure) -> None:
-        """Record the failure."""
-        self.failure = failure
-
-
 class LateAnswerTest(testtools.TestCase):
     """Tests of the calls that share a connection with a late copy of an answer."""
 
@@ -102,15 +69,12 @@
         count: int = 4,
         headers: CallHeaders = _HEADERS,
         idempotent: bool = True,
-    ) -> tuple[list[_Stream], _BackendServer]:
+    ) -> tuple[list[RecordingStream], _BackendServer]:
         backend = _BackendServer(late_copy)
-        server = await streams.start_server(backend.serve, _HOST, 0)
-        port = server.sockets[0].getsockname()[1]
-        gate = Gate(clock=SystemClock(), metrics=Metrics(), headers=headers)
-        gate.announce(BackendServer("work", "1", _HOST, port, 4))
+        gate = await start_gate(backend.serve, slots=4, headers=headers)
         calls = []
         for number in range(count):
-            calls.append(_Stream())
+            calls.append(RecordingStream())
             request_id = f"id-{number}"
             request = CallRequest(
                 request_id,
@@ -128,7 +92,7 @@
         return calls, backend
 
     def _assert_only_the_second_call_failed(
-        self, calls: list[_Stream], backend: _BackendServer
+        self, calls: list[RecordingStream], backend: _BackendServer
     ) -> None:
         self.assertEqual(Verdict.MAY_HAVE_RUN, calls[1].failure.verdict)
         self.assertIsNone(calls[1].head)
--- a/tests/gate/test_misbehaving_backends.py
+++ b/tests/gate/test_misbehaving_backends.py
@@ -1,70 +1,35 @@
 """Tests of backend servers that send malformed, endless or unexpected answers."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
 
 import testtools
 
-from burdockdock.clock import SystemClock
-from burdockdock.coordination.verdict import Failure
 from burdockdock.gate.curl_client import CurlClient
-from burdockdock.gate.gate import Gate
-from burdockdock.gate.model import BackendServer
 from burdockdock.gate.transfer import BackendRequest
-from burdockdock.metrics import Metrics
 from burdockdock.protocol import ReceiverGone
-from burdockdock.protocol.calls import AnswerHead, CallRequest
+from burdockdock.protocol.calls import CallRequest
 from tests import streams
+from tests.gate.backend_servers import start_backend, start_gate
+from tests.gate.recording_stream import RecordingStream
 from tests.support import async_test
 
 _MAX_KEPT_BYTES = 2_000_000
 _OK_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 _REQUEST = CallRequest("id-1", "t", "c", "r", "work", 3000, True, "GET", "/", ())
 
-ConnectionHandler = Callable[
-    [asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
-]
 
+async def _read_head(reader: asyncio.StreamReader) -> None:
+    await reader.readuntil(b"\r\n\r\n")
 
-class _RecordingStream:
-    """Records what the gate forwards of a call."""
-
-    def __init__(self, *, body: bytes = b"") -> None:
-        self.head: AnswerHead | None = None
-        self.body = b""
-        self.ended = asyncio.Event()
-        self.complete = False
-        self.failure: Failure | None = None
-        self._body = body
-
-    async def read_body(self) -> tuple[bytes, bool]:
-        """Return the rest of the request's body at once."""
-        return self._body, True
-
-    def send_head(self, head: AnswerHead) -> None:
-        """Record the head and the body sent with it."""
-        self.head = head
-        self.body += head.body
-        self._check_end(head.end)
-
-    async def send_body(self, data: bytes, *, end: bool) -> None:
-        """Record a part of the body."""
-        self.body += data
-        self._check_end(end)
-
-    def fail(self, failure: Failure) -> None:
-        """Record the failure."""
-        self.failure = failure
-        self.ended.set()
 
-    def _check_end(self, end: bool) -> None:
-        if end:
-            self.complete = True
-            self.ended.set()
+def _send_answer(answer: bytes) -> streams.ConnectionHandler:
+    """Return a handler that answers the first request of a connection."""
 
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await _read_head(reader)
+        writer.write(answer)
 
-async def _read_head(reader: asyncio.StreamReader) -> None:
-    await reader.readuntil(b"\r\n\r\n")
+    return serve
 
 
 async def _write_endlessly(
@@ -96,8 +61,7 @@
             await _write_endlessly(writer, start, block)
             writer.close()
 
-        server = await streams.start_server(serve, "127.0.0.1", 0)
-        port = server.sockets[0].getsockname()[1]
+        port = await start_backend(serve)
         client = CurlClient()
         transfer = client.start(
             BackendRequest("GET", f"http://127.0.0.1:{port}/", [], 0, 1500, True)
@@ -109,7 +73,6 @@
             return sum(len(line) for line in transfer._head_lines.lines)
         finally:
             client.close()
-            server.close()
 
     @async_test
     async def test_endless_headers(self) -> None:
@@ -137,7 +100,7 @@
         self.assertLess(kept_bytes, _MAX_KEPT_BYTES)
 
 
-class _StalledStream(_RecordingStream):
+class _StalledStream(RecordingStream):
     """Stream to a caller's node that grants no credit."""
 
     async def send_body(self, data: bytes, *, end: bool) -> None:
@@ -158,11 +121,8 @@
             await _write_endlessly(writer, start, b"x" * 10_000)
             writer.close()
 
-        server = await streams.start_server(serve, "127.0.0.1", 0)
-        port = server.sockets[0].getsockname()[1]
         results = []
-        gate = Gate(clock=SystemClock(), metrics=Metrics(), observe=results.append)
-        gate.announce(BackendServer("work", "1", "127.0.0.1", port, 1))
+        gate = await start_gate(serve, observe=results.append)
         stream = _StalledStream()
         request = _REQUEST._replace(time_left_ms=300)
         run = asyncio.create_task(gate.run(request, stream))
@@ -172,20 +132,16 @@
         # A slow receiver is no evidence about the backend server's version.
         self.assertEqual([], results)
         self.assertIsInstance(run.exception(), ReceiverGone)
-        server.close()
 
 
 class MisbehavingBackendTest(testtools.TestCase):
     """Tests that a call always ends with an answer or a failure."""
 
     async def _call(
-        self, serve: ConnectionHandler, request: CallRequest, **options: bytes
+        self, serve: streams.ConnectionHandler, request: CallRequest, **options: bytes
     ):
-        server = await streams.start_server(serve, "127.0.0.1", 0)
-        port = server.sockets[0].getsockname()[1]
-        gate = Gate(clock=SystemClock(), metrics=Metrics())
-        gate.announce(BackendServer("work", "1", "127.0.0.1", port, 1))
-        stream = _RecordingStream(**options)
+        gate = await start_gate(serve)
+        stream = RecordingStream(**options)
         run = asyncio.create_task(gate.run(request, stream))
         try:
             await asyncio.wait({run}, timeout=request.time_left_ms / 1000 + 1)
@@ -196,10 +152,9 @@
         finally:
             run.cancel()
             await asyncio.wait({run})
-            server.close()
 
-    @async_test
-    async def test_request_with_non_ascii_header(self) -> None:
+    async def _received_head(self, request: CallRequest) -> bytes:
+        """Return the head of a request as the backend server receives it."""
         received: list[bytes] = []
 
         async def serve(
@@ -208,25 +163,21 @@
             received.append(await reader.readuntil(b"\r\n\r\n"))
             writer.write(_OK_ANSWER)
 
-        request = _REQUEST._replace(headers=(("X-Name", "Zo\u00eb"),))
         stream = await self._call(serve, request)
         self.assertTrue(stream.complete, stream.failure)
-        self.assertIn("X-Name: Zo\u00eb\r\n".encode("latin-1"), received[0])
+        return received[0]
 
     @async_test
-    async def test_request_with_non_ascii_target(self) -> None:
-        received: list[bytes] = []
-
-        async def serve(
-            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-        ) -> None:
-            received.append(await reader.readuntil(b"\r\n\r\n"))
-            writer.write(_OK_ANSWER)
+    async def test_request_with_non_ascii_header(self) -> None:
+        request = _REQUEST._replace(headers=(("X-Name", "Zo\u00eb"),))
+        head = await self._received_head(request)
+        self.assertIn("X-Name: Zo\u00eb\r\n".encode("latin-1"), head)
 
+    @async_test
+    async def test_request_with_non_ascii_target(self) -> None:
         request = _REQUEST._replace(target="/Zo\u00eb#a|b")
-        stream = await self._call(serve, request)
-        self.assertTrue(stream.complete, stream.failure)
-        self.assertIn("/Zo\u00eb#a|b HTTP".encode("latin-1"), received[0])
+        head = await self._received_head(request)
+        self.assertIn("/Zo\u00eb#a|b HTTP".encode("latin-1"), head)
 
     @async_test
     async def test_answer_before_the_request_body_is_read(self) -> None:
@@ -261,13 +212,8 @@
         self.assertEqual((b"ok", True), (stream.body, stream.complete))
 
     async def _body_and_content_lengths(self, head: bytes) -> tuple[bytes, list[str]]:
-        async def serve(
-            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-        ) -> None:
-            await _read_head(reader)
-            writer.write(b"HTTP/1.1 200 OK\r\n" + head)
-
-        stream = await self._call(serve, _REQUEST)
+        answer = b"HTTP/1.1 200 OK\r\n" + head
+        stream = await self._call(_send_answer(answer), _REQUEST)
         self.assertTrue(stream.complete, stream.failure)
         lengths = [v for n, v in stream.head.headers if n.lower() == "content-length"]
         return stream.body, lengths
@@ -285,13 +231,8 @@
 
     @async_test
     async def test_malformed_header_lines_are_dropped(self) -> None:
-        async def serve(
-            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-        ) -> None:
-            await _read_head(reader)
-            head = b"A b: c\r\nX-A: a\x01b\r\nX-B: b\r\nContent-Length: 2\r\n\r\nok"
-            writer.write(b"HTTP/1.1 200 OK\r\n" + head)
-
-        stream = await self._call(serve, _REQUEST)
+        head = b"A b: c\r\nX-A: a\x01b\r\nX-B: b\r\nContent-Length: 2\r\n\r\nok"
+        answer = b"HTTP/1.1 200 OK\r\n" + head
+        stream = await self._call(_send_answer(answer), _REQUEST)
         names = [name for name, _ in stream.head.headers]
         self.assertEqual(["X-B", "Content-Length"], names)
--- a/tests/gate/test_resends.py
+++ b/tests/gate/test_resends.py
@@ -4,14 +4,11 @@
 
 import testtools
 
-from burdockdock.clock import SystemClock
 from burdockdock.coordination.verdict import Verdict
 from burdockdock.gate import exchange
-from burdockdock.gate.gate import Gate
-from burdockdock.gate.model import BackendServer
-from burdockdock.metrics import Metrics
 from burdockdock.protocol.calls import CallRequest
-from tests import streams
+from tests.gate.backend_servers import start_gate
+from tests.gate.recording_stream import RecordingStream
 from tests.support import async_test
 
 _REQUEST = CallRequest("id", "t", "c", "r", "work", 10_000, True, "GET", "/", ())
@@ -44,40 +41,20 @@
         self.arrivals += 1
 
 
-class _Stream:
-    """Records how a call ended."""
-
-    def __init__(self) -> None:
-        self.failure = None
-        self.status = 0
-
-    def send_head(self, head: object) -> None:
-        """Record the status."""
-        self.status = head.status
-
-    async def send_body(self, data: bytes, *, end: bool) -> None:
-        """Accept the body."""
-
-    def fail(self, failure: object) -> None:
-        """Record the failure."""
-        self.failure = failure
-
-
 class ResendTest(testtools.TestCase):
     """Tests of requests whose connection ends without an answer."""
 
-    async def _call_twice(self, *, work_s: float, leaves: bool = False) -> _Stream:
+    async def _call_twice(
+        self, *, work_s: float, leaves: bool = False
+    ) -> RecordingStream:
         """Make two calls on one connection; return the second.
 
         :param leaves: whether the backend server leaves while it runs the second.
         """
         self.backend = _LossyBackend(work_s)
-        server = await streams.start_server(self.backend.serve, "127.0.0.1", 0)
-        port = server.sockets[0].getsockname()[1]
-        gate = Gate(clock=SystemClock(), metrics=Metrics())
-        gate.announce(BackendServer("work", "1", "127.0.0.1", port, 1))
-        await gate.run(_REQUEST, _Stream())
-        stream = _Stream()
+        gate = await start_gate(self.backend.serve)
+        await gate.run(_REQUEST, RecordingStream())
+        stream = RecordingStream()
         # A request that was sent before would get a connection of its own.
         second = _REQUEST._replace(request_id="id-2")
         call = asyncio.create_task(gate.run(second, stream))
