--- /dev/null
+++ b/tests/configuration/test_acceptance.py
@@ -0,0 +1,83 @@
+"""Tests of acceptance under faults and with concurrent changes."""
+
+import itertools
+
+import testtools
+
+from burdockdock.clock import ManualClock
+from burdockdock.configuration.acceptance import (
+    Accepted,
+    Rejected,
+    Undecided,
+    accept,
+    find_outcome,
+    read_document,
+    read_head,
+)
+from burdockdock.configuration.ini import read_sections
+from tests.configuration.configurations import VALID_CONFIG
+from tests.support import FakePlatform, async_test
+
+
+class AcceptanceTest(testtools.TestCase):
+    """Tests of acceptance with each fault at each write, and of concurrent changes."""
+
+    async def _accept(
+        self, platform: FakePlatform, author: str, **options: object
+    ) -> Accepted | Rejected | Undecided:
+        head = await read_head(platform)
+        return await accept(
+            platform,
+            read_sections(VALID_CONFIG),
+            base=options.pop("base", head),
+            author=author,
+            reason="test",
+            clock=ManualClock(),
+            **options,
+        )
+
+    @async_test
+    async def test_reported_outcome_matches_the_stored_head(self) -> None:
+        faults = ("lost_before", "lost_after", "both")
+        for number, fault in itertools.product((1, 2, 3), faults):
+            write_faults = {number: fault}
+            if fault == "both":
+                write_faults = {number: "lost_after", number + 1: "lost_before"}
+            platform = FakePlatform(write_faults)
+            result = await self._accept(platform, "one", token="mine")
+            head = await read_head(platform)
+            accepted = head.find_entry("mine") is not None
+            if isinstance(result, Accepted):
+                self.assertTrue(accepted, write_faults)
+                document = await read_document(platform, head)
+                self.assertEqual(read_sections(VALID_CONFIG), document.sections)
+            elif isinstance(result, Rejected):
+                self.assertFalse(accepted, write_faults)
+            else:
+                later = await find_outcome(platform, "mine", base_version=0)
+                self.assertEqual(accepted, isinstance(later, Accepted), write_faults)
+
+    @async_test
+    async def test_first_of_two_concurrent_changes_wins_and_is_reported(self) -> None:
+        platform = FakePlatform()
+        base = await read_head(platform)
+        first = await self._accept(platform, "first", base=base)
+        second = await self._accept(platform, "second", base=base)
+        self.assertEqual(Accepted(1), first)
+        self.assertIsInstance(second, Rejected)
+        self.assertEqual(("first", 1), (second.winner.author, second.winner.version))
+
+    @async_test
+    async def test_invalid_configuration_writes_nothing(self) -> None:
+        platform = FakePlatform()
+        head = await read_head(platform)
+        result = await accept(
+            platform,
+            {"route x": {"path": "/", "service": "none"}},
+            base=head,
+            author="a",
+            reason="b",
+            clock=ManualClock(),
+        )
+        self.assertIsInstance(result, Rejected)
+        self.assertEqual({}, platform.objects)
