--- a/tests/gate/test_resends.py
+++ b/tests/gate/test_resends.py
@@ -4,14 +4,12 @@
 
 import testtools
 
-from burdockdock.clock import SystemClock
 from burdockdock.coordination.verdict import Verdict
 from burdockdock.gate import transfer
-from burdockdock.gate.gate import Gate
-from burdockdock.gate.model import KEPT_CONNECTION_ENDED, BackendServer
-from burdockdock.metrics import Metrics
+from burdockdock.gate.model import KEPT_CONNECTION_ENDED
 from burdockdock.protocol.calls import CallRequest
-from tests import streams
+from tests.gate.backend_servers import start_gate
+from tests.gate.recording_stream import RecordingStream
 from tests.support import async_test
 
 _REQUEST = CallRequest("id", "t", "c", "r", "work", 10_000, True, "GET", "/", ())
@@ -44,46 +42,22 @@
         self.arrivals += 1
 
 
-class _Stream:
-    """Records how a call ended."""
-
-    def __init__(self) -> None:
-        self.failure = None
-        self.status = 0
-
-    def send_head(self, head: object) -> None:
-        """Record the status."""
-        self.status = head.status
-
-    async def send_body(self, data: bytes, *, end: bool) -> None:
-        """Accept the body."""
-
-    def fail(self, failure: object) -> None:
-        """Record the failure."""
-        self.failure = failure
-
-
 class ResendTest(testtools.TestCase):
     """Tests of requests whose connection ends without an answer."""
 
     async def _call_twice(
         self, *, work_s: float, leaves: bool = False, **change: object
-    ) -> _Stream:
+    ) -> RecordingStream:
         """Make two calls on one connection; return the second.
 
         :param leaves: whether the backend server leaves while it runs the second.
         :param change: of the second request's fields.
         """
         self.backend = _LossyBackend(work_s)
-        server = await streams.start_server(self.backend.serve, "127.0.0.1", 0)
-        port = server.sockets[0].getsockname()[1]
         self.results = []
-        self.gate = Gate(
-            clock=SystemClock(), metrics=Metrics(), observe=self.results.append
-        )
-        self.gate.announce(BackendServer("work", "1", "127.0.0.1", port, 1))
-        await self.gate.run(_REQUEST, _Stream())
-        stream = _Stream()
+        self.gate = await start_gate(self.backend.serve, observe=self.results.append)
+        await self.gate.run(_REQUEST, RecordingStream())
+        stream = RecordingStream()
         # A request that was sent before would get a connection of its own.
         self.second = _REQUEST._replace(request_id="id-2", **change)
         call = asyncio.create_task(self.gate.run(self.second, stream))
@@ -121,7 +95,7 @@
     ) -> None:
         self.patch(transfer, "_DEAD_CONNECTION_S", 60.0)
         await self._call_twice(work_s=0.0)
-        stream = _Stream()
+        stream = RecordingStream()
         await self.gate.run(self.second, stream)
         self.assertEqual((200, 3), (stream.status, self.backend.arrivals))
 
@@ -139,7 +113,7 @@
         stream = await self._call_twice(work_s=_WORK_S, leaves=True)
         self.assertEqual(2, self.backend.arrivals)
         self.assertIs(Verdict.MAY_HAVE_RUN, stream.failure.verdict)
-        again = _Stream()
+        again = RecordingStream()
         await self.gate.run(self.second, again)
         self.assertEqual(2, self.backend.arrivals)
         self.assertEqual((Verdict.NOT_RUN, "draining"), again.failure[:2])
