End a call at once when its backend server switches protocols

What callers saw: a call waits until its deadline if the backend server answers with 101, which no node asks for.

Cause: libcurl takes what follows a 101 for bytes of the other protocol, so that neither a final head nor an end of the transfer comes. The gate took the 101 for an interim answer and waited on.

Evidence: sequences with 101 as interim answer that ended as backend_timeout; test_switch_to_another_protocol in tests/gate/test_head_lines.py and in tests/gate/test_misbehaving_backends.py, which failed before.

Change: gate.head_lines takes a 101 for a failure, other_protocol, which closes the connection. The request may have run.

Why it works: nodes send no Upgrade, so that no answer to the request can follow a 101.

--- a/burdockdock/gate/head_lines.py
+++ b/burdockdock/gate/head_lines.py
@@ -12,6 +12,8 @@
 
 _STATUS_LINE_START = re.compile(rb"HTTP/\d(?:\.\d)? \d{3}(?!\d)")
 _MIN_FINAL_STATUS = 200
+# Nodes ask for no other protocol, so that an answer can't follow this status.
+_SWITCHING_PROTOCOLS_STATUS = 101
 _MAX_DETAIL_BYTES = 200
 
 
@@ -45,6 +47,8 @@
         head = parse_head(lines)
         if head is None:
             return _failure("malformed_head", lines[0])
+        if head.status == _SWITCHING_PROTOCOLS_STATUS:
+            return _failure("other_protocol", lines[0])
         return head if head.status >= _MIN_FINAL_STATUS else None
 
 
--- a/tests/gate/test_head_lines.py
+++ b/tests/gate/test_head_lines.py
@@ -64,6 +64,10 @@
     def test_status_that_is_no_number(self) -> None:
         self._assert_failure("malformed_head", b"HTTP/1.1 OK\r\n", b"\r\n")
 
+    def test_switch_to_another_protocol(self) -> None:
+        lines = (b"HTTP/1.1 101 Switching\r\n", b"Upgrade: other\r\n", b"\r\n")
+        self._assert_failure("other_protocol", *lines)
+
     def test_detail_is_bounded(self) -> None:
         failure = _read(b"HTTP/1.1 200 OK\r\n", b"A" * 5000 + b"HTTP/1.1 500 X\r\n")
         self.assertEqual(200, len(failure.detail))
--- a/tests/gate/test_misbehaving_backends.py
+++ b/tests/gate/test_misbehaving_backends.py
@@ -260,6 +260,20 @@
         stream = await self._call(serve, _REQUEST)
         self.assertEqual((b"ok", True), (stream.body, stream.complete))
 
+    @async_test
+    async def test_switch_to_another_protocol(self) -> None:
+        # Guards against a call that waits until its deadline.
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await _read_head(reader)
+            head = b"HTTP/1.1 101 X\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n"
+            writer.write(head + _OK_ANSWER)
+            await reader.read()
+
+        stream = await self._call(serve, _REQUEST)
+        self.assertEqual("other_protocol", stream.failure.reason)
+
     async def _body_and_content_lengths(self, head: bytes) -> tuple[bytes, list[str]]:
         async def serve(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
