Call no request not run by the refusal of its second sending

What callers saw: "not run" for a request that had run. A backend server runs it and resets the connection at once, libcurl sends it again by itself as if the connection had been dead, and the second sending is refused with the header that proves that it wasn't run. The gate told that of both.

Change: if libcurl has sent a request more than once, a refusal that would prove that it wasn't run makes it one that may have run.

Why it works: nothing but an answer tells a dead connection from one whose request ran, so that a refusal can speak for its own sending only. The connection of the refusal is still kept.

--- a/burdockdock/gate/transfer.py
+++ b/burdockdock/gate/transfer.py
@@ -276,7 +276,7 @@
             return None
         rejection = self._rejection(head)
         if rejection is not None:
-            self._head.set_result(rejection)
+            self._head.set_result(self._for_all_sendings(rejection))
             return None if rejection.verdict is Verdict.NOT_RUN else _ABORT_TRANSFER
         self._remaining_bytes = body_length(head)
         self._head.set_result(head)
@@ -287,6 +287,15 @@
             return head
         return self._check_head(head, first_on_connection=self.first_on_connection)
 
+    def _for_all_sendings(self, rejection: Failure) -> Failure:
+        """Return what the rejection of the last sending says about the request.
+
+        It proves nothing about an earlier one that got no answer.
+        """
+        if self._send_count == 1 or rejection.verdict is not Verdict.NOT_RUN:
+            return rejection
+        return rejection._replace(verdict=Verdict.MAY_HAVE_RUN)
+
     def _on_body(self, data: bytes) -> int | None:
         if self._incoming_bytes >= _BODY_BUFFER_LIMIT_BYTES:
             self._download_paused = True
