--- /dev/null
+++ b/burdockdock/standin/faulty_answers.py
@@ -0,0 +1,126 @@
+"""The bytes of a faulty backend server's answers, and their signatures."""
+
+import hashlib
+from typing import NamedTuple
+
+from burdockdock.standin.faulty_behaviour import Framing
+from burdockdock.standin.ledger import Answer, Arrival
+
+_REASONS = {200: "OK", 404: "Not Found", 421: "Misdirected", 429: "Too Many"}
+_LONG_HEADER_BYTES = 120_000
+_DIGEST_BYTES = 8
+
+
+class HeaderNames(NamedTuple):
+    """Names of the headers of requests and answers.
+
+    :param not_run: in an answer, proves that the request wasn't run.
+    :param expected_instance: in a request, id of the only instance that may run it.
+    :param timeout: in a request, milliseconds until its deadline.
+    """
+
+    request_id: str = "Request-Id"
+    signature: str = "Response-Signature"
+    not_run: str = "Not-Executed"
+    expected_instance: str = "Expected-Instance"
+    instance_id: str = "Instance-Id"
+    timeout: str = "Deadline-Ms"
+
+
+class WireAnswer(NamedTuple):
+    """An answer as it is sent."""
+
+    head: bytes
+    body: bytes
+
+    @property
+    def data(self) -> bytes:
+        """The whole answer."""
+        return self.head + self.body
+
+
+def sign(request_id: str, number: int, status: int, body: bytes) -> str:
+    """Return the signature of an answer.
+
+    :param number: of the arrival.
+    """
+    content = f"{request_id}\0{number}\0{status}\0".encode() + body
+    return f"{number}.{hashlib.blake2b(content, digest_size=_DIGEST_BYTES).hexdigest()}"
+
+
+def signed_arrival(signature: str) -> int:
+    """Return the number of the arrival that a signature names, 0 if it names none."""
+    number = signature.partition(".")[0]
+    return int(number) if number.isascii() and number.isdecimal() else 0
+
+
+def run_answer(arrival: Arrival, *, status: int, body_bytes: int) -> Answer:
+    """Return the answer of a run; its body differs from those of other arrivals."""
+    body = _body(arrival, body_bytes)
+    signature = sign(arrival.request_id, arrival.number, status, body)
+    return Answer(status, body, signature)
+
+
+def wire_answer(
+    names: HeaderNames,
+    answer: Answer,
+    *,
+    request_id: str,
+    framing: Framing = Framing.LENGTH,
+    extra: tuple[tuple[str, str], ...] = (),
+    has_body: bool = True,
+) -> WireAnswer:
+    """Return the bytes of an answer.
+
+    :param request_id: that it bears, empty for none.
+    :param extra: further headers.
+    :param has_body: whether the body is sent, which it isn't after HEAD.
+    """
+    headers = [("Date", "Sun, 06 Dec 2026 07:31:56 GMT")]
+    headers += [(names.request_id, request_id)] if request_id else []
+    headers += [(names.signature, answer.signature)] if answer.signature else []
+    headers += _framing_headers(framing, len(answer.body)) + list(extra)
+    reason = _REASONS.get(answer.status, "Other")
+    lines = [f"HTTP/1.1 {answer.status} {reason}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    line_end = "\n" if framing is Framing.LINE_FEEDS else "\r\n"
+    head = (line_end.join(lines) + line_end * 2).encode("latin-1")
+    return WireAnswer(head, _framed(framing, answer.body) if has_body else b"")
+
+
+def interim_answer(status: int) -> bytes:
+    """Return the bytes of an interim answer."""
+    upgrade = "Upgrade: other\r\nConnection: Upgrade\r\n" if status == 101 else ""
+    return f"HTTP/1.1 {status} Interim\r\n{upgrade}\r\n".encode()
+
+
+def _body(arrival: Arrival, size_bytes: int) -> bytes:
+    start = f"arrival {arrival.number} of {arrival.request_id}:".encode("latin-1")
+    return (start + b"." * size_bytes)[:size_bytes] if size_bytes else b""
+
+
+def _framing_headers(framing: Framing, size_bytes: int) -> list[tuple[str, str]]:
+    if framing in (Framing.CHUNKED, Framing.BAD_CHUNK):
+        return [("Transfer-Encoding", "chunked")]
+    if framing is Framing.TRAILERS:
+        return [("Transfer-Encoding", "chunked"), ("Trailer", "X-Sum")]
+    if framing is Framing.NO_LENGTH:
+        return [("Connection", "close")]
+    length = [("Content-Length", str(size_bytes))]
+    if framing is Framing.TWO_LENGTHS:
+        return [*length, ("Content-Length", str(size_bytes // 2))]
+    if framing is Framing.LONG_HEAD:
+        return [*length, ("X-Long", "x" * _LONG_HEADER_BYTES)]
+    return length
+
+
+def _framed(framing: Framing, body: bytes) -> bytes:
+    if framing is Framing.BAD_CHUNK:
+        return b"%x\r\n%s\r\nno-size\r\n" % (len(body), body) if body else b"zz\r\n"
+    if framing not in (Framing.CHUNKED, Framing.TRAILERS):
+        return body
+    half = len(body) // 2
+    parts = [part for part in (body[:half], body[half:]) if part]
+    chunks = b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in parts)
+    trailers = b"X-Sum: 1\r\n" if framing is Framing.TRAILERS else b""
+    return chunks + b"0\r\n" + trailers + b"\r\n"
