Fuzz the gate with sequences of arrivals, judged by the ledger

Purpose: what a gate takes for an answer was checked for the faults that somebody had thought of.

tests/fuzz/garbled.py names what no node can see, since nodes can't read signatures: other bytes inside of an answer's body, junk inside of its head, a body that ends with its connection, an answer that bears the next request's id.

--- a/burdockdock/standin/faulty_backend.py
+++ b/burdockdock/standin/faulty_backend.py
@@ -47,7 +47,6 @@
         self._longest_work_s = longest_work_s
         self._server: asyncio.Server | None = None
         self._connections: dict[int, FaultyConnection] = {}
-        self._connection_count = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self._last_entries: dict[int, LedgerEntry] = {}
         self._own_id = instance_id
@@ -128,8 +127,7 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        self._connection_count += 1
-        number = self._connection_count
+        number = self.ledger.next_connection()
         connection = FaultyConnection(self, number, reader, writer)
         self._connections[number] = connection
         self._tasks.add(asyncio.current_task())
--- a/burdockdock/standin/ledger.py
+++ b/burdockdock/standin/ledger.py
@@ -90,7 +90,7 @@
 
 
 class Ledger:
-    """All arrivals at a backend server, in their order.
+    """All arrivals at one or more backend servers, in their order.
 
     :param on_end: called with each entry once nothing is added to it any more.
     :param keeps_entries: whether ``entries`` gets the entries.
@@ -105,6 +105,7 @@
         self.entries: list[LedgerEntry] = []
         self.on_end = on_end
         self.arrivals = 0
+        self.connections = 0
         self._keeps_entries = keeps_entries
 
     def add(self, entry: LedgerEntry) -> None:
@@ -113,7 +114,17 @@
         if self._keeps_entries:
             self.entries.append(entry)
 
+    def next_connection(self) -> int:
+        """Return the number of a new connection."""
+        self.connections += 1
+        return self.connections
+
     def entry(self, number: int) -> LedgerEntry | None:
-        """Return the entry of an arrival, None if there is no such arrival."""
-        known = 1 <= number <= len(self.entries)
-        return self.entries[number - 1] if known else None
+        """Return the entry of an arrival, None if there is none or it isn't kept."""
+        found = (e for e in self.entries if e.arrival.number == number)
+        return next(found, None)
+
+    def take_entries(self) -> list[LedgerEntry]:
+        """Return the entries, and keep only later ones; their numbers go on."""
+        entries, self.entries = self.entries, []
+        return entries
--- /dev/null
+++ b/tests/fuzz/garbled.py
@@ -0,0 +1,52 @@
+"""Tells what a backend server garbled such that no node can see it.
+
+Nodes can't read signatures. So they can't tell an answer whose bytes the backend server
+sent with others inside, or under the id of another request, from a whole one.
+"""
+
+import re
+
+from burdockdock.standin.faulty_behaviour import Behaviour, Framing
+from burdockdock.standin.ledger import LedgerEntry, SentBytes
+
+_HEAD_END = re.compile(rb"\r?\n\r?\n")
+_FORGED_ID = "copy_next_id"
+
+
+def is_head_garbled(entry: LedgerEntry) -> bool:
+    """Return whether an arrival's head has junk inside, or a forged one before it."""
+    if any(sent.kind == _FORGED_ID for sent in entry.sent):
+        return True
+    own, others = _split(entry)
+    is_whole = _HEAD_END.search(own) is not None
+    return bool(own) and not is_whole and any(s.kind == "junk" for s in others)
+
+
+def is_body_garbled(behaviour: Behaviour, entry: LedgerEntry, body: bytes) -> bool:
+    """Return whether the server sent this body behind the arrival's own whole head."""
+    own, others = _split(entry)
+    head_end = _HEAD_END.search(own)
+    if head_end is None:
+        return False
+    if behaviour.framing is Framing.NO_LENGTH:
+        # The end of the connection is the only end that such a body has.
+        behind = own[head_end.end() :] + b"".join(sent.data for sent in others)
+        return bool(behaviour.junk.between) or behind.startswith(body)
+    is_cut = own[head_end.end() :] != _whole_body(behaviour, entry)
+    return bool(behaviour.junk.between) or (is_cut and bool(others))
+
+
+def _whole_body(behaviour: Behaviour, entry: LedgerEntry) -> bytes:
+    """Return the body as it would be sent with its length, else nothing."""
+    is_chunked = behaviour.framing is not Framing.LENGTH
+    return b"" if is_chunked else entry.answer.body
+
+
+def _split(entry: LedgerEntry) -> tuple[bytes, list[SentBytes]]:
+    """Return an arrival's own answer as sent, and what was sent behind its start."""
+    kinds = [sent.kind for sent in entry.sent]
+    if "answer" not in kinds:
+        return b"", []
+    sent = entry.sent[kinds.index("answer") :]
+    own = b"".join(s.data for s in sent if s.kind == "answer")
+    return own, [s for s in sent if s.kind != "answer"]
