End calls whose body was lost with their link

What callers saw: a request that must not run twice waits until its deadline if the link between the nodes breaks while its body is on its way. It holds a slot of the backend server for as long.

Cause: when a link ends, its calls that aren't idempotent run to completion, so that the caller's node can ask for their outcome. One whose body hasn't arrived can't complete: the gate waits for the rest of the body, and the caller's node gets "running" for an outcome, each time it asks.

Change: CallServer.close cancels these calls as well.

Why it works: no other connection can bring the rest of the body, since a call belongs to one connection. Cancelling sets the outcome that the caller's node asks for.

--- a/burdockdock/gate/call_server.py
+++ b/burdockdock/gate/call_server.py
@@ -52,11 +52,13 @@
     def close(self) -> None:
         """Release the calls of a closed connection.
 
-        Idempotent calls are cancelled. The others run to completion, so that the
-        caller's node can query their outcome over another connection.
+        Idempotent calls are cancelled, and calls whose body can't arrive any more. The
+        others run to completion, so that the caller's node can query their outcome over
+        another connection.
         """
         for call_id, task in list(self._tasks.items()):
-            if self._streams[call_id].idempotent:
+            stream = self._streams[call_id]
+            if stream.idempotent or not stream.has_whole_body:
                 task.cancel()
         for stream in self._streams.values():
             stream.close()
@@ -70,6 +72,7 @@
             self._gate,
             route=request.route,
             idempotent=request.idempotent,
+            has_whole_body=request.end,
         )
         if len(self._streams) >= _MAX_CONCURRENT_CALLS:
             stream.fail(Failure(Verdict.NOT_RUN, "too_many_calls"))
@@ -125,7 +128,10 @@
 
 
 class _ServerCallStream:
-    """The gate's end of one call's stream over a connection."""
+    """The gate's end of one call's stream over a connection.
+
+    :param has_whole_body: whether all of the request's body has arrived.
+    """
 
     def __init__(
         self,
@@ -135,9 +141,11 @@
         *,
         route: str,
         idempotent: bool,
+        has_whole_body: bool = True,
     ) -> None:
         self.window = SendWindow()
         self.idempotent = idempotent
+        self.has_whole_body = has_whole_body
         self._route = route
         self._call_id = call_id
         self._connection = connection
@@ -146,6 +154,7 @@
 
     def receive_body(self, data: bytes, end: bool) -> None:
         """Queue a chunk of the request's body; the sender's window bounds the queue."""
+        self.has_whole_body |= end
         self._request_chunks.put_nowait((data, end))
 
     async def read_body(self) -> tuple[bytes, bool]:
--- a/tests/gate/test_call_server.py
+++ b/tests/gate/test_call_server.py
@@ -39,6 +39,20 @@
         raise RuntimeError("unexpected error in the gate")
 
 
+class _BusyGate(_FailingGate):
+    """Gate whose calls don't end; ``ended`` has the requests that were cancelled."""
+
+    def __init__(self) -> None:
+        self.ended: list[str] = []
+
+    async def run(self, request: CallRequest, stream: object) -> None:
+        """Run until cancelled."""
+        try:
+            await asyncio.Event().wait()
+        finally:
+            self.ended.append(request.request_id)
+
+
 def _message(data: bytes) -> Message:
     return decode(data[HEADER_BYTES:])
 
@@ -65,3 +79,31 @@
         self.assertEqual(["callFailed"], [m.which() for m in connection.sent])
         failed = connection.sent[0].callFailed
         self.assertEqual(Verdict.MAY_HAVE_RUN, Verdict(failed.verdict))
+
+    @async_test
+    async def test_calls_that_end_with_their_connection(self) -> None:
+        # Guards against a slot that is held until the deadline for a lost body.
+        gate = _BusyGate()
+        server = CallServer(_RecordingConnection(), gate)
+        once = _REQUEST._replace(idempotent=False)
+        parts = once._replace(body_length=4, body=b"ab", end=False)
+        requests = {
+            "often": _REQUEST,
+            "whole": once,
+            "in parts": parts,
+            "without its end": parts,
+        }
+        for call_id, (name, request) in enumerate(requests.items()):
+            start = frame_call_start(call_id, request._replace(request_id=name))
+            server.handle(_message(start))
+        server.handle(_message(frame("callBody", callId=2, data=b"cd", end=True)))
+        server.handle(_message(frame("callBody", callId=3, data=b"c", end=False)))
+        await asyncio.sleep(0)
+        server.close()
+        for _ in range(5):
+            await asyncio.sleep(0)
+        self.assertEqual(["often", "without its end"], gate.ended)
+        for call_id in (1, 2):
+            server.handle(_message(frame("callCancel", callId=call_id)))
+        for _ in range(5):
+            await asyncio.sleep(0)
