Fuzz the whole way of an answer, through nodes with links that break

Not checked through nodes: the use of connections behind failed calls, lost answers, and the sum of retries against the budget.

--- a/burdockdock/standin/ledger.py
+++ b/burdockdock/standin/ledger.py
@@ -54,8 +54,8 @@
     """What became of one arrival.
 
     ``sent`` has the bytes that were sent on the connection from this arrival on until
-    the next one. ``work_s`` is how long the run lasts, and ``ended_connection`` says
-    whether the server ended the connection behind the answer.
+    the next one. ``work_s`` is how long the run lasts, less if the connection is reset
+    before. ``ended_connection`` says whether the server ended it behind the answer.
     """
 
     def __init__(self, arrival: Arrival, behaviour: str, *, at_s: float) -> None:
--- a/tests/fuzz/sequences.py
+++ b/tests/fuzz/sequences.py
@@ -1,6 +1,7 @@
 """Sequences of calls to faulty backend servers, drawn from a seed."""
 
 import random
+from enum import Enum
 from typing import NamedTuple
 
 from burdockdock.standin.faulty_behaviour import Behaviour
@@ -14,6 +15,16 @@
 _RESTS_S = (0.0, 0.0, 0.0, 0.006)
 _BODY_SIZES_BYTES = (1, 70_000, 400_000)
 
+_LINK_FAULT_SHARE = 0.2
+# Messages of a call on a link, and whether they come from the callers' node.
+_LINK_MESSAGES = (
+    (True, "callStart"),
+    (True, "callBody"),
+    (False, "answerHead"),
+    (False, "answerBody"),
+    (False, "callFailed"),
+)
+
 
 class Call(NamedTuple):
     """One call.
@@ -33,11 +44,33 @@
     together: bool = False
 
 
+class LinkAction(Enum):
+    """What happens to a link between nodes."""
+
+    CUT = "cut"
+    DELAY = "delay"
+
+
+class LinkFault(NamedTuple):
+    """A fault of the link that a call is sent on.
+
+    :param outward: whether the message that triggers it comes from the callers' node.
+    :param kind: type of that message.
+    :param before: whether the fault comes before the message is forwarded, or after.
+    """
+
+    action: LinkAction
+    outward: bool
+    kind: str
+    before: bool
+
+
 class Step(NamedTuple):
     """A call, and what the backend server does with the arrival of the same number."""
 
     call: Call
     behaviour: Behaviour = Behaviour()
+    link_fault: LinkFault | None = None
 
 
 Sequence = tuple[Step, ...]
@@ -60,6 +93,20 @@
     return tuple(steps)
 
 
+def draw_sequence_for_nodes(seed: str) -> Sequence:
+    """Return the sequence of a seed, with faults of the links between nodes."""
+    rng = random.Random(f"{seed}/links")
+    steps = draw_sequence(seed)
+    return tuple(step._replace(link_fault=_draw_link_fault(rng)) for step in steps)
+
+
+def _draw_link_fault(rng: random.Random) -> LinkFault | None:
+    if rng.random() > _LINK_FAULT_SHARE:
+        return None
+    outward, kind = rng.choice(_LINK_MESSAGES)
+    return LinkFault(rng.choice(tuple(LinkAction)), outward, kind, rng.random() < 0.5)
+
+
 def _draw_request(rng: random.Random) -> Call:
     if rng.random() < 0.75:
         method = rng.choice(("GET", "GET", "GET", "GET", "HEAD"))
--- a/tests/fuzz/shrinking.py
+++ b/tests/fuzz/shrinking.py
@@ -40,6 +40,8 @@
 
 
 def _simpler_steps(step: Step) -> Iterator[Step]:
+    if step.link_fault is not None:
+        yield step._replace(link_fault=None)
     for field, default in Behaviour._field_defaults.items():
         if getattr(step.behaviour, field) != default:
             yield step._replace(behaviour=step.behaviour._replace(**{field: default}))
