--- a/burdockdock/gate/backend_call.py
+++ b/burdockdock/gate/backend_call.py
@@ -48,6 +48,10 @@
         self._client = CurlClient()
         self._sent_requests = SentRequests(clock=clock, kept_s=_SENT_REQUESTS_KEPT_S)
 
+    def close(self) -> None:
+        """Stop all calls and close the connections to the backend server."""
+        self._client.close()
+
     async def run(
         self,
         request: CallRequest,
--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -129,6 +129,10 @@
         """Refuse new calls from now on."""
         self._draining = True
 
+    def close(self) -> None:
+        """Stop all calls and close the connections to the backend server."""
+        self._backend_calls.close()
+
     async def wait_idle(self) -> None:
         """Wait until no call is in progress."""
         await self._idle.wait()
--- a/burdockdock/gate/head_lines.py
+++ b/burdockdock/gate/head_lines.py
@@ -15,6 +15,8 @@
 _STATUS_LINE_START = re.compile(rb"HTTP/1\.[01] \d{3}(?=[ \r\n])")
 _HEAD_ENDS = (b"\r\n", b"\n")
 _MIN_FINAL_STATUS = 200
+# Nodes ask for no other protocol, so that an answer can't follow this status.
+_SWITCHING_PROTOCOLS_STATUS = 101
 _MAX_DETAIL_BYTES = 200
 
 
@@ -55,6 +57,8 @@
         if not lines:
             return None
         head = parse_head(lines)
+        if head.status == _SWITCHING_PROTOCOLS_STATUS:
+            return _failure("other_protocol", lines[0])
         return head if head.status >= _MIN_FINAL_STATUS else None
 
 
