Let only the platform's outcome end a rollout, and judge only while in touch

Cause: a candidate's abort, found on its own evidence without the lease, outranked on every node the outcome that the holder had written. Behind a cut a candidate judged the results of its own gate alone, whose calls fail since its backend server reaches no others. A holder that heard nobody went on, too.

Change: two records that say two things, and a type for each standing. rollout.standing: a rollout that has ended has no place for a stop; a stop of an open one is in force only where the old version has a backend server, and weights that leave none are never in force. rollout.evidence_queue: results count once more than half of the service's gates were heard from after them; each gate of an open rollout sends them or an empty message every 0.25 s, which older nodes read. A holder out of touch releases the lease; at the deadline anyone may roll back. A write is sent again for 0.5 s instead of 10 s, so that it doesn't apply after the facts have changed. A state is read again when a newer rollout is known, and isn't judged by what was found of the one before.

Why it works: what a candidate does on its own can't be put beside an outcome, and what it does it from needs most of the service to be in touch.

--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -181,6 +181,7 @@
             notifier=self._notifier,
             change_own=self._change_own,
             running_calls=lambda: self.gate.running,
+            slots_of=self._endpoints.slots,
             order_format=self._interface.order_format,
         )
         self._backend_watch, self._departure_log = build_backend_parts(
@@ -333,7 +334,7 @@
         has_rollout = self.rollouts.view.get(service) is not None
         if not has_rollout and found is not None and found.initial_version:
             return {found.initial_version: 1.0}
-        return self.rollouts.weights(service, self._endpoints.slots(service))
+        return self.rollouts.weights(service)
 
     def _on_call_result(self, result: CallResult) -> None:
         backend = self.gate.backend
--- a/burdockdock/node/rollouts.py
+++ b/burdockdock/node/rollouts.py
@@ -26,10 +26,10 @@
 from burdockdock.rollout.owner import (
     OwnerDependencies,
     RolloutOwners,
-    RolloutView,
     candidates,
     is_candidate,
 )
+from burdockdock.rollout.view import RolloutView
 
 _EVIDENCE_SEND_INTERVAL_S = 0.25
 _MAX_ROWS_PER_MESSAGE = 8
@@ -44,6 +44,8 @@
     :param spread: stores a record and broadcasts it to every node.
     :param change_own: updates and broadcasts this node's own membership entry.
     :param running_calls: returns how many calls the gate is running.
+    :param slots_of: returns the total slots of each version of a service, of the
+        members that accept calls.
     :param order_format: format of rollout orders in the platform; None if operators
         start rollouts on the command line.
     """
@@ -62,10 +64,12 @@
         notifier: Notifier,
         change_own: Callable[..., None],
         running_calls: Callable[[], int],
+        slots_of: Callable[[str], Mapping[str, int]],
         order_format: OrderFormat | None = None,
     ) -> None:
         self._change_own = change_own
         self._running_calls = running_calls
+        self._slots_of = slots_of
         self._membership = membership
         self._ranking = ranking
         self._datagrams = datagrams
@@ -121,14 +125,12 @@
         """Stop owning rollouts."""
         self._owners.close()
 
-    def weights(self, service: str, slots: Mapping[str, int]) -> dict[str, float]:
-        """Return the traffic weights of a service's versions.
-
-        :param slots: total slots of each version's members that accept calls.
-        """
-        weights = self.view.weights(service)
-        if weights:
-            return weights
+    def weights(self, service: str) -> dict[str, float]:
+        """Return the traffic weights of a service's versions."""
+        slots = self._slots_of(service)
+        standing = self.view.standing(service)
+        if standing is not None:
+            return standing.weights(slots)
         order = self._order_view.get(service)
         ordered = order.to_version if order is not None and order.open else ""
         return default_weights(slots, ordered_version=ordered)
@@ -140,7 +142,7 @@
 
     def is_stopped(self, service: str, version: str) -> bool:
         """Return whether a rollout has removed all traffic from a version."""
-        weights = self.view.weights(service)
+        weights = self.view.weights(service, self._slots_of(service))
         return bool(weights) and not weights.get(version)
 
     def backend_started(self, cold_s: float | None) -> None:
@@ -188,12 +190,18 @@
     def _send_evidence(self) -> None:
         rows = self._collector.take()
         service = self._membership.own.service
-        if not rows:
+        if not rows and not self._owes_sign(service):
             return
         items = list(rows.items())
-        for start in range(0, len(items), _MAX_ROWS_PER_MESSAGE):
+        for start in range(0, max(1, len(items)), _MAX_ROWS_PER_MESSAGE):
             self._send_rows(service, dict(items[start : start + _MAX_ROWS_PER_MESSAGE]))
 
+    def _owes_sign(self, service: str) -> bool:
+        """Return whether the candidates are waiting to hear from this node's gate."""
+        rollout = self.view.get(service)
+        is_open = rollout is not None and not rollout.phase.final
+        return is_open and self._membership.own.ready
+
     def _update_stopped(self) -> None:
         """Publish whether the local version has no traffic and no running calls."""
         own = self._membership.own
@@ -206,7 +214,7 @@
         own_id = self._membership.own.node_id
         for member in candidates(self._ranking, service):
             if member.node_id == own_id:
-                self._owners.receive(service, rows)
+                self._owners.receive(service, own_id, rows)
                 continue
             self._datagrams.send(
                 (member.host, member.port),
@@ -217,4 +225,5 @@
             )
 
     def _on_evidence(self, evidence: Message, address: Address) -> None:
-        self._owners.receive(evidence.service, unpack_rows(evidence.rows))
+        rows = unpack_rows(evidence.rows)
+        self._owners.receive(evidence.service, evidence.nodeId, rows)
--- a/burdockdock/rollout/model.py
+++ b/burdockdock/rollout/model.py
@@ -1,4 +1,4 @@
-"""The state of rollouts and aborts, and their encoding."""
+"""The state of rollouts and stops, and their encoding."""
 
 import json
 from datetime import datetime
@@ -6,7 +6,8 @@
 from typing import Any, NamedTuple
 
 ROLLOUT_PREFIX = "rollouts/"
-ABORT_PREFIX = "abort/"
+# Older nodes know the records of stops by this name.
+STOP_PREFIX = "abort/"
 # Share of the calls that the new version gets while it soaks. The old version gets the
 # rest, so that a disturbance that affects both isn't mistaken for the new one's fault.
 SOAKING_SHARE = 0.9
@@ -132,11 +133,13 @@
     return rollout_from(json.loads(data))
 
 
-class Abort(NamedTuple):
-    """A record that immediately sets a new version's share to 0; it can't be undone.
+class Stop(NamedTuple):
+    """A candidate's own finding, which takes an open rollout's new version out of use.
 
-    :param number: the number of the aborted rollout.
-    :param node_id: id of the process that aborted it.
+    It isn't an outcome: it says nothing once the platform holds one.
+
+    :param number: the number of the rollout whose version is stopped.
+    :param node_id: id of the process that found the fault.
     """
 
     service: str
@@ -149,12 +152,12 @@
         return json.dumps(self._asdict(), separators=(",", ":")).encode()
 
 
-def decode_abort(data: bytes) -> Abort:
-    """Decode an abort from JSON bytes.
+def decode_stop(data: bytes) -> Stop:
+    """Decode a stop from JSON bytes.
 
-    :raises ValueError: if the bytes are not a valid abort.
+    :raises ValueError: if the bytes are not a valid stop.
     """
     try:
-        return Abort(**json.loads(data))
+        return Stop(**json.loads(data))
     except TypeError as error:
         raise ValueError(str(error)) from None
--- a/burdockdock/rollout/owner.py
+++ b/burdockdock/rollout/owner.py
@@ -1,4 +1,4 @@
-"""Advances the rollouts that this node owns, and aborts faulty ones."""
+"""Advances the rollouts that this node owns, and stops faulty versions."""
 
 import asyncio
 import itertools
@@ -10,23 +10,23 @@
 from burdockdock.coordination.lease import Lease
 from burdockdock.coordination.membership import Member, MembershipTable
 from burdockdock.coordination.ranking import MemberRanking
-from burdockdock.coordination.records import Record, RecordStore
+from burdockdock.coordination.records import Record
 from burdockdock.coordination.verdict import Failure
 from burdockdock.logs import log_event
 from burdockdock.platform_api.client import Conflict, PlatformClient, PlatformObject
-from burdockdock.rollout.evidence import EvidenceKey, EvidenceRow
+from burdockdock.rollout.evidence_queue import EvidenceQueue, Rows
 from burdockdock.rollout.judge import Judge, merge_rows
 from burdockdock.rollout.model import (
-    ABORT_PREFIX,
     ROLLOUT_PREFIX,
-    Abort,
+    STOP_PREFIX,
     Phase,
     Rollout,
-    decode_abort,
-    decode_rollout,
+    Stop,
     rollout_from,
 )
 from burdockdock.rollout.policy import Facts, next_state
+from burdockdock.rollout.standing import Open, standing_of
+from burdockdock.rollout.view import RolloutView
 
 Notify = Callable[[Rollout], Awaitable[bool]]
 
@@ -55,46 +55,6 @@
     return any(m.node_id == own_id for m in candidates(ranking, service))
 
 
-class RolloutView:
-    """The rollouts and aborts known to this node, read from the records."""
-
-    def __init__(self, records: RecordStore) -> None:
-        self._records = records
-        self._rollouts: dict[str, Rollout] = {}
-        self._aborts: dict[str, Abort] = {}
-        records.subscribe(self._on_record)
-
-    def get(self, service: str) -> Rollout | None:
-        """Return the newest rollout of a service, None if there is none."""
-        return self._rollouts.get(service)
-
-    def all(self) -> list[Rollout]:
-        """Return the newest rollout of every service."""
-        return list(self._rollouts.values())
-
-    def abort_of(self, rollout: Rollout) -> Abort | None:
-        """Return the abort of a rollout, None if it was not aborted."""
-        abort = self._aborts.get(rollout.service)
-        return abort if abort and abort.number == rollout.number else None
-
-    def weights(self, service: str) -> dict[str, float]:
-        """Return the traffic weight of each version, empty if there is no rollout."""
-        rollout = self._rollouts.get(service)
-        if rollout is None:
-            return {}
-        if self.abort_of(rollout):
-            return {rollout.from_version: 1.0}
-        return rollout.weights()
-
-    def _on_record(self, record: Record) -> None:
-        if record.key.startswith(ROLLOUT_PREFIX):
-            rollout = decode_rollout(record.value)
-            self._rollouts[rollout.service] = rollout
-        elif record.key.startswith(ABORT_PREFIX):
-            abort = decode_abort(record.value)
-            self._aborts[abort.service] = abort
-
-
 class OwnerDependencies(NamedTuple):
     """The node's components that an owner uses.
 
@@ -121,7 +81,7 @@
     def __init__(self, dependencies: OwnerDependencies) -> None:
         self._dependencies = dependencies
         self._owners: dict[str, asyncio.Task[None]] = {}
-        self._inboxes: dict[str, list[dict[EvidenceKey, EvidenceRow]]] = {}
+        self._evidence: dict[str, EvidenceQueue] = {}
 
     async def run(self) -> None:
         """Start and stop owner tasks as rollouts open and close, until cancelled."""
@@ -131,14 +91,17 @@
                 self._start(service)
             for service in self._owners.keys() - wanted:
                 self._owners.pop(service).cancel()
-                self._inboxes.pop(service, None)
+                self._evidence.pop(service, None)
             await sleep_to_tick(_POLL_INTERVAL_S)
 
-    def receive(self, service: str, rows: dict[EvidenceKey, EvidenceRow]) -> None:
-        """Queue a gate's results for the owner task of a service."""
-        inbox = self._inboxes.get(service)
-        if inbox is not None:
-            inbox.append(rows)
+    def receive(self, service: str, node_id: str, rows: Rows) -> None:
+        """Queue a gate's results for the owner task of a service.
+
+        :param node_id: id of the gate's node.
+        """
+        evidence = self._evidence.get(service)
+        if evidence is not None:
+            evidence.put(node_id, rows)
 
     def close(self) -> None:
         """Stop every owner task."""
@@ -164,9 +127,9 @@
         return not rollout.phase.final or unreported
 
     def _start(self, service: str) -> None:
-        inbox: list[dict[EvidenceKey, EvidenceRow]] = []
-        self._inboxes[service] = inbox
-        owner = _Owner(service, inbox, self._dependencies)
+        evidence = EvidenceQueue(self._dependencies.clock)
+        self._evidence[service] = evidence
+        owner = _Owner(service, evidence, self._dependencies)
         self._owners[service] = asyncio.create_task(owner.run())
 
 
@@ -183,11 +146,11 @@
     def __init__(
         self,
         service: str,
-        inbox: list[dict[EvidenceKey, EvidenceRow]],
+        evidence: EvidenceQueue,
         dependencies: OwnerDependencies,
     ) -> None:
         self._service = service
-        self._inbox = inbox
+        self._evidence = evidence
         self._dependencies = dependencies
         self._lease = Lease(
             dependencies.platform,
@@ -207,7 +170,7 @@
             while True:
                 await asyncio.sleep(_POLL_INTERVAL_S)
                 self._judge_evidence()
-                self._abort_if_faulty()
+                self._stop_if_faulty()
                 if self._lease.is_held(margin_s=_LEASE_WRITE_MARGIN_S):
                     await self._advance()
                 else:
@@ -218,6 +181,10 @@
 
     async def _keep_lease(self) -> None:
         while True:
+            if not self._may_hold_lease():
+                await self._lease.release()
+                await asyncio.sleep(_POLL_INTERVAL_S)
+                continue
             held_before = self._lease.is_held()
             held = await self._lease.maintain()
             if held and not held_before:
@@ -226,6 +193,33 @@
                 )
             await asyncio.sleep(_LEASE_RENEWAL_INTERVAL_S * random.uniform(0.8, 1.0))
 
+    def _may_hold_lease(self) -> bool:
+        """Return whether this node can own the rollout.
+
+        One that hears too few gates leaves it to a candidate that hears more of them.
+        At the deadline any candidate may take the rollout back, so that it ends.
+        """
+        rollout = self._dependencies.view.get(self._service)
+        if rollout is None:
+            return False
+        is_over = self._dependencies.clock.now() >= rollout.deadline
+        return rollout.phase.final or is_over or self._in_contact()
+
+    def _in_contact(self) -> bool:
+        return self._evidence.in_contact(self._gate_ids())
+
+    def _gate_ids(self) -> list[str]:
+        """Return the ids of the service's gates, also of those held for dead.
+
+        Behind a cut all others are held for dead in the end; they count as not heard
+        from, so that one node alone never takes itself for the whole service.
+        """
+        return [
+            m.node_id
+            for m in self._dependencies.membership
+            if m.service == self._service and m.ready and not m.leaving
+        ]
+
     def _judge_evidence(self) -> None:
         """Pass the gates' results to the judge.
 
@@ -240,30 +234,27 @@
             self._judge = Judge(
                 from_version=rollout.from_version, to_version=rollout.to_version
             )
-        rows = merge_rows(self._inbox)
-        self._inbox.clear()
+        rows = merge_rows(self._evidence.take(self._gate_ids()))
         if rows:
             self._judge.update(rows)
 
-    def _abort_if_faulty(self) -> None:
-        """Abort the rollout if the results received by this node show a fault.
+    def _stop_if_faulty(self) -> None:
+        """Stop the version if the results received by this node show a fault.
 
-        This needs no lease.
+        This needs no lease, and it isn't the outcome, which only the holder decides.
         """
-        rollout = self._dependencies.view.get(self._service)
-        if (
-            rollout is None
-            or rollout.phase.final
-            or self._dependencies.view.abort_of(rollout)
-        ):
-            return
-        fault = self._judge.judgement().fault
-        if fault:
-            self._spread_abort(rollout, fault)
+        match self._dependencies.view.standing(self._service):
+            case Open(rollout, stop=None):
+                fault = self._judge.judgement().fault
+                if fault:
+                    self._spread_stop(rollout, fault)
 
     async def _advance(self) -> None:
         """Write the next state if the policy decides on one."""
-        if self._current is None and not await self._read():
+        if self._is_outdated() and not await self._read():
+            return
+        if self._current.rollout.number != self._judged_number:
+            # What was found of an earlier rollout says nothing about this one.
             return
         if self._current.rollout.phase.final:
             await self._notify_operators(self._current.rollout)
@@ -275,9 +266,16 @@
         if next_rollout is None:
             return
         if next_rollout.phase is Phase.ROLLED_BACK:
-            self._spread_abort(next_rollout, next_rollout.history[-1].reason)
+            self._spread_stop(self._current.rollout, next_rollout.history[-1].reason)
         await self._write(next_rollout._replace(epoch=self._lease.epoch))
 
+    def _is_outdated(self) -> bool:
+        """Return whether the state has to be read again."""
+        if self._current is None:
+            return True
+        known = self._dependencies.view.get(self._service)
+        return known is not None and known.number > self._current.rollout.number
+
     async def _notify_operators(self, rollout: Rollout) -> None:
         """Notify the operators at least once; repeated if recording it fails."""
         if self._dependencies.notify is None or rollout.notified:
@@ -296,14 +294,20 @@
         return True
 
     def _facts(self, rollout: Rollout) -> Facts:
-        abort = self._dependencies.view.abort_of(rollout)
+        stop = self._stop_of(rollout)
         return Facts(
             judgement=self._judge.judgement(),
-            abort_reason=abort.reason if abort else "",
+            stop_reason=stop.reason if stop else "",
             new_slots=self._slots(rollout.to_version),
             old_slots=self._slots(rollout.from_version),
+            in_contact=self._in_contact(),
         )
 
+    def _stop_of(self, rollout: Rollout) -> Stop | None:
+        """Return the stop of a rollout, None if it has none or has ended."""
+        standing = standing_of(rollout, self._dependencies.view.stop(self._service))
+        return standing.stop if isinstance(standing, Open) else None
+
     def _slots(self, version: str) -> int:
         return sum(
             m.slots
@@ -313,19 +317,19 @@
             and m.service_version == version
         )
 
-    def _spread_abort(self, rollout: Rollout, reason: str) -> None:
-        """Spread the abort of a rollout, which stops the new version on all nodes.
+    def _spread_stop(self, rollout: Rollout, reason: str) -> None:
+        """Spread a stop, by which all nodes send no calls to the new version.
 
         This works while the platform is down.
         """
-        abort = Abort(
-            rollout.service, rollout.number, reason, self._dependencies.holder
-        )
-        if not self._dependencies.view.abort_of(rollout):
-            log_event("rollout.aborted", rollout=rollout.rollout_id, reason=reason)
+        stop = Stop(rollout.service, rollout.number, reason, self._dependencies.holder)
+        if self._stop_of(rollout) is None:
+            log_event(
+                "rollout.version_stopped", rollout=rollout.rollout_id, reason=reason
+            )
         # The rollout's number serves as the record's version.
         self._dependencies.spread(
-            Record(ABORT_PREFIX + rollout.service, rollout.number, abort.encode())
+            Record(STOP_PREFIX + rollout.service, rollout.number, stop.encode())
         )
 
     async def _write(self, rollout: Rollout) -> None:
@@ -333,8 +337,12 @@
         key = ROLLOUT_PREFIX + self._service
         if not self._lease.is_held(margin_s=_LEASE_WRITE_MARGIN_S):
             return
+        # Sent again for longer, it could apply after the facts have changed.
         result = await self._dependencies.platform.update(
-            key, expected_version=self._current.version, value=rollout.to_value()
+            key,
+            expected_version=self._current.version,
+            value=rollout.to_value(),
+            retry_timeout_s=_LEASE_WRITE_MARGIN_S,
         )
         if isinstance(result, Failure):
             # The write may have been applied, so the state has to be read again.
--- a/burdockdock/rollout/policy.py
+++ b/burdockdock/rollout/policy.py
@@ -24,27 +24,32 @@
 class Facts(NamedTuple):
     """The inputs of a decision.
 
-    :param abort_reason: the reason if any node has aborted the rollout, else empty.
+    :param stop_reason: the reason if a candidate has stopped the version, else empty.
     :param new_slots: total slots of the new version's ready backend servers.
     :param old_slots: total slots of the old version's ready backend servers.
+    :param in_contact: whether more than half of the service's gates are in touch. What
+        isn't heard of can't be judged, so that the rollout doesn't go on without.
     """
 
     judgement: Judgement
-    abort_reason: str
+    stop_reason: str
     new_slots: int
     old_slots: int
+    in_contact: bool = True
 
 
 def next_state(rollout: Rollout, facts: Facts, now: datetime) -> Rollout | None:
     """Return the rollout's next state, or None if it should not change yet."""
     if rollout.phase.final:
         return None
-    fault = facts.abort_reason or facts.judgement.fault
+    fault = facts.stop_reason or facts.judgement.fault
     if fault:
         return rollout.enter(Phase.ROLLED_BACK, now=now, reason=fault)
     if now >= rollout.deadline and not _can_finish(rollout, facts, now):
         reason = f"not done by the deadline: {_describe_missing(rollout, facts)}"
         return rollout.enter(Phase.ROLLED_BACK, now=now, reason=reason)
+    if not facts.in_contact:
+        return None
     if rollout.phase is Phase.WAITING:
         return _start_shifting(rollout, facts, now)
     if rollout.phase is Phase.SHIFTING:
@@ -91,6 +96,8 @@
 def _can_finish(rollout: Rollout, facts: Facts, now: datetime) -> bool:
     if rollout.phase is not Phase.SOAKING or rollout.step_at is None:
         return False
+    if not facts.in_contact:
+        return False
     # At the deadline, a soak that started late may finish after a shorter time.
     fraction = _SOAKING_FRACTION if now < rollout.deadline else _MIN_SOAKING_FRACTION
     soaked = now - rollout.step_at >= _duration(rollout) * fraction
@@ -98,6 +105,8 @@
 
 
 def _describe_missing(rollout: Rollout, facts: Facts) -> str:
+    if not facts.in_contact:
+        return "too few of the service's nodes could be reached"
     if not facts.new_slots:
         return f"no backend server of version {rollout.to_version} is ready"
     if facts.new_slots < facts.old_slots and rollout.phase is Phase.SHIFTING:
--- a/tests/rollout/test_orders.py
+++ b/tests/rollout/test_orders.py
@@ -13,8 +13,8 @@
 from burdockdock.platform_api import PlatformClient
 from burdockdock.rollout.model import ROLLOUT_PREFIX, Phase, Rollout
 from burdockdock.rollout.orders import ORDER_PREFIX, Order, OrderProcessor, OrderView
-from burdockdock.rollout.owner import RolloutView
 from burdockdock.rollout.start import read_rollout
+from burdockdock.rollout.view import RolloutView
 from burdockdock.standin.local_fleet import free_port
 from tests.platform.fake_object_store import FakeObjectStore
 from tests.support import async_test, eventually
--- a/tests/rollout/test_owner.py
+++ b/tests/rollout/test_owner.py
@@ -15,9 +15,11 @@
 from burdockdock.coordination.verdict import Failure
 from burdockdock.platform_api import Conflict, PlatformObject
 from burdockdock.rollout.evidence import EvidenceKey, EvidenceRow
+from burdockdock.rollout.evidence_queue import EvidenceQueue
 from burdockdock.rollout.model import ROLLOUT_PREFIX, Phase, Rollout, rollout_from
-from burdockdock.rollout.owner import Notify, OwnerDependencies, RolloutView, _Owner
+from burdockdock.rollout.owner import Notify, OwnerDependencies, _Owner
 from burdockdock.rollout.start import ChangeFailure, cancel_rollout, start_rollout
+from burdockdock.rollout.view import RolloutView
 from tests.rollout.test_policy import START, rollout
 from tests.support import FakePlatform, async_test
 
@@ -77,7 +79,7 @@
             )
         self.records = RecordStore()
         self.view = RolloutView(self.records)
-        self.inbox: list = []
+        self.evidence = EvidenceQueue(clock)
         self.peers: list[_Candidate] = []
         parts = OwnerDependencies(
             view=self.view,
@@ -89,7 +91,7 @@
             spread=self._spread,
             notify=notify,
         )
-        self.owner = _Owner("desk", self.inbox, parts)
+        self.owner = _Owner("desk", self.evidence, parts)
 
     def _spread(self, record: Record) -> None:
         for peer in (self, *self.peers):
@@ -99,10 +101,14 @@
         """Do one iteration of the owner's loops, with one row of new results."""
         key = EvidenceKey("profiles", "browsing", "2")
         old = EvidenceKey("profiles", "browsing", "1")
-        self.inbox.append({key: row, old: _GOOD_ROW})
-        await self.owner._lease.maintain()
+        self.evidence.put("backend-2", {key: row})
+        self.evidence.put("backend-1", {old: _GOOD_ROW})
+        if self.owner._may_hold_lease():
+            await self.owner._lease.maintain()
+        else:
+            await self.owner._lease.release()
         self.owner._judge_evidence()
-        self.owner._abort_if_faulty()
+        self.owner._stop_if_faulty()
         if self.owner._lease.is_held(margin_s=0.5):
             await self.owner._advance()
         else:
@@ -171,15 +177,21 @@
             self.assertIn("failures", last.history[-1].reason)
 
     @async_test
-    async def test_abort_spreads_while_the_platform_is_down(self) -> None:
+    async def test_stop_spreads_while_the_platform_is_down(self) -> None:
         clock = ManualClock(start=START)
         platform = _HistoryPlatform()
         candidate = _Candidate("one", platform, clock)
         state = rollout(phase=Phase.SHIFTING, share=0.25, step_at=START)
         candidate.records.put(Record(_KEY, 1, state.encode()))
         platform.down = True
+        # Results count once the gates have been heard from for some time.
+        while clock.monotonic() < 4.0:
+            await candidate.tick(_GOOD_ROW)
+            clock.advance(_TICK_INTERVAL_S)
+        weights = candidate.view.weights("desk", {"1": 8, "2": 8})
+        self.assertEqual({"1": 0.75, "2": 0.25}, weights)
         await candidate.tick(_BAD_ROW)
-        self.assertEqual({"1": 1.0}, candidate.view.weights("desk"))
+        self.assertEqual({"1": 1.0}, candidate.view.weights("desk", {"1": 8, "2": 8}))
 
     @async_test
     async def test_operators_are_notified_at_least_once_under_every_fault(self) -> None:
--- a/tests/rollout/test_policy.py
+++ b/tests/rollout/test_policy.py
@@ -36,7 +36,7 @@
     """Return facts of a good version with many calls."""
     values = {
         "judgement": Judgement("", 10_000),
-        "abort_reason": "",
+        "stop_reason": "",
         "new_slots": 8,
         "old_slots": 8,
         **fields,
@@ -71,7 +71,7 @@
             state = rollout(phase=phase, share=0.5, step_at=START)
             for bad in (
                 facts(judgement=Judgement("fault", 10)),
-                facts(abort_reason="fault"),
+                facts(stop_reason="fault"),
             ):
                 following = next_state(state, bad, START)
                 self.assertEqual(
--- a/tests/support.py
+++ b/tests/support.py
@@ -102,7 +102,12 @@
         return UNAVAILABLE if fault == "lost_after" else self.objects[key]
 
     async def update(
-        self, key: str, *, expected_version: int, value: dict[str, Any]
+        self,
+        key: str,
+        *,
+        expected_version: int,
+        value: dict[str, Any],
+        retry_timeout_s: float = 10.0,
     ) -> PlatformObject | Conflict | Failure:
         """Try an update up to twice, as the real client retries lost writes."""
         value_with_token = {**value, "token": value.get("token") or self.new_token()}
