--- a/tests/rollout/parted_fleet.py
+++ b/tests/rollout/parted_fleet.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from datetime import datetime, timedelta
@@ -159,6 +160,7 @@
         self.membership = MembershipTable(member, clock=self.clock)
         self.ranking = MemberRanking(self.membership)
         self.records = RecordStore()
+        self._slots: dict[tuple[str, int], dict[str, int]] = {}
         self.datagrams = _Datagrams(fleet, index)
         self.participant = RolloutParticipant(
             records=self.records,
@@ -178,16 +180,22 @@
 
     def slots(self, service: str) -> dict[str, int]:
         """Return the slots of each version that this node knows to take calls."""
+        key = (service, self.membership.generation)
+        if key not in self._slots:
+            self._slots[key] = self._count_slots(service)
+        return self._slots[key]
+
+    def weights(self, service: str) -> dict[str, float]:
+        """Return the weights by which this node sends calls."""
+        return self.participant.weights(service)
+
+    def _count_slots(self, service: str) -> dict[str, int]:
         found: dict[str, int] = {}
         for m in self.membership:
             if m.takes_work and m.service == service:
                 found[m.service_version] = found.get(m.service_version, 0) + m.slots
         return found
 
-    def weights(self, service: str) -> dict[str, float]:
-        """Return the weights by which this node sends calls."""
-        return self.participant.weights(service)
-
     def close(self) -> None:
         """Stop the node's tasks, also those that start in the same turn of the loop."""
         self.task.cancel()
@@ -424,24 +432,33 @@
         shares = [weights.get(v, 0.0) if weights else 1.0 for v in versions]
         if not any(shares):
             return
+        calls: Counter[str] = Counter()
+        by_id = {m.node_id: m for m in targets}
         for version in self.rng.choices(versions, shares, k=_CALLS_PER_TICK):
             gates = [m for m in targets if m.service_version == version]
-            self._serve(self.rng.choice(gates), service)
+            calls[self.rng.choice(gates).node_id] += 1
+        for node_id, count in calls.items():
+            self._serve(by_id[node_id], service, count)
 
-    def _serve(self, gate: Member, service: str) -> None:
-        """Let a gate serve one call, and observe its result."""
+    def _serve(self, gate: Member, service: str, calls: int) -> None:
+        """Let a gate serve calls of one node, and observe their results."""
+        version = gate.service_version
         node = self.nodes[gate.port]
-        backend = BackendServer(service, gate.service_version, "h", 1)
-        if not self.runs(node.index) or node.participant.is_stopped(
-            service, gate.service_version
-        ):
+        if not self.runs(node.index) or node.participant.is_stopped(service, version):
             return
-        failed = self.rng.random() < self._failure_share(gate)
-        if failed and gate.service_version == NEW and self._is_bad():
-            if node in self.majority():
-                self.bad_answers_at_s.setdefault(service, []).append(self.now_s)
-        result = CallResult("route", "w", "class", _LATENCY_S, failed, False)
-        node.participant.observe(result, backend)
+        backend = BackendServer(service, version, "h", 1)
+        failure_share = self._failure_share(gate)
+        for _ in range(calls):
+            failed = self.rng.random() < failure_share
+            result = CallResult("route", "w", "class", _LATENCY_S, failed, False)
+            node.participant.observe(result, backend)
+            if failed and version == NEW and self._is_bad():
+                self._count_bad_answer(node, service)
+
+    def _count_bad_answer(self, node: _FleetNode, service: str) -> None:
+        """Record a bad answer, unless it was given behind a cut."""
+        if node in self.majority():
+            self.bad_answers_at_s.setdefault(service, []).append(self.now_s)
 
     def _failure_share(self, gate: Member) -> float:
         """Return how many of a gate's calls fail; one cut off can't call others."""
