--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -179,6 +179,7 @@
             notifier=self._notifier,
             change_own=self._change_own,
             running_calls=lambda: self.gate.running,
+            slots_of=self._endpoints.slots,
             order_format=self._interface.order_format,
         )
         self._backend_watch, self._departure_log = build_backend_parts(
--- a/burdockdock/node/proxy_setup.py
+++ b/burdockdock/node/proxy_setup.py
@@ -42,7 +42,7 @@
         has_rollout = rollouts().view.get(service) is not None
         if not has_rollout and found is not None and found.initial_version:
             return {found.initial_version: 1.0}
-        return rollouts().weights(service, endpoints.slots(service))
+        return rollouts().weights(service)
 
     endpoints = Endpoints(
         membership,
