Use no kept connection for a second after a dead one

What callers saw: where every kept connection is dead when it is used again, more than a third of the idempotent requests failed once each repeat was charged.

Cause: each request on a kept connection met a dead one and needed a repeat, and the budget allows a repeat for a tenth of the requests.

Change: a gate that met a dead kept connection opens a new one for each request in the next second.

Why it works: a backend server that forgot one connection has most likely forgotten others that rested as long. One request a second, at most, is spent on finding out.

--- a/burdockdock/gate/backend_call.py
+++ b/burdockdock/gate/backend_call.py
@@ -20,6 +20,9 @@
 from burdockdock.metrics import Metrics
 from burdockdock.protocol.calls import CallRequest
 
+# Time after a kept connection turned out to be dead in which none is used.
+_FRESH_CONNECTIONS_S = 1.0
+
 
 class BackendCalls:
     """Runs admitted calls, each of which reaches the backend server once at most.
@@ -44,6 +47,8 @@
         self._results = results
         self._client = CurlClient()
         self._sent_requests = SentRequests(clock=clock, kept_s=MAX_REUSE_S)
+        # Monotonic time until which no kept connection is used.
+        self._fresh_until_s = float("-inf")
 
     async def run(
         self,
@@ -95,13 +100,15 @@
     def _start(
         self, request: CallRequest, backend: BackendServer, *, time_left_s: float
     ) -> Transfer:
+        was_sent = self._sent_requests.add(request.request_id)
+        forgets = self._clock.monotonic() < self._fresh_until_s
         return self._client.start(
             backend_request(
                 self._headers,
                 request,
                 backend,
                 time_left_s=time_left_s,
-                was_sent=self._sent_requests.add(request.request_id),
+                needs_fresh_connection=was_sent or forgets,
             ),
             check_head=functools.partial(check_answer, self._headers, request),
         )
@@ -145,8 +152,11 @@
             verdict=failure.verdict.name.lower(),
             detail=failure.detail,
         )
-        # A connection that was dead is no evidence about the backend server.
-        if failure.reason != KEPT_CONNECTION_ENDED:
+        if failure.reason == KEPT_CONNECTION_ENDED:
+            # No evidence about the backend server, but other kept connections are most
+            # likely dead as well.
+            self._fresh_until_s = self._clock.monotonic() + _FRESH_CONNECTIONS_S
+        else:
             # 503 counts as load shedding, as the request did not run; 0 means no
             # answer.
             status = 503 if failure.verdict is Verdict.NOT_RUN else 0
--- a/burdockdock/gate/exchange.py
+++ b/burdockdock/gate/exchange.py
@@ -17,14 +17,14 @@
     backend: BackendServer,
     *,
     time_left_s: float,
-    was_sent: bool,
+    needs_fresh_connection: bool,
 ) -> BackendRequest:
     """Build the HTTP request to the backend server.
 
     :param names: names of the headers that the backend server uses.
     :param time_left_s: seconds until the call's deadline.
-    :param was_sent: whether the request was sent to the backend server before, so that
-        a kept connection may have carried it.
+    :param needs_fresh_connection: whether a kept connection may be dead or may have
+        carried the request before.
     """
     timeout_ms = int(max(_MIN_TIMEOUT_S, time_left_s) * 1000)
     headers = _curl_headers(request)
@@ -39,7 +39,7 @@
         headers=headers,
         body_length=request.body_length,
         timeout_ms=timeout_ms,
-        fresh_connection=was_sent or not request.idempotent,
+        fresh_connection=needs_fresh_connection or not request.idempotent,
     )
 
 
--- a/tests/gate/test_resends.py
+++ b/tests/gate/test_resends.py
@@ -6,7 +6,7 @@
 
 from burdockdock.clock import SystemClock
 from burdockdock.coordination.verdict import Verdict
-from burdockdock.gate import transfer
+from burdockdock.gate import backend_call, transfer
 from burdockdock.gate.gate import Gate
 from burdockdock.gate.model import KEPT_CONNECTION_ENDED, BackendServer
 from burdockdock.metrics import Metrics
@@ -133,6 +133,27 @@
         await self._call_twice(work_s=0.0)
         self.assertEqual([False], [result.failed for result in self.results])
 
+    @async_test
+    async def test_no_kept_connection_is_used_after_a_dead_one(self) -> None:
+        # Guards against a loss of as many calls as there are dead connections.
+        self.patch(transfer, "_DEAD_CONNECTION_S", 60.0)
+        self.patch(backend_call, "_FRESH_CONNECTIONS_S", 60.0)
+        await self._call_twice(work_s=0.0)
+        for i in range(4):
+            stream = _Stream()
+            await self.gate.run(_REQUEST._replace(request_id=f"other-{i}"), stream)
+            self.assertEqual(200, stream.status)
+
+    @async_test
+    async def test_kept_connections_are_used_again_later(self) -> None:
+        self.patch(transfer, "_DEAD_CONNECTION_S", 60.0)
+        self.patch(backend_call, "_FRESH_CONNECTIONS_S", 0.0)
+        await self._call_twice(work_s=0.0)
+        await self.gate.run(_REQUEST._replace(request_id="id-3"), _Stream())
+        stream = _Stream()
+        await self.gate.run(_REQUEST._replace(request_id="id-4"), stream)
+        self.assertEqual(KEPT_CONNECTION_ENDED, stream.failure.reason)
+
     @async_test
     async def test_leaving_backend_server_gets_no_request_again(self) -> None:
         self.patch(transfer, "_DEAD_CONNECTION_S", 60.0)
