Test charges with a clock of the test

The tests of dead connections and charges ran against a real deadline of 200 ms, so that their verdicts hung on the machine's speed.

--- a/tests/proxy/test_forwarder.py
+++ b/tests/proxy/test_forwarder.py
@@ -296,7 +296,7 @@
             name: FakeLink(name, result)
             for name, result in zip("ab", results, strict=True)
         }
-        fixture = ForwarderFixture(links, reserve=reserve)
+        fixture = ForwarderFixture(links, ManualClock(), reserve=reserve)
         await fixture.call(idempotent=True, retries=retries)
         return len(links["a"].sent), len(links["b"].sent)
 
@@ -318,7 +318,8 @@
     @async_test
     async def test_a_request_that_may_run_once_is_not_sent_again(self) -> None:
         link = FakeLink("a", _DEAD)
-        await ForwarderFixture({"a": link}).call(idempotent=False)
+        fixture = ForwarderFixture({"a": link}, ManualClock())
+        await fixture.call(idempotent=False)
         self.assertEqual(1, len(link.sent))
 
 
@@ -334,7 +335,7 @@
             name: FakeLink(name, result)
             for name, result in zip("abcdefg", results, strict=False)
         }
-        fixture = ForwarderFixture(links)
+        fixture = ForwarderFixture(links, ManualClock())
         await fixture.call(idempotent=True, retries=retries)
         left = 0
         while fixture.budget.try_spend("work"):
