--- a/tests/fuzz/mesh.py
+++ b/tests/fuzz/mesh.py
@@ -40,7 +40,7 @@
     "max-attempts",
     "service",
 ]
-_CONFIG = {
+CONFIG = {
     "version": "r1",
     "routes": {
         "columns": _ROUTE_COLUMNS,
@@ -78,7 +78,7 @@
         """Start everything, and wait until the callers' node knows the others."""
         store = FakeObjectStore()
         self._store_server = store.serve(HOST, self._store_port)
-        await store.put("config", "main", spec=_CONFIG)
+        await store.put("config", "main", spec=CONFIG)
         for name in _NAMES:
             await self._start_node(name)
         await self._start_relays()
