--- a/tests/fuzz/test_decoders.py
+++ b/tests/fuzz/test_decoders.py
@@ -9,6 +9,7 @@
 import testtools
 
 from burdockdock.clock import SystemClock
+from burdockdock.configuration.checks import build_snapshot
 from burdockdock.coordination.membership import Member
 from burdockdock.coordination.verdict import Failure
 from burdockdock.platform import INTERFACE
@@ -108,3 +109,7 @@
             dialect=INTERFACE.dialect,
         )
         self.assertIsInstance(await client.list("roster/"), Failure)
+
+    def test_number_that_is_too_long(self) -> None:
+        sections = {"defaults": {"timeout_ms": "9" * 5000}}
+        self.assertIsInstance(build_snapshot(sections, version=1), list)
