Keep the platform's header names out of the stand-in

Cause: the faulty backend server had the names as defaults, which tests/platform/test_boundary.py refuses. The run of all tests showed it.

--- a/burdockdock/cli/standin.py
+++ b/burdockdock/cli/standin.py
@@ -95,7 +95,7 @@
     f"{', '.join(kind.value for kind in Kind)}.",
 )
 @click.option("--instance-id", default="", help="Id that requests may expect.")
-@click.option("--health-path", default="/health", show_default=True)
+@click.option("--health", "health_path", default="/health", show_default=True)
 @click.option("--idle-timeout-s", type=float, default=60.0, show_default=True)
 @click.option(
     "--ledger",
@@ -122,7 +122,7 @@
     bytes were sent, and which arrival's they were.
 
     It doesn't announce itself. Headers have the names of the users' platform, and
-    Response-Signature is a hash over id, number of the arrival, status and body.
+    the signature is a hash over id, number of the arrival, status and body.
     """
 
     async def run() -> None:
--- a/burdockdock/standin/faulty_answers.py
+++ b/burdockdock/standin/faulty_answers.py
@@ -17,14 +17,15 @@
     :param not_run: in an answer, proves that the request wasn't run.
     :param expected_instance: in a request, id of the only instance that may run it.
     :param timeout: in a request, milliseconds until its deadline.
+    :param instance_id: in an answer to a health check, empty for none.
     """
 
-    request_id: str = "Request-Id"
-    signature: str = "Response-Signature"
-    not_run: str = "Not-Executed"
-    expected_instance: str = "Expected-Instance"
-    instance_id: str = "Instance-Id"
-    timeout: str = "Deadline-Ms"
+    request_id: str
+    signature: str
+    not_run: str
+    expected_instance: str
+    timeout: str
+    instance_id: str = ""
 
 
 class WireAnswer(NamedTuple):
--- a/burdockdock/standin/faulty_backend.py
+++ b/burdockdock/standin/faulty_backend.py
@@ -31,7 +31,7 @@
         *,
         clock: Clock,
         ledger: Ledger,
-        names: HeaderNames = HeaderNames(),
+        names: HeaderNames,
         instance_id: str = "",
         health_path: str = "/health",
         longest_work_s: float = 60.0,
--- a/burdockdock/standin/faulty_connection.py
+++ b/burdockdock/standin/faulty_connection.py
@@ -129,7 +129,7 @@
 
     def _health(self) -> bytes:
         names, instance_id = self._server.names, self._server.instance_id
-        extra = ((names.instance_id, instance_id),)
+        extra = ((names.instance_id, instance_id),) if names.instance_id else ()
         return wire_answer(names, Answer(200), request_id="", extra=extra).data
 
     async def _serve_request(self, head: RequestHead) -> bool:
--- a/tests/fuzz/gate_runs.py
+++ b/tests/fuzz/gate_runs.py
@@ -14,6 +14,7 @@
 from tests.fuzz.given_behaviours import GivenBehaviours
 from tests.fuzz.outcomes import ATTEMPT_HEADER, Outcome, Run
 from tests.fuzz.sequences import Call, Sequence
+from tests.header_names import HEADER_NAMES
 
 _HOST = "127.0.0.1"
 _INSTANCE = "i-1"
@@ -74,6 +75,7 @@
         ledger=ledger,
         instance_id=_INSTANCE,
         longest_work_s=_LONGEST_WORK_S,
+        names=HEADER_NAMES,
         idle_timeout_s=_IDLE_TIMEOUT_S,
     )
     port = await backend.start(_HOST, 0)
--- a/tests/fuzz/judge.py
+++ b/tests/fuzz/judge.py
@@ -6,14 +6,15 @@
 from typing import NamedTuple
 
 from burdockdock.coordination.verdict import Verdict
-from burdockdock.standin.faulty_answers import HeaderNames, signed_arrival
+from burdockdock.standin.faulty_answers import signed_arrival
 from burdockdock.standin.faulty_behaviour import Ending
 from burdockdock.standin.ledger import Answer, LedgerEntry
 from tests.fuzz.garbled import is_body_garbled, is_head_garbled
 from tests.fuzz.outcomes import Outcome, Run
 from tests.fuzz.sequences import LONG_TIME_LEFT_MS
+from tests.header_names import HEADER_NAMES
 
-_NAMES = HeaderNames()
+_NAMES = HEADER_NAMES
 # A connection that ends this long after its request arrived was not dead before.
 _NOT_DEAD_S = 0.05
 
--- a/tests/fuzz/mesh.py
+++ b/tests/fuzz/mesh.py
@@ -19,6 +19,7 @@
 from burdockdock.standin.local_fleet import free_port
 from tests.fuzz.caller import HOST_NAME
 from tests.fuzz.given_behaviours import GivenBehaviours
+from tests.header_names import HEADER_NAMES
 from tests.platform.fake_object_store import FakeObjectStore
 from tests.relay import Relay
 from tests.support import eventually
@@ -113,6 +114,7 @@
             ledger=self.ledger,
             instance_id=f"i-{name}",
             longest_work_s=_LONGEST_WORK_S,
+            names=HEADER_NAMES,
             idle_timeout_s=_IDLE_TIMEOUT_S,
         )
         self._backends.append(backend)
--- a/tests/standin/test_faulty_answers.py
+++ b/tests/standin/test_faulty_answers.py
@@ -3,7 +3,6 @@
 import testtools
 
 from burdockdock.standin.faulty_answers import (
-    HeaderNames,
     run_answer,
     sign,
     signed_arrival,
@@ -11,6 +10,7 @@
 )
 from burdockdock.standin.faulty_behaviour import Framing
 from burdockdock.standin.ledger import Arrival
+from tests.header_names import HEADER_NAMES
 
 _ARRIVAL = Arrival(3, 1, 1, "", "id-1", "GET", "/", ())
 
@@ -55,9 +55,7 @@
             Framing.LONG_HEAD: (b"X-Long", b"arri"),
         }
         for framing in Framing:
-            wire = wire_answer(
-                HeaderNames(), answer, request_id="id-1", framing=framing
-            )
+            wire = wire_answer(HEADER_NAMES, answer, request_id="id-1", framing=framing)
             head_part, body = expected[framing]
             self.assertIn(head_part, wire.head)
             self.assertEqual(body, wire.body)
--- a/tests/standin/test_faulty_backend.py
+++ b/tests/standin/test_faulty_backend.py
@@ -22,6 +22,7 @@
 )
 from burdockdock.standin.ledger import Ledger
 from tests import streams
+from tests.header_names import HEADER_NAMES
 from tests.support import async_test
 
 _HOST = "127.0.0.1"
@@ -39,7 +40,11 @@
         left = iter(behaviours)
         self.ledger = Ledger()
         self.backend = FaultyBackend(
-            lambda: next(left), clock=SystemClock(), ledger=self.ledger, **options
+            lambda: next(left),
+            clock=SystemClock(),
+            ledger=self.ledger,
+            names=HEADER_NAMES,
+            **options,
         )
         return await self.backend.start(_HOST, 0)
 
