--- a/tests/fuzz/judge.py
+++ b/tests/fuzz/judge.py
@@ -6,14 +6,16 @@
 from typing import NamedTuple
 
 from burdockdock.coordination.verdict import Verdict
-from burdockdock.standin.faulty_answers import HeaderNames, signed_arrival
+from burdockdock.standin.faulty_answers import signed_arrival
 from burdockdock.standin.faulty_behaviour import Ending
 from burdockdock.standin.ledger import Answer, LedgerEntry
 from tests.fuzz.garbled import is_body_garbled, is_head_garbled
 from tests.fuzz.outcomes import Outcome, Run
 from tests.fuzz.sequences import LONG_TIME_LEFT_MS
+from tests.header_names import HEADER_NAMES
+
+_NAMES = HEADER_NAMES
 
-_NAMES = HeaderNames()
 # Reasons of failures whose answer was the arrival's own.
 _OWN_REFUSALS = ("backend_refused", "other_instance")
 
--- a/tests/fuzz/mesh.py
+++ b/tests/fuzz/mesh.py
@@ -19,6 +19,7 @@
 from burdockdock.standin.local_fleet import free_port
 from tests.fuzz.caller import HOST_NAME
 from tests.fuzz.given_behaviours import GivenBehaviours
+from tests.header_names import HEADER_NAMES
 from tests.platform.fake_object_store import FakeObjectStore
 from tests.relay import Relay
 from tests.support import eventually
@@ -40,7 +41,7 @@
     "max-attempts",
     "service",
 ]
-_CONFIG = {
+CONFIG = {
     "version": "r1",
     "routes": {
         "columns": _ROUTE_COLUMNS,
@@ -78,7 +79,7 @@
         """Start everything, and wait until the callers' node knows the others."""
         store = FakeObjectStore()
         self._store_server = store.serve(HOST, self._store_port)
-        await store.put("config", "main", spec=_CONFIG)
+        await store.put("config", "main", spec=CONFIG)
         for name in _NAMES:
             await self._start_node(name)
         await self._start_relays()
@@ -113,6 +114,7 @@
             ledger=self.ledger,
             instance_id=f"i-{name}",
             longest_work_s=_LONGEST_WORK_S,
+            names=HEADER_NAMES,
             idle_timeout_s=_IDLE_TIMEOUT_S,
         )
         self._backends.append(backend)
