--- a/tests/rollout/test_parted_candidates.py
+++ b/tests/rollout/test_parted_candidates.py
@@ -17,7 +17,7 @@
 )
 from tests.virtual_time import run_virtually
 
-_ORDERS = 150
+_ORDERS = 300
 _START_S = 0.5
 _NODES = 7
 # Time in which all nodes agree after a cut, and in which a bad version is stopped.
