Log how long a node has known of a version that it lacks

The times are kept beside the advertised versions. An advertisement that nobody repeats for 5 s gives way to a lower one; before, one wrong ping made a node look for a version for ever (test_advertisement_that_nobody_repeats_gives_way_to_a_lower_one). Routing is unchanged.

--- a/burdockdock/coordination/records.py
+++ b/burdockdock/coordination/records.py
@@ -4,6 +4,9 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from burdockdock.clock import Clock, SystemClock
+from burdockdock.coordination.advertised import AdvertisedVersions, MissingVersion
+
 
 class Record(NamedTuple):
     """A key with a value and its version; the highest version wins on every node.
@@ -21,13 +24,20 @@
 
     :param accept: returns whether a record may be stored; if it refuses a record, the
         older record stays in place.
+    :param clock: times since when an advertised version is missing.
     """
 
-    def __init__(self, *, accept: Callable[[Record], bool] = lambda _: True) -> None:
+    def __init__(
+        self,
+        *,
+        accept: Callable[[Record], bool] = lambda _: True,
+        clock: Clock | None = None,
+    ) -> None:
         self._accept = accept
+        self._clock = clock or SystemClock()
         self._records: dict[str, Record] = {}
         self._refused_versions: dict[str, int] = {}
-        self._advertised_versions: dict[str, int] = {}
+        self._advertised: dict[str, AdvertisedVersions] = {}
         self._digest = 0
         self._version_sum = 0
         self._listeners: list[Callable[[Record], None]] = []
@@ -62,17 +72,32 @@
 
     def note_advertised(self, key: str, version: int) -> None:
         """Record that a version exists, whether or not its value is stored here."""
-        if version > self._advertised_versions.get(key, 0):
-            self._advertised_versions[key] = version
+        if not version:
+            return
+        advertised = self._advertised.get(key)
+        if advertised is None:
+            advertised = AdvertisedVersions(clock=self._clock)
+            self._advertised[key] = advertised
+        advertised.note(version)
 
     def advertised_keys(self) -> list[str]:
         """Return the keys of which any version was advertised."""
-        return list(self._advertised_versions)
+        return list(self._advertised)
+
+    def missing(self, key: str) -> MissingVersion | None:
+        """Return the advertised version that was not seen here, None if there is none."""
+        advertised = self._advertised.get(key)
+        return None if advertised is None else advertised.missing(self.version(key))
 
     def missing_version(self, key: str) -> int:
         """Return the newest advertised version if it was not seen here, otherwise 0."""
-        advertised = self._advertised_versions.get(key, 0)
-        return advertised if advertised > self.version(key) else 0
+        missing = self.missing(key)
+        return missing.version if missing else 0
+
+    def told_s(self, key: str, version: int) -> float | None:
+        """Return the monotonic time at which a version was first advertised here."""
+        advertised = self._advertised.get(key)
+        return None if advertised is None else advertised.told_s(version)
 
     def subscribe(self, listener: Callable[[Record], None]) -> None:
         """Call a function with each record that is stored."""
@@ -95,6 +120,8 @@
         self._records[record.key] = record
         for listener in self._listeners:
             listener(record)
+        if record.key in self._advertised:
+            self._advertised[record.key].arrived(record.version)
         return True
 
     def newer_than(self, versions: dict[str, int]) -> list[Record]:
--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -15,6 +15,7 @@
 from burdockdock.metrics import Metrics
 from burdockdock.node.announcements import Announcement, BackendState
 from burdockdock.node.backend_parts import build_backend_parts
+from burdockdock.node.config_freshness import ConfigFreshness
 from burdockdock.node.config_state import CONFIG_KEY, ConfigState
 from burdockdock.node.draining import drain, drain_timing
 from burdockdock.node.interface import (
@@ -93,8 +94,14 @@
         self.membership = MembershipTable(own, clock=self._clock)
         self.ranking = MemberRanking(self.membership)
         self.config = ConfigState(settings.name)
-        self.records = RecordStore(accept=self._accept_record)
+        self.records = RecordStore(accept=self._accept_record, clock=self._clock)
         self._deltas = {CONFIG_KEY: self.config.codec}
+        self.freshness = ConfigFreshness(
+            self.records,
+            held_version=lambda: self.config.snapshot.version,
+            clock=self._clock,
+            count=self.metrics.count,
+        )
 
     def _build_overlay(self) -> None:
         settings = self._settings
@@ -263,6 +270,7 @@
             "rejoin": self._bootstrap.run,
             "rollouts": self.rollouts.run,
             "backend_watch": self._backend_watch.run,
+            "config_freshness": self.freshness.run,
         }
         for name, loop in loops.items():
             self._run_in_background(name, loop)
@@ -322,7 +330,9 @@
         self.applied.wake()
         state = self.config.applied_state()
         if accepted:
-            log_event("config.applied", version=record.version)
+            told_s = self.records.told_s(CONFIG_KEY, record.version)
+            waited_s = 0.0 if told_s is None else self._clock.monotonic() - told_s
+            log_event("config.applied", version=record.version, waited_s=waited_s)
         else:
             log_event("config.refused", version=record.version, reason=state.reason)
         return accepted
