Send each new record once more, to nodes that the trees missed

Cause: what the trees don't deliver has to be fetched, and a fetch needs three round trips over the link of the node that lacks it; nothing brought the version without a request of its own. A node whose parents in both trees have full links as well is left. Change: 0.1 s after it has stored a record, each node sends it to its three successors in a ring of its zone, as a delta against what was newest two seconds before, so that a node that missed several versions can apply it. Whoever gets a ping or an answer from a node with an older version sends it the delta too, at most twice a second. Why it works: five members instead of two, not the same ones, have to be cut off too before a node that can still hear isn't told.

--- a/burdockdock/node/overlay_parts.py
+++ b/burdockdock/node/overlay_parts.py
@@ -1,6 +1,7 @@
 """Builds and connects the overlay components of a node."""
 
 import random
+from collections.abc import Callable
 from typing import NamedTuple
 
 from burdockdock.clock import Clock
@@ -14,6 +15,8 @@
 from burdockdock.overlay.applied import AppliedTracker
 from burdockdock.overlay.datagrams import Datagrams
 from burdockdock.overlay.failure_detector import FailureDetector
+from burdockdock.overlay.pings import PeerDigest
+from burdockdock.overlay.repeats import RecordRepeater
 from burdockdock.overlay.spread import DeltaCodec, Spreader
 from burdockdock.overlay.sync import SyncClient
 from burdockdock.protocol.handshake import PeerIdentity
@@ -68,17 +71,27 @@
         deltas=deltas,
         fetch=sync.fetch_from,
     )
+    repeater = RecordRepeater(
+        membership=membership,
+        ranking=ranking,
+        records=records,
+        clock=clock,
+        rng=rng,
+        send=spreader.send_record,
+        head_key=CONFIG_KEY,
+    )
     detector = FailureDetector(
         membership=membership,
         records=records,
         datagrams=datagrams,
         clock=clock,
         rng=rng,
-        on_digest=sync.compare,
+        on_digest=on_digest_callback(sync, repeater),
         spread=spreader.broadcast_member,
         head_key=CONFIG_KEY,
     )
     records.subscribe(lambda _: detector.schedule_digest_pings())
+    records.subscribe(repeater.schedule)
     applied = AppliedTracker(
         membership=membership,
         ranking=ranking,
@@ -89,3 +102,15 @@
         on_late=late_callback(notifier),
     )
     return OverlayParts(datagrams, spreader, sync, detector, applied)
+
+
+def on_digest_callback(
+    sync: SyncClient, repeater: RecordRepeater
+) -> Callable[[PeerDigest], None]:
+    """Return what a node does about the state that a peer reported."""
+
+    def on_digest(digest: PeerDigest) -> None:
+        sync.compare(digest)
+        repeater.answer(digest)
+
+    return on_digest
--- a/burdockdock/overlay/spread.py
+++ b/burdockdock/overlay/spread.py
@@ -81,27 +81,31 @@
         """Store a record and, if it is new, broadcast it to all availability zones."""
         previous_version = self._records.version(record.key)
         if self._records.put(record):
-            self._send_record(record, previous_version, self._origin_targets())
+            self.send_record(record, previous_version, self._origin_targets())
 
     def forward_record(self, record: Record, *, base_version: int) -> None:
         """Forward a record that was just stored to this node's children.
 
         :param base_version: version that the record replaced, 0 if there was none.
         """
-        self._send_record(record, base_version, self._child_targets())
+        self.send_record(record, base_version, self._child_targets())
 
-    def broadcast_member(self, member: Member) -> None:
-        """Broadcast a member entry to all availability zones."""
-        self._send_member(member, self._origin_targets())
-
-    def _send_record(
+    def send_record(
         self, record: Record, base_version: int, targets: list[Member]
     ) -> None:
+        """Send a record to some members.
+
+        :param base_version: version against which to send a delta, 0 for none.
+        """
         # Most members are leaves in both trees; skip encoding a delta for no target.
         if not targets:
             return
         self._send(targets, self._build_content(record, base_version))
 
+    def broadcast_member(self, member: Member) -> None:
+        """Broadcast a member entry to all availability zones."""
+        self._send_member(member, self._origin_targets())
+
     def _build_content(self, record: Record, base_version: int) -> dict[str, object]:
         """Return the content of the datagrams that announce a record.
 
--- a/tests/overlay/link_network.py
+++ b/tests/overlay/link_network.py
@@ -9,8 +9,10 @@
 from burdockdock.coordination.records import Record, RecordStore
 from burdockdock.coordination.verdict import Failure
 from burdockdock.node.config_state import CONFIG_KEY, ConfigState
+from burdockdock.node.overlay_parts import on_digest_callback
 from burdockdock.overlay.datagrams import Address, Datagrams
 from burdockdock.overlay.failure_detector import FailureDetector
+from burdockdock.overlay.repeats import RecordRepeater
 from burdockdock.overlay.spread import Spreader
 from burdockdock.overlay.sync import SyncClient
 from burdockdock.overlay.sync_server import SyncServer
@@ -80,7 +82,7 @@
         for member in members:
             self.membership.merge(member)
         self.config = ConfigState(self.own.node_id)
-        self.records = RecordStore(accept=self._accept)
+        self.records = RecordStore(accept=self._accept, clock=clock)
         deltas = {CONFIG_KEY: self.config.codec}
         self.datagrams = Datagrams(_MESH, count=lambda name: None)
         self.datagrams.connection_made(_DatagramTransport(index, network))
@@ -103,21 +105,31 @@
             connect=lambda _, port: network.connect(index, port),
             head_key=CONFIG_KEY,
         )
+        ranking = MemberRanking(self.membership)
         self.spreader = Spreader(
             membership=self.membership,
-            ranking=MemberRanking(self.membership),
+            ranking=ranking,
             records=self.records,
             datagrams=self.datagrams,
             deltas=deltas,
             fetch=self.sync.fetch_from,
         )
+        self.repeater = RecordRepeater(
+            membership=self.membership,
+            ranking=ranking,
+            records=self.records,
+            clock=clock,
+            rng=rng,
+            send=self.spreader.send_record,
+            head_key=CONFIG_KEY,
+        )
         self.detector = FailureDetector(
             membership=self.membership,
             records=self.records,
             datagrams=self.datagrams,
             clock=clock,
             rng=rng,
-            on_digest=self.sync.compare,
+            on_digest=on_digest_callback(self.sync, self.repeater),
             spread=self.spreader.broadcast_member,
             head_key=CONFIG_KEY,
         )
@@ -127,6 +139,8 @@
         self.records.put(record)
         self.applied.clear()
         self.records.subscribe(lambda _: self.detector.schedule_digest_pings())
+        self.records.subscribe(self.repeater.schedule)
+        self.repeater.schedule(record)
 
     def applied_at_s(self, version: int) -> float:
         """Return when this node applied a version or a newer one, infinity if never."""
