Refuse calls at a node that has had no current configuration for too long

Cause: a node asked only before its start what the newest version is. Afterwards nothing compared what it was told, or when it was last told anything, with the time within which a version has to be in force. Change: node.config_freshness answers in one place. A node refuses calls as not run, and isn't ready, (1) from half of the time for a version on ([limits] config_apply, taken from the platform's bound) after it was told of one that it lacks, while others repeat it; (2) when nobody has told it the newest version for that long, for a second at most, while it asks two members four times a second. It asks from four fifths of that time on, so that a connected node doesn't come so far. A node that is alone, or that nobody answers, serves. Evidence: both tests in OldConfigurationTest got 200 before, 503 after, then 200 again. What callers lose: refusals instead of answers by a configuration that is out of force.

--- a/burdockdock/coordination/advertised.py
+++ b/burdockdock/coordination/advertised.py
@@ -34,7 +34,7 @@
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
         self._repeated_s = float("-inf")
-        # When each version that may still be missing was advertised first, oldest first.
+        # When each version that may still be missing was first advertised, in order.
         self._told_s: dict[int, float] = {}
 
     @property
@@ -57,6 +57,11 @@
             # Keeps the oldest, from which the time is counted, and the newest.
             del self._told_s[list(self._told_s)[1]]
 
+    @property
+    def repeated_s(self) -> float:
+        """Monotonic time in seconds at which the newest version was last advertised."""
+        return self._repeated_s
+
     def told_s(self, version: int) -> float | None:
         """Return when a version or a newer one was first advertised, None if never."""
         times = (time_s for v, time_s in self._told_s.items() if v >= version)
--- a/burdockdock/coordination/records.py
+++ b/burdockdock/coordination/records.py
@@ -85,7 +85,7 @@
         return list(self._advertised)
 
     def missing(self, key: str) -> MissingVersion | None:
-        """Return the advertised version that was not seen here, None if there is none."""
+        """Return the advertised version that was not seen here, None without one."""
         advertised = self._advertised.get(key)
         return None if advertised is None else advertised.missing(self.version(key))
 
@@ -94,6 +94,11 @@
         missing = self.missing(key)
         return missing.version if missing else 0
 
+    def advertised_s(self, key: str) -> float:
+        """Return when the newest version was last advertised, -inf if never."""
+        advertised = self._advertised.get(key)
+        return float("-inf") if advertised is None else advertised.repeated_s
+
     def told_s(self, key: str, version: int) -> float | None:
         """Return the monotonic time at which a version was first advertised here."""
         advertised = self._advertised.get(key)
--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -98,7 +98,10 @@
         self._deltas = {CONFIG_KEY: self.config.codec}
         self.freshness = ConfigFreshness(
             self.records,
+            apply_timeout_s=settings.config_apply_timeout_s,
             held_version=lambda: self.config.snapshot.version,
+            has_peers=lambda: len(self.membership.live()) > 1,
+            ask_peers=lambda: self.detector.ping_some(),
             clock=self._clock,
             count=self.metrics.count,
         )
@@ -143,6 +146,7 @@
             membership=self.membership,
             snapshot=lambda: self.config.snapshot,
             missing_version=lambda: self.records.missing_version(CONFIG_KEY),
+            config_refusal=self.freshness.refusal,
             own_service=self._own_service,
             headers=self._interface.headers,
             clock=self._clock,
@@ -260,7 +264,9 @@
     def is_ready(self) -> bool:
         """Return whether this node accepts calls."""
         serving = self._caller_server is not None and not self.context.draining
-        return serving and self.config.snapshot.version > 0
+        if not serving or not self.config.snapshot.version:
+            return False
+        return self.freshness.refusal() is None
 
     def _start_tasks(self) -> None:
         loops = {
--- a/burdockdock/node/proxy_setup.py
+++ b/burdockdock/node/proxy_setup.py
@@ -7,6 +7,7 @@
 from burdockdock.configuration.model import Snapshot
 from burdockdock.coordination.backoff import FleetRetryBudget
 from burdockdock.coordination.membership import Member, MembershipTable, MemberState
+from burdockdock.coordination.verdict import Failure
 from burdockdock.gate.headers import CallHeaders
 from burdockdock.metrics import Metrics
 from burdockdock.node.rollouts import RolloutParticipant
@@ -61,6 +62,7 @@
     membership: MembershipTable,
     snapshot: Callable[[], Snapshot],
     missing_version: Callable[[], int],
+    config_refusal: Callable[[], Failure | None],
     own_service: Callable[[], str],
     headers: CallHeaders,
     clock: Clock,
@@ -74,6 +76,7 @@
     :param snapshot: returns the configuration that this node applies.
     :param missing_version: returns the newest known configuration version if this node
         does not have it yet, otherwise 0.
+    :param config_refusal: returns why calls must not be routed by that configuration.
     :param own_service: returns the service of this node's backend server.
     """
     balancer = Balancer(
@@ -97,6 +100,7 @@
         availability_zone=settings.availability_zone,
         snapshot=snapshot,
         missing_version=missing_version,
+        config_refusal=config_refusal,
         forwarder=forwarder,
         clock=clock,
         metrics=metrics,
--- a/burdockdock/node/settings.py
+++ b/burdockdock/node/settings.py
@@ -17,6 +17,7 @@
     "peers": {"seeds"},
     "backend_server": {"service", "address", "announce_interval"},
     "limits": {
+        "config_apply",
         "drain_timeout_s",
         "grace_period",
         "pipelined_calls",
@@ -27,6 +28,7 @@
 }
 PLATFORM_FORMS = ("own", "objects")
 _DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
+DEFAULT_CONFIG_APPLY_TIMEOUT_S = 2.5
 DEFAULT_RETRY_SHARE = 0.2
 DEFAULT_RETRY_RESERVE = 100.0
 _NO_ADDRESS: Address = ("", 0)
@@ -58,6 +60,8 @@
     :param backend_address: address of the backend server.
     :param announce_interval_s: seconds between the announcements of the backend server,
         0 if unknown.
+    :param config_apply_timeout_s: seconds from the acceptance of a configuration within
+        which every node has to apply it.
     :param grace_period_s: seconds from the stop signal to the kill, 0 for no kill.
     :param retry_share: retries per call that the fleet may send to backend servers.
     :param retry_reserve: retries per service that the fleet may send beyond that share.
@@ -81,6 +85,7 @@
     backend_service: str = ""
     backend_address: Address = _NO_ADDRESS
     announce_interval_s: float = 0.0
+    config_apply_timeout_s: float = DEFAULT_CONFIG_APPLY_TIMEOUT_S
     grace_period_s: float = 0.0
     retry_share: float = DEFAULT_RETRY_SHARE
     retry_reserve: float = DEFAULT_RETRY_RESERVE
@@ -131,6 +136,10 @@
         backend_service=reader.text("backend_server", "service"),
         backend_address=reader.address("backend_server", "address"),
         announce_interval_s=reader.duration_s("backend_server", "announce_interval"),
+        config_apply_timeout_s=(
+            reader.duration_s("limits", "config_apply")
+            or DEFAULT_CONFIG_APPLY_TIMEOUT_S
+        ),
         grace_period_s=reader.duration_s("limits", "grace_period"),
         retry_share=reader.number("limits", "retry_share", DEFAULT_RETRY_SHARE, 0, 1),
         retry_reserve=reader.number(
--- a/burdockdock/overlay/failure_detector.py
+++ b/burdockdock/overlay/failure_detector.py
@@ -138,9 +138,13 @@
             loop = asyncio.get_running_loop()
             self._digest_timer = loop.call_later(delay_s, self._send_digest_pings)
 
+    def ping_some(self) -> None:
+        """Ping a few random members for what they know."""
+        self._ping_all(self._random_members(_DIGEST_PING_COUNT))
+
     def _send_digest_pings(self) -> None:
         self._digest_timer = None
-        self._ping_all(self._random_members(_DIGEST_PING_COUNT))
+        self.ping_some()
 
     def ping(self, member: Member) -> None:
         """Send a ping without waiting for the ack."""
--- a/burdockdock/proxy/call_factory.py
+++ b/burdockdock/proxy/call_factory.py
@@ -53,6 +53,9 @@
         return Failure(
             Verdict.NOT_RUN, "no_configuration", "this node has no configuration yet"
         )
+    refusal = context.config_refusal()
+    if refusal is not None:
+        return refusal
     path = start_line.path.partition("?")[0]
     route = find_route(snapshot, host=headers.get("Host", ""), path=path)
     if route is None:
--- a/burdockdock/proxy/context.py
+++ b/burdockdock/proxy/context.py
@@ -6,6 +6,7 @@
 from burdockdock.clock import Clock
 from burdockdock.configuration.model import Snapshot
 from burdockdock.coordination.shutdown import ShutdownLimit
+from burdockdock.coordination.verdict import Failure
 from burdockdock.gate.headers import OWN_HEADERS, CallHeaders
 from burdockdock.metrics import Metrics
 from burdockdock.proxy.forwarder import Forwarder
@@ -23,6 +24,8 @@
 
     :param missing_version: returns the configuration version that is known to exist
         but has not arrived at this node, 0 for none.
+    :param config_refusal: returns why a call must not be routed by the configuration of
+        this node, None if it may.
     :param own_service: returns the service of the backend server beside this node.
     :param headers: names of the headers of calls.
     """
@@ -38,12 +41,14 @@
         metrics: Metrics,
         rng: random.Random,
         missing_version: Callable[[], int] = lambda: 0,
+        config_refusal: Callable[[], Failure | None] = lambda: None,
         own_service: Callable[[], str] = lambda: "",
         headers: CallHeaders = OWN_HEADERS,
     ) -> None:
         self.node_id = node_id
         self.rng = rng
         self.missing_version = missing_version
+        self.config_refusal = config_refusal
         self.own_service = own_service
         self.headers = headers
         self.replaced_headers = _replaced_headers(headers)
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -19,6 +19,8 @@
 from tests.support import async_test, eventually
 
 _HOST = "127.0.0.1"
+# Half of the time within which nodes have to apply a version.
+_ALLOWED_LAG_S = 1.25
 _TEMPLATE = Path(__file__).parent.parent.parent / "deploy" / "node.ini"
 _TEMPLATE_FIELDS = {
     "node-name": "n1",
@@ -34,6 +36,7 @@
     "internal-port-range.1": "7675",
     "platform.address": "10.200.1.7:8142",
     "platform.form": "objects",
+    "bounds.config-apply": "2000ms",
     "bounds.grace-period": "6s",
 }
 
@@ -156,7 +159,7 @@
         port = node._settings.readiness[1]
         return (await _fetch(HTTPRequest(f"http://{_HOST}:{port}/api/readiness"))).code
 
-    async def call(self, node: Node) -> HTTPResponse:
+    async def call(self, node: Node, request_id: str = "id-1") -> HTTPResponse:
         """Make one call through a node, as a caller does."""
         return await _fetch(
             HTTPRequest(
@@ -165,7 +168,7 @@
                 body="hello",
                 headers={
                     "Host": "h.example",
-                    "Request-Id": "id-1",
+                    "Request-Id": request_id,
                     "Deadline-Ms": "4000",
                     "Caller-Service": "forged",
                 },
@@ -269,6 +272,57 @@
         await deployment.close()
 
 
+class OldConfigurationTest(testtools.TestCase):
+    """Tests of calls at a node that may have an old configuration."""
+
+    @async_test
+    async def test_version_that_a_node_was_told_of_and_cannot_fetch(self) -> None:
+        # Guards against calls that are routed knowingly by a version out of force.
+        deployment = _Deployment()
+        deployment.start_store()
+        await deployment.store.put("config", "main", spec=_config(7))
+        node = deployment.make_node("a")
+        await node.start()
+        await deployment.start_backend_server(node)
+        self.assertEqual(200, (await deployment.call(node)).code)
+        for _ in range(10):
+            node.records.note_advertised("config", 8)
+            await asyncio.sleep(0.2)
+        response = await deployment.call(node, "id-2")
+        self.assertEqual(503, response.code)
+        self.assertIn(b"configuration_behind", response.body)
+        self.assertEqual(503, await deployment.readiness(node))
+        await deployment.store.put("config", "main", spec=_config(8))
+        await eventually(lambda: node.is_ready())
+        self.assertEqual(200, (await deployment.call(node, "id-3")).code)
+        await deployment.close()
+
+    @async_test
+    async def test_node_that_hears_nobody_asks_before_it_serves(self) -> None:
+        # Guards against a process that was stopped and goes on by what it knew before.
+        deployment = _Deployment()
+        deployment.start_store()
+        await deployment.store.put("config", "main", spec=_config(7))
+        node, other = (deployment.make_node(name) for name in ("a", "b"))
+        await asyncio.gather(node.start(), other.start())
+        await deployment.start_backend_server(node)
+        await eventually(lambda: len(node.membership.live()) == 2)
+        await eventually(lambda: node.records.advertised_s("config") > 0)
+        handlers = dict(node.datagrams._handlers)
+        node.datagrams._handlers.clear()
+        last_heard_s = node.records.advertised_s("config")
+        await eventually(
+            lambda: node._clock.monotonic() - last_heard_s > _ALLOWED_LAG_S + 0.2
+        )
+        response = await deployment.call(node)
+        self.assertEqual(503, response.code)
+        self.assertIn(b"configuration_unconfirmed", response.body)
+        node.datagrams._handlers.update(handlers)
+        await eventually(lambda: node.is_ready())
+        self.assertEqual(200, (await deployment.call(node, "id-2")).code)
+        await deployment.close()
+
+
 class RestartTest(testtools.TestCase):
     """Tests of what a node knows of its instance after a restart."""
 
@@ -327,6 +381,7 @@
         self.assertIsInstance(settings, NodeSettings)
         self.assertEqual(("10.1.0.35", 7660), settings.peers)
         self.assertEqual(6.0, settings.grace_period_s)
+        self.assertEqual(2.0, settings.config_apply_timeout_s)
 
     def test_unknown_fields_do_not_change_the_settings(self) -> None:
         self.assertEqual(self._render(), self._render(**{"new-field": "1"}))
--- a/tests/proxy/test_known_routes_denied.py
+++ b/tests/proxy/test_known_routes_denied.py
@@ -61,6 +61,7 @@
             refusing=False,
             snapshot=lambda: EMPTY_SNAPSHOT._replace(version=1),
             missing_version=lambda: self.records.missing_version(_CONFIG_KEY),
+            config_refusal=lambda: None,
             headers=OWN_HEADERS,
         )
 
