Give the test of stopping nodes the new part of a context

Two tests of tests/proxy/test_call_factory.py built a context without config_refusal and failed since calls are refused at a node without a current configuration. They check what they checked.

--- a/tests/proxy/test_call_factory.py
+++ b/tests/proxy/test_call_factory.py
@@ -37,6 +37,7 @@
             services={"work": Service("work", {})},
             routes={RouteMatch("", "/"): route},
         ),
+        config_refusal=lambda: None,
         headers=OWN_HEADERS,
         rng=random.Random(1),
         availability_zone="z",
