Bound what reading a message may cost by its length

A datagram of 232 bytes with 1,000,000 entries that take no bytes, or one of 184 bytes with 4,194,204, kept a node busy for up to 87 s. The traversal limit was that of the longest message for every message. A message of 4 MiB may still claim as many entries as it has words eight times over.

--- a/burdockdock/protocol/codec.py
+++ b/burdockdock/protocol/codec.py
@@ -15,7 +15,10 @@
 _FRAME_HEADER = struct.Struct("<I")
 HEADER_BYTES = _FRAME_HEADER.size
 WORD_BYTES = 8
-_TRAVERSAL_LIMIT_WORDS = MAX_FRAME_BYTES
+# How often the words of a message may be read. Entries that take no bytes count too, so
+# that a list can't be longer than what its message holds.
+_MAX_READS = 8
+_MIN_TRAVERSAL_WORDS = 64
 
 capnp.remove_import_hook()
 _schema = capnp.load(str(Path(__file__).with_name("messages.capnp")))
@@ -67,7 +70,7 @@
     """
     try:
         with _schema.Message.from_bytes(
-            data, traversal_limit_in_words=_TRAVERSAL_LIMIT_WORDS
+            data, traversal_limit_in_words=_traversal_words(len(data))
         ) as message:
             message.which()
     except (capnp.KjException, ValueError) as error:
@@ -75,6 +78,10 @@
     return message
 
 
+def _traversal_words(size_bytes: int) -> int:
+    return _MIN_TRAVERSAL_WORDS + _MAX_READS * size_bytes // WORD_BYTES
+
+
 def _set_fields(builder: Any, fields: dict[str, Any]) -> None:
     """Set the fields of a message, recursing into dicts and lists of dicts.
 
