Count a request's bytes without reading the message again

One malformed syncRequest of a peer ended the whole node (signal 6): total_size walks all pointers of a message, and raises past pycapnp.

--- a/burdockdock/node/peer_server.py
+++ b/burdockdock/node/peer_server.py
@@ -15,7 +15,6 @@
 from burdockdock.overlay.sync_server import SyncServer, SyncSession
 from burdockdock.protocol import (
     MALFORMED,
-    WORD_BYTES,
     FrameConnection,
     Message,
     ProtocolError,
@@ -96,6 +95,7 @@
                     continue
                 if message.which() != "syncRequest":
                     raise ProtocolError(f"unexpected {message.which()}")
+                self.sync_received_bytes += connection.message_bytes
                 await self._answer_sync(session, message)
         finally:
             calls.close()
@@ -105,4 +105,3 @@
         before_bytes = session.sent_bytes
         await session.answer(message.syncRequest)
         self.sync_sent_bytes += session.sent_bytes - before_bytes
-        self.sync_received_bytes += message.total_size.word_count * WORD_BYTES
--- a/burdockdock/protocol/connection.py
+++ b/burdockdock/protocol/connection.py
@@ -29,6 +29,8 @@
         stream.set_close_callback(self._closed_event.set)
         self.sent_bytes = 0
         self.received_bytes = 0
+        # Size of the message that was read last.
+        self.message_bytes = 0
         stream.set_nodelay(True)
 
     @property
@@ -49,6 +51,7 @@
         while True:
             data = self._pop_message_bytes()
             if data is not None:
+                self.message_bytes = len(data)
                 return decode(data)
             try:
                 chunk = await self._stream.read_bytes(_MAX_READ_BYTES, partial=True)
