Take a revision beyond any number for an odd answer

An answer of the store with 1e400 for a revision raised OverflowError out of the client and ended the watch's task.

--- a/burdockdock/platform_api/client.py
+++ b/burdockdock/platform_api/client.py
@@ -25,7 +25,7 @@
 # A watch without a response this long after its wait time has lost its connection.
 _WATCH_TIMEOUT_MARGIN_S = 0.5
 # Errors that the decoders of a dialect raise on a response of another form.
-_DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
+_DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
 
 
 class Conflict(NamedTuple):
