--- a/burdockdock/configuration/checks.py
+++ b/burdockdock/configuration/checks.py
@@ -22,6 +22,7 @@
     Snapshot,
     SplitPart,
 )
+from burdockdock.coordination.whole_numbers import parse_whole_number
 
 _POLICY_BOUNDS = {
     "timeout_ms": (1, 600_000),
@@ -300,8 +301,9 @@
     def _parse_integer(
         self, section: str, key: str, text: str, low: int, high: int
     ) -> int:
-        if text.isascii() and text.isdecimal() and low <= int(text) <= high:
-            return int(text)
+        number = parse_whole_number(text, low - 1)
+        if low <= number <= high:
+            return number
         self._add_problem(
             section, key, f"give a whole number from {low} to {high}, not {text!r}"
         )
--- a/burdockdock/gate/backend_head.py
+++ b/burdockdock/gate/backend_head.py
@@ -3,6 +3,8 @@
 import re
 from typing import NamedTuple
 
+from burdockdock.coordination.whole_numbers import parse_whole_number
+
 _CONTENT_LENGTH = "content-length"
 _TRANSFER_ENCODING = "transfer-encoding"
 # A valid header name (a token of RFC 9110), and characters that no value may contain.
@@ -28,7 +30,7 @@
 def body_length(head: BackendHead) -> int:
     """Return the length of the body in bytes, -1 if the head does not state it."""
     length = next((v for n, v in head.headers if n.lower() == _CONTENT_LENGTH), "")
-    return int(length) if length.isascii() and length.isdecimal() else -1
+    return parse_whole_number(length, -1)
 
 
 def _parse_headers(lines: list[bytes]) -> tuple[tuple[str, str], ...]:
--- a/burdockdock/proxy/answers.py
+++ b/burdockdock/proxy/answers.py
@@ -7,6 +7,7 @@
 from tornado.httputil import HTTPHeaders
 
 from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.coordination.whole_numbers import parse_whole_number
 from burdockdock.protocol.calls import AnswerHead
 from burdockdock.proxy.call_factory import hop_by_hop_names
 
@@ -75,7 +76,7 @@
     if method == "HEAD" or status in _STATUSES_WITHOUT_BODY:
         return 0
     length = headers.get("Content-Length", "")
-    return int(length) if length.isascii() and length.isdecimal() else -1
+    return parse_whole_number(length, -1)
 
 
 def answer_headers(head: AnswerHead, method: str) -> HTTPHeaders:
--- a/burdockdock/proxy/call_factory.py
+++ b/burdockdock/proxy/call_factory.py
@@ -7,6 +7,7 @@
 from burdockdock.configuration.lookup import draw_service, find_route, policy_for
 from burdockdock.configuration.model import Route, Snapshot
 from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.coordination.whole_numbers import parse_whole_number
 from burdockdock.gate.headers import CallHeaders
 from burdockdock.protocol.calls import CallRequest, Headers
 from burdockdock.proxy.call import Call
@@ -61,7 +62,7 @@
     if route is None:
         return _missing_route_failure(snapshot, path, context.missing_version())
     names = context.headers
-    depth = _parse_integer(headers.get(names.depth), 0) if names.depth else 0
+    depth = parse_whole_number(headers.get(names.depth), 0) if names.depth else 0
     if depth >= _MAX_CALL_DEPTH:
         return Failure(Verdict.NOT_RUN, "too_deep", f"call depth {depth}")
     service = draw_service(route, rng=context.rng)
@@ -73,7 +74,7 @@
         node_id=context.node_id,
         now=context.clock.now(),
     )
-    timeout_ms = _parse_integer(headers.get(names.timeout), policy.timeout_ms)
+    timeout_ms = parse_whole_number(headers.get(names.timeout), policy.timeout_ms)
     now_s = context.clock.monotonic() if arrived_at_s is None else arrived_at_s
     timeout_ms = _limit_to_shutdown(context, min(timeout_ms, policy.timeout_ms), now_s)
     if not timeout_ms:
@@ -158,7 +159,7 @@
 def _body_length(headers: HTTPHeaders) -> int:
     if "chunked" in headers.get("Transfer-Encoding", "").lower():
         return -1
-    return _parse_integer(headers.get("Content-Length"), 0)
+    return parse_whole_number(headers.get("Content-Length"), 0)
 
 
 def _request_headers(context: CallContext, headers: HTTPHeaders, depth: int) -> Headers:
@@ -190,9 +191,3 @@
     if lower in ("", "close", "keep-alive"):
         return _HOP_BY_HOP_HEADERS
     return _HOP_BY_HOP_HEADERS | {name.strip() for name in lower.split(",")}
-
-
-def _parse_integer(text: str | None, default: int) -> int:
-    if text is not None and text.isascii() and text.isdecimal():
-        return int(text)
-    return default
