Count a misdirected request as an attempt

Callers' requests reached more backend servers than max-attempts allows: a 421 counted as a refusal by a node, as if no backend server had got the request. The tests of splits build a context with the new config_refusal; they check what they checked.

--- a/burdockdock/proxy/attempts.py
+++ b/burdockdock/proxy/attempts.py
@@ -158,4 +158,4 @@
 
 def is_refused_by_node(failure: Failure) -> bool:
     """Return whether a node refused the call before it reached a backend server."""
-    return failure.verdict is Verdict.NOT_RUN and failure.reason != BACKEND_REFUSED
+    return not has_arrived(failure)
--- a/tests/proxy/test_traffic_split.py
+++ b/tests/proxy/test_traffic_split.py
@@ -72,6 +72,7 @@
     async def call_route(self) -> Call:
         """Build a call of the split route, and forward it."""
         context = SimpleNamespace(
+            config_refusal=lambda: None,
             refusing=False,
             snapshot=lambda: _snapshot(self.weights),
             headers=OWN_HEADERS,
