Keep what a store loses that returns from an older copy

The users' words: in a drill the store may come back from a copy some seconds old; what the system wrote since is gone, revisions are given out again, Store-Era rises by one. What happened then (tests on the code before, all failing): a node that started later served version 10 while the others had 13; a version at a revision that was given out again reached no node; the departures and the roster stayed lost; a rollout that had ended stayed undone in the store, and one that started afterwards counted as older on each node that remembered. Change: platform_api.era alone reads the era. A response of an era that is over is not used; a missing or unreadable era is counted and changes nothing. Records of platform objects are ordered by era, then revision; a store without eras gives the same versions as before. A higher era ends the watches, which list again; the node that notices spreads the record store-era, and each node that gets it writes its departures and its zone's roster again, jittered. Rollouts never go back on a node from one era to the next; nodes that notice write them again by conditional updates. Leases count as lost, nobody takes one for a term, and epochs stay above those that were used. An order whose outcome the store lost gets that outcome, and no second rollout, for 30 s. A node that has read a configuration from the platform waits for one peer's state, for a second, or for three where the roster has nobody of the present era.

--- a/burdockdock/cli/move.py
+++ b/burdockdock/cli/move.py
@@ -186,8 +186,8 @@
         last_line = line
         await asyncio.sleep(_POLL_INTERVAL_S)
         found = await read_rollout(platform, service)
-        if not isinstance(found, Failure) and found[0] is not None:
-            rollout = found[0]
+        if not isinstance(found, Failure) and found.rollout is not None:
+            rollout = found.rollout
     end_progress()
     return rollout
 
@@ -200,9 +200,9 @@
         fail(
             EXIT_UNAVAILABLE, f"platform request failed: {found.detail}", output=output
         )
-    if found[0] is None:
+    if found.rollout is None:
         fail(EXIT_REFUSED, f"no move of {service} was ever started", output=output)
-    return found[0]
+    return found.rollout
 
 
 def _rollout_or_exit(
--- a/burdockdock/coordination/lease.py
+++ b/burdockdock/coordination/lease.py
@@ -65,6 +65,8 @@
         self._epoch = 0
         self._held_until_s: float | None = None
         self._observation: _Observation | None = None
+        self._not_before_s = float("-inf")
+        self._lowest_epoch = 0
 
     @property
     def epoch(self) -> int:
@@ -81,6 +83,20 @@
             return False
         return self._clock.monotonic() + margin_s < self._held_until_s
 
+    def lose(self) -> None:
+        """Forget the lease: the store returned from an older copy, which may lack it.
+
+        Whoever holds it may not know of that yet, so this candidate waits for a term.
+        """
+        self._held_until_s = None
+        self._observation = None
+        self._version = 0
+        self._not_before_s = self._clock.monotonic() + self._term_s
+
+    def raise_epoch(self, epoch: int) -> None:
+        """Take no epoch up to this one, which a holder has used."""
+        self._lowest_epoch = max(self._lowest_epoch, epoch)
+
     async def maintain(self) -> bool:
         """Renew the lease, or acquire it if it is free or has expired.
 
@@ -114,12 +130,15 @@
         return self._resolve_conflict(result.current)
 
     async def _try_acquire(self) -> bool:
+        if self._clock.monotonic() < self._not_before_s:
+            return False
         current = await self._store.read(self._key)
         if isinstance(current, Failure):
             return False
         if not self._has_expired(current):
             return False
-        epoch = int(current.value.get("epoch", 0)) + 1
+        stored_epoch = int(current.value.get("epoch", 0))
+        epoch = max(stored_epoch, self._epoch, self._lowest_epoch) + 1
         started_s = self._clock.monotonic()
         result = await self._store.try_update(
             self._key,
--- a/burdockdock/node/bootstrap.py
+++ b/burdockdock/node/bootstrap.py
@@ -21,6 +21,11 @@
 _PEER_STAGGER_S = 0.2
 _PEER_SYNC_WAIT_S = 0.5
 _POLL_INTERVAL_S = 0.05
+# How long a node that has read the platform waits for a peer to confirm what it read.
+_CONFIRMATION_WAIT_S = 1.0
+# The same if the roster may be lost; relays notice a return within this time.
+_OLD_ROSTER_WAIT_S = 3.0
+_CONFIRMATION_RETRY_S = 0.25
 
 
 class Bootstrap:
@@ -46,13 +51,14 @@
         self._seeds = seeds
         self._rng = rng
         self._peer_sync_tasks: set[asyncio.Task[None]] = set()
+        self._others_listed = False
 
     async def join(self) -> None:
         """Fetch the members and the current state before this node serves calls.
 
         If the platform is unavailable, the state of several peers replaces it: record
         versions only increase, so the newest among the peers is kept. If the platform
-        answers, unreachable peers do not delay the join.
+        answers, unreachable peers delay the join by a bounded time.
         """
         while True:
             platform_read = await self._fetch_state()
@@ -95,8 +101,29 @@
             await asyncio.sleep(_POLL_INTERVAL_S)
         platform_read = refresh.done() and refresh.result()
         await asyncio.wait({peer_sync}, timeout=_PEER_SYNC_WAIT_S)
+        if platform_read:
+            await self._confirm_with_peer()
         return platform_read
 
+    async def _confirm_with_peer(self) -> None:
+        """Wait until a peer has told the newest versions, if there may be one.
+
+        What the platform returned may be a copy some seconds old. If it lost the
+        roster too, the other nodes list themselves again as soon as they notice.
+        """
+        waited_s = 0.0
+        while not self._sync.peers and waited_s < self._confirmation_wait_s():
+            await asyncio.sleep(_CONFIRMATION_RETRY_S)
+            waited_s += _CONFIRMATION_RETRY_S
+            await self._sync_with_addresses(await self._peer_addresses())
+
+    def _confirmation_wait_s(self) -> float:
+        if not self._reader.has_configuration:
+            return 0.0
+        if self._others_listed:
+            return _CONFIRMATION_WAIT_S
+        return _OLD_ROSTER_WAIT_S if self._roster.may_be_old else 0.0
+
     async def _sync_with_peers(self) -> None:
         """Register in the roster, then synchronize state with a few known peers."""
         refusal = await self._roster.register()
@@ -134,6 +161,7 @@
         self._rng.shuffle(members)
         addresses = dict.fromkeys([*self._seeds, *listed, *members])
         addresses.pop(own, None)
+        self._others_listed = bool(addresses)
         return list(addresses)
 
     async def _sync_with_addresses(self, addresses: list[Address]) -> int:
--- a/burdockdock/node/departure_log.py
+++ b/burdockdock/node/departure_log.py
@@ -13,6 +13,8 @@
 _KEY_PREFIX = "departures/"
 # Part of the second for which a backend server waits for its acknowledgement.
 _SAVE_WAIT_S = 0.5
+# Departures that a store lost are written again by all nodes within this time.
+_MAX_SAVE_AGAIN_DELAY_S = 1.0
 _RETRY_BASE_S = 0.5
 _RETRY_CAP_S = 8.0
 
@@ -47,6 +49,12 @@
         self._saved.clear()
         self._changed.set()
 
+    def save_again(self) -> None:
+        """Write the departures again soon, if there are any: the store lost them."""
+        if self._departures.to_value()["departures"]:
+            delay_s = self._rng.uniform(0, _MAX_SAVE_AGAIN_DELAY_S)
+            asyncio.get_running_loop().call_later(delay_s, self.request_save)
+
     async def wait_saved(self) -> None:
         """Wait until all departures are written, but no longer than half a second.
 
--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -37,6 +37,7 @@
 from burdockdock.node.rollouts import RolloutParticipant
 from burdockdock.node.settings import NodeSettings
 from burdockdock.node.status import StatusReport, report_status
+from burdockdock.node.store_returns import StoreReturns
 from burdockdock.node.supervise import supervise
 from burdockdock.overlay.sync_server import SyncServer
 from burdockdock.platform_api.client import PlatformClient
@@ -202,6 +203,20 @@
             change_own=self._change_own,
             on_start=self.rollouts.backend_started,
         )
+        self._store_returns = StoreReturns(
+            platform=self.platform,
+            records=self.records,
+            view=self.rollouts.view,
+            spread=self.spreader.broadcast_record,
+            on_return=self._on_store_return,
+            rng=self._rng,
+        )
+
+    def _on_store_return(self) -> None:
+        """Write again what this node wrote and still stands for."""
+        self._relay.renew_roster_soon()
+        self._departure_log.save_again()
+        self.rollouts.store_returned()
 
     async def start(self) -> None:
         """Join first, then serve calls, so that none uses an old configuration."""
@@ -309,6 +324,7 @@
         for task in self._tasks:
             task.cancel()
         self.rollouts.close()
+        self._store_returns.close()
         self._notifier.close()
         self.sync.close()
         self.links.close()
@@ -331,7 +347,8 @@
     def _accept_record(self, record: Record) -> bool:
         """Return whether a record may be stored; apply a new configuration."""
         if record.key != CONFIG_KEY:
-            return True
+            held_version = self.records.held_version(record.key)
+            return self.rollouts.view.accepts(record, held_version)
         accepted = self.config.accept(record)
         self.applied.wake()
         state = self.config.applied_state()
--- a/burdockdock/node/relay.py
+++ b/burdockdock/node/relay.py
@@ -64,6 +64,11 @@
         self._spread = spread
         self._config_read_lock = asyncio.Lock()
 
+    @property
+    def has_configuration(self) -> bool:
+        """Whether any configuration version is known."""
+        return self._records.version(CONFIG_KEY) > 0
+
     @property
     def watched_prefixes(self) -> tuple[str, ...]:
         """Key prefixes to watch on the platform."""
@@ -112,7 +117,7 @@
         except ValueError as error:
             log_event("rollout.unreadable", key=found.key, reason=str(error))
             return
-        self._spread(Record(found.key, found.version, rollout.encode()))
+        self._spread(Record(found.key, found.record_version, rollout.encode()))
 
     def _ingest_order(self, found: PlatformObject) -> None:
         order = self._read_order(found)
@@ -120,7 +125,7 @@
             log_event("order.unreadable", key=found.key, reason=order.detail)
             return
         # A deleted order has version 0, so its record gets the next version.
-        version = found.version or self._records.version(found.key) + 1
+        version = found.record_version or self._records.version(found.key) + 1
         self._spread(Record(found.key, version, order.encode()))
 
     async def _ingest_config_head(self, found: PlatformObject) -> bool:
@@ -225,6 +230,11 @@
             wait_started_s + _MIN_ROLE_CHECK_INTERVAL_S - self._clock.monotonic()
         )
 
+    def renew_roster_soon(self) -> None:
+        """Renew the roster at the next check of the role."""
+        self._roster_due_s = self._clock.monotonic()
+        self._members_changed.set()
+
     def _update_platform_lost(self, *, lost: bool) -> None:
         """Publish a loss of the platform, so that another node becomes a relay."""
         if lost != self._membership.own.platform_lost:
@@ -256,12 +266,19 @@
                 task.cancel()
 
     async def _watch_prefix(self, prefix: str) -> None:
-        """Watch one prefix until a call fails or an object must be read again."""
+        """Watch one prefix until a call fails or an object must be read again.
+
+        Revisions of an earlier era say nothing, so a new era ends the watch too.
+        """
+        era = self._platform.era.newest
         found = await self._platform.list(prefix)
         wait_s = self._initial_wait_s()
         while isinstance(found, WatchResult):
             if not await self._reader.ingest(found.objects):
                 return
+            if self._platform.era.newest != era:
+                log_event("watch.ended", prefix=prefix, reason="era_changed")
+                return
             if found.objects:
                 await asyncio.sleep(_WATCH_RESTART_DELAY_S)
                 wait_s = self._initial_wait_s()
--- a/burdockdock/node/rollouts.py
+++ b/burdockdock/node/rollouts.py
@@ -121,6 +121,11 @@
             for task in tasks:
                 task.cancel()
 
+    def store_returned(self) -> None:
+        """Note that the platform returned from an older copy."""
+        if self._order_processor is not None:
+            self._order_processor.store_returned()
+
     def close(self) -> None:
         """Stop owning rollouts."""
         self._owners.close()
--- a/burdockdock/node/roster.py
+++ b/burdockdock/node/roster.py
@@ -30,16 +30,28 @@
         self._zone = own.availability_zone
         self._own_address = (own.host, own.port)
         self._rng = rng
+        self._may_be_old = False
+
+    @property
+    def may_be_old(self) -> bool:
+        """Whether the list read last has no address of another node of this era.
+
+        A store that returned from an older copy may have lost the addresses.
+        """
+        return self._may_be_old
 
     async def addresses(self) -> list[Address] | Failure:
         """Return the addresses of other nodes in random order."""
         found = await self._platform.list(_KEY_PREFIX)
         if isinstance(found, Failure):
             return found
-        addresses = [
-            a for entry in found.objects for a in _parse_addresses(entry.value)
-        ]
-        others = [a for a in dict.fromkeys(addresses) if a != self._own_address]
+        listed: dict[Address, bool] = {}
+        for entry in found.objects:
+            current = self._is_current(entry.value)
+            listed |= dict.fromkeys(_parse_addresses(entry.value), current)
+        listed.pop(self._own_address, None)
+        self._may_be_old = bool(self._platform.era.newest) and not any(listed.values())
+        others = list(listed)
         self._rng.shuffle(others)
         return others
 
@@ -75,14 +87,21 @@
         unlisted = [a for a in alive if a not in kept]
         self._rng.shuffle(unlisted)
         wanted = (kept + unlisted)[:_MAX_ADDRESSES_PER_ZONE]
-        if set(wanted) != set(known):
+        if set(wanted) != set(known) or not self._is_current(found.value):
             await self._write(wanted, found.version)
 
+    def _is_current(self, value: dict[str, Any]) -> bool:
+        """Return whether an entry was written since the store returned last."""
+        return value.get("era", 0) == self._platform.era.newest
+
     async def _write(self, addresses: list[Address], version: int) -> Any:
         result = await self._platform.try_update(
             _KEY_PREFIX + self._zone,
             expected_version=version,
-            value={"addresses": sorted(list(a) for a in addresses)},
+            value={
+                "addresses": sorted(list(a) for a in addresses),
+                "era": self._platform.era.newest,
+            },
         )
         log_event(
             "roster.written",
--- a/burdockdock/platform/objects.py
+++ b/burdockdock/platform/objects.py
@@ -116,4 +116,5 @@
     decode_written=_decode_written,
     decode_list=_decode_list,
     decode_watch=_decode_watch,
+    era_header="Store-Era",
 )
--- a/burdockdock/platform_api/client.py
+++ b/burdockdock/platform_api/client.py
@@ -16,6 +16,7 @@
     PlatformObject,
     WatchResult,
 )
+from burdockdock.platform_api.era import StoreEra
 from burdockdock.platform_api.transport import PlatformTransport, Response
 
 MAX_VALUE_BYTES = 1_000_000
@@ -67,7 +68,12 @@
         self._rng = rng or random.Random()
         self._dialect = dialect
         self._transport = PlatformTransport(
-            url, name=name, clock=clock, timeout_s=timeout_s, count=count
+            url,
+            name=name,
+            clock=clock,
+            timeout_s=timeout_s,
+            count=count,
+            era_header=dialect.era_header,
         )
 
     @property
@@ -75,6 +81,11 @@
         """Number of failed calls since the last that succeeded."""
         return self._transport.failures_in_row
 
+    @property
+    def era(self) -> StoreEra:
+        """The newest era of the store, which rises when it returns from a copy."""
+        return self._transport.era
+
     def new_token(self) -> str:
         """Return a token that is unique to one write."""
         return f"{self._name}:{uuid.uuid4().hex}"
@@ -88,9 +99,7 @@
             return response
         if response.status == 404:
             return PlatformObject(key, 0, {})
-        return self._decode_or_fail(
-            lambda: self._dialect.decode_object(key, response.body)
-        )
+        return self._decode_or_fail(lambda: self._decode_object(key, response))
 
     async def list(self, prefix: str) -> WatchResult | Failure:
         """Read all objects under a prefix, and the revision from which to watch."""
@@ -214,7 +223,9 @@
         response = await self._transport.call(call, label=label, timeout_s=timeout_s)
         if not isinstance(response, Response):
             return response
-        return self._decode_or_fail(lambda: decode(prefix, response.body))
+        return self._decode_or_fail(
+            lambda: _with_era(decode(prefix, response.body), response.era)
+        )
 
     async def _write(
         self, key: str, call: ApiCall, value: dict[str, Any], *, label: str
@@ -229,19 +240,25 @@
         if response.status == 409:
             return await self._read_conflict(key, response)
         return self._decode_or_fail(
-            lambda: self._dialect.decode_written(key, response.body, value)
+            lambda: self._dialect.decode_written(key, response.body, value)._replace(
+                era=response.era
+            )
         )
 
     async def _read_conflict(self, key: str, response: Response) -> Conflict | Failure:
         """Return the conflicting object; read it if the response lacks it."""
         try:
-            return Conflict(self._dialect.decode_object(key, response.body))
+            return Conflict(self._decode_object(key, response))
         except _DECODE_ERRORS:
             found = await self.read(key)
         if isinstance(found, Failure):
             return found._replace(verdict=Verdict.NOT_RUN)
         return Conflict(found)
 
+    def _decode_object(self, key: str, response: Response) -> PlatformObject:
+        found = self._dialect.decode_object(key, response.body)
+        return found._replace(era=response.era)
+
     def _decode_or_fail(self, decode: Callable[[], Any]) -> Any:
         """Decode a response; return a Failure if its form is unexpected."""
         try:
@@ -252,6 +269,12 @@
             )
 
 
+def _with_era(result: WatchResult, era: int) -> WatchResult:
+    """Return a result whose objects state the era in which they were read."""
+    objects = [found._replace(era=era) for found in result.objects]
+    return result._replace(objects=objects)
+
+
 def _find_own_write(conflict: Conflict, token: str) -> PlatformObject | None:
     """Return the current object if this write's token shows that it was applied."""
     if conflict.current.value.get("token") == token:
--- a/burdockdock/platform_api/dialect.py
+++ b/burdockdock/platform_api/dialect.py
@@ -5,18 +5,27 @@
 from typing import Any, NamedTuple
 from urllib.parse import quote, urlencode
 
+from burdockdock.platform_api.era import ordered_version
+
 
 class PlatformObject(NamedTuple):
     """One object of the platform.
 
     :param version: version of the object, 0 if it does not exist.
     :param status: status that nodes reported on an object that an operator wrote.
+    :param era: era of the store in which it was read, 0 if the store states none.
     """
 
     key: str
     version: int
     value: dict[str, Any]
     status: dict[str, Any] = {}
+    era: int = 0
+
+    @property
+    def record_version(self) -> int:
+        """Version of the record of this object; it rises over all eras."""
+        return ordered_version(self.era, self.version)
 
 
 class WatchResult(NamedTuple):
@@ -62,6 +71,7 @@
     :param decode_written: decodes the response to a write, given the key and the value.
     :param decode_list: decodes the response to a list, given the prefix.
     :param decode_watch: decodes the response to a watch, given the prefix.
+    :param era_header: name of the header that states the era of the store.
     """
 
     encode_read: Callable[[str], ApiCall]
@@ -74,6 +84,7 @@
     decode_written: Callable[[str, Any, dict[str, Any]], PlatformObject]
     decode_list: Callable[[str, Any], WatchResult]
     decode_watch: Callable[[str, Any], WatchResult]
+    era_header: str = "X-Store-Era"
 
 
 def encode_json(value: Any) -> bytes:
--- a/burdockdock/platform_api/transport.py
+++ b/burdockdock/platform_api/transport.py
@@ -12,6 +12,7 @@
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.logs import log_event
 from burdockdock.platform_api.dialect import ApiCall
+from burdockdock.platform_api.era import StoreEra
 from burdockdock.platform_api.json_text import parse_json
 
 _CONNECT_TIMEOUT_S = 1.0
@@ -24,10 +25,14 @@
 
 
 class Response(NamedTuple):
-    """A response of the platform with its decoded JSON body."""
+    """A response of the platform with its decoded JSON body.
+
+    :param era: era of the store that it states, 0 if it states none.
+    """
 
     status: int
     body: Any
+    era: int = 0
 
 
 class PlatformTransport:
@@ -39,6 +44,7 @@
     :param name: name of the client, sent with each call.
     :param timeout_s: timeout of one call in seconds.
     :param count: increments a counter, given its name and label.
+    :param era_header: name of the header that states the era of the store.
     """
 
     def __init__(
@@ -49,7 +55,10 @@
         clock: Clock,
         timeout_s: float,
         count: Callable[..., None],
+        era_header: str,
     ) -> None:
+        self._era_header = era_header
+        self.era = StoreEra(count=lambda name: count(name, label=""))
         self._url = url.rstrip("/")
         self._name = name
         self._clock = clock
@@ -87,6 +96,10 @@
             return self.record_failure(Verdict.MAY_HAVE_RUN, str(error))
         if http_response.code == 599:
             return self.record_failure(Verdict.MAY_HAVE_RUN, str(http_response.error))
+        if not self.era.accept(http_response.headers.get(self._era_header)):
+            return self.record_failure(
+                Verdict.MAY_HAVE_RUN, "the response is of an era that is over"
+            )
         if http_response.code in _REFUSAL_STATUSES:
             return self.record_failure(
                 Verdict.NOT_RUN,
@@ -110,13 +123,13 @@
             )
         try:
             decoded = parse_json(body, on_replaced=_log_odd_values) if body else {}
-            response = Response(status, decoded)
+            response = Response(status, decoded, self.era.newest)
         except ValueError:
             if status == 200:
                 return self.record_failure(
                     Verdict.MAY_HAVE_RUN, f"status {status} without a JSON body"
                 )
-            response = Response(status, {})
+            response = Response(status, {}, self.era.newest)
         self._record_success()
         return response
 
--- a/burdockdock/rollout/orders.py
+++ b/burdockdock/rollout/orders.py
@@ -13,8 +13,9 @@
 from burdockdock.coordination.verdict import Failure
 from burdockdock.logs import log_event
 from burdockdock.platform_api import PlatformClient, PlatformObject
-from burdockdock.rollout.model import ROLLOUT_PREFIX, Phase, Rollout
+from burdockdock.rollout.model import Phase, Rollout
 from burdockdock.rollout.start import ChangeFailure, read_rollout, start_rollout
+from burdockdock.rollout.view import is_behind
 
 ORDER_PREFIX = "orders/"
 _SCAN_INTERVAL_S = 0.25
@@ -27,6 +28,9 @@
 # write it.
 _MAX_IDLE_WAIT_S = 1.75
 _PLATFORM_RETRY_DELAY_S = 1.0
+# Operators may write their orders again this long after the platform returned from an
+# older copy; one whose rollout ended meanwhile gets the outcome that it had.
+_RETURN_MEMORY_S = 30.0
 
 
 class Order(NamedTuple):
@@ -128,6 +132,7 @@
         self._rollout_of = rollout_of
         self._spread = spread
         self._done_at_s: dict[str, float] = {}
+        self._returned_s = float("-inf")
 
     async def run(self) -> None:
         """Start a rollout for each open order, until cancelled."""
@@ -137,6 +142,10 @@
                     await self._process(order)
             await sleep_to_tick(_SCAN_INTERVAL_S)
 
+    def store_returned(self) -> None:
+        """Note that the platform returned from an older copy without late outcomes."""
+        self._returned_s = self._clock.monotonic()
+
     async def report_outcome(self, rollout: Rollout) -> bool:
         """Write a rollout's outcome to the status of its order.
 
@@ -182,13 +191,38 @@
         if isinstance(found, Failure):
             await asyncio.sleep(_PLATFORM_RETRY_DELAY_S)
             return
-        rollout, version = found
+        rollout = found.rollout
         if self._is_in_progress(rollout, order):
-            key = ROLLOUT_PREFIX + order.service
-            self._spread(Record(key, version, rollout.encode()))
+            stored = found.stored
+            self._spread(Record(stored.key, stored.record_version, rollout.encode()))
+        elif self._was_lost(rollout, order):
+            log_event("order.waiting", service=order.service, reason="store_returned")
+        elif self._has_ended(order):
+            await self._write_status(self._rollout_of(order.service))
         elif await self._is_still_open(order):
             await self._start(order, rollout)
 
+    def _was_lost(self, rollout: Rollout | None, order: Order) -> bool:
+        """Return whether the platform lost what this node knows of the rollout.
+
+        It is written again first, by the nodes that noticed that the platform returned
+        from an older copy.
+        """
+        known = self._rollout_of(order.service)
+        if known is None or not self._returned_lately():
+            return False
+        return rollout is None or is_behind(rollout, known)
+
+    def _has_ended(self, order: Order) -> bool:
+        """Return whether an order has an outcome that the platform lost."""
+        known = self._rollout_of(order.service)
+        if known is None or known.to_version != order.to_version:
+            return False
+        return known.phase.final and self._returned_lately()
+
+    def _returned_lately(self) -> bool:
+        return self._clock.monotonic() - self._returned_s < _RETURN_MEMORY_S
+
     def _is_in_progress(self, rollout: Rollout | None, order: Order) -> bool:
         if rollout is None or rollout.to_version != order.to_version:
             return False
@@ -222,6 +256,7 @@
             author="operator",
             reason="ordered in the platform",
             clock=self._clock,
+            last_number=self._last_number(order.service),
         )
         if isinstance(started, ChangeFailure):
             log_event(
@@ -238,6 +273,10 @@
         )
         await self._write_status(started)
 
+    def _last_number(self, service: str) -> int:
+        known = self._rollout_of(service)
+        return 0 if known is None else known.number
+
     def _version_in_use(self, order: Order, previous: Rollout | None) -> str:
         """Return the version that the new rollout replaces, empty if there is none.
 
--- a/burdockdock/rollout/owner.py
+++ b/burdockdock/rollout/owner.py
@@ -26,7 +26,7 @@
 )
 from burdockdock.rollout.policy import Facts, next_state
 from burdockdock.rollout.standing import Open, standing_of
-from burdockdock.rollout.view import RolloutView
+from burdockdock.rollout.view import RolloutView, is_behind
 
 Notify = Callable[[Rollout], Awaitable[bool]]
 
@@ -162,6 +162,7 @@
         self._current: _StoredRollout | None = None
         self._judge: Judge | None = None
         self._judged_number = 0
+        self._era = dependencies.platform.era.newest
 
     async def run(self) -> None:
         """Judge and advance the rollout until cancelled."""
@@ -171,6 +172,7 @@
                 await asyncio.sleep(_POLL_INTERVAL_S)
                 self._judge_evidence()
                 self._stop_if_faulty()
+                self._check_era()
                 if self._lease.is_held(margin_s=_LEASE_WRITE_MARGIN_S):
                     await self._advance()
                 else:
@@ -179,6 +181,14 @@
         finally:
             lease_task.cancel()
 
+    def _check_era(self) -> None:
+        """Lose the lease once the platform has returned from an older copy."""
+        era = self._dependencies.platform.era.newest
+        if era != self._era:
+            self._era = era
+            self._lease.lose()
+            self._current = None
+
     async def _keep_lease(self) -> None:
         while True:
             if not self._may_hold_lease():
@@ -291,7 +301,7 @@
         if isinstance(found, Failure) or not found.version:
             return False
         self._adopt(found)
-        return True
+        return self._current is not None
 
     def _facts(self, rollout: Rollout) -> Facts:
         stop = self._stop_of(rollout)
@@ -364,7 +374,18 @@
             )
 
     def _adopt(self, found: PlatformObject) -> None:
-        """Keep the state of a platform object as the current one, and broadcast it."""
+        """Keep the state of a platform object as the current one, and broadcast it.
+
+        One that is behind what this node knows is of an older copy of the platform; it
+        is read again once what was lost is written.
+        """
         rollout = rollout_from(found.value)
+        known = self._dependencies.view.get(self._service)
+        if self._era and known is not None and is_behind(rollout, known):
+            self._current = None
+            return
         self._current = _StoredRollout(rollout, found.version)
-        self._dependencies.spread(Record(found.key, found.version, rollout.encode()))
+        self._lease.raise_epoch(rollout.epoch)
+        self._dependencies.spread(
+            Record(found.key, found.record_version, rollout.encode())
+        )
--- a/burdockdock/rollout/start.py
+++ b/burdockdock/rollout/start.py
@@ -31,16 +31,23 @@
         return False
 
 
+class StoredRollout(NamedTuple):
+    """A service's newest rollout and its object, None and version 0 without one."""
+
+    rollout: Rollout | None
+    stored: PlatformObject
+
+
 async def read_rollout(
     platform: PlatformClient, service: str
-) -> tuple[Rollout | None, int] | Failure:
-    """Return a service's newest rollout and its object's version, else None and 0."""
+) -> StoredRollout | Failure:
+    """Return what the platform has of a service's newest rollout."""
     found = await platform.read(ROLLOUT_PREFIX + service)
     if isinstance(found, Failure):
         return found
     if not found.version:
-        return None, 0
-    return rollout_from(found.value), found.version
+        return StoredRollout(None, found)
+    return StoredRollout(rollout_from(found.value), found)
 
 
 async def start_rollout(
@@ -53,8 +60,13 @@
     author: str,
     reason: str,
     clock: Clock,
+    last_number: int = 0,
 ) -> Rollout | ChangeFailure:
-    """Write a new rollout unless another one of the service is in progress."""
+    """Write a new rollout unless another one of the service is in progress.
+
+    :param last_number: newest number that is known to be used, also if the platform
+        lost that rollout.
+    """
     now = clock.now()
     failure = _validate(from_version, to_version, deadline, reason, now)
     if failure is not None:
@@ -62,13 +74,13 @@
     found = await read_rollout(platform, service)
     if isinstance(found, Failure):
         return ChangeFailure(f"the platform can't be reached: {found.detail}")
-    current, version = found
+    current = found.rollout
     if current is not None and not current.phase.final:
         return ChangeFailure(_describe_conflict(current))
     change = PhaseChange(Phase.WAITING.value, now.isoformat(), reason)
     rollout = Rollout(
         service=service,
-        number=current.number + 1 if current else 1,
+        number=max(current.number if current else 0, last_number) + 1,
         from_version=from_version,
         to_version=to_version,
         started_at=now,
@@ -78,7 +90,9 @@
         history=(change,),
     )
     result = await platform.update(
-        ROLLOUT_PREFIX + service, expected_version=version, value=rollout.to_value()
+        ROLLOUT_PREFIX + service,
+        expected_version=found.stored.version,
+        value=rollout.to_value(),
     )
     return _describe_result(result, rollout)
 
@@ -91,7 +105,7 @@
         found = await read_rollout(platform, service)
         if isinstance(found, Failure):
             return ChangeFailure(f"the platform can't be reached: {found.detail}")
-        rollout, version = found
+        rollout = found.rollout
         if rollout is None:
             return ChangeFailure(f"no move of {service} was ever started")
         if rollout.phase.final:
@@ -103,7 +117,7 @@
         )
         result = await platform.update(
             ROLLOUT_PREFIX + service,
-            expected_version=version,
+            expected_version=found.stored.version,
             value=cancelled.to_value(),
         )
         # On a conflict the owner has written a newer state: cancel that one instead.
--- a/burdockdock/rollout/view.py
+++ b/burdockdock/rollout/view.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 
 from burdockdock.coordination.records import Record, RecordStore
+from burdockdock.platform_api.era import era_of
 from burdockdock.rollout.model import (
     ROLLOUT_PREFIX,
     STOP_PREFIX,
@@ -47,6 +48,19 @@
         standing = self.standing(service)
         return {} if standing is None else standing.weights(slots)
 
+    def accepts(self, record: Record, held_version: int) -> bool:
+        """Return whether a record may replace the one that is held.
+
+        A store that returned from an older copy has older states at higher versions.
+        """
+        if not record.key.startswith(ROLLOUT_PREFIX):
+            return True
+        if era_of(record.version) == era_of(held_version):
+            return True
+        rollout = decode_rollout(record.value)
+        known = self._rollouts.get(rollout.service)
+        return known is None or not is_behind(rollout, known)
+
     def _on_record(self, record: Record) -> None:
         if record.key.startswith(ROLLOUT_PREFIX):
             rollout = decode_rollout(record.value)
@@ -54,3 +68,8 @@
         elif record.key.startswith(STOP_PREFIX):
             stop = decode_stop(record.value)
             self._stops[stop.service] = stop
+
+
+def is_behind(rollout: Rollout, known: Rollout) -> bool:
+    """Return whether a state comes before another one of the same service."""
+    return (rollout.number, rollout.step) < (known.number, known.step)
--- a/tests/coordination/test_lease.py
+++ b/tests/coordination/test_lease.py
@@ -93,3 +93,28 @@
                 self.assertLessEqual(len(held), 1, (faulty_write, fault, pause_s, step))
                 clock.advance(pause_s if step == 5 else 1.0)
             self.assertTrue(any(lease.is_held() for lease in candidates))
+
+
+class StoreReturnTest(testtools.TestCase):
+    """Tests of a lease that a store lost when it returned from an older copy."""
+
+    @async_test
+    async def test_lost_lease_is_taken_only_after_a_term_with_a_new_epoch(self) -> None:
+        # Guards against two holders, and against an epoch that is used twice.
+        clock = ManualClock()
+        platform = FakePlatform()
+        first, second = (
+            Lease(platform, "leases/x", holder=name, clock=clock, term_s=_TERM_S)
+            for name in ("first", "second")
+        )
+        await first.maintain()
+        platform.objects.clear()
+        second.lose()
+        second.raise_epoch(first.epoch)
+        self.assertFalse(await second.maintain())
+        first.lose()
+        self.assertFalse(first.is_held())
+        clock.advance(_TERM_S + 0.1)
+        self.assertTrue(await second.maintain())
+        self.assertFalse(await first.maintain())
+        self.assertGreater(second.epoch, first.epoch)
--- a/tests/platform/fake_object_store.py
+++ b/tests/platform/fake_object_store.py
@@ -1,8 +1,9 @@
 """A fake of the platform's object store, with faults that tests switch on."""
 
 import asyncio
+import copy
 import json
-from typing import Any
+from typing import Any, NamedTuple
 
 from tornado.httpserver import HTTPServer
 from tornado.iostream import StreamClosedError
@@ -11,6 +12,13 @@
 _PAGE_SIZE = 50
 
 
+class _Copy(NamedTuple):
+    """The store's objects at a revision."""
+
+    revision: int
+    objects: dict[tuple[str, str], dict[str, Any]]
+
+
 class FakeObjectStore:
     """Serves objects by kind and name, and injects faults.
 
@@ -21,6 +29,7 @@
       connection is closed without a response.
     - ``malformed_body``: body that is sent instead of that of every response.
     - ``history_start``: lowest revision from which changes can be watched.
+    - ``era``: counts the returns from a copy; each response states it.
     """
 
     def __init__(self) -> None:
@@ -32,7 +41,22 @@
         self.lost_write_responses = 0
         self.malformed_body: bytes | None = None
         self.history_start = 0
+        self.era: int | None = 1
         self.calls = 0
+        self._copy: _Copy | None = None
+
+    def take_copy(self) -> None:
+        """Copy all objects, to return to later."""
+        self._copy = _Copy(self.revision, copy.deepcopy(self.objects))
+
+    async def return_from_copy(self) -> None:
+        """Replace all objects by the copy; the revisions since then are used again."""
+        self.revision, self.objects = self._copy
+        self.take_copy()
+        self.history = [h for h in self.history if h[0] <= self.revision]
+        self.era += 1
+        async with self.changed:
+            self.changed.notify_all()
 
     def get(self, kind: str, name: str) -> dict[str, Any] | None:
         """Return an object, None if there is none."""
@@ -107,11 +131,17 @@
 
     def prepare(self) -> None:
         self.store.calls += 1
+        self._state_era()
         if self.store.refusal_status:
             self.set_status(self.store.refusal_status)
             self.finish({"error": "refused"})
 
+    def _state_era(self) -> None:
+        if self.store.era is not None:
+            self.set_header("Store-Era", str(self.store.era))
+
     def respond(self, body: dict[str, Any], status: int = 200) -> None:
+        self._state_era()
         self.set_status(status)
         malformed = self.store.malformed_body
         self.finish(json.dumps(body) if malformed is None else malformed)
@@ -142,14 +172,15 @@
         )
 
     async def _watch(self, kind: str, after: int) -> None:
-        if after < self.store.history_start:
+        if not self.store.history_start <= after <= self.store.revision:
             self.respond({"error": "history is gone"}, 410)
             return
         wait_s = int(self.get_query_argument("wait-ms")) / 1000
         try:
             async with asyncio.timeout(wait_s), self.store.changed:
+                era = self.store.era
                 await self.store.changed.wait_for(
-                    lambda: self.store.events(kind, after)
+                    lambda: self.store.events(kind, after) or era != self.store.era
                 )
         except TimeoutError:
             pass
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -6,19 +6,12 @@
 from pathlib import Path
 
 import testtools
-from tornado.curl_httpclient import CurlAsyncHTTPClient
-from tornado.httpclient import HTTPRequest, HTTPResponse
-from tornado.httpserver import HTTPServer
-from tornado.web import Application, RequestHandler
 
 from burdockdock.node.node import Node
 from burdockdock.node.settings import NodeSettings, parse_settings
-from burdockdock.platform import INTERFACE
-from burdockdock.standin.local_fleet import free_port
-from tests.platform.fake_object_store import FakeObjectStore
+from tests.platform.deployment import Deployment, config_spec
 from tests.support import async_test, eventually
 
-_HOST = "127.0.0.1"
 # Half of the time within which nodes have to apply a version.
 _ALLOWED_LAG_S = 1.25
 _TEMPLATE = Path(__file__).parent.parent.parent / "deploy" / "node.ini"
@@ -41,161 +34,14 @@
 }
 
 
-def _config(version: int) -> dict:
-    return {
-        "version": f"r{version}",
-        "routes": {
-            "columns": [
-                "name",
-                "hostname",
-                "path-prefix",
-                "kind",
-                "timeout",
-                "service",
-            ],
-            "rows": [["r1", "h.example", "/x/", "non_idempotent", "5s", "work"]],
-        },
-        "services": {"columns": ["name"], "rows": [["work"]]},
-    }
-
-
-class _EchoBackend(RequestHandler):
-    """A backend server that returns the request that it got."""
-
-    def post(self) -> None:
-        """Sign the response, and repeat the request id."""
-        self.set_header("Request-Id", self.request.headers["Request-Id"])
-        self.set_header("Response-Signature", "signed")
-        self.write(
-            {
-                "headers": dict(self.request.headers),
-                "body": self.request.body.decode(),
-                "uri": self.request.uri,
-            }
-        )
-
-
-class _Deployment:
-    """A fake store and nodes that use it."""
-
-    def __init__(self) -> None:
-        self.store = FakeObjectStore()
-        self.store_port = free_port()
-        self.store_server: HTTPServer | None = None
-        self.nodes: list[Node] = []
-
-    def start_store(self) -> None:
-        """Start the store."""
-        self.store_server = self.store.serve(_HOST, self.store_port)
-
-    def make_node(self, name: str, settings: NodeSettings | None = None) -> Node:
-        """Return a node that is not started."""
-        ports = [free_port() for _ in range(6)]
-        settings = settings or NodeSettings(
-            name=name,
-            mesh="mesh",
-            region="r",
-            availability_zone="z",
-            callers=(_HOST, ports[0]),
-            peers=(_HOST, ports[1]),
-            operators=(_HOST, ports[2]),
-            platform_url=f"http://{_HOST}:{self.store_port}",
-            platform_form="objects",
-            announcements=(_HOST, ports[3]),
-            readiness=(_HOST, ports[4]),
-            backend_service="work",
-            backend_address=(_HOST, ports[5]),
-        )
-        node = Node(settings, interface=INTERFACE)
-        self.nodes.append(node)
-        return node
-
-    async def start_backend_server(self, node: Node) -> None:
-        """Start a backend server beside a node, and send its first heartbeat."""
-        host, port = node._settings.backend_address
-        Application([(r"/.*", _EchoBackend)]).listen(port, address=host)
-        await self.announce(node, self.heartbeat(node, seq=1))
-
-    def heartbeat(self, node: Node, *, seq: int, state: str = "ready") -> str:
-        """Return a heartbeat of the backend server beside a node."""
-        host, port = node._settings.backend_address
-        fields = {
-            "service": "work",
-            "address": f"{host}:{port}",
-            "zone": "z",
-            "version": "v1",
-            "slots": 4,
-            "state": state,
-            "cold-remaining": "0ms",
-            "seq": seq,
-            "born": 5,
-        }
-        return json.dumps(fields)
-
-    async def announce(
-        self, node: Node, body: str, *, call: str = "instances.heartbeat"
-    ) -> int:
-        """Send a heartbeat or another call to a node; return the status code."""
-        port = node._settings.announcements[1]
-        url = f"http://{_HOST}:{port}/api/rpc?call={call}&of=i-1"
-        # A kept connection would lead to the node that was there before a restart.
-        headers = {"Connection": "close"}
-        request = HTTPRequest(url, method="POST", body=body, headers=headers)
-        return (await _fetch(request)).code
-
-    async def restart(self, node: Node) -> Node:
-        """Close a node without a notice, and start another in its place."""
-        node._caller_server.stop()
-        await node.close()
-        # Its sockets are closed in the next turns of the event loop.
-        await asyncio.sleep(0.05)
-        self.nodes.remove(node)
-        restarted = self.make_node(node._settings.name, node._settings)
-        await restarted.start()
-        return restarted
-
-    async def readiness(self, node: Node) -> int:
-        """Send a readiness check to a node; return the status code."""
-        port = node._settings.readiness[1]
-        return (await _fetch(HTTPRequest(f"http://{_HOST}:{port}/api/readiness"))).code
-
-    async def call(self, node: Node, request_id: str = "id-1") -> HTTPResponse:
-        """Make one call through a node, as a caller does."""
-        return await _fetch(
-            HTTPRequest(
-                f"http://{_HOST}:{node._settings.callers[1]}/x/y?z=1",
-                method="POST",
-                body="hello",
-                headers={
-                    "Host": "h.example",
-                    "Request-Id": request_id,
-                    "Deadline-Ms": "4000",
-                    "Caller-Service": "forged",
-                },
-            )
-        )
-
-    async def close(self) -> None:
-        """Stop all nodes that were started, and the store."""
-        for node in self.nodes:
-            if node._caller_server is not None:
-                await node.close()
-        if self.store_server is not None:
-            self.store_server.stop()
-
-
-async def _fetch(request: HTTPRequest) -> HTTPResponse:
-    return await CurlAsyncHTTPClient().fetch(request, raise_error=False)
-
-
 class NodeTest(testtools.TestCase):
     """Tests of nodes that use the platform's formats."""
 
     @async_test
     async def test_a_call_reaches_the_instance_beside_another_node(self) -> None:
-        deployment = _Deployment()
+        deployment = Deployment()
         deployment.start_store()
-        await deployment.store.put("config", "main", spec=_config(7))
+        await deployment.store.put("config", "main", spec=config_spec(7))
         caller_node, backend_node = (deployment.make_node(name) for name in ("a", "b"))
         await asyncio.gather(caller_node.start(), backend_node.start())
         await deployment.start_backend_server(backend_node)
@@ -215,12 +61,12 @@
 
     @async_test
     async def test_start_waits_for_an_unreachable_store(self) -> None:
-        deployment = _Deployment()
+        deployment = Deployment()
         node = deployment.make_node("a")
         starting = asyncio.create_task(node.start())
         await eventually(lambda: node.platform.failures_in_row > 1)
         self.assertEqual(503, await deployment.readiness(node))
-        await deployment.store.put("config", "main", spec=_config(7))
+        await deployment.store.put("config", "main", spec=config_spec(7))
         deployment.start_store()
         await starting
         self.assertEqual(200, await deployment.readiness(node))
@@ -228,7 +74,7 @@
 
     @async_test
     async def test_without_a_configuration_calls_are_refused_as_not_run(self) -> None:
-        deployment = _Deployment()
+        deployment = Deployment()
         deployment.start_store()
         node = deployment.make_node("a")
         await node.start()
@@ -236,15 +82,15 @@
         response = await deployment.call(node)
         self.assertEqual(503, response.code)
         self.assertIn("Retry-After", response.headers)
-        await deployment.store.put("config", "main", spec=_config(7))
+        await deployment.store.put("config", "main", spec=config_spec(7))
         await eventually(lambda: node.is_ready())
         await deployment.close()
 
     @async_test
     async def test_node_that_stops_during_its_start_can_start_again(self) -> None:
-        deployment = _Deployment()
+        deployment = Deployment()
         deployment.start_store()
-        await deployment.store.put("config", "main", spec=_config(7))
+        await deployment.store.put("config", "main", spec=config_spec(7))
         other = deployment.make_node("a")
         await other.start()
         cancelled = deployment.make_node("b")
@@ -260,9 +106,9 @@
 
     @async_test
     async def test_malformed_heartbeat_does_not_disturb_calls(self) -> None:
-        deployment = _Deployment()
+        deployment = Deployment()
         deployment.start_store()
-        await deployment.store.put("config", "main", spec=_config(7))
+        await deployment.store.put("config", "main", spec=config_spec(7))
         node = deployment.make_node("a")
         await node.start()
         await deployment.start_backend_server(node)
@@ -278,9 +124,9 @@
     @async_test
     async def test_version_that_a_node_was_told_of_and_cannot_fetch(self) -> None:
         # Guards against calls that are routed knowingly by a version out of force.
-        deployment = _Deployment()
+        deployment = Deployment()
         deployment.start_store()
-        await deployment.store.put("config", "main", spec=_config(7))
+        await deployment.store.put("config", "main", spec=config_spec(7))
         node = deployment.make_node("a")
         await node.start()
         await deployment.start_backend_server(node)
@@ -292,7 +138,7 @@
         self.assertEqual(503, response.code)
         self.assertIn(b"configuration_behind", response.body)
         self.assertEqual(503, await deployment.readiness(node))
-        await deployment.store.put("config", "main", spec=_config(8))
+        await deployment.store.put("config", "main", spec=config_spec(8))
         await eventually(lambda: node.is_ready())
         self.assertEqual(200, (await deployment.call(node, "id-3")).code)
         await deployment.close()
@@ -300,9 +146,9 @@
     @async_test
     async def test_node_that_hears_nobody_asks_before_it_serves(self) -> None:
         # Guards against a process that was stopped and goes on by what it knew before.
-        deployment = _Deployment()
+        deployment = Deployment()
         deployment.start_store()
-        await deployment.store.put("config", "main", spec=_config(7))
+        await deployment.store.put("config", "main", spec=config_spec(7))
         node, other = (deployment.make_node(name) for name in ("a", "b"))
         await asyncio.gather(node.start(), other.start())
         await deployment.start_backend_server(node)
@@ -326,11 +172,11 @@
 class RestartTest(testtools.TestCase):
     """Tests of what a node knows of its instance after a restart."""
 
-    async def _leave_and_restart(self, *calls: str) -> tuple[_Deployment, Node]:
+    async def _leave_and_restart(self, *calls: str) -> tuple[Deployment, Node]:
         """Let an instance make calls that say it leaves, then restart its node."""
-        deployment = _Deployment()
+        deployment = Deployment()
         deployment.start_store()
-        await deployment.store.put("config", "main", spec=_config(7))
+        await deployment.store.put("config", "main", spec=config_spec(7))
         node = deployment.make_node("a")
         await node.start()
         await deployment.start_backend_server(node)
--- a/tests/rollout/test_orders.py
+++ b/tests/rollout/test_orders.py
@@ -87,15 +87,17 @@
         found = await self.platform.read(ORDER_PREFIX + "work")
         order = ORDER_FORMAT.read(found)
         for records in node_records:
-            records.put(Record(found.key, found.version, order.encode()))
+            records.put(Record(found.key, found.record_version, order.encode()))
         return order
 
     async def end_rollout(self, phase: Phase) -> Rollout:
         """End the rollout in a phase."""
-        rollout, version = await read_rollout(self.platform, "work")
-        ended = rollout.enter(phase, now=self.clock.now(), reason="test")
+        found = await read_rollout(self.platform, "work")
+        ended = found.rollout.enter(phase, now=self.clock.now(), reason="test")
         await self.platform.try_update(
-            ROLLOUT_PREFIX + "work", expected_version=version, value=ended.to_value()
+            ROLLOUT_PREFIX + "work",
+            expected_version=found.stored.version,
+            value=ended.to_value(),
         )
         return ended
 
--- a/tests/support.py
+++ b/tests/support.py
@@ -9,6 +9,7 @@
 
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.platform_api import Conflict, PlatformObject, WatchResult
+from burdockdock.platform_api.era import StoreEra
 from tests import streams
 
 settings.register_profile("fixed", derandomize=True, deadline=None, max_examples=80)
@@ -66,6 +67,7 @@
         self.reads = 0
         self._revision = 0
         self._tokens = 0
+        self.era = StoreEra(count=lambda name: None)
 
     def new_token(self) -> str:
         """Return a token that is unique to one write."""
