--- a/burdockdock/node/rollouts.py
+++ b/burdockdock/node/rollouts.py
@@ -23,12 +23,8 @@
 )
 from burdockdock.rollout.model import Rollout
 from burdockdock.rollout.orders import OrderFormat, OrderProcessor, OrderView
-from burdockdock.rollout.owner import (
-    OwnerDependencies,
-    RolloutOwners,
-    candidates,
-    is_candidate,
-)
+from burdockdock.rollout.owner import OwnerDependencies
+from burdockdock.rollout.owners import RolloutOwners, candidates, is_candidate
 from burdockdock.rollout.view import RolloutView
 
 _EVIDENCE_SEND_INTERVAL_S = 0.25
--- a/burdockdock/node/status.py
+++ b/burdockdock/node/status.py
@@ -10,7 +10,7 @@
 from burdockdock.overlay.sync import SyncClient
 from burdockdock.platform_api.client import PlatformClient
 from burdockdock.rollout.model import Rollout
-from burdockdock.rollout.owner import RolloutView
+from burdockdock.rollout.view import RolloutView
 
 
 class Laggard(TypedDict):
--- a/burdockdock/proxy/attempts.py
+++ b/burdockdock/proxy/attempts.py
@@ -5,7 +5,11 @@
 from burdockdock.coordination.membership import Member
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.gate.model import KEPT_CONNECTION_ENDED
-from burdockdock.proxy.free_slots import MAX_FREE_SLOT_ATTEMPTS_AFTER_WAIT
+from burdockdock.proxy.call import Call
+from burdockdock.proxy.free_slots import (
+    MAX_FREE_SLOT_ATTEMPTS,
+    MAX_FREE_SLOT_ATTEMPTS_AFTER_WAIT,
+)
 from burdockdock.proxy.peer_link import PeerLink
 from burdockdock.proxy.remote_call import RemoteCall
 
@@ -157,6 +161,24 @@
         )
 
 
+def initial_state(call: Call, *, asks: bool) -> RetryState:
+    """Return the attempts that a call has.
+
+    A call with a large answer queues for a near backend server rather than look for
+    a free slot at a distant one.
+
+    :param asks: whether asking nodes for a free slot is worth its messages.
+    """
+    asks_first = not call.may_wait or (asks and not call.large_answer)
+    return RetryState(
+        call.retries,
+        MAX_FAILOVERS,
+        MAX_FREE_SLOT_ATTEMPTS if asks_first else 0,
+        must_not_wait=not call.may_wait,
+        free_slot_attempts_after_wait=MAX_FREE_SLOT_ATTEMPTS_AFTER_WAIT if asks else 0,
+    )
+
+
 def has_arrived(failure: Failure) -> bool:
     """Return whether a request may have reached a backend server."""
     may_have_run = failure.verdict is not Verdict.NOT_RUN
--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -11,39 +11,32 @@
 from burdockdock.coordination.verdict import Failure, Verdict, may_retry
 from burdockdock.metrics import Metrics
 from burdockdock.protocol.calls import AnswerHead
+from burdockdock.proxy.answer_relay import relay_answer, wait_for_head
 from burdockdock.proxy.arrival_charges import ArrivalCharges
 from burdockdock.proxy.attempt_results import (
     DEADLINE_PASSED,
     PEER_TOO_SLOW,
     is_backend_fault,
-    log_aborted_answer,
     log_failed_attempt,
     unproved_refusal,
 )
 from burdockdock.proxy.attempts import (
-    MAX_FAILOVERS,
     QUEUE_FULL,
     Attempt,
     AttemptFailure,
     RetryState,
+    initial_state,
 )
 from burdockdock.proxy.balancer import LARGE_ANSWER_PENALTIES, Balancer
 from burdockdock.proxy.call import Call, Caller, ReplayableBody
 from burdockdock.proxy.endpoints import Endpoints
-from burdockdock.proxy.free_slots import (
-    MAX_FREE_SLOT_ATTEMPTS,
-    MAX_FREE_SLOT_ATTEMPTS_AFTER_WAIT,
-    FreeSlotOdds,
-)
+from burdockdock.proxy.free_slots import FreeSlotOdds
 from burdockdock.proxy.outcomes import resolve_outcome
 from burdockdock.proxy.peer_link import PeerLinks
-from burdockdock.proxy.remote_call import GateState, RemoteCall
+from burdockdock.proxy.remote_call import GateState
 from burdockdock.proxy.reply_times import PROMPT_REFUSALS, ReplyTimes
 from burdockdock.proxy.usable_link import usable_link
 
-# Grace period after the deadline in which the remote node can still report that it
-# ended the answer.
-_ANSWER_END_GRACE_S = 0.25
 _NO_BACKEND_SERVER = "no_backend_server"
 
 
@@ -91,7 +84,8 @@
         body_failure = await self._read_body_prefix(call, body)
         if body_failure is not None:
             return body_failure
-        retry_state = self._initial_state(call)
+        asks = self._free_slots.is_worth_asking(call.request.service)
+        retry_state = initial_state(call, asks=asks)
         charges = ArrivalCharges(call.request.service, budget=self._budget)
         strongest_failure: Failure | None = None
         while True:
@@ -123,24 +117,6 @@
         # refusal doesn't change that.
         return strongest_failure
 
-    def _initial_state(self, call: Call) -> RetryState:
-        """Return the attempts that a call has.
-
-        A call with a large answer queues for a near backend server rather than look for
-        a free slot at a distant one.
-        """
-        asks = self._free_slots.is_worth_asking(call.request.service)
-        asks_first = not call.may_wait or (asks and not call.large_answer)
-        return RetryState(
-            call.retries,
-            MAX_FAILOVERS,
-            MAX_FREE_SLOT_ATTEMPTS if asks_first else 0,
-            must_not_wait=not call.may_wait,
-            free_slot_attempts_after_wait=(
-                MAX_FREE_SLOT_ATTEMPTS_AFTER_WAIT if asks else 0
-            ),
-        )
-
     async def _read_body_prefix(
         self, call: Call, body: ReplayableBody
     ) -> Failure | None:
@@ -277,7 +253,7 @@
         if not body.prefix_is_whole_body:
             upload = asyncio.create_task(body.send_rest(attempt.remote))
         try:
-            head = await self._wait_for_head(attempt.remote, call)
+            head = await wait_for_head(attempt.remote, call, clock=self._clock)
             self._record_reply_time(attempt, head)
             if isinstance(head, Failure):
                 refusal = attempt.remote.refusal
@@ -292,7 +268,14 @@
             )
             if unproved is not None:
                 return unproved
-            await self._relay_answer(attempt, call, head, caller)
+            await relay_answer(
+                attempt,
+                call,
+                head,
+                caller,
+                clock=self._clock,
+                metrics=self._metrics,
+            )
             return head
         finally:
             if upload is not None:
@@ -323,37 +306,6 @@
                 self._record_reply_time, attempt
             )
 
-    async def _wait_for_head(
-        self, remote: RemoteCall, call: Call
-    ) -> AnswerHead | Failure:
-        left_s = call.deadline_s - self._clock.monotonic()
-        try:
-            async with asyncio.timeout(left_s):
-                return await remote.head()
-        except TimeoutError:
-            return Failure(Verdict.MAY_HAVE_RUN, DEADLINE_PASSED)
-
-    async def _relay_answer(
-        self, attempt: Attempt, call: Call, head: AnswerHead, caller: Caller
-    ) -> None:
-        await caller.send_head(head)
-        while True:
-            chunk = await self._next_chunk(attempt.remote, call)
-            if isinstance(chunk, Failure):
-                self._metrics.count("answers_broken_off", label=chunk.reason)
-                log_aborted_answer(
-                    call.request,
-                    attempt.member.node_id,
-                    chunk,
-                    left_ms=self._time_left_ms(call),
-                )
-                caller.abort()
-                return
-            if chunk is None:
-                caller.finish()
-                return
-            await caller.send_body(chunk)
-
     def _should_retry(
         self,
         call: Call,
@@ -370,17 +322,6 @@
             and charges.may_arrive()
         )
 
-    async def _next_chunk(
-        self, remote: RemoteCall, call: Call
-    ) -> bytes | Failure | None:
-        """Wait for the next chunk of an answer; its node ends it by the deadline."""
-        left_s = call.deadline_s - self._clock.monotonic()
-        try:
-            async with asyncio.timeout(max(0.0, left_s) + _ANSWER_END_GRACE_S):
-                return await remote.read_body()
-        except TimeoutError:
-            return Failure(Verdict.RAN, "answer_stopped")
-
     def _target_time_left_ms(self, call: Call) -> int:
         """Return the time left until the target, 0 if the call has no target.
 
--- a/tests/rollout/parted_fleet.py
+++ b/tests/rollout/parted_fleet.py
@@ -21,7 +21,7 @@
 from burdockdock.node.rollouts import RolloutParticipant
 from burdockdock.platform_api import Conflict, PlatformObject
 from burdockdock.rollout.model import ROLLOUT_PREFIX, Phase, Rollout, rollout_from
-from burdockdock.rollout.owner import is_candidate
+from burdockdock.rollout.owners import is_candidate
 from burdockdock.rollout.start import start_rollout
 from tests.support import UNAVAILABLE, FakePlatform
 from tests.virtual_time import LoopClock
--- a/tests/rollout/test_owner.py
+++ b/tests/rollout/test_owner.py
@@ -17,7 +17,7 @@
 from burdockdock.rollout.evidence import EvidenceKey, EvidenceRow
 from burdockdock.rollout.evidence_queue import EvidenceQueue
 from burdockdock.rollout.model import ROLLOUT_PREFIX, Phase, Rollout, rollout_from
-from burdockdock.rollout.owner import Notify, OwnerDependencies, _Owner
+from burdockdock.rollout.owner import Notify, Owner, OwnerDependencies
 from burdockdock.rollout.start import ChangeFailure, cancel_rollout, start_rollout
 from burdockdock.rollout.view import RolloutView
 from tests.rollout.test_policy import START, rollout
@@ -91,7 +91,7 @@
             spread=self._spread,
             notify=notify,
         )
-        self.owner = _Owner("desk", self.evidence, parts)
+        self.owner = Owner("desk", self.evidence, parts)
 
     def _spread(self, record: Record) -> None:
         for peer in (self, *self.peers):
