Number a configuration above what the platform lost

Where operators apply configurations by burdockdock itself, a change after the platform had returned from an older copy got the number of a lost one, and every node took it for old: it never came into force. The head says in which era it was written now, and the first change in a later era is numbered above all versions of the eras before. Without eras nothing changes. test_change_after_a_return_is_newer_than_what_the_platform_lost fails before.

--- a/burdockdock/configuration/acceptance.py
+++ b/burdockdock/configuration/acceptance.py
@@ -15,6 +15,7 @@
 from burdockdock.configuration.model import Problem, Sections
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.platform_api.client import Conflict, PlatformClient, PlatformObject
+from burdockdock.platform_api.era import ordered_version
 
 HEAD_KEY = "config/head"
 PARTS_PREFIX = "config-parts/"
@@ -73,6 +74,8 @@
     :param parts: keys of the objects that hold the document.
     :param history: accepted versions, newest first.
     :param old_parts: keys of the parts of earlier documents, newest first.
+    :param era: era of the platform in which it was read.
+    :param written_era: era in which it was written.
     """
 
     version: int
@@ -80,6 +83,19 @@
     parts: list[str]
     history: list[HistoryEntry]
     old_parts: list[list[str]] = []
+    era: int = 0
+    written_era: int = 0
+
+    @property
+    def next_version(self) -> int:
+        """The version of the next change.
+
+        If the platform returned from an older copy, versions above this one may have
+        been in force, so the next one is above all of the earlier eras.
+        """
+        if self.era > self.written_era:
+            return ordered_version(self.era, self.version + 1)
+        return self.version + 1
 
     def find_entry(self, token: str) -> HistoryEntry | None:
         """Return the history entry written with a token, or None."""
@@ -103,6 +119,8 @@
         parts=found.value.get("parts", []),
         history=history,
         old_parts=found.value.get("old_parts", []),
+        era=found.era,
+        written_era=found.value.get("era", found.era),
     )
 
 
@@ -141,7 +159,7 @@
     :param token: token of an earlier attempt at the same change; a new one is made by
         default. If the earlier attempt took effect, its version is returned.
     """
-    version = base.version + 1
+    version = base.next_version
     built = build_snapshot(sections, version=version)
     if isinstance(built, list):
         return Rejected(built)
@@ -158,6 +176,7 @@
         "parts": parts,
         "old_parts": [base.parts, *base.old_parts][:_MAX_OLD_DOCUMENTS],
         "token": token,
+        "era": base.era,
         "history": [entry, *base.history][:_MAX_HISTORY_ENTRIES],
     }
     result = await platform.update(
--- a/tests/configuration/test_acceptance.py
+++ b/tests/configuration/test_acceptance.py
@@ -81,3 +81,21 @@
         )
         self.assertIsInstance(result, Rejected)
         self.assertEqual({}, platform.objects)
+
+    @async_test
+    async def test_change_after_a_return_is_newer_than_what_the_platform_lost(
+        self,
+    ) -> None:
+        # Guards against versions that every node takes for old ones.
+        platform = FakePlatform()
+        platform.era.accept("1")
+        await self._accept(platform, "one")
+        copy = dict(platform.objects)
+        lost = [await self._accept(platform, "two") for _ in range(3)]
+        platform.objects = copy
+        platform.era.accept("2")
+        first = await self._accept(platform, "three")
+        second = await self._accept(platform, "four")
+        self.assertEqual([2, 3, 4], [result.version for result in lost])
+        self.assertGreater(first.version, lost[-1].version)
+        self.assertEqual(first.version + 1, second.version)
--- a/tests/support.py
+++ b/tests/support.py
@@ -79,7 +79,8 @@
         self.reads += 1
         if self.down:
             return UNAVAILABLE
-        return self.objects.get(key, PlatformObject(key, 0, {}))
+        found = self.objects.get(key, PlatformObject(key, 0, {}))
+        return found._replace(era=self.era.newest)
 
     async def list(self, prefix: str) -> WatchResult | Failure:
         """Read all objects under a prefix."""
