--- a/tests/rollout/parted_fleet.py
+++ b/tests/rollout/parted_fleet.py
@@ -20,6 +20,7 @@
 from burdockdock.gate.model import BackendServer, CallResult
 from burdockdock.node.rollouts import RolloutParticipant
 from burdockdock.platform_api import Conflict, PlatformObject
+from burdockdock.platform_api.era import StoreEra
 from burdockdock.rollout.model import ROLLOUT_PREFIX, Phase, Rollout, rollout_from
 from burdockdock.rollout.owners import is_candidate
 from burdockdock.rollout.start import start_rollout
@@ -82,6 +83,11 @@
         self._fleet = fleet
         self._index = index
 
+    @property
+    def era(self) -> StoreEra:
+        """The era of the platform, which all nodes know at once."""
+        return self._fleet.platform.era
+
     async def read(self, key: str) -> PlatformObject | Failure:
         """Read an object."""
         await self._reach()
