Close a node's connections to the platform when the node is closed

What callers saw: nothing.

Cause: nothing closed the HTTP client of a node's platform client. A transfer in flight outlived Node.close, and libcurl set its timer when the garbage was collected, after the event loop had ended. In a deployment the process is gone by then; a stop that takes long kept the connections of a node that had left.

Change: PlatformTransport.close, called by Node.close after its tasks are cancelled; calls afterwards are refused as not run. Tests close the client that an event loop shares.

Tests: test_closed_node_has_no_connection_to_the_store failed before (the store still had the connections), test_close_with_a_call_in_flight.

--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -326,6 +326,7 @@
         self.rollouts.close()
         self._store_returns.close()
         self._notifier.close()
+        self.platform.close()
         self.sync.close()
         self.links.close()
         self._peer_server.close()
--- a/burdockdock/platform_api/client.py
+++ b/burdockdock/platform_api/client.py
@@ -86,6 +86,10 @@
         """The newest era of the store, which rises when it returns from a copy."""
         return self._transport.era
 
+    def close(self) -> None:
+        """Close all connections; cancel first what waits for a response."""
+        self._transport.close()
+
     def new_token(self) -> str:
         """Return a token that is unique to one write."""
         return f"{self._name}:{uuid.uuid4().hex}"
--- a/burdockdock/platform_api/transport.py
+++ b/burdockdock/platform_api/transport.py
@@ -65,6 +65,7 @@
         self._timeout_s = timeout_s
         self._count = count
         self._http: CurlAsyncHTTPClient | None = None
+        self._closed = False
         self._outage_started_at_s: float | None = None
         self.failures_in_row = 0
 
@@ -77,6 +78,10 @@
         :param timeout_s: timeout in seconds, None for that of all calls.
         :returns: the response if the platform processed the call.
         """
+        if self._closed:
+            return Failure(
+                Verdict.NOT_RUN, "platform_unavailable", "the client is closed"
+            )
         self._count("platform_calls", label=label)
         request = HTTPRequest(
             self._url + call.path,
@@ -116,6 +121,13 @@
             )
         return self._parse_response(http_response.code, http_response.body)
 
+    def close(self) -> None:
+        """Close all connections; who still waits for a response gets none."""
+        self._closed = True
+        if self._http is not None:
+            self._http.close()
+            self._http = None
+
     def _parse_response(self, status: int, body: bytes) -> Response | Failure:
         if status not in _PROCESSED_STATUSES:
             return self.record_failure(
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -98,12 +98,27 @@
         await asyncio.sleep(0)
         starting.cancel()
         await asyncio.wait({starting})
+        cancelled.platform.close()
         restarted = deployment.make_node("b")
         await restarted.start()
         self.assertTrue(restarted.is_ready())
         await eventually(lambda: "b" in {m.node_id for m in other.membership.live()})
         await deployment.close()
 
+    @async_test
+    async def test_closed_node_has_no_connection_to_the_store(self) -> None:
+        # Guards against timers that libcurl sets after the event loop is closed.
+        deployment = Deployment()
+        deployment.start_store()
+        await deployment.store.put("config", "main", spec=config_spec(7))
+        node = deployment.make_node("a")
+        await node.start()
+        connections = deployment.store_server._connections
+        self.assertTrue(connections)
+        await node.close()
+        await eventually(lambda: not connections)
+        deployment.store_server.stop()
+
     @async_test
     async def test_malformed_heartbeat_does_not_disturb_calls(self) -> None:
         deployment = Deployment()
--- a/tests/platform_api/test_client.py
+++ b/tests/platform_api/test_client.py
@@ -90,6 +90,17 @@
         self.assertIsInstance(await client.read("k"), Failure)
         self.assertIsInstance(await client.read("k"), PlatformObject)
 
+    @async_test
+    async def test_close_with_a_call_in_flight(self) -> None:
+        # Guards against timers that libcurl sets after the event loop is closed.
+        client = _PlatformFixture().client
+        watching = asyncio.create_task(client.watch("a/", after=0))
+        await client.read("a/b")
+        watching.cancel()
+        client.close()
+        failure = await client.read("a/b")
+        self.assertEqual(Verdict.NOT_RUN, failure.verdict)
+
     @async_test
     async def test_lost_response_is_resolved_by_the_token(self) -> None:
         platform = _PlatformFixture()
--- a/tests/support.py
+++ b/tests/support.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from hypothesis import settings
+from tornado.curl_httpclient import CurlAsyncHTTPClient
 
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.platform_api import Conflict, PlatformObject, WatchResult
@@ -23,13 +24,15 @@
 def async_test(
     function: Callable[..., Coroutine[Any, Any, None]],
 ) -> Callable[..., None]:
-    """Wrap a coroutine function as a test that closes the streams it opened."""
+    """Wrap a coroutine function as a test that closes the connections it opened."""
 
     async def run_and_close(*args: Any) -> None:
         try:
             await function(*args)
         finally:
             await streams.close_all()
+            # The client that all requests of this event loop share.
+            CurlAsyncHTTPClient().close()
 
     @functools.wraps(function)
     def run(*args: Any) -> None:
