Let the stand-in for the platform return from an older copy

Demos, soak and tests with real processes use `burdockdock standin platform`.

Change: POST /return {"age_s": 3, "away_s": 0.5} refuses all requests for a moment, undoes the changes of the last seconds, gives their revisions out again and raises X-Store-Era, which every answer states. A watch from a revision that the stand-in doesn't have gets 410, one that waits ends with 503. The switch refused_clients refuses single clients. The objects moved to a module of their own; switches are named in a list, so that a property can't be set over HTTP.

--- a/burdockdock/standin/platform.py
+++ b/burdockdock/standin/platform.py
@@ -3,6 +3,8 @@
 import asyncio
 import json
 import random
+import time
+from asyncio import Future
 from collections import Counter
 from typing import Any
 
@@ -10,7 +12,22 @@
 from tornado.iostream import StreamClosedError
 from tornado.web import Application, RequestHandler
 
+from burdockdock.standin.object_table import ObjectTable
+
 MAX_VALUE_BYTES = 1_000_000
+_HISTORY_GONE_STATUS = 410
+
+
+_SWITCH_NAMES = frozenset(
+    {
+        "down",
+        "refused_clients",
+        "delay_s",
+        "refuse_share",
+        "lose_answers",
+        "lose_key_prefix",
+    }
+)
 
 
 class FaultSwitches:
@@ -18,67 +35,46 @@
 
     They are set by name over HTTP.
 
-    ``down``: refuse all requests. ``delay_s``: delay of each request, in seconds.
+    ``down``: refuse all requests. ``refused_clients``: names of the clients whose
+    requests are refused. ``delay_s``: delay of each request, in seconds.
     ``refuse_share``: share of requests to refuse, from 0 to 1. ``lose_answers``: number
     of writes to leave without an answer although they take effect.
     ``lose_key_prefix``: prefix of the keys to which this applies.
+
+    :ivar away: like ``down``, set while the stand-in returns from a copy.
     """
 
     def __init__(self, seed: int) -> None:
         self.down = False
+        self.away = False
+        self.refused_clients: list[str] = []
         self.delay_s = 0.0
         self.refuse_share = 0.0
         self.lose_answers = 0
         self.lose_key_prefix = ""
         self.rng = random.Random(seed)
 
+    @property
+    def unreachable(self) -> bool:
+        """Whether all requests are refused."""
+        return self.down or self.away
+
+    def refuses(self, client: str) -> bool:
+        """Return whether the next request of a client is refused."""
+        refused = self.rng.random() < self.refuse_share
+        return self.unreachable or refused or client in self.refused_clients
+
     def set(self, switches: dict[str, Any]) -> None:
         """Set switches by name.
 
         :raises KeyError: for an unknown name.
         """
         for name, value in switches.items():
-            if name == "rng" or not hasattr(self, name):
+            if name not in _SWITCH_NAMES:
                 raise KeyError(name)
             setattr(self, name, value)
 
 
-class ObjectTable:
-    """Versioned objects; each change gets the next revision as its version."""
-
-    def __init__(self) -> None:
-        self.revision = 0
-        self.objects: dict[str, dict[str, Any]] = {}
-        self.changed = asyncio.Condition()
-
-    async def put(self, key: str, expected_version: int | None, value: Any) -> bool:
-        """Store a value if the object has the expected version.
-
-        :param expected_version: None to store in any case.
-        :returns: whether the value was stored.
-        """
-        if expected_version is not None and self.version(key) != expected_version:
-            return False
-        self.revision += 1
-        self.objects[key] = {"key": key, "version": self.revision, "value": value}
-        async with self.changed:
-            self.changed.notify_all()
-        return True
-
-    def version(self, key: str) -> int:
-        """Return an object's version, or 0 if it does not exist."""
-        item = self.objects.get(key)
-        return item["version"] if item else 0
-
-    def after(self, prefix: str, revision: int) -> list[dict[str, Any]]:
-        """Return the objects with a key prefix that changed after a revision."""
-        return [
-            item
-            for key, item in self.objects.items()
-            if key.startswith(prefix) and item["version"] > revision
-        ]
-
-
 class _ObjectApiHandler(RequestHandler):
     """Counts the requests and injects the faults that are switched on."""
 
@@ -96,11 +92,15 @@
         self.calls[f"{client} {self.request.method} {kind}"] += 1
         if self.faults.delay_s:
             await asyncio.sleep(self.faults.delay_s)
-        refused = self.faults.rng.random() < self.faults.refuse_share
-        if self.faults.down or refused:
+        if self.faults.refuses(client):
             self.set_status(503)
             self.finish({"error": "unavailable"})
 
+    def finish(self, chunk: Any = None) -> Future[None]:
+        """State the era that answers, which may have risen during the request."""
+        self.set_header("X-Store-Era", str(self.table.era))
+        return super().finish(chunk)
+
     def drop_answer(self, key: str) -> bool:
         """Close the connection after a write took effect, if switched on.
 
@@ -140,7 +140,7 @@
         self.write({"key": key, "version": found["version"]} if stored else found)
 
     async def delete(self, key: str) -> None:
-        self.table.objects.pop(key, None)
+        self.table.delete(key)
         self.write({"key": key, "version": 0})
 
 
@@ -156,14 +156,23 @@
         prefix = self.get_query_argument("prefix", "")
         after = int(self.get_query_argument("after"))
         wait_s = float(self.get_query_argument("wait_s", "25"))
+        era = self.table.era
+        if after > self.table.revision:
+            self.set_status(_HISTORY_GONE_STATUS)
+            self.write({"error": "the revision is not known"})
+            return
         try:
             async with asyncio.timeout(wait_s), self.table.changed:
                 await self.table.changed.wait_for(
-                    lambda: self.faults.down or self.table.after(prefix, after)
+                    lambda: (
+                        self.faults.unreachable
+                        or self.table.era != era
+                        or self.table.after(prefix, after)
+                    )
                 )
         except TimeoutError:
             pass
-        if self.faults.down:
+        if self.faults.unreachable or self.table.era != era:
             self.set_status(503)
         objects = self.table.after(prefix, after)
         try:
@@ -192,14 +201,42 @@
             self.set_status(400)
             self.write({"error": f"unknown switch {error}"})
             return
-        async with self.table.changed:
-            self.table.changed.notify_all()
+        await self.table.notify_watches()
         self.write({"ok": True})
 
 
+class _ReturnHandler(RequestHandler):
+    """Goes away for a moment, and returns from a copy some seconds old."""
+
+    def initialize(self, faults: FaultSwitches, table: ObjectTable) -> None:
+        self.faults = faults
+        self.table = table
+
+    async def post(self) -> None:
+        wanted = json.loads(self.request.body)
+        try:
+            age_s, away_s = float(wanted["age_s"]), float(wanted.get("away_s", 0.0))
+            lost = await self._return(age_s, away_s)
+        except (KeyError, TypeError, ValueError) as error:
+            self.set_status(400)
+            self.write({"error": f"no return from a copy: {error!r}"})
+            return
+        self.write({"era": self.table.era, "lost_changes": lost})
+
+    async def _return(self, age_s: float, away_s: float) -> int:
+        self.faults.away = True
+        try:
+            await self.table.notify_watches()
+            await asyncio.sleep(away_s)
+            return await self.table.return_from_copy(age_s)
+        finally:
+            self.faults.away = False
+
+
 def create_platform(*, seed: int = 1) -> Application:
     """Create the stand-in as a tornado application."""
-    table, faults, calls = ObjectTable(), FaultSwitches(seed), Counter()
+    table = ObjectTable(monotonic=time.monotonic)
+    faults, calls = FaultSwitches(seed), Counter()
     handler_arguments = {"table": table, "faults": faults, "calls": calls}
     return Application(
         [
@@ -208,6 +245,7 @@
             (r"/watch", _WatchHandler, handler_arguments),
             (r"/calls", _CallCountsHandler, {"calls": calls}),
             (r"/switches", _SwitchesHandler, {"faults": faults, "table": table}),
+            (r"/return", _ReturnHandler, {"faults": faults, "table": table}),
         ],
         log_function=lambda handler: None,
     )
