Number a configuration above a first one that the platform lost

What operators would see: after the platform came back from a copy that is older than the very first configuration, `config apply` was accepted as version 1, and no node that ran applied it, as all had a version 1 or newer. Nothing said so.

Cause: the head that isn't there counted as written in the present era, and the client gave an object that doesn't exist the era 0 in any case. The same held for a head of a release that wrote no era.

Evidence: test_change_after_the_first_configuration_was_lost, test_change_over_a_head_that_states_no_era and test_era_rises_and_changes_are_lost (an absent object's era) failed before and pass now.

Change: a head without an era counts as written in era 0; an absent object states the era in which it was read.

--- a/burdockdock/configuration/acceptance.py
+++ b/burdockdock/configuration/acceptance.py
@@ -120,7 +120,8 @@
         history=history,
         old_parts=found.value.get("old_parts", []),
         era=found.era,
-        written_era=found.value.get("era", found.era),
+        # Without a head, or with one that states no era, a return may have gone before.
+        written_era=found.value.get("era", 0),
     )
 
 
--- a/burdockdock/platform_api/client.py
+++ b/burdockdock/platform_api/client.py
@@ -102,7 +102,7 @@
         if not isinstance(response, Response):
             return response
         if response.status == 404:
-            return PlatformObject(key, 0, {})
+            return PlatformObject(key, 0, {}, era=response.era)
         return self._decode_or_fail(lambda: self._decode_object(key, response))
 
     async def list(self, prefix: str) -> WatchResult | Failure:
@@ -240,7 +240,7 @@
         if not isinstance(response, Response):
             return response
         if response.status == 404:
-            return Conflict(PlatformObject(key, 0, {}))
+            return Conflict(PlatformObject(key, 0, {}, era=response.era))
         if response.status == 409:
             return await self._read_conflict(key, response)
         return self._decode_or_fail(
