Let the platform return from older copies in the soak

Change: seeds with faults let the platform return, every 6 s on average, from a copy of up to 8 s old, away for up to 1.5 s, one time in three twice within 3 s, while the other actions go on. The operator publishes its configuration again. Draws of their own keep the other actions of a seed as they were. All promises are checked as always.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -19,6 +19,10 @@
 _CALLER_COUNT = 10
 _PIPELINED_CALLER_COUNT = 4
 _MEAN_ACTION_INTERVAL_S = 1.2
+_MEAN_RETURN_INTERVAL_S = 6.0
+_MAX_COPY_AGE_S = 8.0
+# The platform returns once more within this time.
+_MAX_SECOND_RETURN_DELAY_S = 3.0
 # Limit on the nodes and backend servers that actions take down at the same time.
 _MAX_SERVERS_DOWN = 2
 _RECOVERY_TIMEOUT_S = 60.0
@@ -56,6 +60,8 @@
         self._testbed = testbed
         self._planned = options.planned
         self._rng = random.Random(options.seed)
+        # Of its own, so that a seed draws the same other actions as without returns.
+        self._return_rng = random.Random(f"{options.seed} returns")
         self._tasks: list[asyncio.Task[None]] = []
         self._down_limit = asyncio.Semaphore(_MAX_SERVERS_DOWN)
         self._locks = {name: asyncio.Lock() for name in testbed.nodes}
@@ -73,6 +79,8 @@
     async def run(self, seconds_s: float) -> None:
         """Start actions for a time and wait until they end."""
         end_s = time.monotonic() + seconds_s
+        if not self._planned:
+            self._tasks.append(asyncio.create_task(self._return_platform(end_s)))
         while time.monotonic() < end_s:
             action = self._rng.choice(self._actions)
             name = self._rng.choice(list(self._locks))
@@ -87,6 +95,22 @@
             else:
                 task.result()
 
+    async def _return_platform(self, end_s: float) -> None:
+        """Let the platform return from copies, now and then twice within seconds."""
+        rng = self._return_rng
+        while True:
+            await asyncio.sleep(rng.expovariate(1 / _MEAN_RETURN_INTERVAL_S))
+            if time.monotonic() > end_s:
+                return
+            for _ in range(rng.choice((1, 1, 2))):
+                await self._testbed.return_platform(
+                    age_s=rng.uniform(0.0, _MAX_COPY_AGE_S),
+                    away_s=rng.choice((0.0, 0.3, 1.5)),
+                )
+                await asyncio.sleep(rng.uniform(0.0, _MAX_SECOND_RETURN_DELAY_S))
+            # The operator has noticed by now.
+            await self._testbed.republish_config()
+
     async def _wait_for_tasks(self) -> None:
         """Wait for all tasks, including the second signals that they start meanwhile.
 
--- a/tests/soak/testbed.py
+++ b/tests/soak/testbed.py
@@ -10,8 +10,16 @@
 from pathlib import Path
 from subprocess import DEVNULL, Popen, TimeoutExpired
 
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPRequest
+
 from burdockdock.clock import SystemClock
-from burdockdock.configuration.acceptance import Accepted, accept_over_newest
+from burdockdock.configuration.acceptance import (
+    Accepted,
+    Head,
+    accept_over_newest,
+    read_head,
+)
 from burdockdock.configuration.ini import read_sections
 from burdockdock.node.operator_client import call_node
 from burdockdock.platform_api import PlatformClient
@@ -83,6 +91,8 @@
         self._platform = PlatformClient(
             f"http://{HOST}:{port}", name="soak", clock=SystemClock()
         )
+        self._platform_address = f"http://{HOST}:{port}"
+        self._publish_lock = asyncio.Lock()
         self.proxies["platform"] = self._fleet.platform_proxy = FaultProxy(port)
 
     @property
@@ -182,19 +192,32 @@
 
     async def change_config(self) -> bool:
         """Publish the next configuration and return whether it was accepted."""
-        number = self.versions.accepted + 1
-        result = await accept_over_newest(
-            self._platform,
-            read_sections(_BASE_CONFIG + _numbered_routes(number)),
-            author="soak",
-            reason="soak",
-            clock=SystemClock(),
+        async with self._publish_lock:
+            return await self._publish(self.versions.accepted + 1)
+
+    async def republish_config(self) -> None:
+        """Publish the last accepted configuration again if the platform lost it."""
+        async with self._publish_lock:
+            head = await read_head(self._platform)
+            if isinstance(head, Head) and head.version < self._stored_version:
+                await self._publish(self.versions.accepted)
+
+    async def return_platform(self, *, age_s: float, away_s: float) -> None:
+        """Let the platform return from a copy.
+
+        :param age_s: age of the copy in seconds.
+        :param away_s: seconds for which the platform refuses all requests before.
+        """
+        request = HTTPRequest(
+            f"{self._platform_address}/return",
+            method="POST",
+            body=json.dumps({"age_s": age_s, "away_s": away_s}),
+        )
+        response = await CurlAsyncHTTPClient().fetch(request)
+        returned = json.loads(response.body)
+        self.record_event(
+            f"platform returned from a copy {age_s:.1f} s old: {returned}"
         )
-        if isinstance(result, Accepted):
-            self.versions.accepted = number
-            self._stored_version = result.version
-            self.record_event(f"accepted {number} as {result.version}")
-        return isinstance(result, Accepted)
 
     async def wait_in_force(self) -> None:
         """Wait until every node reports that it applies the last accepted version."""
@@ -202,6 +225,7 @@
         for name in self.nodes:
             while await self._config_version_of(name) < self._stored_version:
                 await asyncio.sleep(_POLL_INTERVAL_S)
+                await self.republish_config()
         self.versions.acknowledged = number
         self.record_event(f"acknowledged {number}")
 
@@ -226,6 +250,20 @@
             for request_id in path.read_text().split()
         )
 
+    async def _publish(self, number: int) -> bool:
+        result = await accept_over_newest(
+            self._platform,
+            read_sections(_BASE_CONFIG + _numbered_routes(number)),
+            author="soak",
+            reason="soak",
+            clock=SystemClock(),
+        )
+        if isinstance(result, Accepted):
+            self.versions.accepted = number
+            self._stored_version = result.version
+            self.record_event(f"accepted {number} as {result.version}")
+        return isinstance(result, Accepted)
+
     def _kill(self, process: Popen, name: str) -> None:
         if process.poll() is None:
             self.record_event(f"SIGKILL {name}")
