Keep a rollout judged after the store returns from an older copy

What operators would see: after a return of the store nobody held the lease of a rollout for up to two terms (8 s and the polls), so a rollout with a near deadline was rolled back or ended late. And a candidate that had seen a version of the lease before the return could take it at once if the copy had that version again: two holders until the first one noticed.

Cause: the lease was lost for its holder too, even if the copy names it; a candidate looked at the stored lease only after it had waited for a term, then for another one; what it had seen was compared by the version alone, which the store gives out again.

Of test_lease.py, test_holder_that_the_copy_names_goes_on, test_lease_of_a_holder_that_is_gone_is_taken_after_one_term and test_version_that_was_seen_in_an_earlier_era_tells_nothing failed before.

Change: the holder goes on if the copy names it with its epoch while its term still runs; candidates look at the lease while they wait; what they saw is of one era.

Why it works: nobody else can take the lease before it saw the copy's version for a term that began after the return, and the holder's own write is conditional on that version.

--- a/burdockdock/coordination/lease.py
+++ b/burdockdock/coordination/lease.py
@@ -11,6 +11,7 @@
 
     version: int
     value: dict[str, Any]
+    era: int
 
 
 class ObjectStore(Protocol):
@@ -28,8 +29,12 @@
 
 
 class _Observation(NamedTuple):
-    """When a version of the lease object was first seen."""
+    """When a version of the lease object was first seen.
 
+    :param era: era of the store; versions are given out again in the next one.
+    """
+
+    era: int
     version: int
     seen_at_s: float
 
@@ -66,6 +71,7 @@
         self._held_until_s: float | None = None
         self._observation: _Observation | None = None
         self._not_before_s = float("-inf")
+        self._unconfirmed_until_s = float("-inf")
         self._lowest_epoch = 0
 
     @property
@@ -86,8 +92,11 @@
     def lose(self) -> None:
         """Forget the lease: the store returned from an older copy, which may lack it.
 
-        Whoever holds it may not know of that yet, so this candidate waits for a term.
+        Whoever holds it may not know of that yet, so this candidate waits for a term,
+        unless it holds the lease itself and the copy says so.
         """
+        if self._held_until_s is not None:
+            self._unconfirmed_until_s = self._held_until_s
         self._held_until_s = None
         self._observation = None
         self._version = 0
@@ -130,15 +139,21 @@
         return self._resolve_conflict(result.current)
 
     async def _try_acquire(self) -> bool:
-        if self._clock.monotonic() < self._not_before_s:
-            return False
         current = await self._store.read(self._key)
         if isinstance(current, Failure):
             return False
-        if not self._has_expired(current):
+        if self._is_still_own(current):
+            return await self._write(current, epoch=self._epoch)
+        # Seen while this candidate waits, so that it needn't wait for a second term.
+        expired = self._has_expired(current)
+        if not expired or self._clock.monotonic() < self._not_before_s:
             return False
         stored_epoch = int(current.value.get("epoch", 0))
         epoch = max(stored_epoch, self._epoch, self._lowest_epoch) + 1
+        return await self._write(current, epoch=epoch)
+
+    async def _write(self, current: StoredObject, *, epoch: int) -> bool:
+        """Take the lease if its object is still the one that was read."""
         started_s = self._clock.monotonic()
         result = await self._store.try_update(
             self._key,
@@ -150,15 +165,26 @@
         self._epoch = epoch
         return self._start_term(result.version, started_s)
 
+    def _is_still_own(self, current: StoredObject) -> bool:
+        """Return whether a lease that the store may have lost is there and runs.
+
+        Nobody else can have taken it: others have to see this version for a term.
+        """
+        if self._clock.monotonic() >= self._unconfirmed_until_s:
+            return False
+        value = current.value
+        return value.get("holder") == self._holder and value["epoch"] == self._epoch
+
     def _has_expired(self, current: StoredObject) -> bool:
         """Return whether the lease is free or was not renewed for a whole term."""
         if current.version == 0 or not current.value.get("holder"):
             return True
         now_s = self._clock.monotonic()
-        if self._observation is None or self._observation.version != current.version:
-            self._observation = _Observation(current.version, now_s)
+        seen = self._observation
+        if seen is None or (seen.era, seen.version) != (current.era, current.version):
+            self._observation = _Observation(current.era, current.version, now_s)
             return False
-        return now_s - self._observation.seen_at_s > current.value["term_s"]
+        return now_s - seen.seen_at_s > current.value["term_s"]
 
     def _resolve_conflict(self, current: StoredObject) -> bool:
         """Resolve a write conflict, which a renewal with a lost response also causes.
--- a/tests/coordination/test_lease.py
+++ b/tests/coordination/test_lease.py
@@ -118,3 +118,80 @@
         self.assertTrue(await second.maintain())
         self.assertFalse(await first.maintain())
         self.assertGreater(second.epoch, first.epoch)
+
+    def _candidates(self, platform: FakePlatform, clock: ManualClock) -> list[Lease]:
+        return [
+            Lease(platform, "leases/x", holder=name, clock=clock, term_s=_TERM_S)
+            for name in ("first", "second")
+        ]
+
+    @async_test
+    async def test_holder_that_the_copy_names_goes_on(self) -> None:
+        # Guards against a rollout that nobody judges for two terms after a return.
+        clock, platform = ManualClock(), FakePlatform()
+        first, second = self._candidates(platform, clock)
+        await first.maintain()
+        await second.maintain()
+        clock.advance(1.0)
+        for lease in (first, second):
+            lease.lose()
+        self.assertFalse(first.is_held())
+        self.assertTrue(await first.maintain())
+        self.assertEqual(1, first.epoch)
+        clock.advance(_TERM_S - 0.1)
+        self.assertFalse(await second.maintain())
+
+    @async_test
+    async def test_former_holder_that_the_copy_names_has_to_wait(self) -> None:
+        # Guards against two holders: another one took the lease after the copy.
+        clock, platform = ManualClock(), FakePlatform()
+        first, second = self._candidates(platform, clock)
+        await first.maintain()
+        copy = dict(platform.objects)
+        clock.advance(_TERM_S - 1.0)
+        await second.maintain()
+        clock.advance(_TERM_S + 0.1)
+        self.assertTrue(await second.maintain())
+        platform.objects = copy
+        first.lose()
+        self.assertFalse(await first.maintain())
+        self.assertTrue(second.is_held())
+
+    @async_test
+    async def test_holder_whose_lease_was_taken_after_the_return(self) -> None:
+        clock, platform = ManualClock(), FakePlatform()
+        first, second = self._candidates(platform, clock)
+        await first.maintain()
+        platform.objects.clear()
+        second.lose()
+        clock.advance(_TERM_S + 0.1)
+        self.assertTrue(await second.maintain())
+        first.lose()
+        self.assertFalse(await first.maintain())
+
+    @async_test
+    async def test_version_that_was_seen_in_an_earlier_era_tells_nothing(self) -> None:
+        # Guards against two holders: the copy has the version that a candidate saw.
+        clock, platform = ManualClock(), FakePlatform()
+        first, second = self._candidates(platform, clock)
+        platform.era.accept("1")
+        await first.maintain()
+        await second.maintain()
+        copy = dict(platform.objects)
+        clock.advance(_TERM_S - 0.1)
+        await first.maintain()
+        clock.advance(0.2)
+        platform.objects = copy
+        platform.era.accept("2")
+        self.assertFalse(await second.maintain())
+        self.assertTrue(first.is_held())
+
+    @async_test
+    async def test_lease_of_a_holder_that_is_gone_is_taken_after_one_term(self) -> None:
+        clock, platform = ManualClock(), FakePlatform()
+        first, second = self._candidates(platform, clock)
+        await first.maintain()
+        second.lose()
+        self.assertFalse(await second.maintain())
+        clock.advance(_TERM_S + 0.1)
+        self.assertTrue(await second.maintain())
