Test that an answered order starts no second rollout after the store returned

Two branches of the order processor (an order whose rollout the store lost waits; one that has ended gets its outcome again) had no test. With either of them taken out test_order_that_was_answered_starts_no_second_rollout fails; with both it passes. A test beside it shows that an order of another version is started as always.

--- a/tests/rollout/test_orders.py
+++ b/tests/rollout/test_orders.py
@@ -20,6 +20,8 @@
 from tests.support import async_test, eventually
 
 _HOST = "127.0.0.1"
+# Long enough for several scans of the orders.
+_SCANS_S = 1.0
 _SPEC = {"service": "work", "target-version": "v2", "duration": "16s"}
 
 
@@ -101,6 +103,16 @@
         )
         return ended
 
+    async def record_as_notified(self, ended: Rollout, records: RecordStore) -> Rollout:
+        """Store that the outcome was reported, and publish it to a node's records."""
+        notified = ended._replace(notified=True, step=ended.step + 1)
+        found = await self.platform.read(ROLLOUT_PREFIX + "work")
+        written = await self.platform.try_update(
+            found.key, expected_version=found.version, value=notified.to_value()
+        )
+        records.put(Record(found.key, written.record_version, notified.encode()))
+        return notified
+
     async def run_until_done(self) -> tuple[OrderProcessor, Rollout]:
         """Start a rollout from an order, and end it as done."""
         processor, records = self.start_processor()
@@ -234,3 +246,56 @@
             await fixture.store.put("rollouts", "work", spec={**_SPEC, **change})
             found = await fixture.platform.read(ORDER_PREFIX + "work")
             self.assertEqual("order_unreadable", ORDER_FORMAT.read(found).reason)
+
+
+class StoreReturnTest(testtools.TestCase):
+    """Tests of orders whose outcomes the store lost when it returned from a copy."""
+
+    @async_test
+    async def test_order_that_was_answered_starts_no_second_rollout(self) -> None:
+        # Guards against a version in use again that was rolled back.
+        fixture = _OrderFixture()
+        processor, records = fixture.start_processor()
+        fixture.store.take_copy()
+        await fixture.place_order(records)
+        await eventually(fixture.status)
+        ended = await fixture.end_rollout(Phase.ROLLED_BACK)
+        self.assertTrue(await processor.report_outcome(ended))
+        ended = await fixture.record_as_notified(ended, records)
+        outcome = fixture.status()
+        await fixture.store.return_from_copy()
+        # The operator places its order again, without a status.
+        await fixture.place_order()
+        processor.store_returned()
+        await fixture.publish_order(records)
+        await asyncio.sleep(_SCANS_S)
+        self.assertIsNone(fixture.status())
+        self.assertIsNone(fixture.store.get("rollout-states", "work"))
+        # What the nodes do that noticed the return.
+        await fixture.platform.update(
+            ROLLOUT_PREFIX + "work", expected_version=0, value=ended.to_value()
+        )
+        await eventually(fixture.status)
+        self.assertEqual(outcome, fixture.status())
+        rollout, _ = await read_rollout(fixture.platform, "work")
+        self.assertEqual((1, Phase.ROLLED_BACK), (rollout.number, rollout.phase))
+        fixture.close()
+
+    @async_test
+    async def test_order_of_another_version_starts_after_the_return(self) -> None:
+        fixture = _OrderFixture()
+        processor, records = fixture.start_processor()
+        await fixture.place_order(records)
+        await eventually(fixture.status)
+        ended = await fixture.end_rollout(Phase.ROLLED_BACK)
+        await processor.report_outcome(ended)
+        await fixture.record_as_notified(ended, records)
+        fixture.store.take_copy()
+        await fixture.store.return_from_copy()
+        fixture.membership.merge(_member("d", "v3", 90))
+        processor.store_returned()
+        await fixture.place_order(records, **{"target-version": "v3"})
+        await eventually(lambda: (fixture.status() or {}).get("target-version") == "v3")
+        rollout, _ = await read_rollout(fixture.platform, "work")
+        self.assertEqual((2, "v3"), (rollout.number, rollout.to_version))
+        fixture.close()
