Keep two holders off a lease that the store lost

What operators would see: nothing at once; after a return of the store two nodes could take themselves for the owner of a rollout for up to a term, and one of them could write under an epoch that was over.

Cause: the owner told its lease of a return only at its next poll (0.25 s), while a read that told of the new era went on and took the lease that was free in the copy; a candidate that began after the return knew of none and took it at once. A new rollout began at epoch 0, so what had been used before it was forgotten.

Change: the lease itself compares the era of each read with that of the one before; a free lease of a lower epoch than a holder used has to be seen for a term like one that is held; a rollout carries on the epoch of the one before it.

Why it works: the holder's term ends before a candidate that waits for a term, from a read in the new era on, can take the lease.

--- a/burdockdock/coordination/lease.py
+++ b/burdockdock/coordination/lease.py
@@ -73,6 +73,7 @@
         self._not_before_s = float("-inf")
         self._unconfirmed_until_s = float("-inf")
         self._lowest_epoch = 0
+        self._era: int | None = None
 
     @property
     def epoch(self) -> int:
@@ -142,6 +143,7 @@
         current = await self._store.read(self._key)
         if isinstance(current, Failure):
             return False
+        self._note_era(current.era)
         if self._is_still_own(current):
             return await self._write(current, epoch=self._epoch)
         # Seen while this candidate waits, so that it needn't wait for a second term.
@@ -165,6 +167,12 @@
         self._epoch = epoch
         return self._start_term(result.version, started_s)
 
+    def _note_era(self, era: int) -> None:
+        """Lose the lease if the store returned from a copy since the last answer."""
+        if self._era is not None and era != self._era:
+            self.lose()
+        self._era = era
+
     def _is_still_own(self, current: StoredObject) -> bool:
         """Return whether a lease that the store may have lost is there and runs.
 
@@ -176,15 +184,20 @@
         return value.get("holder") == self._holder and value["epoch"] == self._epoch
 
     def _has_expired(self, current: StoredObject) -> bool:
-        """Return whether the lease is free or was not renewed for a whole term."""
-        if current.version == 0 or not current.value.get("holder"):
+        """Return whether the lease is free or was not renewed for a whole term.
+
+        One of a lower epoch than a holder used is of an older copy, which may lack
+        that holder, so it isn't free.
+        """
+        held = bool(current.version and current.value.get("holder"))
+        if not held and current.value.get("epoch", 0) >= self._lowest_epoch:
             return True
         now_s = self._clock.monotonic()
         seen = self._observation
         if seen is None or (seen.era, seen.version) != (current.era, current.version):
             self._observation = _Observation(current.era, current.version, now_s)
             return False
-        return now_s - seen.seen_at_s > current.value["term_s"]
+        return now_s - seen.seen_at_s > current.value.get("term_s", self._term_s)
 
     def _resolve_conflict(self, current: StoredObject) -> bool:
         """Resolve a write conflict, which a renewal with a lost response also causes.
--- a/burdockdock/rollout/start.py
+++ b/burdockdock/rollout/start.py
@@ -87,6 +87,8 @@
         deadline=deadline,
         author=author,
         reason=reason,
+        # The next lease gets a higher one, also if the store loses the lease.
+        epoch=current.epoch if current else 0,
         history=(change,),
     )
     result = await platform.update(
--- a/tests/coordination/test_lease.py
+++ b/tests/coordination/test_lease.py
@@ -195,3 +195,29 @@
         self.assertFalse(await second.maintain())
         clock.advance(_TERM_S + 0.1)
         self.assertTrue(await second.maintain())
+
+    @async_test
+    async def test_candidate_that_first_reads_after_the_return_waits_too(self) -> None:
+        # Guards against two holders: a read tells of the return before its owner does.
+        clock, platform = ManualClock(), FakePlatform()
+        first, second = self._candidates(platform, clock)
+        platform.era.accept("1")
+        await first.maintain()
+        await second.maintain()
+        platform.objects.clear()
+        platform.era.accept("2")
+        self.assertFalse(await second.maintain())
+        self.assertTrue(first.is_held())
+
+    @async_test
+    async def test_free_lease_of_a_lower_epoch_than_was_used_is_observed(self) -> None:
+        # Guards against two holders: the candidate started after the return.
+        clock, platform = ManualClock(), FakePlatform()
+        first, second = self._candidates(platform, clock)
+        await first.maintain()
+        platform.objects.clear()
+        second.raise_epoch(first.epoch)
+        self.assertFalse(await second.maintain())
+        clock.advance(_TERM_S + 0.1)
+        self.assertTrue(await second.maintain())
+        self.assertEqual(2, second.epoch)
