Keep the owner of a rollout running when the store lost its rollout

What operators would see: after a return of the store, a rollout that no candidate owns any more, if each of them wrote while the rollout wasn't written again yet; it would not be judged, and not end at its deadline. Epochs of leases were used by two processes.

Cause: a write that conflicts with an object that isn't there decoded its empty value; the ValueError ended the owner's task, which nothing starts again. A state that can't be read did the same. And a node raised its lowest epoch only when it had read the rollout, which is after it took the lease.

Change: an absent or unreadable state is read again later, with a log line; the lowest epoch is that of the newest known state before each try for the lease.

--- a/burdockdock/rollout/owner.py
+++ b/burdockdock/rollout/owner.py
@@ -120,6 +120,8 @@
                 await asyncio.sleep(_POLL_INTERVAL_S)
                 continue
             held_before = self._lease.is_held()
+            # The store may have lost the lease under which this state was written.
+            self._lease.raise_epoch(self._dependencies.view.get(self._service).epoch)
             held = await self._lease.maintain()
             if held and not held_before:
                 log_event(
@@ -303,7 +305,10 @@
         One that is behind what this node knows is of an older copy of the platform; it
         is read again once what was lost is written.
         """
-        rollout = rollout_from(found.value)
+        rollout = _decode(found)
+        if rollout is None:
+            self._current = None
+            return
         known = self._dependencies.view.get(self._service)
         if self._era and known is not None and is_behind(rollout, known):
             self._current = None
@@ -313,3 +318,14 @@
         self._dependencies.spread(
             Record(found.key, found.record_version, rollout.encode())
         )
+
+
+def _decode(found: PlatformObject) -> Rollout | None:
+    """Return the state in a platform object, None if there is none that is readable."""
+    if not found.version:
+        return None
+    try:
+        return rollout_from(found.value)
+    except ValueError as error:
+        log_event("rollout.unreadable", key=found.key, reason=str(error))
+        return None
--- a/tests/rollout/parted_fleet.py
+++ b/tests/rollout/parted_fleet.py
@@ -88,7 +88,8 @@
         self.membership = MembershipTable(member, clock=self.clock)
         self.ranking = MemberRanking(self.membership)
         self.records = RecordStore(accept=self._accepts)
-        self.platform = NodePlatform(fleet, index)
+        holder = f"{member.node_id}/{member.incarnation}"
+        self.platform = NodePlatform(fleet, index, process=holder)
         self._slots: dict[tuple[str, int], dict[str, int]] = {}
         self.datagrams = _Datagrams(fleet, index)
         self.participant = RolloutParticipant(
@@ -98,7 +99,7 @@
             datagrams=self.datagrams,
             platform=self.platform,
             clock=self.clock,
-            holder=f"{member.node_id}/{member.incarnation}",
+            holder=holder,
             spread=lambda record: fleet.spread(index, record),
             notifier=SimpleNamespace(enabled=False),
             change_own=lambda **changes: fleet.change_member(index, **changes),
--- a/tests/rollout/shared_platform.py
+++ b/tests/rollout/shared_platform.py
@@ -33,12 +33,17 @@
     :ivar era_number: number of returns from a copy.
     :ivar states: all states that were ever stored, but for those that :meth:`forget`
         was told of.
+    :ivar shared_epochs: epochs of leases under which several processes wrote, and
+        writes under an epoch that was over.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.states: list[Rollout] = []
         self.era_number = 0
+        self.shared_epochs: list[str] = []
+        self._writers: dict[tuple[str, int], str] = {}
+        self._written: set[tuple[str, int, int]] = set()
         self._changes: list[_Change] = []
 
     async def try_update(
@@ -58,6 +63,23 @@
             self.states.append(rollout_from(value))
         return result._replace(era=self.era_number)
 
+    def note_writer(self, rollout: Rollout, writer: str) -> None:
+        """Note which process wrote a state, unless it was written before."""
+        state = (rollout.service, rollout.number, rollout.step)
+        if state in self._written:
+            return
+        self._written.add(state)
+        # The first state is an operator's.
+        if not rollout.step:
+            return
+        epoch = (rollout.service, rollout.epoch)
+        first = self._writers.setdefault(epoch, writer)
+        newest = max(e for service, e in self._writers if service == rollout.service)
+        if first != writer or rollout.epoch < newest:
+            self.shared_epochs.append(
+                f"{writer} wrote {state} under {epoch} of {first}"
+            )
+
     def return_from_copy(self, age_s: float) -> list[Rollout]:
         """Undo the changes of the last seconds; their revisions are given out again.
 
@@ -99,12 +121,14 @@
 class NodePlatform:
     """One node's way to the platform.
 
+    :param process: id of the node's process, another one after each restart.
     :ivar era: the newest era that this node was told of.
     """
 
-    def __init__(self, network: Network, index: int) -> None:
+    def __init__(self, network: Network, index: int, *, process: str) -> None:
         self._network = network
         self._index = index
+        self._process = process
         self.era = StoreEra(count=lambda name: None)
 
     async def read(self, key: str) -> PlatformObject | Failure:
@@ -139,6 +163,8 @@
         result = await platform.try_update(
             key, expected_version=expected_version, value=value
         )
+        if isinstance(result, PlatformObject) and key.startswith(ROLLOUT_PREFIX):
+            platform.note_writer(rollout_from(value), self._process)
         await self._reach()
         reached = self._network.reaches_platform(self._index)
         # What the platform answered before its return doesn't reach anybody.
--- a/tests/rollout/test_owner.py
+++ b/tests/rollout/test_owner.py
@@ -3,6 +3,7 @@
 Also tests starting and cancelling rollouts.
 """
 
+import asyncio
 import itertools
 from typing import Any
 
@@ -21,7 +22,7 @@
 from burdockdock.rollout.start import ChangeFailure, cancel_rollout, start_rollout
 from burdockdock.rollout.view import RolloutView
 from tests.rollout.test_policy import START, rollout
-from tests.support import FakePlatform, async_test
+from tests.support import FakePlatform, async_test, eventually
 
 _KEY = ROLLOUT_PREFIX + "desk"
 _TICK_INTERVAL_S = 0.25
@@ -221,6 +222,58 @@
             self.assertTrue(platform.states[-1].notified, (number, fault))
 
 
+class LostRolloutTest(testtools.TestCase):
+    """Tests of an owner whose rollout the store lost or can't be read."""
+
+    async def _check_goes_on(self, odd: PlatformObject | None) -> None:
+        """Check that an owner goes on after a write found an odd object, or none."""
+        clock, platform = ManualClock(start=START), _HistoryPlatform()
+        first = rollout()
+        await platform.try_update(_KEY, expected_version=0, value=first.to_value())
+        owner = _Candidate("one", platform, clock)
+        owner.records.put(Record(_KEY, 1, first.encode()))
+        while owner.owner._current is None:
+            await owner.tick(_GOOD_ROW)
+            clock.advance(_TICK_INTERVAL_S)
+        kept = platform.objects.pop(_KEY)
+        if odd is not None:
+            platform.objects[_KEY] = odd
+        while owner.owner._current is not None:
+            await owner.tick(_GOOD_ROW)
+            clock.advance(_TICK_INTERVAL_S)
+        platform.objects[_KEY] = kept
+        while platform.objects[_KEY].version == kept.version:
+            await owner.tick(_GOOD_ROW)
+            clock.advance(_TICK_INTERVAL_S)
+
+    @async_test
+    async def test_rollout_that_the_store_lost(self) -> None:
+        # Guards against an owner that ends, and is never started again.
+        await self._check_goes_on(None)
+
+    @async_test
+    async def test_rollout_that_cannot_be_read(self) -> None:
+        await self._check_goes_on(PlatformObject(_KEY, 99, {"number": "x"}))
+
+    @async_test
+    async def test_lease_that_the_store_lost_gets_a_higher_epoch(self) -> None:
+        # Guards against an epoch under which two holders wrote.
+        clock, platform = ManualClock(start=START), _HistoryPlatform()
+        second = _Candidate("two", platform, clock)
+        written = rollout()._replace(epoch=7)
+        second.records.put(Record(_KEY, 1, written.encode()))
+        # Past the deadline, so that it needs no evidence.
+        clock.advance(3600.0)
+        keeping = asyncio.create_task(second.owner._keep_lease())
+        await asyncio.sleep(0.1)
+        # Who wrote under the epoch 7 may still hold the lease.
+        self.assertFalse(second.owner._lease.is_held())
+        clock.advance(5.0)
+        await eventually(second.owner._lease.is_held)
+        keeping.cancel()
+        self.assertEqual(8, second.owner._lease.epoch)
+
+
 class StartTest(testtools.TestCase):
     """Tests of operators starting and cancelling rollouts."""
 
--- a/tests/rollout/test_parted_candidates.py
+++ b/tests/rollout/test_parted_candidates.py
@@ -140,6 +140,7 @@
         for service in self._case.services:
             for check in (
                 self._one_outcome,
+                self._one_writer_of_an_epoch,
                 self._outcome_in_force,
                 self._some_calls_are_sent,
                 self._all_agree,
@@ -168,6 +169,10 @@
             return f"not ended: {stored}"
         return ""
 
+    def _one_writer_of_an_epoch(self, _: str) -> str:
+        shared = self._fleet.platform.shared_epochs
+        return shared[0] if shared else ""
+
     def _outcome_in_force(self, service: str) -> str:
         """A version that a node knows as moved to isn't refused there."""
         for node in self._fleet.nodes:
