List a lease with two holders after two returns within a term

Found in reading the diff: what a holder keeps in mind over a return (until when its lease would have run) is never reset. If it takes the lease again, releases it, and the store returns once more within that term to a copy that names it, it goes on at once, while another one that took the lease meanwhile holds it until its next renewal.

The comment of test_close_with_a_call_in_flight said more than the test shows.

--- a/tests/coordination/test_lease.py
+++ b/tests/coordination/test_lease.py
@@ -221,3 +221,21 @@
         clock.advance(_TERM_S + 0.1)
         self.assertTrue(await second.maintain())
         self.assertEqual(2, second.epoch)
+
+    @async_test
+    async def test_holder_that_released_between_two_returns_has_to_wait(self) -> None:
+        # Guards against two holders: what the first return left open counts no more.
+        clock, platform = ManualClock(), FakePlatform()
+        first, second = self._candidates(platform, clock)
+        platform.era.accept("1")
+        await first.maintain()
+        platform.era.accept("2")
+        first.lose()
+        self.assertTrue(await first.maintain())
+        copy = dict(platform.objects)
+        await first.release()
+        self.assertTrue(await second.maintain())
+        platform.objects = copy
+        platform.era.accept("3")
+        self.assertFalse(await first.maintain())
+        self.assertTrue(second.is_held())
--- a/tests/platform_api/test_client.py
+++ b/tests/platform_api/test_client.py
@@ -92,7 +92,7 @@
 
     @async_test
     async def test_close_with_a_call_in_flight(self) -> None:
-        # Guards against timers that libcurl sets after the event loop is closed.
+        # Guards against a call that opens a connection after the close.
         client = _PlatformFixture().client
         watching = asyncio.create_task(client.watch("a/", after=0))
         await client.read("a/b")
