--- /dev/null
+++ b/burdockdock/coordination/quota.py
@@ -0,0 +1,192 @@
+"""Quotas over the whole fleet: limits, bounds, and the grantor of tokens.
+
+One node grants the tokens of a workspace, from one token bucket. A grant expires after a
+fraction of a second, so that the tokens used in a window are those granted in it and
+shortly before. No I/O; all times are monotonic seconds that are passed in.
+"""
+
+from typing import NamedTuple
+
+_MAX_GRANT_LIFE_S = 0.3
+_MIN_GRANT_LIFE_S = 0.05
+# Part of the tolerance that tokens which were granted before a window may use up in it.
+# The rest is left for calls that wait at gates, and for partitions of the fleet.
+_GRANT_LIFE_SHARE = 0.5
+# Part of the tolerance that the bucket of a workspace with a small burst may hold, so
+# that requests which arrive at the same moment find tokens.
+_DEPTH_SHARE = 0.25
+_DEPTH_S = 0.05
+# A node that was denied asks again after this time at the latest: its demand may have
+# changed, and that of others too.
+MAX_HOLD_S = 0.5
+_MIN_HOLD_S = 0.02
+# A repeated request is answered with the grant that it got for this time.
+_REPEAT_MEMORY_S = 2.0
+# Buckets nobody asked for this long are full again, and aren't kept.
+_IDLE_BUCKET_S = 60.0
+
+
+class QuotaLimit(NamedTuple):
+    """Limit of one workspace.
+
+    :param rate_per_s: requests per second over the whole fleet.
+    :param burst: requests beyond the rate after a time without requests.
+    """
+
+    rate_per_s: float
+    burst: float = 0.0
+
+
+class QuotaBounds(NamedTuple):
+    """How far the requests in a window may exceed a workspace's limit.
+
+    :param window_s: length of the window in seconds.
+    :param overage: tolerated excess, as a share of the limit's requests.
+    :param slack: tolerated excess in requests, beside the overage.
+    """
+
+    window_s: float = 5.0
+    overage: float = 0.1
+    slack: float = 20.0
+
+    def tolerance(self, limit: QuotaLimit) -> float:
+        """Return by how many requests a window may exceed the limit."""
+        allowed = limit.rate_per_s * self.window_s + limit.burst
+        return self.overage * allowed + self.slack
+
+    def grant_life_s(self, limit: QuotaLimit) -> float:
+        """Return how long a granted token may be used, in seconds."""
+        life_s = _GRANT_LIFE_SHARE * self.tolerance(limit) / limit.rate_per_s
+        return min(max(life_s, _MIN_GRANT_LIFE_S), _MAX_GRANT_LIFE_S)
+
+    def depth(self, limit: QuotaLimit) -> float:
+        """Return how many tokens the bucket of the whole fleet holds."""
+        least = min(
+            _DEPTH_SHARE * self.tolerance(limit), 1 + _DEPTH_S * limit.rate_per_s
+        )
+        return max(limit.burst, least, 1.0)
+
+
+class QuotaAsk(NamedTuple):
+    """A node's request for tokens.
+
+    :param number: identifies the request among those of the node; a repetition after a
+        lost datagram has the same.
+    :param count: tokens wanted, 1 or more.
+    """
+
+    workspace: str
+    node_id: str
+    number: int
+    count: int
+
+
+class QuotaGrant(NamedTuple):
+    """The grantor's response.
+
+    :param count: tokens granted, 0 to the number wanted.
+    :param retry_after_s: seconds after which to ask for the rest, 0 if all were granted.
+    :param is_grantor: False if the node that was asked grants no tokens of the
+        workspace, as far as it knows.
+    """
+
+    number: int
+    count: int
+    retry_after_s: float = 0.0
+    is_grantor: bool = True
+
+
+class _Bucket:
+    """Tokens of one workspace, and when those that were denied may ask again."""
+
+    def __init__(self, empty_since_s: float) -> None:
+        self.tokens = 0.0
+        self.next_turn_s = empty_since_s
+        self.used_at_s = empty_since_s
+        self.replies: dict[str, tuple[QuotaGrant, float]] = {}
+        self._refilled_at_s = empty_since_s
+
+    def refill(self, rate_per_s: float, depth: float, now_s: float) -> None:
+        """Add the tokens due since the last time."""
+        added = max(0.0, now_s - self._refilled_at_s) * rate_per_s
+        self._refilled_at_s = max(now_s, self._refilled_at_s)
+        self.tokens = min(depth, self.tokens + added)
+
+    def next_turn_after_s(self, rate_per_s: float, now_s: float) -> float:
+        """Return when a node that was denied may ask again, each at its own time."""
+        missing_s = max(0.0, 1.0 - self.tokens) / rate_per_s
+        ready_s = max(now_s, self._refilled_at_s) + missing_s
+        turn_s = max(ready_s, self.next_turn_s)
+        self.next_turn_s = min(turn_s, now_s + MAX_HOLD_S) + 1 / rate_per_s
+        return min(max(turn_s - now_s, _MIN_HOLD_S), MAX_HOLD_S)
+
+
+class Grantor:
+    """Grants the tokens of the workspaces for which this node is the grantor.
+
+    :param empty_since_s: time since which a bucket that isn't known may fill: no other
+        node has granted tokens after it.
+    """
+
+    def __init__(self, bounds: QuotaBounds, *, empty_since_s: float) -> None:
+        self._bounds = bounds
+        self._empty_since_s = empty_since_s
+        self._buckets: dict[str, _Bucket] = {}
+
+    @property
+    def workspaces(self) -> list[str]:
+        """Workspaces with a bucket here."""
+        return list(self._buckets)
+
+    def grant(
+        self, ask: QuotaAsk, limit: QuotaLimit, *, share: float, now_s: float
+    ) -> QuotaGrant:
+        """Take tokens from the workspace's bucket.
+
+        :param share: part of the rate that this node may grant.
+        """
+        bucket = self._buckets.get(ask.workspace)
+        if bucket is None:
+            bucket = self._buckets[ask.workspace] = _Bucket(self._empty_since_s)
+        known = bucket.replies.get(ask.node_id)
+        if known is not None and known[0].number == ask.number:
+            return known[0]
+        rate_per_s = limit.rate_per_s * share
+        depth = max(1.0, self._bounds.depth(limit) * share)
+        bucket.refill(rate_per_s, depth, now_s)
+        bucket.used_at_s = now_s
+        count = min(ask.count, int(bucket.tokens + 1e-9))
+        bucket.tokens = max(0.0, bucket.tokens - count)
+        retry_after_s = 0.0
+        if count < ask.count:
+            retry_after_s = bucket.next_turn_after_s(rate_per_s, now_s)
+        grant = QuotaGrant(ask.number, count, retry_after_s)
+        bucket.replies[ask.node_id] = (grant, now_s)
+        return grant
+
+    def start_empty(self, since_s: float) -> None:
+        """Note that other nodes may have granted tokens until a time.
+
+        Buckets that are kept aren't changed: this node was their grantor throughout.
+        """
+        self._empty_since_s = max(since_s, self._empty_since_s)
+
+    def forget(self, workspace: str) -> None:
+        """Drop a bucket, because another node grants the workspace's tokens."""
+        self._buckets.pop(workspace, None)
+
+    def reset(self, now_s: float) -> None:
+        """Empty all buckets, after a time in which others may have taken over."""
+        self._buckets.clear()
+        self.start_empty(now_s)
+
+    def prune(self, now_s: float) -> None:
+        """Drop what isn't needed any more."""
+        for workspace, bucket in list(self._buckets.items()):
+            if now_s - bucket.used_at_s > _IDLE_BUCKET_S:
+                # It starts full when it is needed again, if no member died meanwhile.
+                del self._buckets[workspace]
+                continue
+            for node_id, (_, granted_at_s) in list(bucket.replies.items()):
+                if now_s - granted_at_s > _REPEAT_MEMORY_S:
+                    del bucket.replies[node_id]
--- /dev/null
+++ b/burdockdock/proxy/quota_client.py
@@ -0,0 +1,301 @@
+"""Admits calls within their workspaces' quotas, on the node of their callers."""
+
+import asyncio
+import random
+from collections import deque
+from collections.abc import Callable
+from typing import NamedTuple
+
+from burdockdock.clock import Clock
+from burdockdock.coordination.quota import (
+    QuotaAsk,
+    QuotaBounds,
+    QuotaGrant,
+    QuotaLimit,
+)
+from burdockdock.coordination.quota_stock import Stock, Token
+from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.logs import log_event
+
+OVER_QUOTA = "over_quota"
+# A grant takes a few milliseconds. A datagram that was lost is sent once more.
+_REPEAT_AFTER_S = 0.02
+_WAIT_S = 0.05
+# A call that spent longer than this between its admission and its first attempt, such
+# as on reading its body, takes a new token: many of them could run at the same moment.
+_MAX_UNUSED_S = 0.25
+_IDLE_STOCK_S = 60.0
+_LOG_INTERVAL_S = 5.0
+_UNLIMITED = Token("", 0.0)
+
+
+class _PendingAsk(NamedTuple):
+    """A request for tokens without a response so far."""
+
+    ask: QuotaAsk
+    sent_at_s: float
+
+
+class _Account:
+    """A workspace's stock, the calls that wait for a token, and the open request."""
+
+    def __init__(self, stock: Stock) -> None:
+        self.stock = stock
+        self.waiting: deque[asyncio.Future[Token | Failure]] = deque()
+        self.pending: _PendingAsk | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.logged_at_s = float("-inf")
+        self.refused = 0
+
+
+class QuotaClient:
+    """Takes a token for each call of a workspace that has a limit.
+
+    :param node_id: this node.
+    :param limit_of: returns the limit of a workspace, None if it has none.
+    :param send: sends a request for tokens to the workspace's grantor; returns the
+        grant at once if this node is the grantor, else None.
+    :param node_count: returns the number of nodes that share the quotas.
+    :param count: increments a counter, given its name and a label.
+    """
+
+    def __init__(
+        self,
+        node_id: str,
+        *,
+        limit_of: Callable[[str], QuotaLimit | None],
+        send: Callable[[QuotaAsk], QuotaGrant | None],
+        node_count: Callable[[], int],
+        bounds: QuotaBounds,
+        clock: Clock,
+        rng: random.Random,
+        count: Callable[..., None],
+    ) -> None:
+        self._node_id = node_id
+        self._limit_of = limit_of
+        self._send = send
+        self._node_count = node_count
+        self._bounds = bounds
+        self._clock = clock
+        self._count = count
+        self._accounts: dict[str, _Account] = {}
+        # A node that starts again must not repeat the numbers of its earlier life.
+        self._number = rng.getrandbits(48)
+
+    async def admit(self, workspace: str) -> Token | Failure:
+        """Take a token for a call; wait for a grant for a few milliseconds at most.
+
+        :returns: a failure if the workspace is over its quota.
+        """
+        limit = self._limit_of(workspace)
+        if limit is None:
+            return _UNLIMITED
+        now_s = self._clock.monotonic()
+        account = self._account(workspace, limit, now_s)
+        stock = account.stock
+        stock.note_request(now_s)
+        token = stock.take(now_s)
+        if token is not None:
+            if account.pending is None and stock.runs_low(now_s):
+                self._ask(account, now_s)
+            return token
+        if stock.is_silent:
+            return self._admit_by_floor(account, now_s)
+        if now_s < stock.hold_until_s:
+            return self._refuse(account, now_s)
+        return await self._wait_for_token(account, now_s)
+
+    def give_back(self, token: Token) -> None:
+        """Take back the token of a call that hasn't run, once."""
+        account = self._accounts.get(token.workspace)
+        if account is None:
+            return
+        fresh = account.stock.give_back(token, self._clock.monotonic())
+        self._count("quota_returned" if fresh else "quota_returned_late")
+
+    def is_stale(self, token: Token) -> bool:
+        """Return whether a token was taken too long ago to start a call with it."""
+        if token == _UNLIMITED:
+            return False
+        return self._clock.monotonic() > token.expires_s + _MAX_UNUSED_S
+
+    def take_grant(self, workspace: str, grant: QuotaGrant) -> None:
+        """Take in a response of a grantor; one that isn't waited for is ignored."""
+        account = self._accounts.get(workspace)
+        pending = None if account is None else account.pending
+        if pending is None or grant.number != pending.ask.number:
+            return
+        now_s = self._clock.monotonic()
+        self._stop_waiting(account)
+        if not grant.is_grantor:
+            self._on_silence(account, pending, now_s)
+            return
+        stock = account.stock
+        if stock.is_silent:
+            log_event(
+                "quota.grantor_reached",
+                workspace=workspace,
+                silent_s=stock.silent_s(now_s),
+            )
+        stock.add_grant(grant, asked_at_s=pending.sent_at_s, now_s=now_s)
+        self._serve_waiting(account, now_s)
+
+    def prune(self) -> None:
+        """Drop the accounts of workspaces without requests, and those without a limit.
+
+        Accounts in use follow the number of nodes.
+        """
+        now_s = self._clock.monotonic()
+        for workspace, account in list(self._accounts.items()):
+            idle = now_s - account.stock.used_at_s > _IDLE_STOCK_S
+            limit = self._limit_of(workspace)
+            if not account.waiting and (idle or limit is None):
+                self._stop_waiting(account)
+                del self._accounts[workspace]
+            elif limit is not None:
+                account.stock.set_limit(limit, nodes=self._node_count())
+
+    def _account(self, workspace: str, limit: QuotaLimit, now_s: float) -> _Account:
+        account = self._accounts.get(workspace)
+        if account is None:
+            stock = Stock(
+                workspace,
+                limit,
+                bounds=self._bounds,
+                nodes=self._node_count(),
+                now_s=now_s,
+            )
+            account = self._accounts[workspace] = _Account(stock)
+        elif account.stock.limit != limit:
+            account.stock.set_limit(limit, nodes=self._node_count())
+        return account
+
+    async def _wait_for_token(self, account: _Account, now_s: float) -> Token | Failure:
+        future = asyncio.get_running_loop().create_future()
+        account.waiting.append(future)
+        if account.pending is None:
+            self._ask(account, now_s)
+        try:
+            return await future
+        except asyncio.CancelledError:
+            if future.done() and not future.cancelled():
+                result = future.result()
+                if isinstance(result, Token):
+                    self.give_back(result)
+            raise
+
+    def _ask(self, account: _Account, now_s: float) -> None:
+        """Ask the grantor for tokens, and again if there is no response."""
+        stock = account.stock
+        self._number += 1
+        count = stock.wanted(len(account.waiting), now_s)
+        ask = QuotaAsk(stock.workspace, self._node_id, self._number, max(count, 1))
+        account.pending = _PendingAsk(ask, now_s)
+        self._count("quota_asks")
+        grant = self._send(ask)
+        if grant is not None:
+            self.take_grant(stock.workspace, grant)
+            return
+        loop = asyncio.get_running_loop()
+        account.timer = loop.call_later(_REPEAT_AFTER_S, self._repeat, account)
+
+    def _repeat(self, account: _Account) -> None:
+        if account.pending is None:
+            return
+        delay_s = _WAIT_S - _REPEAT_AFTER_S
+        if not account.stock.is_silent:
+            self._count("quota_asks_repeated")
+            grant = self._send(account.pending.ask)
+            if grant is not None:
+                self.take_grant(account.stock.workspace, grant)
+                return
+        loop = asyncio.get_running_loop()
+        account.timer = loop.call_later(delay_s, self._give_up, account)
+
+    def _give_up(self, account: _Account) -> None:
+        """Stop waiting for a response. A late one still counts until the next request."""
+        account.timer = None
+        if account.pending is not None:
+            self._on_silence(account, account.pending, self._clock.monotonic())
+
+    def _on_silence(
+        self, account: _Account, pending: _PendingAsk, now_s: float
+    ) -> None:
+        stock = account.stock
+        if not stock.is_silent:
+            log_event(
+                "quota.grantor_silent",
+                workspace=stock.workspace,
+                waiting=len(account.waiting),
+            )
+        stock.note_silence(since_s=pending.sent_at_s, now_s=now_s)
+        while account.waiting:
+            future = account.waiting.popleft()
+            if not future.done():
+                future.set_result(self._take_floor(account, now_s))
+
+    def _admit_by_floor(self, account: _Account, now_s: float) -> Token | Failure:
+        """Use the floor at once, and see whether the grantor responds again."""
+        if account.timer is None and now_s >= account.stock.hold_until_s:
+            self._ask(account, now_s)
+            token = account.stock.take(now_s)
+            if token is not None:
+                return token
+        return self._take_floor(account, now_s)
+
+    def _take_floor(self, account: _Account, now_s: float) -> Token | Failure:
+        token = account.stock.take_floor(now_s)
+        if token is None:
+            return self._refuse(account, now_s)
+        self._count("quota_floor_admitted")
+        return token
+
+    def _serve_waiting(self, account: _Account, now_s: float) -> None:
+        """Give tokens to the calls that wait; ask for more, or refuse the rest."""
+        stock = account.stock
+        while account.waiting:
+            if account.waiting[0].done():
+                account.waiting.popleft()
+                continue
+            token = stock.take(now_s)
+            if token is None:
+                break
+            account.waiting.popleft().set_result(token)
+        if account.waiting and now_s >= stock.hold_until_s:
+            self._ask(account, now_s)
+            return
+        while account.waiting:
+            future = account.waiting.popleft()
+            if not future.done():
+                future.set_result(self._refuse(account, now_s))
+
+    def _refuse(self, account: _Account, now_s: float) -> Failure:
+        """Return the failure of a call over the quota; log some of them."""
+        stock = account.stock
+        after_s = stock.retry_after_s(now_s)
+        self._count("quota_refused", label=stock.workspace)
+        account.refused += 1
+        if now_s - account.logged_at_s >= _LOG_INTERVAL_S:
+            log_event(
+                "quota.exceeded",
+                workspace=stock.workspace,
+                rate_per_s=stock.limit.rate_per_s,
+                burst=stock.limit.burst,
+                refused=account.refused,
+                grantor_silent=stock.is_silent,
+            )
+            account.logged_at_s = now_s
+            account.refused = 0
+        detail = (
+            f"workspace {stock.workspace} may send {stock.limit.rate_per_s:g} requests "
+            f"per second"
+        )
+        if stock.is_silent:
+            detail += ", and the node that grants them doesn't respond"
+        return Failure(Verdict.NOT_RUN, OVER_QUOTA, detail, after_s)
+
+    def _stop_waiting(self, account: _Account) -> None:
+        account.pending = None
+        if account.timer is not None:
+            account.timer.cancel()
+            account.timer = None
