--- a/burdockdock/configuration/checks.py
+++ b/burdockdock/configuration/checks.py
@@ -21,6 +21,13 @@
     Service,
     Snapshot,
     SplitPart,
+    Workspace,
+)
+from burdockdock.configuration.workspaces import (
+    KeyProblem,
+    WorkspaceTableBuilder,
+    parse_flag,
+    parse_workspace,
 )
 from burdockdock.coordination.whole_numbers import parse_whole_number
 
@@ -38,6 +45,7 @@
     "kind",
     "split",
     "target_latency_ms",
+    "public",
 }
 _ROUTE_KINDS = ("idempotent", "non_idempotent", "download")
 _MAX_TARGET_LATENCY_MS = 600_000
@@ -78,6 +86,7 @@
         self._services = dict(previous.services)
         self._routes = dict(previous.routes)
         self._overrides = dict(previous.overrides)
+        self._workspaces = WorkspaceTableBuilder(previous.workspaces)
         self._checked = dict(previous.checked_sections)
         self._added: list[str] = []
         self._services_removed = False
@@ -130,6 +139,7 @@
             sections={name: self._checked[name].pairs for name in sections},
             checked_sections=self._checked,
             overrides_by_scope=_group_by_scope(self._overrides.values()),
+            workspaces=self._workspaces.build(),
         )
 
     def _remove_section(self, section: str) -> None:
@@ -142,6 +152,8 @@
             del self._routes[_route_match(checked.value)]
         elif isinstance(checked.value, Override):
             del self._overrides[checked.value.name]
+        elif isinstance(checked.value, Workspace):
+            self._workspaces.remove(checked.value)
         else:
             self._defaults = Policy()
 
@@ -160,12 +172,14 @@
             self._add_route(section, value)
         elif isinstance(value, Override):
             self._overrides[value.name] = value
+        elif isinstance(value, Workspace):
+            self._note_problems(section, self._workspaces.add(value))
         else:
             self._defaults = Policy()._replace(**value)
 
     def _parse_section(
         self, section: str, pairs: dict[str, str]
-    ) -> Service | Route | Override | dict[str, int] | None:
+    ) -> Service | Route | Override | Workspace | dict[str, int] | None:
         kind, _, name = section.partition(" ")
         name = name.strip()
         if section == "defaults":
@@ -176,10 +190,15 @@
             return self._parse_route(section, name, pairs)
         if kind == "exception" and name:
             return self._parse_override(section, name, pairs)
+        if kind == "workspace" and name:
+            workspace, problems = parse_workspace(name, pairs)
+            self._note_problems(section, problems)
+            return workspace
         self._add_problem(
             section,
             "",
-            "unknown section; use defaults, service NAME, route NAME or exception NAME",
+            "unknown section; use defaults, service NAME, route NAME, "
+            "workspace NAME or exception NAME",
         )
         return None
 
@@ -222,6 +241,9 @@
         kind = pairs.get("kind", "")
         if kind and kind not in _ROUTE_KINDS:
             self._add_problem(section, "kind", f"give one of {', '.join(_ROUTE_KINDS)}")
+        public = parse_flag(pairs.get("public", "false"))
+        if public is None:
+            self._add_problem(section, "public", "give true or false")
         return Route(
             name=name,
             path=path,
@@ -241,6 +263,7 @@
                 0,
                 _MAX_TARGET_LATENCY_MS,
             ),
+            public=bool(public),
         )
 
     def _parse_split(self, section: str, text: str) -> tuple[SplitPart, ...]:
@@ -325,6 +348,9 @@
             return None
         return parsed
 
+    def _note_problems(self, section: str, problems: list[KeyProblem]) -> None:
+        self.problems += [Problem(section, *problem) for problem in problems]
+
     def _add_problem(self, section: str, key: str, message: str) -> None:
         self.problems.append(Problem(section, key, message))
 
--- a/burdockdock/configuration/model.py
+++ b/burdockdock/configuration/model.py
@@ -1,5 +1,6 @@
 """Data types of a configuration version."""
 
+from collections.abc import Mapping
 from datetime import datetime
 from typing import NamedTuple
 
@@ -76,6 +77,7 @@
         large answer); empty to decide by the HTTP method whether a call is idempotent.
     :param split: weighted services that the calls are divided among.
     :param target_latency_ms: time after which an answer loses value, 0 for none.
+    :param public: whether it needs no API key where workspaces are configured.
     """
 
     name: str
@@ -88,6 +90,7 @@
     kind: str = ""
     split: tuple[SplitPart, ...] = ()
     target_latency_ms: int = 0
+    public: bool = False
 
     @property
     def services(self) -> tuple[str, ...]:
@@ -116,6 +119,46 @@
     expires: datetime | None = None
 
 
+class Workspace(NamedTuple):
+    """A group of callers that share API keys, a priority and a quota.
+
+    :param key_digests: SHA-256 digests of its API keys, in lower-case hex.
+    :param priority: replaces the priority of routes, None to leave it.
+    :param rate_per_s: requests per second that it may send, 0 for no limit.
+    :param burst: requests that it may send beyond that rate.
+    :param allowed_regions: regions whose backend servers may run its requests, empty
+        for all.
+    """
+
+    name: str
+    key_digests: tuple[str, ...] = ()
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    allowed_regions: tuple[str, ...] = ()
+
+
+class WorkspaceTable(NamedTuple):
+    """The workspaces of one configuration version.
+
+    A table never changes. Versions whose workspaces are the same share one table, so
+    that an identity check tells whether anything changed.
+
+    :param by_digest: the workspace of each API key, by the key's digest.
+    """
+
+    by_digest: Mapping[str, Workspace]
+    by_name: Mapping[str, Workspace]
+
+    @property
+    def authenticates(self) -> bool:
+        """Whether requests need an API key, except on public routes."""
+        return bool(self.by_name)
+
+
+NO_WORKSPACES = WorkspaceTable({}, {})
+
+
 class CheckedSection(NamedTuple):
     """A section of the configuration that passed its checks.
 
@@ -126,7 +169,7 @@
 
     pairs: dict[str, str]
     digest: int
-    value: "Service | Route | Override | dict[str, int]"
+    value: "Service | Route | Override | Workspace | dict[str, int]"
 
 
 class RouteMatch(NamedTuple):
@@ -152,6 +195,7 @@
     :param sections: the sections as written in the configuration.
     :param checked_sections: the checked sections by name.
     :param overrides_by_scope: the overrides of each scope, sorted by name.
+    :param workspaces: the workspaces and their API keys.
     """
 
     version: int
@@ -163,6 +207,7 @@
     sections: Sections
     checked_sections: dict[str, CheckedSection]
     overrides_by_scope: dict[Scope, list[Override]]
+    workspaces: WorkspaceTable = NO_WORKSPACES
 
 
 EMPTY_SNAPSHOT = Snapshot(0, 0, Policy(), {}, {}, {}, {}, {}, {})
--- /dev/null
+++ b/burdockdock/configuration/workspaces.py
@@ -0,0 +1,158 @@
+"""Checks ``workspace`` sections and builds the table of workspaces and API keys.
+
+Problems never quote a value of ``key_digests``: a section may have the key itself there
+by mistake.
+"""
+
+import hashlib
+import math
+import re
+from typing import NamedTuple
+
+from burdockdock.configuration.model import Workspace, WorkspaceTable
+from burdockdock.coordination.whole_numbers import parse_whole_number
+
+_KEYS = {"key_digests", "priority", "rate_per_s", "burst", "allowed_regions"}
+_DIGEST = re.compile(r"[0-9a-f]{64}")
+# A name is sent as the value of a header, which can't contain control characters.
+_CONTROL_CHARS = re.compile(r"[\x00-\x1f\x7f]")
+_MAX_NAME_BYTES = 200
+_LOWEST_PRIORITY = 9
+_MAX_RATE = 1e9
+# Longer keys are unknown without being hashed. The limit is well below that of a
+# request's header section.
+MAX_KEY_BYTES = 4096
+_FLAGS = {"true": True, "false": False}
+
+
+class KeyProblem(NamedTuple):
+    """A problem with one key of a section.
+
+    :param key: the section's key, empty for a problem of the whole section.
+    """
+
+    key: str
+    message: str
+
+
+def key_digest(key: bytes) -> str:
+    """Return the digest by which an API key is known, in lower-case hex."""
+    return hashlib.sha256(key).hexdigest()
+
+
+def parse_flag(text: str) -> bool | None:
+    """Return the value of ``true`` or ``false``, None for any other text."""
+    return _FLAGS.get(text.strip().lower())
+
+
+def parse_workspace(
+    name: str, pairs: dict[str, str]
+) -> tuple[Workspace, list[KeyProblem]]:
+    """Parse a ``workspace`` section.
+
+    :returns: the workspace, and all problems found.
+    """
+    problems = [KeyProblem(key, "unknown key") for key in pairs.keys() - _KEYS]
+    if _CONTROL_CHARS.search(name) or len(name.encode()) > _MAX_NAME_BYTES:
+        problems.append(
+            KeyProblem(
+                "",
+                f"the name must have {_MAX_NAME_BYTES} bytes at most and no control "
+                "characters",
+            )
+        )
+    workspace = Workspace(
+        name=name,
+        key_digests=_parse_digests(pairs.get("key_digests", ""), problems),
+        priority=_parse_priority(pairs.get("priority", ""), problems),
+        rate_per_s=_parse_rate("rate_per_s", pairs, problems),
+        burst=_parse_rate("burst", pairs, problems),
+        allowed_regions=_parse_list(pairs.get("allowed_regions", "")),
+    )
+    return workspace, problems
+
+
+class WorkspaceTableBuilder:
+    """Builds a table of workspaces from the one of another version.
+
+    The table is copied when the first workspace changes; without changes, the versions
+    share it.
+    """
+
+    def __init__(self, previous: WorkspaceTable) -> None:
+        self._table = previous
+        self._by_digest: dict[str, Workspace] = {}
+        self._by_name: dict[str, Workspace] = {}
+        self._changed = False
+
+    def remove(self, workspace: Workspace) -> None:
+        """Remove a workspace and its keys."""
+        self._copy_once()
+        del self._by_name[workspace.name]
+        for digest in workspace.key_digests:
+            del self._by_digest[digest]
+
+    def add(self, workspace: Workspace) -> list[KeyProblem]:
+        """Add a workspace; return the problems with the ones that are there."""
+        self._copy_once()
+        if workspace.name in self._by_name:
+            return [KeyProblem("", "there is another section of this workspace")]
+        self._by_name[workspace.name] = workspace
+        problems = []
+        for digest in workspace.key_digests:
+            other = self._by_digest.setdefault(digest, workspace)
+            if other is not workspace:
+                message = f"has a key that workspace {other.name} has as well"
+                problems.append(KeyProblem("key_digests", message))
+        return problems
+
+    def build(self) -> WorkspaceTable:
+        """Return the table, the previous one if nothing changed."""
+        if not self._changed:
+            return self._table
+        return WorkspaceTable(self._by_digest, self._by_name)
+
+    def _copy_once(self) -> None:
+        if not self._changed:
+            self._by_digest = dict(self._table.by_digest)
+            self._by_name = dict(self._table.by_name)
+            self._changed = True
+
+
+def _parse_digests(text: str, problems: list[KeyProblem]) -> tuple[str, ...]:
+    digests = _parse_list(text.lower())
+    if any(_DIGEST.fullmatch(digest) is None for digest in digests):
+        message = "give SHA-256 digests of the keys, each as 64 hex digits"
+        problems.append(KeyProblem("key_digests", message))
+        return ()
+    return digests
+
+
+def _parse_priority(text: str, problems: list[KeyProblem]) -> int | None:
+    if not text:
+        return None
+    number = parse_whole_number(text, -1)
+    if not 0 <= number <= _LOWEST_PRIORITY:
+        message = f"give a whole number from 0 to {_LOWEST_PRIORITY}, not {text!r}"
+        problems.append(KeyProblem("priority", message))
+        return None
+    return number
+
+
+def _parse_rate(key: str, pairs: dict[str, str], problems: list[KeyProblem]) -> float:
+    text = pairs.get(key) or "0"
+    try:
+        number = float(text)
+    except ValueError:
+        number = math.nan
+    if not 0 <= number <= _MAX_RATE:
+        message = f"give a number from 0 to {_MAX_RATE:.0f}, not {text!r}"
+        problems.append(KeyProblem(key, message))
+        return 0.0
+    return number
+
+
+def _parse_list(text: str) -> tuple[str, ...]:
+    """Return the different items of a comma-separated list, in their order."""
+    items = (item.strip() for item in text.split(","))
+    return tuple(dict.fromkeys(item for item in items if item))
