--- a/burdockdock/coordination/quota.py
+++ b/burdockdock/coordination/quota.py
@@ -85,7 +85,7 @@
     """The grantor's response.
 
     :param count: tokens granted, 0 to the number wanted.
-    :param retry_after_s: seconds after which to ask for the rest, 0 if all were granted.
+    :param retry_after_s: seconds after which to ask for the rest, 0 for none.
     :param is_grantor: False if the node that was asked grants no tokens of the
         workspace, as far as it knows.
     """
--- a/burdockdock/coordination/quota_stock.py
+++ b/burdockdock/coordination/quota_stock.py
@@ -27,6 +27,8 @@
 _FLOOR_FULL_AFTER_S = 6.0
 # Nodes without a denial for this long saw a workspace within its quota.
 _DENIAL_MEMORY_S = 5.0
+# The failure detector has found a dead grantor by then.
+_GOES_ON_S = 10.0
 
 
 class Token(NamedTuple):
@@ -148,15 +150,22 @@
             self._floor_tokens = min(1.0, self._floor_per_s(now_s))
         self.hold_until_s = now_s + _SILENT_ASK_INTERVAL_S
 
-    def take_floor(self, now_s: float) -> Token | None:
-        """Take a token of this node's floor while the grantor is silent."""
+    def take_floor(self, now_s: float, draw: float) -> Token | None:
+        """Take a token of this node's floor while the grantor is silent.
+
+        A node that goes on as before has less than one token most of the time, where a
+        workspace has few requests at each node. It then admits a request with this
+        probability, so that all nodes together admit as many as before.
+
+        :param draw: a random number, at least 0 and below 1.
+        """
         if not self.is_silent:
             return None
         rate_per_s = self._floor_per_s(now_s)
         added = max(0.0, now_s - self._floor_at_s) * rate_per_s
         self._floor_at_s = max(now_s, self._floor_at_s)
         self._floor_tokens = min(max(1.0, rate_per_s / 2), self._floor_tokens + added)
-        if self._floor_tokens < 1.0:
+        if self._floor_tokens < (draw if self._goes_on(now_s) else 1.0):
             return None
         self._floor_tokens -= 1.0
         return Token(self.workspace, now_s + self.life_s)
@@ -177,22 +186,30 @@
         self._promised_s = turn_s + 1 / rate_per_s
         return max(turn_s - now_s, 0.001)
 
+    def _goes_on(self, now_s: float) -> bool:
+        """Return whether this node admits as many requests as it was granted before.
+
+        Without denials, what all nodes were granted was less than the rate.
+        """
+        return (
+            self.silent_s(now_s) < _GOES_ON_S
+            and self._silent_since_s - self._denied_at_s > _DENIAL_MEMORY_S
+        )
+
     def _floor_per_s(self, now_s: float) -> float:
         """Return the rate of the floor.
 
-        A node that saw no denial goes on as before: what all nodes were granted within
-        the quota adds up to less than the rate. Else the floor is this node's equal
-        share, which rises while the rest of the fleet notices.
+        It is this node's equal share, which rises while the rest of the fleet notices.
         """
-        silent_s = self.silent_s(now_s)
-        if silent_s < _FLOOR_RISE_AFTER_S:
-            if self._silent_since_s - self._denied_at_s > _DENIAL_MEMORY_S:
-                granted_per_s = self._granted.per_s(self._silent_since_s)
-                return max(granted_per_s, _FLOOR_START * self._equal_share_per_s)
-            return _FLOOR_START * self._equal_share_per_s
         rising_s = _FLOOR_FULL_AFTER_S - _FLOOR_RISE_AFTER_S
-        risen = min(1.0, (silent_s - _FLOOR_RISE_AFTER_S) / rising_s)
-        return (_FLOOR_START + (1 - _FLOOR_START) * risen) * self._equal_share_per_s
+        risen = (self.silent_s(now_s) - _FLOOR_RISE_AFTER_S) / rising_s
+        risen = min(max(risen, 0.0), 1.0)
+        floor_per_s = self._equal_share_per_s * (
+            _FLOOR_START + (1 - _FLOOR_START) * risen
+        )
+        if self._goes_on(now_s):
+            return max(self._granted.per_s(self._silent_since_s), floor_per_s)
+        return floor_per_s
 
 
 class _MovingRate:
--- a/burdockdock/coordination/verdict.py
+++ b/burdockdock/coordination/verdict.py
@@ -18,11 +18,14 @@
     :param verdict: whether the request may have run.
     :param reason: machine-readable reason, such as ``queue_full``.
     :param detail: human-readable explanation, may be empty.
+    :param retry_after_s: seconds after which a repetition is likely to succeed, 0 if
+        unknown.
     """
 
     verdict: Verdict
     reason: str
     detail: str = ""
+    retry_after_s: float = 0.0
 
     def __bool__(self) -> bool:
         """Return False, so that ``if not result`` detects a failure."""
--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -34,6 +34,7 @@
     build_endpoints,
     retire_links_to_lost_nodes,
 )
+from burdockdock.node.quota_setup import build_quota_service
 from burdockdock.node.rollouts import RolloutParticipant
 from burdockdock.node.settings import NodeSettings
 from burdockdock.node.status import StatusReport, report_status
@@ -139,6 +140,17 @@
             rollouts=lambda: self.rollouts,
             rng=self._rng,
         )
+        self.quota = build_quota_service(
+            self._settings.quota_bounds,
+            membership=self.membership,
+            ranking=self.ranking,
+            datagrams=self.datagrams,
+            snapshot=lambda: self.config.snapshot,
+            heard_at_s=lambda: self.detector.last_ack_s,
+            clock=self._clock,
+            rng=self._rng,
+            metrics=self.metrics,
+        )
         self.links = PeerLinks(self._identity, count=self.metrics.count)
         self.context = build_context(
             self._settings,
@@ -149,6 +161,7 @@
             missing_version=lambda: self.records.missing_version(CONFIG_KEY),
             config_refusal=self.freshness.refusal,
             own_service=self._own_service,
+            quota=self.quota.client,
             headers=self._interface.headers,
             clock=self._clock,
             rng=self._rng,
@@ -292,6 +305,7 @@
             "rollouts": self.rollouts.run,
             "backend_watch": self._backend_watch.run,
             "config_freshness": self.freshness.run,
+            "quota": self.quota.run,
         }
         for name, loop in loops.items():
             self._run_in_background(name, loop)
--- a/burdockdock/node/proxy_setup.py
+++ b/burdockdock/node/proxy_setup.py
@@ -17,6 +17,7 @@
 from burdockdock.proxy.endpoints import Endpoints
 from burdockdock.proxy.forwarder import Forwarder
 from burdockdock.proxy.peer_link import PeerLinks
+from burdockdock.proxy.quota_client import QuotaClient
 
 # Share of the fleet's retry budget for retries by this proxy. The rest is left for the
 # calls that a backend server makes again while it handles a retried call: no message
@@ -64,6 +65,7 @@
     missing_version: Callable[[], int],
     config_refusal: Callable[[], Failure | None],
     own_service: Callable[[], str],
+    quota: QuotaClient,
     headers: CallHeaders,
     clock: Clock,
     rng: random.Random,
@@ -78,6 +80,7 @@
         does not have it yet, otherwise 0.
     :param config_refusal: returns why calls must not be routed by that configuration.
     :param own_service: returns the service of this node's backend server.
+    :param quota: admits calls within the quotas of their workspaces.
     """
     balancer = Balancer(
         availability_zone=settings.availability_zone,
@@ -107,6 +110,7 @@
         metrics=metrics,
         rng=rng,
         own_service=own_service,
+        quota=quota,
         headers=headers,
     )
 
--- a/burdockdock/node/settings.py
+++ b/burdockdock/node/settings.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from burdockdock.configuration.model import Problem
+from burdockdock.coordination.quota import QuotaBounds
 from burdockdock.overlay.datagrams import Address
 from burdockdock.proxy.listener import DEFAULT_MAX_PIPELINED_CALLS
 
@@ -21,6 +22,9 @@
         "drain_timeout_s",
         "grace_period",
         "pipelined_calls",
+        "quota_overage",
+        "quota_slack",
+        "quota_window",
         "retry_share",
         "retry_reserve",
     },
@@ -31,6 +35,7 @@
 DEFAULT_CONFIG_APPLY_TIMEOUT_S = 2.5
 DEFAULT_RETRY_SHARE = 0.2
 DEFAULT_RETRY_RESERVE = 100.0
+DEFAULT_QUOTA_BOUNDS = QuotaBounds()
 _NO_ADDRESS: Address = ("", 0)
 _REQUIRED_KEYS = {
     "node": ("name", "mesh", "region", "availability_zone"),
@@ -66,6 +71,7 @@
     :param retry_share: retries per call that the fleet may send to backend servers.
     :param retry_reserve: retries per service that the fleet may send beyond that share.
     :param pipelined_calls: calls of one caller's connection that run concurrently.
+    :param quota_bounds: how far a workspace may exceed its quota over the whole fleet.
     """
 
     name: str
@@ -90,6 +96,7 @@
     retry_share: float = DEFAULT_RETRY_SHARE
     retry_reserve: float = DEFAULT_RETRY_RESERVE
     pipelined_calls: int = DEFAULT_MAX_PIPELINED_CALLS
+    quota_bounds: QuotaBounds = DEFAULT_QUOTA_BOUNDS
 
 
 def read_settings(path: Path) -> NodeSettings | list[Problem]:
@@ -148,10 +155,21 @@
         pipelined_calls=reader.integer(
             "limits", "pipelined_calls", DEFAULT_MAX_PIPELINED_CALLS, 1, 1000
         ),
+        quota_bounds=_read_quota_bounds(reader),
     )
     return reader.problems or settings
 
 
+def _read_quota_bounds(reader: "_ValueReader") -> QuotaBounds:
+    """Read how far quotas may be exceeded; an empty value is as good as none."""
+    default = DEFAULT_QUOTA_BOUNDS
+    return QuotaBounds(
+        window_s=reader.duration_s("limits", "quota_window") or default.window_s,
+        overage=reader.number("limits", "quota_overage", default.overage, 0, 1),
+        slack=reader.number("limits", "quota_slack", default.slack, 0, 1_000_000),
+    )
+
+
 class _ValueReader:
     """Reads values of the settings file and collects the problems found."""
 
--- a/burdockdock/overlay/failure_detector.py
+++ b/burdockdock/overlay/failure_detector.py
@@ -107,6 +107,11 @@
             request_timeout_s=self._timing.period_s,
         )
 
+    @property
+    def last_ack_s(self) -> float:
+        """Monotonic time in seconds at which a member last answered this node."""
+        return self._pings.last_ack_s
+
     async def run(self) -> None:
         """Probe one member per period until cancelled."""
         while True:
--- a/burdockdock/protocol/messages.capnp
+++ b/burdockdock/protocol/messages.capnp
@@ -23,6 +23,8 @@
     syncReply @17 :SyncReply;
     applied @18 :AppliedReport;
     evidence @19 :Evidence;
+    quotaRequest @20 :QuotaRequest;
+    quotaGrant @21 :QuotaGrant;
   }
 }
 
@@ -239,3 +241,21 @@
   service @2 :Text;
   rows @3 :List(EvidenceRow);
 }
+
+# A node asks the grantor of a workspace for tokens.
+struct QuotaRequest {
+  mesh @0 :Text;
+  nodeId @1 :Text;
+  workspace @2 :Text;
+  number @3 :UInt64;
+  count @4 :UInt16;
+}
+
+struct QuotaGrant {
+  mesh @0 :Text;
+  workspace @1 :Text;
+  number @2 :UInt64;
+  count @3 :UInt16;
+  retryAfterMs @4 :UInt32;
+  notGrantor @5 :Bool;
+}
--- a/burdockdock/proxy/answers.py
+++ b/burdockdock/proxy/answers.py
@@ -10,6 +10,7 @@
 from burdockdock.coordination.whole_numbers import parse_whole_number
 from burdockdock.protocol.calls import AnswerHead
 from burdockdock.proxy.call_factory import hop_by_hop_names
+from burdockdock.proxy.quota_client import OVER_QUOTA
 
 VERDICT_HEADER = "X-Burdockdock-Verdict"
 _STATUS_BY_VERDICT = {
@@ -22,10 +23,13 @@
     "backend_timeout": 504,
     "no_route": 404,
     "already_ran": 409,
+    OVER_QUOTA: 429,
 }
+_NOT_RUN_REASONS_WITH_STATUS = frozenset({"no_route", OVER_QUOTA})
 _REASON_PHRASES = {
     404: "Not Found",
     409: "Conflict",
+    429: "Too Many Requests",
     502: "Bad Gateway",
     503: "Service Unavailable",
 }
@@ -55,7 +59,9 @@
         (VERDICT_HEADER, verdict),
     ]
     if failure.verdict is Verdict.NOT_RUN:
-        after_s = rng.uniform(_RETRY_AFTER_MIN_S, _RETRY_AFTER_MAX_S)
+        after_s = failure.retry_after_s or rng.uniform(
+            _RETRY_AFTER_MIN_S, _RETRY_AFTER_MAX_S
+        )
         headers.append(("Retry-After", f"{after_s:.3f}"))
     phrase = _REASON_PHRASES.get(status, "Gateway Timeout")
     return Refusal(AnswerHead(status, phrase, tuple(headers)), body)
@@ -64,9 +70,13 @@
 def _status_for(failure: Failure) -> int:
     """Return an HTTP status that promises no more than the verdict.
 
-    A call that did not run gets 503, unless its route is missing.
+    A call that did not run gets 503, unless its route is missing or its workspace is
+    over its quota.
     """
-    if failure.verdict is Verdict.NOT_RUN and failure.reason != "no_route":
+    if (
+        failure.verdict is Verdict.NOT_RUN
+        and failure.reason not in _NOT_RUN_REASONS_WITH_STATUS
+    ):
         return 503
     return _STATUS_BY_REASON.get(failure.reason, _STATUS_BY_VERDICT[failure.verdict])
 
--- a/burdockdock/proxy/caller_request.py
+++ b/burdockdock/proxy/caller_request.py
@@ -26,6 +26,7 @@
     pop_expect_continue,
 )
 from burdockdock.proxy.context import CallContext
+from burdockdock.proxy.quota_use import QuotaUse
 from burdockdock.proxy.request_body import MAX_BUFFERED_BODY_BYTES, RequestBody
 
 _BAD_REQUEST_STATUS = 400
@@ -238,9 +239,18 @@
         self._pipeline.note_change()
 
     async def _forward(self, call: Call) -> Failure | None:
-        return await self._context.forwarder.forward(
-            call, _CallerAdapter(self._body, self._answer)
+        """Forward a call if its workspace has a token for it."""
+        quota = QuotaUse(self._context.quota, call.request.workspace)
+        refusal = await quota.take()
+        if refusal is not None:
+            return refusal
+        failure = await self._context.forwarder.forward(
+            call,
+            _CallerAdapter(self._body, self._answer),
+            before_first_attempt=quota.renew,
         )
+        quota.end(failure)
+        return failure
 
     def _on_call_done(self, _task: asyncio.Task[None]) -> None:
         # Nothing reads the body any more: a connection that waits for room in the
--- a/burdockdock/proxy/context.py
+++ b/burdockdock/proxy/context.py
@@ -10,6 +10,7 @@
 from burdockdock.gate.headers import OWN_HEADERS, CallHeaders
 from burdockdock.metrics import Metrics
 from burdockdock.proxy.forwarder import Forwarder
+from burdockdock.proxy.quota_client import QuotaClient
 
 
 class CallContext:
@@ -27,6 +28,7 @@
     :param config_refusal: returns why a call must not be routed by the configuration of
         this node, None if it may.
     :param own_service: returns the service of the backend server beside this node.
+    :param quota: admits calls within the quotas, None to admit all.
     :param headers: names of the headers of calls.
     """
 
@@ -43,6 +45,7 @@
         missing_version: Callable[[], int] = lambda: 0,
         config_refusal: Callable[[], Failure | None] = lambda: None,
         own_service: Callable[[], str] = lambda: "",
+        quota: QuotaClient | None = None,
         headers: CallHeaders = OWN_HEADERS,
     ) -> None:
         self.node_id = node_id
@@ -50,6 +53,7 @@
         self.missing_version = missing_version
         self.config_refusal = config_refusal
         self.own_service = own_service
+        self.quota = quota
         self.headers = headers
         self.replaced_headers = _replaced_headers(headers)
         self.availability_zone = availability_zone
--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import functools
-from collections.abc import Iterable
+from collections.abc import Awaitable, Callable, Iterable
 
 from burdockdock.clock import Clock
 from burdockdock.coordination.backoff import FleetRetryBudget
@@ -73,17 +73,27 @@
             resolve_outcome, links=links, clock=clock
         )
 
-    async def forward(self, call: Call, caller: Caller) -> Failure | None:
+    async def forward(
+        self,
+        call: Call,
+        caller: Caller,
+        *,
+        before_first_attempt: Callable[[], Awaitable[Failure | None]] | None = None,
+    ) -> Failure | None:
         """Forward a call and relay its answer to the caller.
 
+        :param before_first_attempt: called when the call is ready for its first
+            attempt; may return a failure to end it.
         :returns: None once the answer was relayed completely or aborted visibly, else
             a failure that still has to be reported to the caller.
         """
         self._budget.record_call(call.request.service)
         body = ReplayableBody(caller, call.request.body_length)
-        body_failure = await self._read_body_prefix(call, body)
-        if body_failure is not None:
-            return body_failure
+        early_failure = await self._read_body_prefix(call, body)
+        if early_failure is None and before_first_attempt is not None:
+            early_failure = await before_first_attempt()
+        if early_failure is not None:
+            return early_failure
         asks = self._free_slots.is_worth_asking(call.request.service)
         retry_state = initial_state(call, asks=asks)
         charges = ArrivalCharges(call.request.service, budget=self._budget)
--- a/burdockdock/proxy/quota_client.py
+++ b/burdockdock/proxy/quota_client.py
@@ -81,6 +81,7 @@
         self._accounts: dict[str, _Account] = {}
         # A node that starts again must not repeat the numbers of its earlier life.
         self._number = rng.getrandbits(48)
+        self._rng = rng
 
     async def admit(self, workspace: str) -> Token | Failure:
         """Take a token for a call; wait for a grant for a few milliseconds at most.
@@ -213,7 +214,7 @@
         account.timer = loop.call_later(delay_s, self._give_up, account)
 
     def _give_up(self, account: _Account) -> None:
-        """Stop waiting for a response. A late one still counts until the next request."""
+        """Stop waiting; a late response still counts until the next request."""
         account.timer = None
         if account.pending is not None:
             self._on_silence(account, account.pending, self._clock.monotonic())
@@ -244,7 +245,7 @@
         return self._take_floor(account, now_s)
 
     def _take_floor(self, account: _Account, now_s: float) -> Token | Failure:
-        token = account.stock.take_floor(now_s)
+        token = account.stock.take_floor(now_s, self._rng.random())
         if token is None:
             return self._refuse(account, now_s)
         self._count("quota_floor_admitted")
