--- a/burdockdock/coordination/quota.py
+++ b/burdockdock/coordination/quota.py
@@ -1,7 +1,7 @@
 """Quotas over the whole fleet: limits, bounds, and the grantor of tokens.
 
-One node grants the tokens of a workspace, from one token bucket. A grant expires after a
-fraction of a second, so that the tokens used in a window are those granted in it and
+One node grants the tokens of a workspace, from one token bucket. A grant expires after
+a fraction of a second, so that the tokens used in a window are those granted in it and
 shortly before. No I/O; all times are monotonic seconds that are passed in.
 """
 
@@ -26,6 +26,24 @@
 _IDLE_BUCKET_S = 60.0
 
 
+# While a grantor doesn't respond, it may be dead, or cut off with a part of the fleet
+# that goes on using the whole rate until the failure detector tells it. What others use
+# meanwhile starts with this part of the rate, and rises to all of it.
+_UNSURE_START = 0.2
+_UNSURE_RISE_AFTER_S = 2.0
+_UNSURE_FULL_AFTER_S = 6.0
+
+
+def unsure_part(silent_s: float) -> float:
+    """Return the part of a rate that may be used while its grantor doesn't respond.
+
+    :param silent_s: seconds since it last responded.
+    """
+    rising_s = _UNSURE_FULL_AFTER_S - _UNSURE_RISE_AFTER_S
+    risen = min(max((silent_s - _UNSURE_RISE_AFTER_S) / rising_s, 0.0), 1.0)
+    return _UNSURE_START + (1 - _UNSURE_START) * risen
+
+
 class QuotaLimit(NamedTuple):
     """Limit of one workspace.
 
@@ -72,7 +90,7 @@
 
     :param number: identifies the request among those of the node; a repetition after a
         lost datagram has the same.
-    :param count: tokens wanted, 1 or more.
+    :param count: tokens wanted; 0 asks only whether the grantor responds.
     """
 
     workspace: str
@@ -96,28 +114,61 @@
     is_grantor: bool = True
 
 
-class _Bucket:
-    """Tokens of one workspace, and when those that were denied may ask again."""
+class QuotaBucket:
+    """Tokens of one workspace, and when those that were denied may ask again.
 
-    def __init__(self, empty_since_s: float) -> None:
-        self.tokens = 0.0
-        self.next_turn_s = empty_since_s
-        self.used_at_s = empty_since_s
-        self.replies: dict[str, tuple[QuotaGrant, float]] = {}
-        self._refilled_at_s = empty_since_s
+    ``used_at_s`` is when it was last asked.
+
+    :param filled_at_s: when it starts to fill, which may be in the future.
+    :param tokens: tokens that it holds then.
+    """
 
-    def refill(self, rate_per_s: float, depth: float, now_s: float) -> None:
-        """Add the tokens due since the last time."""
+    def __init__(self, filled_at_s: float, *, tokens: float = 0.0) -> None:
+        self.tokens = tokens
+        self.used_at_s = filled_at_s
+        self._next_turn_s = filled_at_s
+        self._refilled_at_s = filled_at_s
+        self._replies: dict[str, tuple[QuotaGrant, float]] = {}
+
+    def grant(
+        self, ask: QuotaAsk, *, rate_per_s: float, depth: float, now_s: float
+    ) -> QuotaGrant:
+        """Grant as many of the tokens wanted as there are.
+
+        :param rate_per_s: tokens added per second since the last time.
+        :param depth: maximum number of tokens.
+        """
+        known = self._replies.get(ask.node_id)
+        if known is not None and known[0].number == ask.number:
+            return known[0]
+        self._refill(rate_per_s, depth, now_s)
+        self.used_at_s = now_s
+        count = min(ask.count, int(self.tokens + 1e-9))
+        self.tokens = max(0.0, self.tokens - count)
+        retry_after_s = 0.0
+        if count < ask.count:
+            retry_after_s = self._next_turn_after_s(rate_per_s, now_s)
+        grant = QuotaGrant(ask.number, count, retry_after_s)
+        self._replies[ask.node_id] = (grant, now_s)
+        return grant
+
+    def prune(self, now_s: float) -> None:
+        """Drop replies that no repeated request can ask for any more."""
+        for node_id, (_, granted_at_s) in list(self._replies.items()):
+            if now_s - granted_at_s > _REPEAT_MEMORY_S:
+                del self._replies[node_id]
+
+    def _refill(self, rate_per_s: float, depth: float, now_s: float) -> None:
         added = max(0.0, now_s - self._refilled_at_s) * rate_per_s
         self._refilled_at_s = max(now_s, self._refilled_at_s)
         self.tokens = min(depth, self.tokens + added)
 
-    def next_turn_after_s(self, rate_per_s: float, now_s: float) -> float:
+    def _next_turn_after_s(self, rate_per_s: float, now_s: float) -> float:
         """Return when a node that was denied may ask again, each at its own time."""
         missing_s = max(0.0, 1.0 - self.tokens) / rate_per_s
         ready_s = max(now_s, self._refilled_at_s) + missing_s
-        turn_s = max(ready_s, self.next_turn_s)
-        self.next_turn_s = min(turn_s, now_s + MAX_HOLD_S) + 1 / rate_per_s
+        turn_s = max(ready_s, self._next_turn_s)
+        self._next_turn_s = min(turn_s, now_s + MAX_HOLD_S) + 1 / rate_per_s
         return min(max(turn_s - now_s, _MIN_HOLD_S), MAX_HOLD_S)
 
 
@@ -131,7 +182,7 @@
     def __init__(self, bounds: QuotaBounds, *, empty_since_s: float) -> None:
         self._bounds = bounds
         self._empty_since_s = empty_since_s
-        self._buckets: dict[str, _Bucket] = {}
+        self._buckets: dict[str, QuotaBucket] = {}
 
     @property
     def workspaces(self) -> list[str]:
@@ -147,22 +198,13 @@
         """
         bucket = self._buckets.get(ask.workspace)
         if bucket is None:
-            bucket = self._buckets[ask.workspace] = _Bucket(self._empty_since_s)
-        known = bucket.replies.get(ask.node_id)
-        if known is not None and known[0].number == ask.number:
-            return known[0]
-        rate_per_s = limit.rate_per_s * share
-        depth = max(1.0, self._bounds.depth(limit) * share)
-        bucket.refill(rate_per_s, depth, now_s)
-        bucket.used_at_s = now_s
-        count = min(ask.count, int(bucket.tokens + 1e-9))
-        bucket.tokens = max(0.0, bucket.tokens - count)
-        retry_after_s = 0.0
-        if count < ask.count:
-            retry_after_s = bucket.next_turn_after_s(rate_per_s, now_s)
-        grant = QuotaGrant(ask.number, count, retry_after_s)
-        bucket.replies[ask.node_id] = (grant, now_s)
-        return grant
+            bucket = self._buckets[ask.workspace] = QuotaBucket(self._empty_since_s)
+        return bucket.grant(
+            ask,
+            rate_per_s=limit.rate_per_s * share,
+            depth=max(1.0, self._bounds.depth(limit) * share),
+            now_s=now_s,
+        )
 
     def start_empty(self, since_s: float) -> None:
         """Note that other nodes may have granted tokens until a time.
@@ -186,7 +228,5 @@
             if now_s - bucket.used_at_s > _IDLE_BUCKET_S:
                 # It starts full when it is needed again, if no member died meanwhile.
                 del self._buckets[workspace]
-                continue
-            for node_id, (_, granted_at_s) in list(bucket.replies.items()):
-                if now_s - granted_at_s > _REPEAT_MEMORY_S:
-                    del bucket.replies[node_id]
+            else:
+                bucket.prune(now_s)
--- a/burdockdock/coordination/quota_stock.py
+++ b/burdockdock/coordination/quota_stock.py
@@ -8,7 +8,12 @@
 from collections import deque
 from typing import NamedTuple
 
-from burdockdock.coordination.quota import QuotaBounds, QuotaGrant, QuotaLimit
+from burdockdock.coordination.quota import (
+    QuotaBounds,
+    QuotaGrant,
+    QuotaLimit,
+    unsure_part,
+)
 
 # Tokens are asked for that are expected to be used within this time.
 _HORIZON_S = 0.25
@@ -19,12 +24,6 @@
 _GRANTED_MEMORY_S = 2.0
 # How often a grantor that doesn't respond is asked again.
 _SILENT_ASK_INTERVAL_S = 0.25
-# The grantor and the part of the fleet that is connected to it take seconds to notice
-# that others are cut off, and use the whole rate until then. The floor of a node that
-# is cut off grows meanwhile.
-_FLOOR_START = 0.2
-_FLOOR_RISE_AFTER_S = 2.0
-_FLOOR_FULL_AFTER_S = 6.0
 # Nodes without a denial for this long saw a workspace within its quota.
 _DENIAL_MEMORY_S = 5.0
 # The failure detector has found a dead grantor by then.
@@ -201,12 +200,7 @@
 
         It is this node's equal share, which rises while the rest of the fleet notices.
         """
-        rising_s = _FLOOR_FULL_AFTER_S - _FLOOR_RISE_AFTER_S
-        risen = (self.silent_s(now_s) - _FLOOR_RISE_AFTER_S) / rising_s
-        risen = min(max(risen, 0.0), 1.0)
-        floor_per_s = self._equal_share_per_s * (
-            _FLOOR_START + (1 - _FLOOR_START) * risen
-        )
+        floor_per_s = self._equal_share_per_s * unsure_part(self.silent_s(now_s))
         if self._goes_on(now_s):
             return max(self._granted.per_s(self._silent_since_s), floor_per_s)
         return floor_per_s
--- a/burdockdock/node/quota_service.py
+++ b/burdockdock/node/quota_service.py
@@ -17,6 +17,7 @@
     QuotaGrant,
     QuotaLimit,
 )
+from burdockdock.coordination.quota_deputy import Deputy
 from burdockdock.coordination.quota_share import FleetShare
 from burdockdock.coordination.ranking import MemberRanking
 from burdockdock.logs import log_event
@@ -81,7 +82,8 @@
         self._own_id = membership.own.node_id
         now_s = clock.monotonic()
         self._grantor = Grantor(bounds, empty_since_s=now_s)
-        self._grantors: dict[str, Member] = {}
+        self._grantors: dict[str, tuple[Member, Member]] = {}
+        self._deputy = Deputy(bounds)
         self._fleet = FleetShare()
         self._share = 1.0
         self._share_at_s = float("-inf")
@@ -115,29 +117,39 @@
             self._ticked_s = now_s
             self._fleet_share(now_s)
             self._grantor.prune(now_s)
+            self._deputy.prune(now_s)
             self.client.prune()
 
-    def _send(self, ask: QuotaAsk) -> QuotaGrant | None:
-        """Send a request to the workspace's grantor, or answer it if that is here."""
-        grantor = self._grantor_of(ask.workspace)
-        if grantor.node_id == self._own_id:
+    def _send(self, ask: QuotaAsk, to_deputy: bool) -> QuotaGrant | None:
+        """Send a request, or answer it if this node is the one that is asked.
+
+        :param to_deputy: whether to ask the grantor's deputy.
+        """
+        grantor, deputy = self._grantors_of(ask.workspace)
+        asked = deputy if to_deputy else grantor
+        if asked.node_id == self._own_id:
             return self._decide(ask, self._clock.monotonic())
+        self._send_ask(asked, ask)
+        return None
+
+    def _send_ask(self, asked: Member, ask: QuotaAsk) -> None:
         self._datagrams.send(
-            (grantor.host, grantor.port),
+            (asked.host, asked.port),
             "quotaRequest",
             nodeId=ask.node_id,
             workspace=ask.workspace,
             number=ask.number,
             count=ask.count,
         )
-        return None
 
     def _on_request(self, message: Message, address: Address) -> None:
-        count = min(max(message.count, 1), _MAX_COUNT)
+        count = min(message.count, _MAX_COUNT)
         ask = QuotaAsk(message.workspace, message.nodeId, message.number, count)
         now_s = self._clock.monotonic()
         self._fleet.note_asked(ask.node_id, now_s)
-        grant = self._decide(ask, now_s)
+        grant = QuotaGrant(ask.number, 0)
+        if count:
+            grant = self._decide(ask, now_s)
         self._datagrams.send(
             address,
             "quotaGrant",
@@ -146,9 +158,14 @@
             count=grant.count,
             retryAfterMs=round(grant.retry_after_s * 1000),
             notGrantor=not grant.is_grantor,
+            probe=not count,
         )
 
     def _on_grant(self, message: Message, _address: Address) -> None:
+        if message.probe:
+            now_s = self._clock.monotonic()
+            self._deputy.note_answer(message.workspace, message.number, now_s)
+            return
         grant = QuotaGrant(
             message.number,
             message.count,
@@ -158,23 +175,41 @@
         self.client.take_grant(message.workspace, grant)
 
     def _decide(self, ask: QuotaAsk, now_s: float) -> QuotaGrant:
+        """Grant or deny tokens as the grantor, as its deputy, or as neither."""
         limit = self._limit_of(ask.workspace)
-        is_first = self._grantor_of(ask.workspace).node_id == self._own_id
-        if limit is None or not is_first:
-            self._count("quota_grants", label="not_grantor")
-            return QuotaGrant(ask.number, 0, is_grantor=False)
-        self._check_stall(now_s)
+        grantor, deputy = self._grantors_of(ask.workspace)
+        grant = QuotaGrant(ask.number, 0, is_grantor=False)
+        if limit is not None and grantor.node_id == self._own_id:
+            self._check_stall(now_s)
+            share = self._fleet_share(now_s)
+            grant = self._grantor.grant(ask, limit, share=share, now_s=now_s)
+        elif limit is not None and deputy.node_id == self._own_id:
+            grant = self._decide_as_deputy(ask, limit, grantor, now_s)
+        label = "denied" if grant.retry_after_s else "whole"
+        self._count("quota_grants", label=label if grant.is_grantor else "not_grantor")
+        return grant
+
+    def _decide_as_deputy(
+        self, ask: QuotaAsk, limit: QuotaLimit, grantor: Member, now_s: float
+    ) -> QuotaGrant:
+        probe = self._deputy.next_probe(ask.workspace, now_s)
+        if probe is not None:
+            self._send_ask(
+                grantor, QuotaAsk(ask.workspace, self._own_id, probe.number, 0)
+            )
         share = self._fleet_share(now_s)
-        grant = self._grantor.grant(ask, limit, share=share, now_s=now_s)
-        self._count("quota_grants", label="denied" if grant.retry_after_s else "whole")
+        grant = self._deputy.grant(ask, limit, share=share, now_s=now_s)
+        if grant.count:
+            self._count("quota_deputy_granted", by=grant.count)
         return grant
 
-    def _grantor_of(self, workspace: str) -> Member:
-        """Return the first member by rank that doesn't leave."""
+    def _grantors_of(self, workspace: str) -> tuple[Member, Member]:
+        """Return the first two members by rank that don't leave."""
         found = self._grantors.get(workspace)
         if found is None:
             ranked = self._ranking.in_all_zones(f"quota/{workspace}")
-            found = next((m for m in ranked if not m.leaving), ranked[0])
+            staying = [m for m in ranked if not m.leaving] or ranked
+            found = staying[0], staying[min(1, len(staying) - 1)]
             self._grantors[workspace] = found
         return found
 
@@ -206,13 +241,14 @@
         if _grantor_key(member) == (previous and _grantor_key(previous)):
             return
         self._grantors.clear()
+        self.client.note_new_grantors()
         if not _may_grant(member):
             # A member that leaves stops to grant before it says so.
             left = member.leaving
             self._grantor.start_empty(now_s if left else now_s + _HANDOVER_S)
             return
         for workspace in self._grantor.workspaces:
-            if self._grantor_of(workspace).node_id != self._own_id:
+            if self._grantors_of(workspace)[0].node_id != self._own_id:
                 self._grantor.forget(workspace)
 
 
--- a/burdockdock/protocol/messages.capnp
+++ b/burdockdock/protocol/messages.capnp
@@ -242,7 +242,8 @@
   rows @3 :List(EvidenceRow);
 }
 
-# A node asks the grantor of a workspace for tokens.
+# A node asks the grantor of a workspace, or its deputy, for tokens. With a count of 0 it
+# asks only whether the grantor responds.
 struct QuotaRequest {
   mesh @0 :Text;
   nodeId @1 :Text;
@@ -258,4 +259,5 @@
   count @3 :UInt16;
   retryAfterMs @4 :UInt32;
   notGrantor @5 :Bool;
+  probe @6 :Bool;
 }
--- a/burdockdock/proxy/quota_client.py
+++ b/burdockdock/proxy/quota_client.py
@@ -44,6 +44,8 @@
         self.waiting: deque[asyncio.Future[Token | Failure]] = deque()
         self.pending: _PendingAsk | None = None
         self.timer: asyncio.TimerHandle | None = None
+        self.asks_deputy = False
+        self.failed_asks = 0
         self.logged_at_s = float("-inf")
         self.refused = 0
 
@@ -53,8 +55,9 @@
 
     :param node_id: this node.
     :param limit_of: returns the limit of a workspace, None if it has none.
-    :param send: sends a request for tokens to the workspace's grantor; returns the
-        grant at once if this node is the grantor, else None.
+    :param send: sends a request for tokens to the workspace's grantor, or to its
+        deputy if the second argument is true; returns the grant at once if that is this
+        node, else None.
     :param node_count: returns the number of nodes that share the quotas.
     :param count: increments a counter, given its name and a label.
     """
@@ -64,7 +67,7 @@
         node_id: str,
         *,
         limit_of: Callable[[str], QuotaLimit | None],
-        send: Callable[[QuotaAsk], QuotaGrant | None],
+        send: Callable[[QuotaAsk, bool], QuotaGrant | None],
         node_count: Callable[[], int],
         bounds: QuotaBounds,
         clock: Clock,
@@ -129,8 +132,9 @@
         now_s = self._clock.monotonic()
         self._stop_waiting(account)
         if not grant.is_grantor:
-            self._on_silence(account, pending, now_s)
+            self._on_failed_ask(account, pending, now_s)
             return
+        account.failed_asks = 0
         stock = account.stock
         if stock.is_silent:
             log_event(
@@ -141,6 +145,11 @@
         stock.add_grant(grant, asked_at_s=pending.sent_at_s, now_s=now_s)
         self._serve_waiting(account, now_s)
 
+    def note_new_grantors(self) -> None:
+        """Ask the grantors again instead of their deputies."""
+        for account in self._accounts.values():
+            account.asks_deputy = False
+
     def prune(self) -> None:
         """Drop the accounts of workspaces without requests, and those without a limit.
 
@@ -193,7 +202,7 @@
         ask = QuotaAsk(stock.workspace, self._node_id, self._number, max(count, 1))
         account.pending = _PendingAsk(ask, now_s)
         self._count("quota_asks")
-        grant = self._send(ask)
+        grant = self._send(ask, account.asks_deputy)
         if grant is not None:
             self.take_grant(stock.workspace, grant)
             return
@@ -206,7 +215,7 @@
         delay_s = _WAIT_S - _REPEAT_AFTER_S
         if not account.stock.is_silent:
             self._count("quota_asks_repeated")
-            grant = self._send(account.pending.ask)
+            grant = self._send(account.pending.ask, account.asks_deputy)
             if grant is not None:
                 self.take_grant(account.stock.workspace, grant)
                 return
@@ -217,7 +226,19 @@
         """Stop waiting; a late response still counts until the next request."""
         account.timer = None
         if account.pending is not None:
-            self._on_silence(account, account.pending, self._clock.monotonic())
+            self._on_failed_ask(account, account.pending, self._clock.monotonic())
+
+    def _on_failed_ask(
+        self, account: _Account, pending: _PendingAsk, now_s: float
+    ) -> None:
+        """Ask the deputy after the grantor, and the other way round, once each."""
+        account.failed_asks += 1
+        account.asks_deputy = not account.asks_deputy
+        if account.failed_asks < 2:
+            self._ask(account, now_s)
+            return
+        account.failed_asks = 0
+        self._on_silence(account, pending, now_s)
 
     def _on_silence(
         self, account: _Account, pending: _PendingAsk, now_s: float
--- a/tests/node/quota_fleet.py
+++ b/tests/node/quota_fleet.py
@@ -72,8 +72,8 @@
         self.sent += 1
         self._fleet.deliver(self, address[0], kind, SimpleNamespace(**fields))
 
-    def _count(self, name: str, *, label: str = "") -> None:
-        self.counters[f"{name}/{label}" if name == "quota_grants" else name] += 1
+    def _count(self, name: str, *, label: str = "", by: int = 1) -> None:
+        self.counters[f"{name}/{label}" if name == "quota_grants" else name] += by
 
 
 class SimulatedFleet:
