--- a/burdockdock/coordination/limiter.py
+++ b/burdockdock/coordination/limiter.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+from collections.abc import Callable
 from typing import NamedTuple
 
 from burdockdock.clock import Clock
@@ -22,6 +23,7 @@
     :param sequence: arrival number, which breaks ties.
     :param future: resolves to None when a slot is granted, otherwise to the refusal.
     :param target_s: latest start that meets the target latency, in monotonic seconds.
+    :param recheck: returns why the request must not start any more, None if it may.
     """
 
     priority: int
@@ -31,6 +33,7 @@
     workspace: str
     future: "asyncio.Future[Failure | None]"
     target_s: float
+    recheck: Callable[[], Failure | None]
 
 
 class SlotLimiter:
@@ -39,6 +42,11 @@
     Requests that can still meet their target are served first, then the order is by
     priority, workspace load and deadline.
 
+    The workspace with the empty name stands for all requests that have none, such as
+    those on public routes. As they come from many callers, it isn't held to the share
+    of one: it may fill the queue, where it gives way to others like any workspace with
+    more requests, and its load counts as if divided by the workspaces present.
+
     A workspace is still called ``tenant`` outside the process, hence the reason
     ``tenant_queue_full``.
 
@@ -93,6 +101,7 @@
         priority: int = 0,
         queue_length: int = 32,
         target_s: float = float("inf"),
+        recheck: Callable[[], Failure | None] = lambda: None,
     ) -> Failure | None:
         """Wait for a slot until the deadline.
 
@@ -105,6 +114,8 @@
             gets a free slot at once or is refused.
         :param target_s: latest start that meets the target latency, in monotonic
             seconds.
+        :param recheck: returns why the request must not start any more, None if it may;
+            called by :meth:`recheck_queue`.
         :returns: None once a slot is held, otherwise the refusal.
         """
         if self._in_use < self._slots and not self._waiters:
@@ -115,7 +126,7 @@
         refusal = self._make_queue_room(workspace, queue_length)
         if refusal is not None:
             return refusal
-        return await self._wait(workspace, deadline_s, priority, target_s)
+        return await self._wait(workspace, deadline_s, priority, target_s, recheck)
 
     def release(self, workspace: str) -> None:
         """Release a slot that the workspace holds."""
@@ -127,6 +138,16 @@
             self._workspace_in_use.pop(workspace, None)
         self._grant_slots()
 
+    def recheck_queue(self) -> None:
+        """Refuse the queued requests that must not start any more."""
+        for waiter in list(self._waiters):
+            refusal = waiter.recheck()
+            if refusal is None:
+                continue
+            self._remove_waiter(waiter)
+            if not waiter.future.done():
+                waiter.future.set_result(refusal)
+
     def _make_queue_room(self, workspace: str, queue_length: int) -> Failure | None:
         """Make room for one more request in the queue.
 
@@ -138,7 +159,8 @@
         other_workspaces = len(self._workspace_waiting) - (
             workspace in self._workspace_waiting
         )
-        if other_workspaces and waiting * (other_workspaces + 1) >= queue_length:
+        has_share = bool(workspace and other_workspaces)
+        if has_share and waiting * (other_workspaces + 1) >= queue_length:
             return Failure(Verdict.NOT_RUN, "tenant_queue_full")
         if len(self._waiters) < queue_length or self._evict_waiter(waiting):
             return None
@@ -167,21 +189,24 @@
         return True
 
     async def _wait(
-        self, workspace: str, deadline_s: float, priority: int, target_s: float
+        self,
+        workspace: str,
+        deadline_s: float,
+        priority: int,
+        target_s: float,
+        recheck: Callable[[], Failure | None],
     ) -> Failure | None:
         future: asyncio.Future[Failure | None]
         future = asyncio.get_running_loop().create_future()
-        load = self._workspace_in_use.get(workspace, 0) + self._workspace_waiting.get(
-            workspace, 0
-        )
         waiter = _Waiter(
             priority,
-            load,
+            self._load(workspace),
             deadline_s,
             next(self._sequence),
             workspace,
             future,
             target_s,
+            recheck,
         )
         self._waiters.append(waiter)
         self._workspace_waiting[workspace] = (
@@ -202,6 +227,15 @@
             raise
         return None
 
+    def _load(self, workspace: str) -> int:
+        """Return the load of a workspace by which its requests are ordered."""
+        load = self._workspace_in_use.get(workspace, 0)
+        load += self._workspace_waiting.get(workspace, 0)
+        if workspace:
+            return load
+        others = {*self._workspace_in_use, *self._workspace_waiting, ""}
+        return load // len(others)
+
     def _remove_waiter(self, waiter: _Waiter) -> None:
         if waiter in self._waiters:
             self._waiters.remove(waiter)
--- a/tests/coordination/test_limiter.py
+++ b/tests/coordination/test_limiter.py
@@ -7,10 +7,15 @@
 from burdockdock.clock import ManualClock, SystemClock
 from burdockdock.coordination.duration_estimator import DurationEstimator
 from burdockdock.coordination.limiter import SlotLimiter
-from burdockdock.coordination.verdict import Verdict
+from burdockdock.coordination.verdict import Failure, Verdict
 from tests.support import async_test
 
 
+def _reasons(tasks: list[asyncio.Task]) -> list[str]:
+    """Return the reasons of the requests that were refused."""
+    return [task.result().reason for task in tasks if task.done()]
+
+
 class SlotLimiterTest(testtools.TestCase):
     """Tests of one slot limiter."""
 
@@ -167,6 +172,94 @@
         for task in noisy:
             task.cancel()
 
+    async def _fill(self, limiter: SlotLimiter, *workspaces: str) -> list[asyncio.Task]:
+        """Occupy the only slot, then let requests of these workspaces queue."""
+        await limiter.acquire(workspace="x", deadline_s=99)
+        tasks = [
+            asyncio.create_task(limiter.acquire(workspace=w, deadline_s=99))
+            for w in workspaces
+        ]
+        await asyncio.sleep(0)
+        self.assertEqual(len(workspaces), limiter.queued)
+        return tasks
+
+    @async_test
+    async def test_public_requests_are_not_held_to_the_share_of_one_workspace(
+        self,
+    ) -> None:
+        # Guards against refusals of the calls that running requests make, which all
+        # have no workspace, beside a queue that has room.
+        for workspace, reason in (("a", "tenant_queue_full"), ("", None)):
+            limiter = SlotLimiter(slots=1, clock=ManualClock())
+            tasks = await self._fill(limiter, "b", "c", "d", *[workspace] * 4)
+            refused = asyncio.create_task(
+                limiter.acquire(workspace=workspace, deadline_s=99, queue_length=16)
+            )
+            await asyncio.sleep(0)
+            self.assertEqual(reason is not None, refused.done())
+            self.assertEqual(reason, refused.done() and refused.result().reason or None)
+            for task in (*tasks, refused):
+                task.cancel()
+
+    @async_test
+    async def test_full_queue_of_public_requests_makes_room_for_a_workspace(
+        self,
+    ) -> None:
+        limiter = SlotLimiter(slots=1, clock=ManualClock())
+        tasks = await self._fill(limiter, *[""] * 4)
+        other = asyncio.create_task(
+            limiter.acquire(workspace="a", deadline_s=99, queue_length=4)
+        )
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        self.assertEqual(["tenant_queue_full"], _reasons(tasks))
+        self.assertFalse(other.done())
+        for task in (*tasks, other):
+            task.cancel()
+
+    @async_test
+    async def test_public_requests_are_not_ordered_as_one_busy_workspace(self) -> None:
+        # Guards against public requests that start after those of all workspaces.
+        limiter = SlotLimiter(slots=1, clock=ManualClock())
+        await limiter.acquire(workspace="x", deadline_s=99)
+        order: list[str] = []
+
+        async def run(workspace: str) -> None:
+            await limiter.acquire(workspace=workspace, deadline_s=99)
+            order.append(workspace)
+            limiter.release(workspace)
+
+        names = ["a", "b", "c", "", "", "", "a", "b", "c"]
+        tasks = [asyncio.create_task(run(name)) for name in names]
+        await asyncio.sleep(0)
+        limiter.release("x")
+        await asyncio.gather(*tasks)
+        self.assertEqual(["a", "b", "c", "", "", "", "a", "b", "c"], order)
+
+    @async_test
+    async def test_recheck_refuses_only_what_must_not_start(self) -> None:
+        limiter = SlotLimiter(slots=1, clock=ManualClock())
+        await limiter.acquire(workspace="x", deadline_s=99)
+        refusal = Failure(Verdict.NOT_RUN, "over")
+        results: list[Failure | None] = [None, None]
+        tasks = [
+            asyncio.create_task(
+                limiter.acquire(
+                    workspace="a", deadline_s=99, recheck=lambda i=i: results[i]
+                )
+            )
+            for i in range(2)
+        ]
+        await asyncio.sleep(0)
+        limiter.recheck_queue()
+        self.assertEqual(2, limiter.queued)
+        results[0] = refusal
+        limiter.recheck_queue()
+        self.assertIs(refusal, await tasks[0])
+        self.assertEqual(1, limiter.queued)
+        limiter.release("x")
+        self.assertIsNone(await tasks[1])
+
 
 class DurationEstimatorTest(testtools.TestCase):
     """Tests of the time that a request needs."""
