--- a/burdockdock/configuration/checks.py
+++ b/burdockdock/configuration/checks.py
@@ -4,7 +4,6 @@
 """
 
 from collections.abc import Iterable
-from datetime import datetime
 
 from burdockdock.configuration.delta import changed_sections
 from burdockdock.configuration.ini import section_digest
@@ -20,13 +19,16 @@
     Sections,
     Service,
     Snapshot,
-    SplitPart,
     Workspace,
 )
-from burdockdock.configuration.workspaces import (
+from burdockdock.configuration.values import (
     KeyProblem,
-    WorkspaceTableBuilder,
     parse_flag,
+    parse_split,
+    parse_time,
+)
+from burdockdock.configuration.workspaces import (
+    WorkspaceTableBuilder,
     parse_workspace,
 )
 from burdockdock.coordination.whole_numbers import parse_whole_number
@@ -235,15 +237,15 @@
         path = pairs.get("path", "")
         if not path.startswith("/"):
             self._add_problem(section, "path", "give a path that begins with /")
-        split = self._parse_split(section, pairs.get("split", ""))
+        split, problems = parse_split(pairs.get("split", ""))
+        self._note_problems(section, problems)
         if not pairs.get("service") and not split:
             self._add_problem(section, "service", "give the service's name")
         kind = pairs.get("kind", "")
         if kind and kind not in _ROUTE_KINDS:
             self._add_problem(section, "kind", f"give one of {', '.join(_ROUTE_KINDS)}")
-        public = parse_flag(pairs.get("public", "false"))
-        if public is None:
-            self._add_problem(section, "public", "give true or false")
+        public, problems = parse_flag("public", pairs.get("public", "false"))
+        self._note_problems(section, problems)
         return Route(
             name=name,
             path=path,
@@ -263,28 +265,9 @@
                 0,
                 _MAX_TARGET_LATENCY_MS,
             ),
-            public=bool(public),
+            public=public,
         )
 
-    def _parse_split(self, section: str, text: str) -> tuple[SplitPart, ...]:
-        """Parse services with weights, such as ``work:90, work-next:10``."""
-        parts = []
-        for item in text.split(",") if text else ():
-            service, _, weight = item.strip().rpartition(":")
-            try:
-                part = SplitPart(service, float(weight))
-            except ValueError:
-                part = SplitPart("", 0.0)
-            if not part.service or not 0 <= part.weight < float("inf"):
-                self._add_problem(
-                    section, "split", "give SERVICE:WEIGHT, SERVICE:WEIGHT"
-                )
-                return ()
-            parts.append(part)
-        if parts and not any(part.weight for part in parts):
-            self._add_problem(section, "split", "give at least one weight above 0")
-        return tuple(parts)
-
     def _parse_override(
         self, section: str, name: str, pairs: dict[str, str]
     ) -> Override | None:
@@ -307,7 +290,8 @@
         value = self._parse_integer(
             section, "value", pairs.get("value", ""), *_POLICY_BOUNDS[setting]
         )
-        expires = self._parse_time(section, "expires", pairs.get("expires"))
+        expires, problems = parse_time("expires", pairs.get("expires"))
+        self._note_problems(section, problems)
         return Override(name, kind, target, setting, value, reason, expires)
 
     def _parse_policy(self, section: str, pairs: dict[str, str]) -> dict[str, int]:
@@ -332,22 +316,6 @@
         )
         return low
 
-    def _parse_time(self, section: str, key: str, text: str | None) -> datetime | None:
-        if text is None:
-            return None
-        try:
-            parsed = datetime.fromisoformat(text)
-        except ValueError:
-            parsed = None
-        if parsed is None or parsed.tzinfo is None:
-            self._add_problem(
-                section,
-                key,
-                "give a time with a UTC offset, such as 2026-12-31T18:00:00Z",
-            )
-            return None
-        return parsed
-
     def _note_problems(self, section: str, problems: list[KeyProblem]) -> None:
         self.problems += [Problem(section, *problem) for problem in problems]
 
--- a/burdockdock/configuration/workspaces.py
+++ b/burdockdock/configuration/workspaces.py
@@ -7,9 +7,10 @@
 import hashlib
 import math
 import re
-from typing import NamedTuple
 
 from burdockdock.configuration.model import Workspace, WorkspaceTable
+from burdockdock.configuration.values import KeyProblem, parse_list
+from burdockdock.coordination.verdict import KEY_REVOKED, Failure, Verdict
 from burdockdock.coordination.whole_numbers import parse_whole_number
 
 _KEYS = {"key_digests", "priority", "rate_per_s", "burst", "allowed_regions"}
@@ -22,17 +23,6 @@
 # Longer keys are unknown without being hashed. The limit is well below that of a
 # request's header section.
 MAX_KEY_BYTES = 4096
-_FLAGS = {"true": True, "false": False}
-
-
-class KeyProblem(NamedTuple):
-    """A problem with one key of a section.
-
-    :param key: the section's key, empty for a problem of the whole section.
-    """
-
-    key: str
-    message: str
 
 
 def key_digest(key: bytes) -> str:
@@ -40,9 +30,25 @@
     return hashlib.sha256(key).hexdigest()
 
 
-def parse_flag(text: str) -> bool | None:
-    """Return the value of ``true`` or ``false``, None for any other text."""
-    return _FLAGS.get(text.strip().lower())
+def key_id(digest: str) -> int:
+    """Return the first 64 bits of a digest, which tell a workspace's keys apart."""
+    return int(digest[:16], 16)
+
+
+def revocation(
+    table: WorkspaceTable, name: str, key_number: int, *, version: int
+) -> Failure | None:
+    """Return why a key that was valid by an older version is not, None if it still is.
+
+    :param name: the workspace that the key belonged to.
+    :param key_number: the key's number as :func:`key_id` returns it.
+    :param version: configuration version of the table.
+    """
+    workspace = table.by_name.get(name)
+    digests = () if workspace is None else workspace.key_digests
+    if any(key_id(digest) == key_number for digest in digests):
+        return None
+    return Failure(Verdict.NOT_RUN, KEY_REVOKED, f"by version {version} or before")
 
 
 def parse_workspace(
@@ -67,7 +73,7 @@
         priority=_parse_priority(pairs.get("priority", ""), problems),
         rate_per_s=_parse_rate("rate_per_s", pairs, problems),
         burst=_parse_rate("burst", pairs, problems),
-        allowed_regions=_parse_list(pairs.get("allowed_regions", "")),
+        allowed_regions=parse_list(pairs.get("allowed_regions", "")),
     )
     return workspace, problems
 
@@ -120,7 +126,7 @@
 
 
 def _parse_digests(text: str, problems: list[KeyProblem]) -> tuple[str, ...]:
-    digests = _parse_list(text.lower())
+    digests = parse_list(text.lower())
     if any(_DIGEST.fullmatch(digest) is None for digest in digests):
         message = "give SHA-256 digests of the keys, each as 64 hex digits"
         problems.append(KeyProblem("key_digests", message))
@@ -150,9 +156,3 @@
         problems.append(KeyProblem(key, message))
         return 0.0
     return number
-
-
-def _parse_list(text: str) -> tuple[str, ...]:
-    """Return the different items of a comma-separated list, in their order."""
-    items = (item.strip() for item in text.split(","))
-    return tuple(dict.fromkeys(item for item in items if item))
--- a/burdockdock/coordination/verdict.py
+++ b/burdockdock/coordination/verdict.py
@@ -3,6 +3,10 @@
 from enum import IntEnum
 from typing import NamedTuple
 
+# Reason of a gate whose configuration is newer than the one by which the caller's node
+# authenticated a request, and has its key no more.
+KEY_REVOKED = "key_revoked"
+
 
 class Verdict(IntEnum):
     """Whether the backend server ran a request, as far as is known."""
--- a/burdockdock/gate/exchange.py
+++ b/burdockdock/gate/exchange.py
@@ -3,7 +3,7 @@
 from burdockdock.gate.headers import CallHeaders
 from burdockdock.gate.model import BackendServer
 from burdockdock.gate.transfer import BackendRequest
-from burdockdock.protocol.calls import CallRequest
+from burdockdock.protocol.calls import CallRequest, Headers
 
 # Headers that libcurl adds to a request unless they are set or disabled.
 _CURL_DEFAULT_HEADERS = ("Accept", "User-Agent", "Expect")
@@ -27,7 +27,7 @@
         carried the request before.
     """
     timeout_ms = int(max(_MIN_TIMEOUT_S, time_left_s) * 1000)
-    headers = _curl_headers(request)
+    headers = _curl_headers(request._replace(headers=_passed_headers(names, request)))
     headers.append(f"{names.timeout}: {timeout_ms}")
     if not names.caller_sets_request_id:
         headers.append(f"{names.request_id}: {request.request_id}")
@@ -43,6 +43,23 @@
     )
 
 
+def _passed_headers(names: CallHeaders, request: CallRequest) -> Headers:
+    """Return the headers of a request with the workspace that its key gave it.
+
+    The caller's node has dropped what its caller sent in these headers; a node of an
+    earlier release has not.
+    """
+    authenticated = request.authenticated_version > 0
+    if names.caller_sets_workspace and not authenticated:
+        return request.headers
+    dropped = {names.workspace.lower(), names.credential.lower()}
+    kept = tuple(h for h in request.headers if h[0].lower() not in dropped)
+    if not authenticated:
+        return kept
+    # The bytes of headers are latin-1 characters here.
+    return (*kept, (names.workspace, request.workspace.encode().decode("latin-1")))
+
+
 def _curl_headers(request: CallRequest) -> list[str]:
     """Return the request's headers, with libcurl's default headers disabled."""
     headers = [
--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -46,6 +46,8 @@
     :param headers: names of the headers that the backend server understands.
     :param is_stopped: returns whether the backend server's version was stopped and
         gets no more calls.
+    :param key_refusal: returns why the API key of a request is not valid any more, None
+        if it is, or if the request needs none.
     """
 
     def __init__(
@@ -56,7 +58,9 @@
         observe: Callable[[CallResult], None] = lambda _: None,
         headers: CallHeaders = OWN_HEADERS,
         is_stopped: Callable[[BackendServer], bool] = lambda _: False,
+        key_refusal: Callable[[CallRequest], Failure | None] = lambda _: None,
     ) -> None:
+        self._key_refusal = key_refusal
         self._is_stopped = is_stopped
         self._clock = clock
         self._refuses_calls_from_s = float("inf")
@@ -114,6 +118,10 @@
         self._backend = backend
         self._limiter.resize(backend.slots)
 
+    def recheck_keys(self) -> None:
+        """Refuse the queued calls whose API keys are not valid any more."""
+        self._limiter.recheck_queue()
+
     def set_leaving(self, leaving: bool) -> None:
         """Set whether to refuse calls once other nodes know that the backend leaves."""
         if not leaving:
@@ -217,6 +225,7 @@
             priority=request.priority,
             queue_length=request.queue_length,
             target_s=self._latest_start_for_target_s(request, now_s),
+            recheck=functools.partial(self._key_refusal, request),
         )
         if refusal is not None and refusal.reason == "queue_timeout":
             self._durations.record_refusal(request.route)
@@ -264,7 +273,7 @@
             )
         if self._is_stopped(self._backend):
             return Failure(Verdict.NOT_RUN, "version_stopped", self._backend.version)
-        return None
+        return self._key_refusal(request)
 
     def _send_refusal(
         self, request: CallRequest, refusal: Failure, stream: CallStream
--- a/burdockdock/gate/headers.py
+++ b/burdockdock/gate/headers.py
@@ -10,7 +10,11 @@
     :param caller_sets_request_id: whether the caller sets the request id and the
         backend server repeats it in its answer. Otherwise the node sets it.
     :param timeout: time in milliseconds for which the caller still waits.
-    :param workspace: the caller's workspace; callers send it in a tenant header.
+    :param workspace: the caller's workspace.
+    :param caller_sets_workspace: whether callers may state their workspace themselves
+        while the configuration has no workspaces. Otherwise only nodes set the header.
+    :param credential: the caller's API key, which is never passed on while the
+        configuration has workspaces.
     :param idempotency_key: the caller's key that is the same when it repeats a request.
     :param depth: number of nodes that a chain of calls has passed through.
     :param caller_service: service beside the node at which the call entered the mesh.
@@ -23,6 +27,8 @@
     caller_sets_request_id: bool = False
     timeout: str = "X-Burdockdock-Timeout-Ms"
     workspace: str = "X-Tenant"
+    caller_sets_workspace: bool = True
+    credential: str = "X-Burdockdock-Key"
     idempotency_key: str = "Idempotency-Key"
     depth: str = "X-Burdockdock-Depth"
     caller_service: str = ""
--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -32,6 +32,7 @@
 from burdockdock.node.proxy_setup import (
     build_context,
     build_endpoints,
+    key_check,
     retire_links_to_lost_nodes,
 )
 from burdockdock.node.rollouts import RolloutParticipant
@@ -132,6 +133,7 @@
             observe=self._on_call_result,
             headers=self._interface.headers,
             is_stopped=lambda b: self.rollouts.is_stopped(b.service, b.version),
+            key_refusal=key_check(lambda: self.config.snapshot),
         )
         self._endpoints = build_endpoints(
             self.membership,
@@ -350,7 +352,10 @@
         if record.key != CONFIG_KEY:
             held_version = self.records.held_version(record.key)
             return self.rollouts.view.accepts(record, held_version)
+        workspaces = self.config.snapshot.workspaces
         accepted = self.config.accept(record)
+        if self.config.snapshot.workspaces is not workspaces:
+            self.gate.recheck_keys()
         self.applied.wake()
         state = self.config.applied_state()
         if accepted:
--- a/burdockdock/node/proxy_setup.py
+++ b/burdockdock/node/proxy_setup.py
@@ -5,6 +5,7 @@
 
 from burdockdock.clock import Clock
 from burdockdock.configuration.model import Snapshot
+from burdockdock.configuration.workspaces import revocation
 from burdockdock.coordination.backoff import FleetRetryBudget
 from burdockdock.coordination.membership import Member, MembershipTable, MemberState
 from burdockdock.coordination.verdict import Failure
@@ -12,6 +13,8 @@
 from burdockdock.metrics import Metrics
 from burdockdock.node.rollouts import RolloutParticipant
 from burdockdock.node.settings import NodeSettings
+from burdockdock.protocol.calls import CallRequest
+from burdockdock.proxy.authentication import identity_refusal
 from burdockdock.proxy.balancer import Balancer
 from burdockdock.proxy.context import CallContext
 from burdockdock.proxy.endpoints import Endpoints
@@ -95,6 +98,9 @@
         metrics=metrics,
         retry_budget=build_retry_budget(settings, nodes=lambda: len(membership)),
         signature=headers.signature,
+        identity_refusal=lambda identity: identity_refusal(
+            identity, snapshot(), missing_version
+        ),
     )
     return CallContext(
         node_id=settings.name,
@@ -111,6 +117,28 @@
     )
 
 
+def key_check(
+    snapshot: Callable[[], Snapshot],
+) -> Callable[[CallRequest], Failure | None]:
+    """Return the gate's check of the API keys of other nodes' requests.
+
+    Only a version newer than the one that the caller's node used can say that a key is
+    not valid any more: it may be missing from an older one because it is new.
+
+    :param snapshot: returns the configuration that this node applies.
+    """
+
+    def refusal(request: CallRequest) -> Failure | None:
+        held = snapshot()
+        if not 0 < request.authenticated_version < held.version:
+            return None
+        return revocation(
+            held.workspaces, request.workspace, request.key_id, version=held.version
+        )
+
+    return refusal
+
+
 def build_retry_budget(
     settings: NodeSettings, *, nodes: Callable[[], int]
 ) -> FleetRetryBudget:
--- a/burdockdock/platform/configuration.py
+++ b/burdockdock/platform/configuration.py
@@ -5,6 +5,7 @@
 from burdockdock.configuration.delta import ConfigDocument
 from burdockdock.configuration.model import Sections
 from burdockdock.configuration.source import UNREADABLE, ConfigSource
+from burdockdock.configuration.workspaces import key_digest
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.platform.values import (
     MALFORMED,
@@ -45,6 +46,8 @@
         sections[f"service {service['name']}"] = {}
     for route in parse_table(spec["routes"]):
         sections[f"route {route['name']}"] = _decode_route(route)
+    for tenant in parse_table(spec["tenants"]) if spec.get("tenants") else ():
+        sections[f"workspace {tenant['name']}"] = _decode_workspace(tenant)
     return sections
 
 
@@ -56,7 +59,7 @@
         "kind": row["kind"],
         "class": row["kind"],
         "retries": str(max(0, min(_MAX_RETRIES, attempts - 1))),
-        "priority": str(max(0, min(_LOWEST_PRIORITY, int(row.get("priority", 0))))),
+        "priority": _clamp_priority(row.get("priority", 0)),
     }
     if "timeout" in row:
         section["timeout_ms"] = str(max(1, parse_duration_ms(row["timeout"])))
@@ -64,6 +67,8 @@
         section["target_latency_ms"] = str(
             max(1, parse_duration_ms(row["target-latency"]))
         )
+    if row.get("public") is True:
+        section["public"] = "true"
     if row.get("traffic-split"):
         shares = row["traffic-split"]
         section["split"] = ",".join(
@@ -74,4 +79,38 @@
     return section
 
 
+def _decode_workspace(row: dict[str, Any]) -> dict[str, str]:
+    """Decode a workspace; only the digests of its keys go further than this."""
+    section = {
+        "key_digests": ",".join(map(_decode_key, row.get("api-keys", []))),
+        "rate_per_s": str(_decode_number(row, "rate-per-s")),
+        "burst": str(_decode_number(row, "burst")),
+        "allowed_regions": ",".join(row.get("allowed-regions", [])),
+    }
+    if "priority" in row:
+        section["priority"] = _clamp_priority(row["priority"])
+    return section
+
+
+def _decode_key(key: Any) -> str:
+    if not isinstance(key, str):
+        raise TypeError("an API key is not a string")
+    return key_digest(key.encode())
+
+
+def _decode_number(row: dict[str, Any], column: str) -> float:
+    """Decode a number; no error says the value, which may be a misplaced key."""
+    try:
+        return float(row.get(column, 0))
+    except (TypeError, ValueError):
+        raise ValueError(f"{column} of a row is not a number") from None
+
+
+def _clamp_priority(value: Any) -> str:
+    try:
+        return str(max(0, min(_LOWEST_PRIORITY, int(value))))
+    except (TypeError, ValueError):
+        raise ValueError("the priority of a row is not a number") from None
+
+
 CONFIG_SOURCE = ConfigSource(_CONFIG_KEY, _decode_version, _decode_document)
--- a/burdockdock/platform/headers.py
+++ b/burdockdock/platform/headers.py
@@ -6,7 +6,9 @@
     request_id="Request-Id",
     caller_sets_request_id=True,
     timeout="Deadline-Ms",
-    workspace="",
+    workspace="Tenant",
+    caller_sets_workspace=False,
+    credential="Credential",
     # The platform has no such header: every attempt of a client has its own id.
     idempotency_key="",
     depth="",
--- a/burdockdock/protocol/calls.py
+++ b/burdockdock/protocol/calls.py
@@ -35,6 +35,9 @@
     :param queue_length: highest number of calls that may wait for the backend server.
     :param target_left_ms: milliseconds until the answer loses value, negative if that
         time has passed, 0 if the answer never loses value.
+    :param key_id: number of the API key among those of the workspace.
+    :param authenticated_version: configuration version by which the caller's node
+        found the workspace by its key, 0 if the workspace is not authenticated.
     """
 
     request_id: str
@@ -53,6 +56,8 @@
     priority: int = 0
     queue_length: int = 32
     target_left_ms: int = 0
+    key_id: int = 0
+    authenticated_version: int = 0
 
 
 class AnswerHead(NamedTuple):
@@ -95,6 +100,8 @@
         priority=request.priority,
         queueLength=request.queue_length,
         targetLeftMs=request.target_left_ms,
+        keyId=request.key_id,
+        authenticatedVersion=request.authenticated_version,
     )
 
 
@@ -118,6 +125,8 @@
         priority=start.priority,
         queue_length=start.queueLength,
         target_left_ms=start.targetLeftMs,
+        key_id=start.keyId,
+        authenticated_version=start.authenticatedVersion,
     )
 
 
--- a/burdockdock/protocol/messages.capnp
+++ b/burdockdock/protocol/messages.capnp
@@ -65,6 +65,8 @@
   priority @14 :UInt8;
   queueLength @15 :UInt32;
   targetLeftMs @16 :Int32;
+  keyId @17 :UInt64;
+  authenticatedVersion @18 :UInt64;
 }
 
 struct Body {
--- a/burdockdock/proxy/answers.py
+++ b/burdockdock/proxy/answers.py
@@ -9,6 +9,7 @@
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.coordination.whole_numbers import parse_whole_number
 from burdockdock.protocol.calls import AnswerHead
+from burdockdock.proxy.authentication import UNKNOWN_KEY
 from burdockdock.proxy.call_factory import hop_by_hop_names
 
 VERDICT_HEADER = "X-Burdockdock-Verdict"
@@ -20,15 +21,18 @@
 _STATUS_BY_REASON = {
     "deadline_passed": 504,
     "backend_timeout": 504,
-    "no_route": 404,
     "already_ran": 409,
 }
+# Refusals that stay the same however often the request is sent. The others get 503.
+_FINAL_REFUSAL_STATUSES = {"no_route": 404, UNKNOWN_KEY: 401}
 _REASON_PHRASES = {
+    401: "Unauthorized",
     404: "Not Found",
     409: "Conflict",
     502: "Bad Gateway",
     503: "Service Unavailable",
 }
+_UNAUTHORIZED_STATUS = 401
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
 # Retry-After is drawn from this range, so that callers don't all retry at once.
 _RETRY_AFTER_MIN_S = 0.05
@@ -54,7 +58,9 @@
         ("Content-Length", str(len(body))),
         (VERDICT_HEADER, verdict),
     ]
-    if failure.verdict is Verdict.NOT_RUN:
+    if status == _UNAUTHORIZED_STATUS:
+        headers.append(("WWW-Authenticate", "ApiKey"))
+    elif failure.verdict is Verdict.NOT_RUN:
         after_s = rng.uniform(_RETRY_AFTER_MIN_S, _RETRY_AFTER_MAX_S)
         headers.append(("Retry-After", f"{after_s:.3f}"))
     phrase = _REASON_PHRASES.get(status, "Gateway Timeout")
@@ -64,10 +70,10 @@
 def _status_for(failure: Failure) -> int:
     """Return an HTTP status that promises no more than the verdict.
 
-    A call that did not run gets 503, unless its route is missing.
+    A call that did not run gets 503, unless its route or its key is unknown.
     """
-    if failure.verdict is Verdict.NOT_RUN and failure.reason != "no_route":
-        return 503
+    if failure.verdict is Verdict.NOT_RUN:
+        return _FINAL_REFUSAL_STATUSES.get(failure.reason, 503)
     return _STATUS_BY_REASON.get(failure.reason, _STATUS_BY_VERDICT[failure.verdict])
 
 
--- a/burdockdock/proxy/attempt_results.py
+++ b/burdockdock/proxy/attempt_results.py
@@ -1,10 +1,15 @@
 """Classifies and logs the results of a call's attempts."""
 
-from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.coordination.verdict import KEY_REVOKED, Failure, Verdict
 from burdockdock.gate.model import KEPT_CONNECTION_ENDED
 from burdockdock.logs import log_event
 from burdockdock.protocol.calls import AnswerHead, CallRequest
 from burdockdock.proxy.attempts import BACKEND_REFUSED, QUEUE_FULL
+from burdockdock.proxy.authentication import (
+    CONFIGURATION_BEHIND,
+    UNKNOWN_KEY,
+    WORKSPACE_CHANGED,
+)
 
 DEADLINE_PASSED = "deadline_passed"
 PEER_TOO_SLOW = "peer_too_slow"
@@ -13,7 +18,7 @@
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 _REFUSAL_WITHOUT_PROOF = "refusal_without_proof"
 # Reasons that don't count against a member's health: load, lack of time, planned stops,
-# outdated routing and a kept connection that was dead.
+# outdated routing, revoked keys and a kept connection that was dead.
 _NON_FAULT_REASONS = frozenset(
     {
         QUEUE_FULL,
@@ -32,6 +37,10 @@
         BACKEND_REFUSED,
         KEPT_CONNECTION_ENDED,
         _REFUSAL_WITHOUT_PROOF,
+        KEY_REVOKED,
+        UNKNOWN_KEY,
+        WORKSPACE_CHANGED,
+        CONFIGURATION_BEHIND,
     }
 )
 
--- a/burdockdock/proxy/attempts.py
+++ b/burdockdock/proxy/attempts.py
@@ -3,8 +3,13 @@
 from typing import NamedTuple
 
 from burdockdock.coordination.membership import Member
-from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.coordination.verdict import KEY_REVOKED, Failure, Verdict
 from burdockdock.gate.model import KEPT_CONNECTION_ENDED
+from burdockdock.proxy.authentication import (
+    CONFIGURATION_BEHIND,
+    UNKNOWN_KEY,
+    WORKSPACE_CHANGED,
+)
 from burdockdock.proxy.call import Call
 from burdockdock.proxy.free_slots import (
     MAX_FREE_SLOT_ATTEMPTS,
@@ -18,12 +23,18 @@
 BACKEND_REFUSED = "backend_refused"
 # Refusals by backend servers, which a request has reached though it didn't run.
 _REFUSALS_BY_BACKENDS = frozenset({BACKEND_REFUSED, "other_instance"})
+NO_BACKEND_SERVER = "no_backend_server"
 # Reason of a gate without a free slot, or with a full queue if the call may wait.
 QUEUE_FULL = "queue_full"
 # Other nodes that are tried after nodes that refused the call or are unreachable.
 MAX_FAILOVERS = 4
 # Refusals of calls that queued and got no slot; these don't queue again elsewhere.
 _REASONS_AFTER_WAIT = frozenset({"too_late_to_wait", "queue_timeout"})
+# Refusals that no other node would take back: nothing is left to try.
+_FINAL_REASONS = frozenset(
+    {NO_BACKEND_SERVER, KEY_REVOKED, UNKNOWN_KEY, WORKSPACE_CHANGED}
+    | {CONFIGURATION_BEHIND}
+)
 # Gates at which a call may find the queue full before it is refused.
 _MAX_QUEUEING_ATTEMPTS = 2
 
@@ -185,6 +196,11 @@
     return may_have_run or failure.reason in _REFUSALS_BY_BACKENDS
 
 
+def is_final(failure: Failure) -> bool:
+    """Return whether no further attempt can change a failure."""
+    return failure.reason in _FINAL_REASONS
+
+
 def is_refused_by_node(failure: Failure) -> bool:
     """Return whether a node refused the call before it reached a backend server."""
     return not has_arrived(failure)
--- a/burdockdock/proxy/call.py
+++ b/burdockdock/proxy/call.py
@@ -4,6 +4,7 @@
 
 from burdockdock.protocol import ReceiverGone
 from burdockdock.protocol.calls import AnswerHead, CallRequest
+from burdockdock.proxy.authentication import ANONYMOUS, Identity
 from burdockdock.proxy.remote_call import RemoteCall
 
 _MAX_REPLAY_BYTES = 64 * 1024
@@ -43,6 +44,7 @@
     :param target_s: when the answer loses value, in monotonic seconds; 0 for never.
     :param large_answer: whether to prefer near backend servers for a large answer.
     :param may_wait: whether it may queue for a slot at a gate.
+    :param identity: whose request it is.
     """
 
     request: CallRequest
@@ -52,6 +54,7 @@
     target_s: float = 0.0
     large_answer: bool = False
     may_wait: bool = True
+    identity: Identity = ANONYMOUS
 
     def time_left_ms(self, now_s: float) -> int:
         """Return the time left until the deadline.
@@ -60,6 +63,17 @@
         """
         return int((self.deadline_s - now_s) * 1000)
 
+    def target_left_ms(self, now_s: float) -> int:
+        """Return the time left until the target, 0 if the call has no target.
+
+        A target that is less than 1 ms away or was just missed is -1, not 0.
+
+        :param now_s: monotonic seconds.
+        """
+        if not self.target_s:
+            return 0
+        return int((self.target_s - now_s) * 1000) or -1
+
 
 class ReplayableBody:
     """A request's body whose prefix is buffered, so that a retry can send it again."""
--- a/burdockdock/proxy/call_factory.py
+++ b/burdockdock/proxy/call_factory.py
@@ -10,6 +10,7 @@
 from burdockdock.coordination.whole_numbers import parse_whole_number
 from burdockdock.gate.headers import CallHeaders
 from burdockdock.protocol.calls import CallRequest, Headers
+from burdockdock.proxy.authentication import PUBLIC_WORKSPACE, Identity, identify
 from burdockdock.proxy.call import Call
 from burdockdock.proxy.context import CallContext
 
@@ -62,6 +63,15 @@
     if route is None:
         return _missing_route_failure(snapshot, path, context.missing_version())
     names = context.headers
+    identity = identify(
+        snapshot,
+        route,
+        headers.get(names.credential, ""),
+        missing_version=context.missing_version,
+        count=context.metrics.count,
+    )
+    if isinstance(identity, Failure):
+        return identity
     depth = parse_whole_number(headers.get(names.depth), 0) if names.depth else 0
     if depth >= _MAX_CALL_DEPTH:
         return Failure(Verdict.NOT_RUN, "too_deep", f"call depth {depth}")
@@ -80,7 +90,7 @@
     if not timeout_ms:
         return Failure(Verdict.NOT_RUN, "node_stopping")
     idempotent = _is_idempotent(route, start_line.method)
-    workspace = headers.get(names.workspace, DEFAULT_WORKSPACE)
+    workspace = _workspace_name(identity, names, headers)
     key = None if idempotent else headers.get(names.idempotency_key)
     request = CallRequest(
         request_id=_request_id(names, headers, workspace, key),
@@ -92,10 +102,12 @@
         idempotent=idempotent,
         method=start_line.method,
         target=start_line.path,
-        headers=_request_headers(context, headers, depth),
+        headers=_request_headers(context, headers, depth, identity),
         body_length=_body_length(headers),
-        priority=route.priority,
+        priority=_priority(route, identity),
         queue_length=policy.queue_length,
+        key_id=identity.key_id,
+        authenticated_version=identity.version if identity.workspace else 0,
     )
     # Attempts multiply with the depth of a chain of calls, so only its first node uses
     # all of the policy's retries; the others retry once at most.
@@ -110,6 +122,7 @@
         target_s=target_s if route.target_latency_ms else 0.0,
         large_answer=route.kind == _DOWNLOAD_KIND,
         may_wait=context.may_wait,
+        identity=identity,
     )
 
 
@@ -126,6 +139,25 @@
     return Failure(Verdict.NOT_RUN, "no_route", f"no route for {path}")
 
 
+def _workspace_name(
+    identity: Identity, names: CallHeaders, headers: HTTPHeaders
+) -> str:
+    """Return the name under which gates share out their slots."""
+    if identity.workspace is not None:
+        return identity.workspace.name
+    if identity.authenticates:
+        return PUBLIC_WORKSPACE
+    if not names.caller_sets_workspace:
+        return DEFAULT_WORKSPACE
+    return headers.get(names.workspace, DEFAULT_WORKSPACE)
+
+
+def _priority(route: Route, identity: Identity) -> int:
+    if identity.workspace is None or identity.workspace.priority is None:
+        return route.priority
+    return identity.workspace.priority
+
+
 def _limit_to_shutdown(context: CallContext, timeout_ms: int, now_s: float) -> int:
     """Return a call's timeout, shortened so that it ends before this node stops.
 
@@ -162,9 +194,13 @@
     return parse_whole_number(headers.get("Content-Length"), 0)
 
 
-def _request_headers(context: CallContext, headers: HTTPHeaders, depth: int) -> Headers:
+def _request_headers(
+    context: CallContext, headers: HTTPHeaders, depth: int, identity: Identity
+) -> Headers:
     names = context.headers
     dropped = _hop_by_hop_headers(headers) | context.replaced_headers
+    if identity.authenticates:
+        dropped |= context.identity_headers
     kept = [
         (name, value)
         for name, value in headers.get_all()
--- a/burdockdock/proxy/context.py
+++ b/burdockdock/proxy/context.py
@@ -52,6 +52,7 @@
         self.own_service = own_service
         self.headers = headers
         self.replaced_headers = _replaced_headers(headers)
+        self.identity_headers = _identity_headers(headers)
         self.availability_zone = availability_zone
         self.snapshot = snapshot
         self.forwarder = forwarder
@@ -64,6 +65,14 @@
         self.open_calls = 0
 
 
+def _identity_headers(names: CallHeaders) -> frozenset[str]:
+    """Return the headers by which a request's workspace is known, in lower case.
+
+    No header of these is passed on that a caller sent.
+    """
+    return frozenset({names.workspace.lower(), names.credential.lower()})
+
+
 def _replaced_headers(names: CallHeaders) -> frozenset[str]:
     """Return the headers whose values from callers are dropped, in lower case.
 
@@ -77,4 +86,6 @@
     }
     if not names.caller_sets_request_id:
         replaced.add(names.request_id)
+    if not names.caller_sets_workspace:
+        replaced |= {names.workspace, names.credential}
     return frozenset(name.lower() for name in replaced if name)
--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -2,13 +2,18 @@
 
 import asyncio
 import functools
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from burdockdock.clock import Clock
 from burdockdock.coordination.backoff import FleetRetryBudget
 from burdockdock.coordination.duration_estimator import DurationEstimator
 from burdockdock.coordination.membership import Member
-from burdockdock.coordination.verdict import Failure, Verdict, may_retry
+from burdockdock.coordination.verdict import (
+    KEY_REVOKED,
+    Failure,
+    Verdict,
+    may_retry,
+)
 from burdockdock.metrics import Metrics
 from burdockdock.protocol.calls import AnswerHead
 from burdockdock.proxy.answer_relay import relay_answer, wait_for_head
@@ -21,12 +26,15 @@
     unproved_refusal,
 )
 from burdockdock.proxy.attempts import (
+    NO_BACKEND_SERVER,
     QUEUE_FULL,
     Attempt,
     AttemptFailure,
     RetryState,
     initial_state,
+    is_final,
 )
+from burdockdock.proxy.authentication import Identity
 from burdockdock.proxy.balancer import LARGE_ANSWER_PENALTIES, Balancer
 from burdockdock.proxy.call import Call, Caller, ReplayableBody
 from burdockdock.proxy.endpoints import Endpoints
@@ -37,13 +45,13 @@
 from burdockdock.proxy.reply_times import PROMPT_REFUSALS, ReplyTimes
 from burdockdock.proxy.usable_link import usable_link
 
-_NO_BACKEND_SERVER = "no_backend_server"
-
 
 class Forwarder:
     """Sends calls to the gates of the nodes that have the backend servers.
 
     :param signature: name of the header that signs answers, empty if none does.
+    :param identity_refusal: returns why a request must not be sent any more by the
+        configuration in force, None if it may.
     """
 
     def __init__(
@@ -56,6 +64,7 @@
         metrics: Metrics,
         retry_budget: FleetRetryBudget,
         signature: str = "",
+        identity_refusal: Callable[[Identity], Failure | None] = lambda _: None,
     ) -> None:
         self._endpoints = endpoints
         self._balancer = balancer
@@ -63,6 +72,7 @@
         self._metrics = metrics
         self._budget = retry_budget
         self._signature = signature
+        self._identity_refusal = identity_refusal
         self._reply_times = ReplyTimes(clock=clock)
         self._durations = DurationEstimator()
         self._free_slots = FreeSlotOdds(clock=clock)
@@ -113,6 +123,10 @@
             retry_state = next_state
             self._metrics.count("retries", label=failure.reason)
         charges.end()
+        if strongest_failure.reason == KEY_REVOKED:
+            # This node may have the gate's newer version by now.
+            refusal = self._identity_refusal(call.identity)
+            return strongest_failure if refusal is None else refusal
         # Keep the strongest verdict: if an earlier attempt may have run, a later
         # refusal doesn't change that.
         return strongest_failure
@@ -140,7 +154,7 @@
         member = self._pick(call, retry_state)
         if member is None:
             detail = f"no backend server of {call.request.service} accepts calls"
-            failure = Failure(Verdict.NOT_RUN, _NO_BACKEND_SERVER, detail)
+            failure = Failure(Verdict.NOT_RUN, NO_BACKEND_SERVER, detail)
             return AttemptFailure("", failure)
         self._balancer.started(member.node_id)
         failed = True
@@ -210,6 +224,9 @@
         link = await self._usable_link(member, call)
         if isinstance(link, Failure):
             return link
+        refusal = self._identity_refusal(call.identity)
+        if refusal is not None:
+            return refusal
         if self._time_left_ms(call) <= 0:
             return Failure(Verdict.NOT_RUN, DEADLINE_PASSED)
         # Reserve time for the reply: if the deadline passed while a refusal is on its
@@ -227,7 +244,7 @@
             return Failure(Verdict.NOT_RUN, "too_little_time", detail)
         request = call.request._replace(
             time_left_ms=time_left_ms,
-            target_left_ms=self._target_time_left_ms(call),
+            target_left_ms=call.target_left_ms(self._clock.monotonic()),
             queue_length=call.request.queue_length if may_wait else 0,
             body=body.prefix,
             end=body.prefix_is_whole_body,
@@ -315,22 +332,13 @@
     ) -> bool:
         """Return whether to make another attempt; charge it if needed."""
         return (
-            failure.reason != _NO_BACKEND_SERVER
+            not is_final(failure)
             and may_retry(failure, idempotent=call.request.idempotent)
             and body.replayable
             and self._time_left_ms(call) > 0
             and charges.may_arrive()
         )
 
-    def _target_time_left_ms(self, call: Call) -> int:
-        """Return the time left until the target, 0 if the call has no target.
-
-        A target that is less than 1 ms away or was just missed is -1, not 0.
-        """
-        if not call.target_s:
-            return 0
-        return int((call.target_s - self._clock.monotonic()) * 1000) or -1
-
     def _time_left_ms(self, call: Call) -> int:
         return call.time_left_ms(self._clock.monotonic())
 
--- a/tests/gate/test_gate.py
+++ b/tests/gate/test_gate.py
@@ -6,7 +6,7 @@
 
 from burdockdock.clock import ManualClock
 from burdockdock.coordination.shutdown import ShutdownLimit
-from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.coordination.verdict import KEY_REVOKED, Failure, Verdict
 from burdockdock.gate.gate import Gate
 from burdockdock.gate.model import BackendServer
 from burdockdock.metrics import Metrics
@@ -15,6 +15,8 @@
 
 _REQUEST = CallRequest("id-1", "t", "c", "r", "work", 1000, True, "GET", "/", ())
 
+_REVOKED = Failure(Verdict.NOT_RUN, KEY_REVOKED)
+
 
 class _RecordingStream:
     """Records how a call failed."""
@@ -168,3 +170,44 @@
         gate.announce(BackendServer("work", "2", "127.0.0.1", 1, 1))
         reason = await self._refusal_of_queued_call(gate, lambda: stopped.add("2"))
         self.assertEqual("version_stopped", reason)
+
+    @async_test
+    async def test_queued_call_is_refused_on_release_without_its_key(self) -> None:
+        revoked = set()
+        gate = Gate(
+            clock=ManualClock(),
+            metrics=Metrics(),
+            key_refusal=lambda r: _REVOKED if r.workspace in revoked else None,
+        )
+        gate.announce(BackendServer("work", "2", "127.0.0.1", 1, 1))
+        reason = await self._refusal_of_queued_call(gate, lambda: revoked.add("t"))
+        self.assertEqual("key_revoked", reason)
+        self.assertEqual(0, gate._limiter.in_use)
+        self.assertEqual("key_revoked", await self._refusal(gate))
+
+    @async_test
+    async def test_queued_call_without_its_key_does_not_wait_for_a_slot(self) -> None:
+        # Guards against callers that wait until their deadline for a 401.
+        revoked = set()
+        gate = Gate(
+            clock=ManualClock(),
+            metrics=Metrics(),
+            key_refusal=lambda r: _REVOKED if r.workspace in revoked else None,
+        )
+        gate.announce(BackendServer("work", "2", "127.0.0.1", 1, 1))
+        await gate._limiter.acquire(workspace="t", deadline_s=99.0)
+        streams = [_RecordingStream(), _RecordingStream()]
+        requests = (_REQUEST, _REQUEST._replace(workspace="kept", idempotent=False))
+        runs = [
+            asyncio.create_task(gate.run(request, stream))
+            for request, stream in zip(requests, streams, strict=True)
+        ]
+        await eventually(lambda: gate._limiter.queued == 2)
+        revoked.add("t")
+        gate.recheck_keys()
+        async with asyncio.timeout(5):
+            await runs[0]
+        self.assertEqual((Verdict.NOT_RUN, "key_revoked"), streams[0].failure[:2])
+        self.assertEqual((1, None), (gate._limiter.queued, streams[1].failure))
+        runs[1].cancel()
+        await asyncio.wait([runs[1]])
--- a/tests/node/test_proxy_setup.py
+++ b/tests/node/test_proxy_setup.py
@@ -6,11 +6,17 @@
 import testtools
 
 from burdockdock.clock import ManualClock
+from burdockdock.configuration.checks import build_snapshot
+from burdockdock.configuration.workspaces import key_digest, key_id
 from burdockdock.coordination.backoff import FleetRetryBudget
 from burdockdock.coordination.membership import Member, MembershipTable
-from burdockdock.node.proxy_setup import build_retry_budget, forget_dead_nodes
+from burdockdock.node.proxy_setup import (
+    build_retry_budget,
+    forget_dead_nodes,
+    key_check,
+)
 from burdockdock.node.settings import NodeSettings
-from burdockdock.protocol.calls import GateResults
+from burdockdock.protocol.calls import CallRequest, GateResults
 from burdockdock.proxy.balancer import Balancer
 
 _SETTINGS = NodeSettings(
@@ -104,3 +110,38 @@
         self.assertEqual({quick}, picks())
         table.confirm_dead("slow", incarnation=1)
         self.assertEqual({quick, slow}, picks())
+
+
+class KeyCheckTest(testtools.TestCase):
+    """Tests of the gate's check of API keys."""
+
+    def _reason(self, *, by: int, held: int, keys: bytes, name: str = "acme") -> str:
+        """Return why a request with key ``a`` of workspace acme is refused.
+
+        :param by: version by which the caller's node authenticated it.
+        :param held: version of the gate's node.
+        :param keys: keys that the workspace has in it.
+        """
+        digests = ",".join(key_digest(bytes([key])) for key in keys)
+        section = {f"workspace {name}": {"key_digests": digests}}
+        snapshot = build_snapshot(section, version=held)
+        request = CallRequest(
+            "id", "acme", "c", "r", "work", 500, True, "GET", "/", ()
+        )._replace(key_id=key_id(key_digest(b"a")), authenticated_version=by)
+        refusal = key_check(lambda: snapshot)(request)
+        return "" if refusal is None else refusal.reason
+
+    def test_newer_version_without_the_key_revokes_it(self) -> None:
+        self.assertEqual("", self._reason(by=3, held=4, keys=b"ab"))
+        self.assertEqual("key_revoked", self._reason(by=3, held=4, keys=b"b"))
+        self.assertEqual(
+            "key_revoked", self._reason(by=3, held=4, keys=b"a", name="other")
+        )
+
+    def test_version_that_may_not_have_the_key_yet_revokes_nothing(self) -> None:
+        # Guards against refusals of new keys by gates that lag behind.
+        for held in (2, 3):
+            self.assertEqual("", self._reason(by=3, held=held, keys=b""))
+
+    def test_request_without_a_workspace_is_not_checked(self) -> None:
+        self.assertEqual("", self._reason(by=0, held=4, keys=b""))
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -7,6 +7,8 @@
 
 from burdockdock.configuration.checks import build_snapshot
 from burdockdock.configuration.lookup import draw_service, find_route, policy_for
+from burdockdock.configuration.model import Workspace
+from burdockdock.configuration.workspaces import key_digest
 from burdockdock.coordination.verdict import Failure
 from burdockdock.platform.configuration import CONFIG_SOURCE
 from burdockdock.platform_api import PlatformObject
@@ -47,6 +49,11 @@
     }
 
 
+def _tenants(rows: list) -> dict:
+    columns = ["name", "api-keys", "priority", "rate-per-s", "burst"]
+    return {"columns": [*columns, "allowed-regions"], "rows": rows}
+
+
 class ConfigurationTest(testtools.TestCase):
     """Tests of decoded routes, splits and malformed configurations."""
 
@@ -82,6 +89,73 @@
         drawn = Counter(draw_service(route, rng=rng) for _ in range(2000))
         self.assertAlmostEqual(0.1, drawn["b"] / 2000, delta=0.02)
 
+    @async_test
+    async def test_workspaces_are_decoded_with_digests_of_their_keys(self) -> None:
+        rows = [
+            ["acme", ["k-1", "schlüssel"], 3, 7.5, 20, ["north", "south"]],
+            ["bare", ["k-2"], None, None, None, None],
+            ["keyless", [], 77, 0, 0, []],
+        ]
+        snapshot = await self._snapshot({**_spec(), "tenants": _tenants(rows)})
+        acme = Workspace(
+            "acme",
+            tuple(key_digest(key.encode()) for key in ("k-1", "schlüssel")),
+            3,
+            7.5,
+            20.0,
+            ("north", "south"),
+        )
+        bare = Workspace("bare", (key_digest(b"k-2"),))
+        self.assertEqual(
+            {"acme": acme, "bare": bare, "keyless": Workspace("keyless", (), 9)},
+            snapshot.workspaces.by_name,
+        )
+        self.assertEqual(3, len(snapshot.workspaces.by_digest))
+
+    @async_test
+    async def test_authentication_is_off_without_tenants(self) -> None:
+        for spec in (
+            _spec(),
+            {**_spec(), "tenants": None},
+            {**_spec(), "tenants": _tenants([])},
+        ):
+            snapshot = await self._snapshot(spec)
+            self.assertFalse(snapshot.workspaces.authenticates)
+
+    @async_test
+    async def test_only_true_makes_a_route_public(self) -> None:
+        for value, expected in (
+            (True, True),
+            (False, False),
+            (None, False),
+            ("false", False),
+            (1, False),
+        ):
+            spec = _spec()
+            spec["routes"]["columns"] = [*_COLUMNS, "public"]
+            for row in spec["routes"]["rows"]:
+                row.append(value)
+            snapshot = await self._snapshot(spec)
+            self.assertEqual({expected}, {r.public for r in snapshot.routes.values()})
+
+    @async_test
+    async def test_no_error_says_a_key(self) -> None:
+        # Guards against keys in the log of a node that can't read a configuration.
+        for row in (
+            ["acme", ["secret", 5], 1, 1, 1, []],
+            ["acme", "secret", "secret", 1, 1, []],
+            ["acme", [], 1, "secret", 1, []],
+            ["acme", ["secret"], 1, 1, ["secret"], []],
+            ["acme", ["secret"], 1, 1, 1],
+            ["acme", {"secret": 1}, 1, 1, 1, [1]],
+        ):
+            found = PlatformObject(
+                "config/main", 9, {**_spec(), "tenants": _tenants([row])}
+            )
+            result = await CONFIG_SOURCE.read(None, found)
+            self.assertIsInstance(result, Failure, row)
+            self.assertNotIn("secret", repr(result))
+
     @async_test
     async def test_malformed_configuration_is_refused_as_a_whole(self) -> None:
         for corrupt in (
--- a/tests/protocol/test_codec.py
+++ b/tests/protocol/test_codec.py
@@ -48,6 +48,8 @@
             priority=st.integers(0, 9),
             queue_length=st.integers(0, 10_000),
             target_left_ms=st.integers(-(2**31), 2**31 - 1),
+            key_id=st.integers(0, 2**64 - 1),
+            authenticated_version=st.integers(0, 2**64 - 1),
         )
     )
     def test_request_round_trip(self, request: CallRequest) -> None:
--- a/tests/proxy/test_call_factory.py
+++ b/tests/proxy/test_call_factory.py
@@ -16,6 +16,7 @@
 from burdockdock.coordination.shutdown import ShutdownLimit
 from burdockdock.coordination.verdict import Failure
 from burdockdock.gate.headers import OWN_HEADERS
+from burdockdock.metrics import Metrics
 from burdockdock.proxy.call import Call
 from burdockdock.proxy.call_factory import make_call
 
@@ -38,6 +39,8 @@
             routes={RouteMatch("", "/"): route},
         ),
         config_refusal=lambda: None,
+        missing_version=lambda: 0,
+        metrics=Metrics(),
         headers=OWN_HEADERS,
         rng=random.Random(1),
         availability_zone="z",
--- a/tests/proxy/test_forwarder.py
+++ b/tests/proxy/test_forwarder.py
@@ -8,13 +8,14 @@
 from burdockdock.clock import ManualClock, SystemClock
 from burdockdock.coordination.backoff import FleetRetryBudget
 from burdockdock.coordination.membership import Member
-from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.coordination.verdict import KEY_REVOKED, Failure, Verdict
 from burdockdock.gate.model import KEPT_CONNECTION_ENDED
 from burdockdock.metrics import Metrics
 from burdockdock.protocol.calls import CallRequest, GateResults
 from burdockdock.protocol.codec import frame
 from burdockdock.protocol.handshake import PeerIdentity
 from burdockdock.proxy import usable_link
+from burdockdock.proxy.authentication import Identity
 from burdockdock.proxy.call import Call
 from burdockdock.proxy.forwarder import Forwarder
 from burdockdock.proxy.peer_link import PeerLink
@@ -78,6 +79,7 @@
         clock: ManualClock | SystemClock | None = None,
         *,
         reserve: float = 9.0,
+        identity_refusal: Callable[[Identity], Failure | None] = lambda _: None,
     ) -> None:
         self.clock = clock or SystemClock()
         self._links = links
@@ -93,6 +95,7 @@
             clock=self.clock,
             metrics=Metrics(),
             retry_budget=self.budget,
+            identity_refusal=identity_refusal,
         )
 
     async def call(self, *, idempotent: bool = False, retries: int = 1) -> Failure:
@@ -136,6 +139,8 @@
 _DRAINING = Failure(Verdict.NOT_RUN, "draining")
 _LOST = Failure(Verdict.MAY_HAVE_RUN, "backend_connection_broken")
 
+_UNKNOWN_KEY = Failure(Verdict.NOT_RUN, "unknown_key")
+
 
 class LinkOpeningTest(testtools.TestCase):
     """Tests of links that never open."""
@@ -363,3 +368,61 @@
     async def test_a_charge_pays_for_one_arrival_after_refusals(self) -> None:
         result = await self._call(_LOST, _DRAINING, _DRAINING, _LOST)
         self.assertEqual((4, 1), result)
+
+
+class RevokedKeyTest(testtools.TestCase):
+    """Tests of calls whose API key is revoked while they are pending."""
+
+    refusal: Failure | None = None
+
+    async def _call(
+        self, *results: Failure, idempotent: bool = True, revoked_by: int = 0
+    ) -> tuple[Failure, int]:
+        """Make a call whose key is revoked while some attempt runs.
+
+        :param revoked_by: number of the attempt, 0 to revoke it before the first.
+        :returns: the failure, and how often the call was sent.
+        """
+        links = {str(i): FakeLink(str(i), result) for i, result in enumerate(results)}
+        sent = 0
+
+        def note_sent() -> None:
+            nonlocal sent
+            sent += 1
+            if sent == revoked_by:
+                self.refusal = _UNKNOWN_KEY
+
+        for link in links.values():
+            link.before_result = note_sent
+        self.refusal = None if revoked_by else _UNKNOWN_KEY
+        fixture = ForwarderFixture(
+            links, ManualClock(), identity_refusal=lambda _: self.refusal
+        )
+        failure = await fixture.call(idempotent=idempotent, retries=3)
+        return failure, sent
+
+    @async_test
+    async def test_call_is_not_sent(self) -> None:
+        self.assertEqual((_UNKNOWN_KEY, 0), await self._call(_DRAINING, _DRAINING))
+
+    @async_test
+    async def test_call_is_not_sent_again(self) -> None:
+        for idempotent in (True, False):
+            result = await self._call(
+                _DRAINING, _DRAINING, _DRAINING, idempotent=idempotent, revoked_by=2
+            )
+            self.assertEqual((_UNKNOWN_KEY, 2), result)
+
+    @async_test
+    async def test_verdict_of_an_attempt_that_may_have_run_holds(self) -> None:
+        # Guards against a 401, which says that nothing ran.
+        result = await self._call(_LOST, _DRAINING, revoked_by=1)
+        self.assertEqual((_LOST, 1), result)
+
+    @async_test
+    async def test_gate_that_revokes_a_key_ends_the_call(self) -> None:
+        revoked = Failure(Verdict.NOT_RUN, KEY_REVOKED)
+        self.assertEqual((revoked, 1), await self._call(revoked, revoked, revoked_by=9))
+        self.assertEqual(
+            (_UNKNOWN_KEY, 1), await self._call(revoked, revoked, revoked_by=1)
+        )
--- a/tests/proxy/test_traffic_split.py
+++ b/tests/proxy/test_traffic_split.py
@@ -24,6 +24,7 @@
 from burdockdock.coordination.shutdown import ShutdownLimit
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.gate.headers import OWN_HEADERS
+from burdockdock.metrics import Metrics
 from burdockdock.proxy.call import Call
 from burdockdock.proxy.call_factory import make_call
 from tests.proxy.test_forwarder import FakeLink, ForwarderFixture
@@ -75,6 +76,8 @@
             config_refusal=lambda: None,
             refusing=False,
             snapshot=lambda: _snapshot(self.weights),
+            missing_version=lambda: 0,
+            metrics=Metrics(),
             headers=OWN_HEADERS,
             rng=self._rng,
             availability_zone="z",
