--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -361,7 +361,13 @@
         if accepted:
             told_s = self.records.told_s(CONFIG_KEY, record.version)
             waited_s = 0.0 if told_s is None else self._clock.monotonic() - told_s
-            log_event("config.applied", version=record.version, waited_s=waited_s)
+            log_event(
+                "config.applied",
+                version=record.version,
+                waited_s=waited_s,
+                workspaces=len(self.config.snapshot.workspaces.by_name),
+                keys=len(self.config.snapshot.workspaces.by_digest),
+            )
         else:
             log_event("config.refused", version=record.version, reason=state.reason)
         return accepted
--- a/burdockdock/platform/configuration.py
+++ b/burdockdock/platform/configuration.py
@@ -82,20 +82,24 @@
 def _decode_workspace(row: dict[str, Any]) -> dict[str, str]:
     """Decode a workspace; only the digests of its keys go further than this."""
     section = {
-        "key_digests": ",".join(map(_decode_key, row.get("api-keys", []))),
+        "key_digests": ",".join(
+            key_digest(key.encode()) for key in _decode_texts(row, "api-keys")
+        ),
         "rate_per_s": str(_decode_number(row, "rate-per-s")),
         "burst": str(_decode_number(row, "burst")),
-        "allowed_regions": ",".join(row.get("allowed-regions", [])),
+        "allowed_regions": ",".join(_decode_texts(row, "allowed-regions")),
     }
     if "priority" in row:
         section["priority"] = _clamp_priority(row["priority"])
     return section
 
 
-def _decode_key(key: Any) -> str:
-    if not isinstance(key, str):
-        raise TypeError("an API key is not a string")
-    return key_digest(key.encode())
+def _decode_texts(row: dict[str, Any], column: str) -> list[str]:
+    """Decode a list of strings, which may be missing; no error says any of them."""
+    texts = row.get(column, [])
+    if not isinstance(texts, list) or not all(isinstance(t, str) for t in texts):
+        raise TypeError(f"{column} of a row is not a list of strings")
+    return texts
 
 
 def _decode_number(row: dict[str, Any], column: str) -> float:
--- a/burdockdock/proxy/call_end.py
+++ b/burdockdock/proxy/call_end.py
@@ -37,6 +37,7 @@
         request=request.request_id if request else request_id,
         route=request.route if request else "",
         service=request.service if request else "",
+        workspace=request.workspace if request else "",
         config_version=context.snapshot().version,
         status=status,
         verdict="" if failure is None else failure.verdict.name.lower(),
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -36,7 +36,7 @@
     }
 
 
-class _EchoBackend(RequestHandler):
+class EchoBackend(RequestHandler):
     """A backend server that returns the request that it got."""
 
     def post(self) -> None:
@@ -87,13 +87,17 @@
         self.nodes.append(node)
         return node
 
-    async def start_backend_server(self, node: Node) -> None:
+    async def start_backend_server(
+        self, node: Node, handler: type = EchoBackend, *, slots: int = 4
+    ) -> None:
         """Start a backend server beside a node, and send its first heartbeat."""
         host, port = node._settings.backend_address
-        Application([(r"/.*", _EchoBackend)]).listen(port, address=host)
-        await self.announce(node, self.heartbeat(node, seq=1))
+        Application([(r"/.*", handler)]).listen(port, address=host)
+        await self.announce(node, self.heartbeat(node, seq=1, slots=slots))
 
-    def heartbeat(self, node: Node, *, seq: int, state: str = "ready") -> str:
+    def heartbeat(
+        self, node: Node, *, seq: int, state: str = "ready", slots: int = 4
+    ) -> str:
         """Return a heartbeat of the backend server beside a node."""
         host, port = node._settings.backend_address
         fields = {
@@ -101,7 +105,7 @@
             "address": f"{host}:{port}",
             "zone": "z",
             "version": "v1",
-            "slots": 4,
+            "slots": slots,
             "state": state,
             "cold-remaining": "0ms",
             "seq": seq,
@@ -136,11 +140,21 @@
         port = node._settings.readiness[1]
         return (await _fetch(HTTPRequest(f"http://{HOST}:{port}/api/readiness"))).code
 
-    async def call(self, node: Node, request_id: str = "id-1") -> HTTPResponse:
-        """Make one call through a node, as a caller does."""
+    async def call(
+        self,
+        node: Node,
+        request_id: str = "id-1",
+        *,
+        path: str = "/x/y?z=1",
+        **headers: str,
+    ) -> HTTPResponse:
+        """Make one call through a node, as a caller does.
+
+        :param headers: further headers of the request.
+        """
         return await _fetch(
             HTTPRequest(
-                f"http://{HOST}:{node._settings.callers[1]}/x/y?z=1",
+                f"http://{HOST}:{node._settings.callers[1]}{path}",
                 method="POST",
                 body="hello",
                 headers={
@@ -148,6 +162,7 @@
                     "Request-Id": request_id,
                     "Deadline-Ms": "4000",
                     "Caller-Service": "forged",
+                    **headers,
                 },
             )
         )
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -26,6 +26,8 @@
     "config/main",
     "traffic-split",
     "path-prefix",
+    "api-keys",
+    "rate-per-s",
     "target-latency",
     "max-attempts",
     "max-connections",
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -143,7 +143,9 @@
         # Guards against keys in the log of a node that can't read a configuration.
         for row in (
             ["acme", ["secret", 5], 1, 1, 1, []],
-            ["acme", "secret", "secret", 1, 1, []],
+            ["acme", "secret", 1, 1, 1, []],
+            ["acme", ["secret"], 1, 1, 1, "secret"],
+            ["acme", ["secret"], "secret", 1, 1, []],
             ["acme", [], 1, "secret", 1, []],
             ["acme", ["secret"], 1, 1, ["secret"], []],
             ["acme", ["secret"], 1, 1, 1],
