--- a/burdockdock/proxy/call.py
+++ b/burdockdock/proxy/call.py
@@ -1,7 +1,9 @@
 """A call and its caller as the listener passes them to the forwarder."""
 
+import asyncio
 from typing import NamedTuple, Protocol
 
+from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.protocol import ReceiverGone
 from burdockdock.protocol.calls import AnswerHead, CallRequest
 from burdockdock.proxy.authentication import ANONYMOUS, Identity
@@ -85,8 +87,21 @@
         self.prefix_is_whole_body = True
         self.replayable = True
 
-    async def read_prefix(self) -> None:
-        """Read all of a short body, or the first chunk of a longer one."""
+    async def read_prefix(self, timeout_s: float) -> Failure | None:
+        """Read all of a short body, or the first chunk of a longer one.
+
+        :returns: a failure if it didn't arrive within the timeout.
+        """
+        if not self._length:
+            return None
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._read_prefix()
+        except TimeoutError:
+            return Failure(Verdict.NOT_RUN, "request_body_late")
+        return None
+
+    async def _read_prefix(self) -> None:
         self.prefix, self.prefix_is_whole_body = await self._caller.read_body()
         while not self.prefix_is_whole_body and 0 < self._length <= _MAX_REPLAY_BYTES:
             data, self.prefix_is_whole_body = await self._caller.read_body()
--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -99,7 +99,7 @@
         """
         self._budget.record_call(call.request.service)
         body = ReplayableBody(caller, call.request.body_length)
-        early_failure = await self._read_body_prefix(call, body)
+        early_failure = await body.read_prefix(self._time_left_ms(call) / 1000)
         if early_failure is None and before_first_attempt is not None:
             early_failure = await before_first_attempt()
         if early_failure is not None:
@@ -141,19 +141,6 @@
         # refusal doesn't change that.
         return strongest_failure
 
-    async def _read_body_prefix(
-        self, call: Call, body: ReplayableBody
-    ) -> Failure | None:
-        """Buffer the beginning of the request's body, until the deadline at most."""
-        if not call.request.body_length:
-            return None
-        try:
-            async with asyncio.timeout(self._time_left_ms(call) / 1000):
-                await body.read_prefix()
-        except TimeoutError:
-            return Failure(Verdict.NOT_RUN, "request_body_late")
-        return None
-
     async def _attempt(
         self,
         call: Call,
