--- a/tests/node/quota_fleet.py
+++ b/tests/node/quota_fleet.py
@@ -12,6 +12,7 @@
 from burdockdock.coordination.quota import QuotaBounds, QuotaLimit
 from burdockdock.coordination.quota_stock import Token
 from burdockdock.coordination.ranking import MemberRanking
+from burdockdock.coordination.tree import rank
 from burdockdock.coordination.verdict import Failure
 from burdockdock.node.quota_service import QuotaService
 from tests.virtual_time import LoopClock
@@ -96,6 +97,7 @@
         self.admissions: list[Admission] = []
         self.parts: dict[str, int] = defaultdict(int)
         self._incarnation = 1
+        self._tasks: set[asyncio.Task[Any]] = set()
         ids = [f"{ZONES[i % 3]}{i}" for i in range(nodes)]
         self.nodes = {node_id: SimulatedNode(self, node_id, 1) for node_id in ids}
         for node in self.nodes.values():
@@ -144,6 +146,16 @@
         )
         return result
 
+    def start_request(self, workspace: str, node_id: str) -> None:
+        """Send a request to a node, in a task of its own."""
+        task = asyncio.create_task(self.request(workspace, node_id))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def grantor_of(self, workspace: str) -> str:
+        """Return the id of the node that ranks first while all are alive."""
+        return min(self.nodes, key=lambda n: rank(n, f"quota/{workspace}"))
+
     def cut(self, node_ids: Iterable[str]) -> None:
         """Cut nodes off from the others; both sides notice as the detector does."""
         cut = set(node_ids)
