--- a/burdockdock/proxy/caller_request.py
+++ b/burdockdock/proxy/caller_request.py
@@ -240,16 +240,18 @@
 
     async def _forward(self, call: Call) -> Failure | None:
         """Forward a call if its workspace has a token for it."""
-        quota = QuotaUse(self._context.quota, call.request.workspace)
-        refusal = await quota.take()
+        context = self._context
+        caller = _CallerAdapter(self._body, self._answer)
+        if context.quota is None:
+            return await context.forwarder.forward(call, caller)
+        token = QuotaUse(context.quota, call.request.workspace)
+        refusal = await token.take()
         if refusal is not None:
             return refusal
-        failure = await self._context.forwarder.forward(
-            call,
-            _CallerAdapter(self._body, self._answer),
-            before_first_attempt=quota.renew,
+        failure = await context.forwarder.forward(
+            call, caller, before_first_attempt=token.renew
         )
-        quota.end(failure)
+        token.end(failure)
         return failure
 
     def _on_call_done(self, _task: asyncio.Task[None]) -> None:
--- a/burdockdock/proxy/quota_use.py
+++ b/burdockdock/proxy/quota_use.py
@@ -6,20 +6,15 @@
 
 
 class QuotaUse:
-    """Takes one token for a call and all its attempts.
+    """Takes one token for a call and all its attempts."""
 
-    :param client: None if this node has no quotas.
-    """
-
-    def __init__(self, client: QuotaClient | None, workspace: str) -> None:
+    def __init__(self, client: QuotaClient, workspace: str) -> None:
         self._client = client
         self._workspace = workspace
         self._token: Token | None = None
 
     async def take(self) -> Failure | None:
         """Take the token; return a failure if the workspace is over its quota."""
-        if self._client is None:
-            return None
         result = await self._client.admit(self._workspace)
         if isinstance(result, Failure):
             return result
@@ -29,7 +24,7 @@
     async def renew(self) -> Failure | None:
         """Take another token instead if a long time passed before the first attempt."""
         token = self._token
-        if self._client is None or token is None or not self._client.is_stale(token):
+        if token is None or not self._client.is_stale(token):
             return None
         self._token = None
         return await self.take()
@@ -40,7 +35,7 @@
         :param failure: of the call, None if it was answered.
         """
         token, self._token = self._token, None
-        if self._client is None or token is None or failure is None:
+        if token is None or failure is None:
             return
         if failure.verdict is Verdict.NOT_RUN:
             self._client.give_back(token)
--- a/tests/node/quota_scenarios.py
+++ b/tests/node/quota_scenarios.py
@@ -1,6 +1,6 @@
 """Scenarios of quotas over a whole fleet in virtual time.
 
-``python -m tests.node.quota_scenarios --seeds 1-5`` runs all of them for longer than CI.
+``python -m tests.node.quota_scenarios --seeds 1-5`` runs all of them, longer than CI.
 """
 
 import argparse
--- a/tests/proxy/caller_server.py
+++ b/tests/proxy/caller_server.py
@@ -44,6 +44,7 @@
     test.patch(caller_request, "make_call", make_call)
     context = SimpleNamespace(
         forwarder=forwarder,
+        quota=None,
         clock=SystemClock(),
         metrics=Metrics(),
         headers=SimpleNamespace(request_id="Request-Id"),
