--- a/burdockdock/gate/call_server.py
+++ b/burdockdock/gate/call_server.py
@@ -5,6 +5,7 @@
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.gate.body_streaming import MAX_CHUNK_BYTES
 from burdockdock.gate.gate import Gate
+from burdockdock.gate.model import CallStream
 from burdockdock.logs import log_event
 from burdockdock.protocol import FrameConnection, Message, ReceiverGone, SendWindow
 from burdockdock.protocol.calls import (
@@ -78,22 +79,11 @@
             stream.fail(Failure(Verdict.NOT_RUN, "too_many_calls"))
             return
         self._streams[call_id] = stream
-        task = asyncio.create_task(self._run(request, stream))
+        task = asyncio.create_task(run_call(self._gate, request, stream))
         self._tasks[call_id] = task
         # Cleanup needs a callback: a task cancelled before its first step runs no code.
         task.add_done_callback(lambda _: self._forget(call_id))
 
-    async def _run(self, request: CallRequest, stream: "_ServerCallStream") -> None:
-        try:
-            await self._gate.run(request, stream)
-        except ReceiverGone:
-            pass
-        except Exception as error:
-            # Without a failure message, the caller's node would wait until the deadline
-            # or longer.
-            log_event("gate.fault", request=request.request_id, error=repr(error))
-            stream.fail(Failure(Verdict.MAY_HAVE_RUN, "gate_fault", repr(error)))
-
     def _forget(self, call_id: int) -> None:
         del self._streams[call_id]
         del self._tasks[call_id]
@@ -127,6 +117,20 @@
         )
 
 
+async def run_call(gate: Gate, request: CallRequest, stream: CallStream) -> None:
+    """Run a call at a gate; an exception of the gate fails the call.
+
+    Without a failure, the caller's node would wait until the deadline or longer.
+    """
+    try:
+        await gate.run(request, stream)
+    except ReceiverGone:
+        pass
+    except Exception as error:
+        log_event("gate.fault", request=request.request_id, error=repr(error))
+        stream.fail(Failure(Verdict.MAY_HAVE_RUN, "gate_fault", repr(error)))
+
+
 class _ServerCallStream:
     """The gate's end of one call's stream over a connection.
 
--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -43,6 +43,7 @@
 from burdockdock.platform_api.client import PlatformClient
 from burdockdock.protocol.handshake import PeerIdentity
 from burdockdock.proxy.listener import CallerServer, serve_callers
+from burdockdock.proxy.local_link import LocalLink
 from burdockdock.proxy.peer_link import PeerLinks
 
 
@@ -143,6 +144,7 @@
         self.context = build_context(
             self._settings,
             links=self.links,
+            local_link=LocalLink(self.gate, self._identity),
             endpoints=self._endpoints,
             membership=self.membership,
             snapshot=lambda: self.config.snapshot,
--- a/burdockdock/node/proxy_setup.py
+++ b/burdockdock/node/proxy_setup.py
@@ -16,6 +16,7 @@
 from burdockdock.proxy.context import CallContext
 from burdockdock.proxy.endpoints import Endpoints
 from burdockdock.proxy.forwarder import Forwarder
+from burdockdock.proxy.local_link import LocalLink
 from burdockdock.proxy.peer_link import PeerLinks
 
 # Share of the fleet's retry budget for retries by this proxy. The rest is left for the
@@ -58,6 +59,7 @@
     settings: NodeSettings,
     *,
     links: PeerLinks,
+    local_link: LocalLink,
     endpoints: Endpoints,
     membership: MembershipTable,
     snapshot: Callable[[], Snapshot],
@@ -71,6 +73,7 @@
 ) -> CallContext:
     """Return the context of the caller listener, with its forwarder and balancer.
 
+    :param local_link: way to this node's own gate.
     :param membership: reports dead nodes and the number of nodes that share the retry
         budget.
     :param snapshot: returns the configuration that this node applies.
@@ -94,6 +97,7 @@
         clock=clock,
         metrics=metrics,
         retry_budget=build_retry_budget(settings, nodes=lambda: len(membership)),
+        local_link=local_link,
         signature=headers.signature,
     )
     return CallContext(
--- a/burdockdock/proxy/attempts.py
+++ b/burdockdock/proxy/attempts.py
@@ -10,6 +10,7 @@
     MAX_FREE_SLOT_ATTEMPTS,
     MAX_FREE_SLOT_ATTEMPTS_AFTER_WAIT,
 )
+from burdockdock.proxy.local_link import LocalLink
 from burdockdock.proxy.peer_link import PeerLink
 from burdockdock.proxy.remote_call import RemoteCall
 
@@ -35,7 +36,7 @@
     """
 
     member: Member
-    link: PeerLink
+    link: PeerLink | LocalLink
     remote: RemoteCall
     started_s: float
 
--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -31,8 +31,9 @@
 from burdockdock.proxy.call import Call, Caller, ReplayableBody
 from burdockdock.proxy.endpoints import Endpoints
 from burdockdock.proxy.free_slots import FreeSlotOdds
+from burdockdock.proxy.local_link import LocalLink
 from burdockdock.proxy.outcomes import resolve_outcome
-from burdockdock.proxy.peer_link import PeerLinks
+from burdockdock.proxy.peer_link import PeerLink, PeerLinks
 from burdockdock.proxy.remote_call import GateState
 from burdockdock.proxy.reply_times import PROMPT_REFUSALS, ReplyTimes
 from burdockdock.proxy.usable_link import usable_link
@@ -43,6 +44,8 @@
 class Forwarder:
     """Sends calls to the gates of the nodes that have the backend servers.
 
+    :param local_link: way to this node's own gate; without one, the node opens a
+        connection to itself.
     :param signature: name of the header that signs answers, empty if none does.
     """
 
@@ -55,6 +58,7 @@
         clock: Clock,
         metrics: Metrics,
         retry_budget: FleetRetryBudget,
+        local_link: LocalLink | None = None,
         signature: str = "",
     ) -> None:
         self._endpoints = endpoints
@@ -62,6 +66,7 @@
         self._clock = clock
         self._metrics = metrics
         self._budget = retry_budget
+        self._local_link = local_link
         self._signature = signature
         self._reply_times = ReplyTimes(clock=clock)
         self._durations = DurationEstimator()
@@ -207,7 +212,7 @@
         :param may_wait: whether it may queue there; otherwise it needs a free slot.
         :param earlier_may_have_run: whether an earlier attempt may have run it.
         """
-        link = await self._usable_link(member, call)
+        link = await self._link_to(member, call)
         if isinstance(link, Failure):
             return link
         if self._time_left_ms(call) <= 0:
@@ -239,6 +244,14 @@
             attempt, call, caller, body, earlier_may_have_run=earlier_may_have_run
         )
 
+    async def _link_to(
+        self, member: Member, call: Call
+    ) -> PeerLink | LocalLink | Failure:
+        local = self._local_link
+        if local is not None and local.peer.node_id == member.node_id:
+            return local
+        return await self._usable_link(member, call)
+
     async def _exchange(
         self,
         attempt: Attempt,
--- a/burdockdock/proxy/remote_call.py
+++ b/burdockdock/proxy/remote_call.py
@@ -67,7 +67,7 @@
         """
         if data:
             await self._window.reserve(len(data))
-        self._link.send(frame("callBody", callId=self._call_id, data=data, end=end))
+        self._pass_body_on(data, end=end)
 
     async def read_body(self) -> bytes | Failure | None:
         """Return the next chunk of the answer body, or None at its end."""
@@ -81,13 +81,13 @@
         data = b"".join(self._chunks)
         self._chunks.clear()
         if not self._ended:
-            self._link.send(frame("credit", callId=self._call_id, sizeBytes=len(data)))
+            self._grant_credit(len(data))
         return data
 
     def cancel(self) -> None:
         """Cancel the call at the other node unless it has ended."""
         if not self._ended and self._failure is None:
-            self._link.send(frame("callCancel", callId=self._call_id))
+            self._withdraw()
         self._link.forget(self._call_id)
         self._window.close()
 
@@ -116,3 +116,12 @@
     def grant(self, size_bytes: int) -> None:
         """Handle flow-control credit for the request body."""
         self._window.grant(size_bytes)
+
+    def _pass_body_on(self, data: bytes, *, end: bool) -> None:
+        self._link.send(frame("callBody", callId=self._call_id, data=data, end=end))
+
+    def _grant_credit(self, size_bytes: int) -> None:
+        self._link.send(frame("credit", callId=self._call_id, sizeBytes=size_bytes))
+
+    def _withdraw(self) -> None:
+        self._link.send(frame("callCancel", callId=self._call_id))
