--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -39,8 +39,9 @@
 from burdockdock.proxy.call import Call, Caller, ReplayableBody
 from burdockdock.proxy.endpoints import Endpoints
 from burdockdock.proxy.free_slots import FreeSlotOdds
+from burdockdock.proxy.local_link import LocalLink
 from burdockdock.proxy.outcomes import resolve_outcome
-from burdockdock.proxy.peer_link import PeerLinks
+from burdockdock.proxy.peer_link import PeerLink, PeerLinks
 from burdockdock.proxy.remote_call import GateState
 from burdockdock.proxy.reply_times import PROMPT_REFUSALS, ReplyTimes
 from burdockdock.proxy.usable_link import usable_link
@@ -49,6 +50,8 @@
 class Forwarder:
     """Sends calls to the gates of the nodes that have the backend servers.
 
+    :param local_link: way to this node's own gate; without one, the node opens a
+        connection to itself.
     :param signature: name of the header that signs answers, empty if none does.
     :param identity_refusal: returns why a request must not be sent any more by the
         configuration in force, None if it may.
@@ -63,6 +66,7 @@
         clock: Clock,
         metrics: Metrics,
         retry_budget: FleetRetryBudget,
+        local_link: LocalLink | None = None,
         signature: str = "",
         identity_refusal: Callable[[Identity], Failure | None] = lambda _: None,
     ) -> None:
@@ -71,6 +75,7 @@
         self._clock = clock
         self._metrics = metrics
         self._budget = retry_budget
+        self._local_link = local_link
         self._signature = signature
         self._identity_refusal = identity_refusal
         self._reply_times = ReplyTimes(clock=clock)
@@ -221,7 +226,7 @@
         :param may_wait: whether it may queue there; otherwise it needs a free slot.
         :param earlier_may_have_run: whether an earlier attempt may have run it.
         """
-        link = await self._usable_link(member, call)
+        link = await self._link_to(member, call)
         if isinstance(link, Failure):
             return link
         refusal = self._identity_refusal(call.identity)
@@ -256,6 +261,14 @@
             attempt, call, caller, body, earlier_may_have_run=earlier_may_have_run
         )
 
+    async def _link_to(
+        self, member: Member, call: Call
+    ) -> PeerLink | LocalLink | Failure:
+        local = self._local_link
+        if local is not None and local.peer.node_id == member.node_id:
+            return local
+        return await self._usable_link(member, call)
+
     async def _exchange(
         self,
         attempt: Attempt,
