--- a/burdockdock/proxy/attempts.py
+++ b/burdockdock/proxy/attempts.py
@@ -15,6 +15,7 @@
     MAX_FREE_SLOT_ATTEMPTS,
     MAX_FREE_SLOT_ATTEMPTS_AFTER_WAIT,
 )
+from burdockdock.proxy.local_link import LocalLink
 from burdockdock.proxy.peer_link import PeerLink
 from burdockdock.proxy.remote_call import RemoteCall
 
@@ -46,7 +47,7 @@
     """
 
     member: Member
-    link: PeerLink
+    link: PeerLink | LocalLink
     remote: RemoteCall
     started_s: float
 
