--- a/burdockdock/gate/answer_rules.py
+++ b/burdockdock/gate/answer_rules.py
@@ -8,7 +8,7 @@
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.gate.backend_head import BackendHead
 from burdockdock.gate.headers import CallHeaders
-from burdockdock.protocol.calls import CallRequest
+from burdockdock.protocol.calls import INVALID_STATUS, CallRequest, is_final_status
 
 _MISDIRECTED_REQUEST_STATUS = 421
 
@@ -22,7 +22,8 @@
 ) -> Failure | None:
     """Check that an answer is the backend server's answer to this request.
 
-    Where answers repeat ids, an answer is rejected if it bears another request's id,
+    An answer is rejected if its status is not that of a final answer. Where answers
+    repeat ids, one is rejected if it bears another request's id,
     and if it has none and its connection carried other requests. Where answers are
     signed, a success is also rejected if it has no signature or an encoded body. The
     request counts as not run only if a header of the answer says so, or if the status
@@ -33,6 +34,8 @@
     :param first_on_connection: whether the connection carried no request before.
     :returns: None if the answer is valid, else the failure to report instead of it.
     """
+    if not is_final_status(head.status):
+        return _in_doubt(INVALID_STATUS, f"status {head.status}")
     values = {name.lower(): value for name, value in head.headers}
     ids = _ids_in(names, head)
     if ids - {request.request_id}:
--- a/burdockdock/gate/head_lines.py
+++ b/burdockdock/gate/head_lines.py
@@ -9,11 +9,13 @@
 
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.gate.backend_head import BackendHead, parse_head
+from burdockdock.protocol.calls import INVALID_STATUS, is_final_status
 
 # Heads must start so. No other form is accepted, so that each one behind the part of
 # another head is found.
 _STATUS_LINE_START = re.compile(rb"HTTP/1\.[01] \d{3}(?=[ \r\n])")
 _HEAD_ENDS = (b"\r\n", b"\n")
+_MIN_STATUS = 100
 _MIN_FINAL_STATUS = 200
 # Nodes ask for no other protocol, so that an answer can't follow this status.
 _SWITCHING_PROTOCOLS_STATUS = 101
@@ -57,6 +59,9 @@
         if not lines:
             return None
         head = parse_head(lines)
+        is_interim = _MIN_STATUS <= head.status < _MIN_FINAL_STATUS
+        if not is_interim and not is_final_status(head.status):
+            return _failure(INVALID_STATUS, lines[0])
         if head.status == _SWITCHING_PROTOCOLS_STATUS:
             return _failure("other_protocol", lines[0])
         return head if head.status >= _MIN_FINAL_STATUS else None
--- a/burdockdock/proxy/answer_relay.py
+++ b/burdockdock/proxy/answer_relay.py
@@ -5,7 +5,7 @@
 from burdockdock.clock import Clock
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.metrics import Metrics
-from burdockdock.protocol.calls import AnswerHead
+from burdockdock.protocol.calls import INVALID_STATUS, AnswerHead, is_final_status
 from burdockdock.proxy.attempt_results import DEADLINE_PASSED, log_aborted_answer
 from burdockdock.proxy.attempts import Attempt
 from burdockdock.proxy.call import Call, Caller
@@ -19,13 +19,19 @@
 async def wait_for_head(
     remote: RemoteCall, call: Call, *, clock: Clock
 ) -> AnswerHead | Failure:
-    """Wait for the head of an answer until the call's deadline."""
+    """Wait for the head of an answer until the call's deadline.
+
+    A gate checks the status, but one of an earlier release doesn't.
+    """
     left_s = call.deadline_s - clock.monotonic()
     try:
         async with asyncio.timeout(left_s):
-            return await remote.head()
+            head = await remote.head()
     except TimeoutError:
         return Failure(Verdict.MAY_HAVE_RUN, DEADLINE_PASSED)
+    if isinstance(head, Failure) or is_final_status(head.status):
+        return head
+    return Failure(Verdict.MAY_HAVE_RUN, INVALID_STATUS, f"status {head.status}")
 
 
 async def relay_answer(
--- a/burdockdock/proxy/caller_answer.py
+++ b/burdockdock/proxy/caller_answer.py
@@ -7,7 +7,7 @@
 from tornado.iostream import StreamClosedError
 
 from burdockdock.logs import log_event
-from burdockdock.protocol.calls import AnswerHead
+from burdockdock.protocol.calls import AnswerHead, is_final_status
 from burdockdock.proxy.answers import answer_body_bytes, answer_headers
 from burdockdock.proxy.caller_stream import CallerStream
 from burdockdock.proxy.context import CallContext
@@ -75,7 +75,12 @@
         self._request_headers = headers
 
     async def send_head(self, head: AnswerHead) -> None:
-        """Send the head of the answer, after the answers to all requests before it."""
+        """Send the head of the answer, after the answers to all requests before it.
+
+        :raises ValueError: if its status is not that of a final answer.
+        """
+        if not is_final_status(head.status):
+            raise ValueError(f"status {head.status} is not that of a final answer")
         await self._stream.wait_turn()
         headers = answer_headers(head, self._method)
         self._body_bytes_left = answer_body_bytes(headers, self._method, head.status)
--- a/tests/gate/test_answer_rules.py
+++ b/tests/gate/test_answer_rules.py
@@ -41,6 +41,11 @@
         self.assertIs(Verdict.NOT_RUN, self._verdict(421, Instance_Id="i-2"))
         self.assertIs(Verdict.NOT_RUN, self._verdict(400, Not_Executed="1"))
 
+    def test_status_that_is_none_proves_nothing(self) -> None:
+        for status in (0, 99, 199, 600, 700, 999):
+            verdict = self._verdict(status, first=True, Not_Executed="1")
+            self.assertIs(Verdict.MAY_HAVE_RUN, verdict, status)
+
     def test_success_must_be_signed_unencoded_and_for_this_request(self) -> None:
         uncertain = Verdict.MAY_HAVE_RUN
         self.assertIs(uncertain, self._verdict(200, Response_Signature=""))
--- a/tests/gate/test_head_lines.py
+++ b/tests/gate/test_head_lines.py
@@ -38,6 +38,14 @@
         head = _read(*interim, *interim, b"HTTP/1.1 204 Empty\r\n", b"\r\n")
         self.assertEqual(BackendHead(204, "Empty", ()), head)
 
+    def test_statuses_of_no_answer(self) -> None:
+        for status in (b"000", b"099", b"600", b"700", b"999"):
+            line = b"HTTP/1.1 " + status + b" Odd\r\n"
+            self._assert_failure("invalid_status", line, b"\r\n")
+        for status in (b"200", b"599"):
+            head = _read(b"HTTP/1.1 " + status + b" Odd\r\n", b"\r\n")
+            self.assertEqual(BackendHead(int(status), "Odd", ()), head)
+
     def test_head_without_its_end(self) -> None:
         self.assertIsNone(_read(b"HTTP/1.1 200 OK\r\n", b"A: b\r\n"))
 
--- a/tests/gate/test_misbehaving_backends.py
+++ b/tests/gate/test_misbehaving_backends.py
@@ -5,6 +5,7 @@
 
 import testtools
 
+from burdockdock.coordination.verdict import Verdict
 from burdockdock.gate.curl_client import CurlClient
 from burdockdock.gate.transfer import BackendRequest, Transfer
 from burdockdock.protocol import ReceiverGone
@@ -175,6 +176,21 @@
         self.assertTrue(stream.complete, stream.failure)
         return received[0]
 
+    @async_test
+    async def test_only_statuses_from_200_to_599_are_final_answers(self) -> None:
+        # Guards against a caller that gets a status such as 000 as its answer.
+        for status in (0, 1, 99, 600, 700, 999):
+            answer = b"HTTP/1.1 %03d Odd\r\nContent-Length: 2\r\n\r\nok" % status
+            stream = await self._call(_send_answer(answer), _REQUEST)
+            self.assertIsNone(stream.head, status)
+            expected = (Verdict.MAY_HAVE_RUN, "invalid_status", f"HTTP/1.1 {status:03}")
+            failure = stream.failure
+            self.assertEqual(expected, (*failure[:2], failure.detail[:12]))
+        for status in (200, 599):
+            answer = b"HTTP/1.1 %03d Odd\r\nContent-Length: 2\r\n\r\nok" % status
+            stream = await self._call(_send_answer(answer), _REQUEST)
+            self.assertEqual((status, b"ok"), (stream.status, stream.body))
+
     @async_test
     async def test_request_with_non_ascii_header(self) -> None:
         request = _REQUEST._replace(headers=(("X-Name", "Zo\u00eb"),))
--- a/tests/proxy/test_call_completion.py
+++ b/tests/proxy/test_call_completion.py
@@ -12,7 +12,7 @@
 from burdockdock.clock import SystemClock
 from burdockdock.coordination.backoff import FleetRetryBudget
 from burdockdock.coordination.membership import Member
-from burdockdock.coordination.verdict import Failure
+from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.metrics import Metrics
 from burdockdock.protocol import FrameConnection, frame
 from burdockdock.protocol.calls import AnswerHead, CallRequest, frame_answer_head
@@ -82,6 +82,16 @@
             AnswerHead(200, "OK", (("Content-Length", "2, 2"),))
         )
 
+    @async_test
+    async def test_caller_gets_no_invalid_status(self) -> None:
+        for status in (0, 99, 100, 199, 600, 700, 999):
+            head = AnswerHead(status, "Odd", (("Content-Length", "2"),))
+            request = b"GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+            _, _, reader, _ = await self._send_request(head, request)
+            async with asyncio.timeout(_HANG_TIMEOUT_S):
+                data = await reader.read()
+            self.assertTrue(data.startswith(b"HTTP/1.1 502 "), (status, data))
+
     @async_test
     async def test_answer_with_an_invalid_header_name(self) -> None:
         await self._assert_answer_ends(AnswerHead(200, "OK", (("A b", "c"),)))
@@ -294,6 +304,16 @@
         self.assertTrue(caller.aborted, end)
         self.assertLess(took_s, 1.5)
 
+    @async_test
+    async def test_invalid_status_from_another_node_is_no_answer(self) -> None:
+        # Guards against nodes of an earlier release, which pass on any status.
+        for status in (0, 99, 100, 199, 600, 700, 999):
+            head = frame_answer_head(1, AnswerHead(status, "Odd", (), b"ok", True))
+            end, caller, _ = await self._forward(_SilentPeer(frames=(head,)))
+            self.assertIsInstance(end, Failure, status)
+            self.assertEqual((Verdict.MAY_HAVE_RUN, "invalid_status"), end[:2])
+            self.assertFalse(caller.aborted)
+
     @async_test
     async def test_missing_handshake_ends_the_call_at_the_deadline(self) -> None:
         end, _, took_s = await self._forward(_SilentPeer(completes_handshake=False))
