--- a/burdockdock/coordination/lease.py
+++ b/burdockdock/coordination/lease.py
@@ -146,6 +146,8 @@
         self._note_era(current.era)
         if self._is_still_own(current):
             return await self._write(current, epoch=self._epoch)
+        # Another holder may take it from here on, whatever a later copy says.
+        self._unconfirmed_until_s = float("-inf")
         # Seen while this candidate waits, so that it needn't wait for a second term.
         expired = self._has_expired(current)
         if not expired or self._clock.monotonic() < self._not_before_s:
@@ -216,6 +218,7 @@
 
     def _start_term(self, version: int, started_s: float) -> bool:
         self._version = version
+        self._unconfirmed_until_s = float("-inf")
         self._held_until_s = started_s + self._term_s
         return self.is_held()
 
--- a/tests/coordination/test_lease.py
+++ b/tests/coordination/test_lease.py
@@ -157,6 +157,24 @@
         self.assertFalse(await first.maintain())
         self.assertTrue(second.is_held())
 
+    @async_test
+    async def test_holder_that_saw_another_one_has_to_wait(self) -> None:
+        # Guards against two holders: a later copy may name the earlier holder again.
+        clock, platform = ManualClock(), FakePlatform()
+        first, second = self._candidates(platform, clock)
+        platform.era.accept("1")
+        await first.maintain()
+        copy = dict(platform.objects)
+        platform.objects = {}
+        platform.era.accept("2")
+        first.lose()
+        self.assertFalse(await first.maintain())
+        self.assertTrue(await second.maintain())
+        platform.objects = copy
+        platform.era.accept("3")
+        self.assertFalse(await first.maintain())
+        self.assertTrue(second.is_held())
+
     @async_test
     async def test_holder_whose_lease_was_taken_after_the_return(self) -> None:
         clock, platform = ManualClock(), FakePlatform()
