--- a/bench/placement.py
+++ b/bench/placement.py
@@ -18,9 +18,10 @@
 from burdockdock.protocol.calls import GateResults
 from burdockdock.proxy.balancer import LARGE_ANSWER_PENALTIES, Balancer
 from burdockdock.proxy.endpoints import Endpoints
+from burdockdock.proxy.placement import CrossingTerms
 from burdockdock.rollout.default_weights import default_weights
 
-_MEMBER_COUNTS = (8, 64, 512, 4_096)
+_MEMBER_COUNTS = (8, 36, 64, 512, 4_096)
 _ZONE_COUNT = 3
 _SERVICE = "service"
 _ROUND_COUNT = 5
@@ -111,6 +112,16 @@
     return pick
 
 
+def _pick_by_zone_action(caller: _Caller, **options: Any) -> Callable[[], Any]:
+    terms = CrossingTerms(cost_s=0.4, time_left_s=0.6)
+
+    def pick() -> Any:
+        members = caller.endpoints.for_call(_SERVICE)
+        return caller.balancer.pick_by_zone(members, terms=terms, **options)
+
+    return pick
+
+
 def _with_ejected_members(caller: _Caller, count: int) -> _Caller:
     """Fail calls until 40 % of the members are ejected."""
     for i in range(int(count * 0.4)):
@@ -132,6 +143,10 @@
         "three_full": _pick_action(one_version, excluded=frozenset(ids[:3])),
         "two_versions": _pick_action(two_versions),
         "rollout": _pick_action(rollout),
+        "zone_cost": _pick_by_zone_action(one_version),
+        "zone_cost_three_full": _pick_by_zone_action(
+            one_version, excluded=frozenset(ids[:3])
+        ),
         "callers_key": lambda: one_version.endpoints.member_for_key(_SERVICE, "key"),
     }
     costs = {f"{name}_us": _min_cost_us(run) for name, run in cases.items()}
--- a/burdockdock/node/proxy_setup.py
+++ b/burdockdock/node/proxy_setup.py
@@ -16,6 +16,7 @@
 from burdockdock.proxy.context import CallContext
 from burdockdock.proxy.endpoints import Endpoints
 from burdockdock.proxy.forwarder import Forwarder
+from burdockdock.proxy.member_choice import ZoneCost
 from burdockdock.proxy.peer_link import PeerLinks
 
 # Share of the fleet's retry budget for retries by this proxy. The rest is left for the
@@ -87,6 +88,9 @@
         node_id=settings.name,
     )
     membership.subscribe(forget_dead_nodes(balancer))
+    zone_cost = None
+    if settings.zone_cost:
+        zone_cost = ZoneCost(settings.zone_cost, clock=clock, metrics=metrics)
     forwarder = Forwarder(
         links=links,
         endpoints=endpoints,
@@ -95,6 +99,7 @@
         metrics=metrics,
         retry_budget=build_retry_budget(settings, nodes=lambda: len(membership)),
         signature=headers.signature,
+        zone_cost=zone_cost,
     )
     return CallContext(
         node_id=settings.name,
--- a/burdockdock/node/settings.py
+++ b/burdockdock/node/settings.py
@@ -23,6 +23,7 @@
         "pipelined_calls",
         "retry_share",
         "retry_reserve",
+        "zone_cost",
     },
     "operators": {"notify_url"},
 }
@@ -66,6 +67,8 @@
     :param retry_share: retries per call that the fleet may send to backend servers.
     :param retry_reserve: retries per service that the fleet may send beyond that share.
     :param pipelined_calls: calls of one caller's connection that run concurrently.
+    :param zone_cost: seconds of expected time that a call must gain for each KB that
+        crosses an availability zone, 0 for none.
     """
 
     name: str
@@ -90,6 +93,7 @@
     retry_share: float = DEFAULT_RETRY_SHARE
     retry_reserve: float = DEFAULT_RETRY_RESERVE
     pipelined_calls: int = DEFAULT_MAX_PIPELINED_CALLS
+    zone_cost: float = 0.0
 
 
 def read_settings(path: Path) -> NodeSettings | list[Problem]:
@@ -148,6 +152,7 @@
         pipelined_calls=reader.integer(
             "limits", "pipelined_calls", DEFAULT_MAX_PIPELINED_CALLS, 1, 1000
         ),
+        zone_cost=reader.number("limits", "zone_cost", 0.0, 0, 3600),
     )
     return reader.problems or settings
 
--- a/burdockdock/proxy/answer_relay.py
+++ b/burdockdock/proxy/answer_relay.py
@@ -36,8 +36,12 @@
     *,
     clock: Clock,
     metrics: Metrics,
-) -> None:
-    """Relay an answer; abort it visibly if the rest does not arrive."""
+) -> int:
+    """Relay an answer; abort it visibly if the rest does not arrive.
+
+    :returns: how many bytes of its body came after its head.
+    """
+    size_bytes = 0
     await caller.send_head(head)
     while True:
         chunk = await _next_chunk(attempt.remote, call, clock)
@@ -50,10 +54,11 @@
                 left_ms=call.time_left_ms(clock.monotonic()),
             )
             caller.abort()
-            return
+            return size_bytes
         if chunk is None:
             caller.finish()
-            return
+            return size_bytes
+        size_bytes += len(chunk)
         await caller.send_body(chunk)
 
 
--- a/burdockdock/proxy/attempts.py
+++ b/burdockdock/proxy/attempts.py
@@ -7,6 +7,7 @@
 from burdockdock.gate.model import KEPT_CONNECTION_ENDED
 from burdockdock.proxy.call import Call
 from burdockdock.proxy.free_slots import (
+    MAX_CROSSING_ASKS,
     MAX_FREE_SLOT_ATTEMPTS,
     MAX_FREE_SLOT_ATTEMPTS_AFTER_WAIT,
 )
@@ -44,10 +45,12 @@
     """A failed attempt.
 
     :param node_id: the node that it was sent to, empty if there was no such node.
+    :param crossed: whether it paid for a zone crossing.
     """
 
     node_id: str
     failure: Failure
+    crossed: bool = False
 
 
 class RetryState(NamedTuple):
@@ -69,6 +72,11 @@
         of its own; empty for any node.
     :param repeated_ids: nodes to which the call was sent once more for that reason.
     :param may_have_run: whether an attempt may have run the call.
+    :param zone_first: whether zone crossings have a cost. The call then asks its own
+        zone and others apart, and may queue at a gate that it found full, so that a
+        full gate doesn't send it to another zone.
+    :param crossing_asks_left: with ``zone_first``, further nodes of other zones that
+        may be asked for a free slot.
     :param must_not_wait: the call already queued and got no slot, or has no time to
         queue, so that it only runs where a slot is free.
     """
@@ -84,11 +92,20 @@
     again_id: str = ""
     repeated_ids: frozenset[str] = frozenset()
     may_have_run: bool = False
+    zone_first: bool = False
+    crossing_asks_left: int = 0
 
     @property
     def excluded(self) -> frozenset[str]:
         """Nodes that the next attempt avoids."""
-        return self.failed_ids | self.full_ids
+        return self.failed_ids if self.zone_first else self.failed_ids | self.full_ids
+
+    def may_wait_at(self, node_id: str, *, crossed: bool) -> bool:
+        """Return whether the next attempt may queue at a node."""
+        if not self.zone_first:
+            return not self.free_slot_attempts_left
+        asks_left = self.crossing_asks_left if crossed else self.free_slot_attempts_left
+        return not asks_left or node_id in self.full_ids
 
     def after(self, outcome: AttemptFailure) -> "RetryState | None":
         """Return the state after a failed attempt, None if no attempt is left."""
@@ -111,7 +128,11 @@
 
     def _after_other(self, outcome: AttemptFailure) -> "RetryState | None":
         node_id = outcome.node_id
-        if outcome.failure.reason == QUEUE_FULL and self.free_slot_attempts_left:
+        if outcome.failure.reason == QUEUE_FULL and not self.may_wait_at(
+            node_id, crossed=outcome.crossed
+        ):
+            if self.zone_first:
+                return self._after_full_in_zone(outcome)
             return self._after_full(node_id)
         if outcome.failure.reason in _REASONS_AFTER_WAIT:
             return self._after_wait(node_id)
@@ -136,6 +157,7 @@
             free_slot_attempts_left=self.free_slot_attempts_after_wait,
             full_ids=frozenset({node_id}),
             must_not_wait=True,
+            zone_first=False,
         )
 
     def _after_full_queue(self, node_id: str) -> "RetryState | None":
@@ -149,6 +171,14 @@
             failed_ids=self.failed_ids | {node_id},
         )
 
+    def _after_full_in_zone(self, outcome: AttemptFailure) -> "RetryState":
+        """Note a full gate, whose queue the call may still choose."""
+        state = self._replace(full_ids=self.full_ids | {outcome.node_id})
+        if outcome.crossed:
+            return state._replace(crossing_asks_left=self.crossing_asks_left - 1)
+        left = self.free_slot_attempts_left - 1
+        return state._replace(free_slot_attempts_left=left)
+
     def _after_full(self, node_id: str) -> "RetryState | None":
         """Ask another node, or let the call queue if all that were asked are full."""
         left = self.free_slot_attempts_left - 1
@@ -161,13 +191,14 @@
         )
 
 
-def initial_state(call: Call, *, asks: bool) -> RetryState:
+def initial_state(call: Call, *, asks: bool, zone_first: bool = False) -> RetryState:
     """Return the attempts that a call has.
 
     A call with a large answer queues for a near backend server rather than look for
     a free slot at a distant one.
 
     :param asks: whether asking nodes for a free slot is worth its messages.
+    :param zone_first: whether zone crossings have a cost.
     """
     asks_first = not call.may_wait or (asks and not call.large_answer)
     return RetryState(
@@ -176,6 +207,8 @@
         MAX_FREE_SLOT_ATTEMPTS if asks_first else 0,
         must_not_wait=not call.may_wait,
         free_slot_attempts_after_wait=MAX_FREE_SLOT_ATTEMPTS_AFTER_WAIT if asks else 0,
+        zone_first=zone_first and call.may_wait,
+        crossing_asks_left=MAX_CROSSING_ASKS,
     )
 
 
--- a/burdockdock/proxy/balancer.py
+++ b/burdockdock/proxy/balancer.py
@@ -2,18 +2,23 @@
 
 import random
 from collections import defaultdict
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 from burdockdock.clock import Clock
 from burdockdock.coordination.membership import Member
 from burdockdock.protocol.calls import GateResults
+from burdockdock.proxy.member_health import MemberHealth
+from burdockdock.proxy.placement import (
+    JITTER_SHARE,
+    Candidate,
+    Choice,
+    CrossingTerms,
+    choose,
+)
 from burdockdock.proxy.pool import DEFAULT_QUOTAS, Locality, Pool, SampleQuotas
+from burdockdock.proxy.zone_loads import Place, ZoneLoads
 
-_EJECTION_BASE_S = 2.0
-_EJECTION_CAP_S = 30.0
-_FAILURES_TO_EJECT = 5
-_MAX_EJECTED_SHARE = 0.5
 _REPORTED_LOAD_MAX_AGE_S = 2.0
 # Assumed while no gate has reported how long its calls run.
 _DEFAULT_SERVICE_TIME_S = 0.1
@@ -21,9 +26,6 @@
 _FULL_LOAD_SLOWDOWN = 0.15
 # A failed attempt costs another attempt and spends the retry budget of all calls.
 _FAILURE_PENALTY = 4.0
-# Randomizes expected durations by up to this share, so that small differences don't
-# send all calls to one member.
-_JITTER_SHARE = 0.05
 
 
 class DistancePenalties(NamedTuple):
@@ -50,20 +52,16 @@
 )
 
 
-class _Health(NamedTuple):
-    """Failures and ejections of one backend server as seen by this node."""
-
-    consecutive_failures: int = 0
-    ejections: int = 0
-    ejected_until_s: float = 0.0
-
-
 class _GateReport(NamedTuple):
-    """The load and the results that a member's gate last reported."""
+    """The load and the results that a member's gate last reported.
+
+    :param in_flight: this node's attempts at the member at that time.
+    """
 
     calls: int
     results: GateResults
     received_at_s: float
+    in_flight: int = 0
 
 
 class Balancer:
@@ -94,8 +92,14 @@
         self._rng = rng
         self._in_flight: dict[str, int] = defaultdict(int)
         self._gate_reports: dict[str, _GateReport] = {}
-        self._health: dict[str, _Health] = {}
+        self._health = MemberHealth()
         self._departed: set[str] = set()
+        self._places: dict[str, tuple[Place, int]] = {}
+        self._zone_loads = ZoneLoads()
+
+    def crosses(self, member: Member) -> bool:
+        """Return whether a call to a member leaves the availability zone."""
+        return member.availability_zone != self._locality.availability_zone
 
     def pick(
         self,
@@ -114,9 +118,9 @@
         now_s = self._clock.monotonic()
         quotas = penalties.quotas
         sample = pool.sample(self._rng, excluded=excluded, quotas=quotas)
-        candidates = self._without_ejected(sample, now_s)
+        candidates = self._health.without_ejected(sample, now_s)
         if len(candidates) == len(sample) < len(pool) - len(excluded):
-            candidates = self._healthy_in_sample(sample, pool, now_s)
+            candidates = self._health.healthy_in_sample(sample, pool, now_s)
         mean_service_s = self._mean_service_s(candidates)
         return min(
             candidates,
@@ -126,27 +130,73 @@
             default=None,
         )
 
+    def pick_by_zone(
+        self,
+        members: Iterable[Member],
+        *,
+        excluded: frozenset[str] = frozenset(),
+        terms: CrossingTerms,
+    ) -> Choice | None:
+        """Return the choice of a member where a zone crossing has a cost.
+
+        :param members: members that may take the call.
+        :param excluded: node ids that failed.
+        :param terms: the cost, and the time in which the call has to end.
+        """
+        pool = members if isinstance(members, Pool) else Pool(self._locality, members)
+        now_s = self._clock.monotonic()
+        home, elsewhere = pool.sample_by_zone(self._rng, excluded=excluded)
+        if self._health:
+            sample = home + elsewhere
+            healthy = self._health.healthy_in_sample(sample, pool, now_s)
+            if len(healthy) < len(sample):
+                home = [m for m in healthy if not self.crosses(m)]
+                elsewhere = [m for m in healthy if self.crosses(m)]
+        mean_service_s = self._mean_service_s(home or elsewhere)
+        choice = choose(
+            self._candidates(home, mean_service_s, now_s),
+            self._candidates(elsewhere, mean_service_s, now_s),
+            terms=terms,
+            uniform=self._rng.random,
+        )
+        if choice is not None:
+            member = choice.candidate.member
+            place = Place(member.service, member.availability_zone)
+            self._places[member.node_id] = place, max(1, member.slots)
+        return choice
+
     def started(self, node_id: str) -> None:
         """Count an attempt in flight."""
         self._departed.discard(node_id)
         self._in_flight[node_id] += 1
 
     def record_gate_state(
-        self, node_id: str, calls: int, results: GateResults | None = None
+        self,
+        node_id: str,
+        calls: int,
+        results: GateResults | None = None,
+        refused: bool = False,
     ) -> None:
         """Record the state that a member's gate reported.
 
         :param calls: number of calls running and queued at the gate.
         :param results: results of the gate's latest calls. If they lack a service
             time, the previous one is kept.
+        :param refused: whether it came with a failure, so that the number of calls
+            doesn't include this node's attempt.
         """
         results = results or GateResults()
         previous = self._gate_reports.get(node_id)
         if not results.service_s and previous is not None:
             results = results._replace(service_s=previous.results.service_s)
+        now_s = self._clock.monotonic()
         self._gate_reports[node_id] = _GateReport(
-            calls, results, self._clock.monotonic()
+            calls, results, now_s, self._in_flight.get(node_id, 0) - refused
         )
+        placed = self._places.get(node_id)
+        if placed is not None:
+            place, slots = placed
+            self._zone_loads.record(place, calls / slots, now_s=now_s)
 
     def finished(self, node_id: str, *, failed: bool) -> None:
         """Record the end of an attempt.
@@ -154,7 +204,7 @@
         :param failed: whether the backend server or its node was at fault.
         """
         self._in_flight[node_id] -= 1
-        self._update_health(node_id, failed)
+        self._health.record(node_id, failed=failed, now_s=self._clock.monotonic())
         if not self._in_flight[node_id]:
             del self._in_flight[node_id]
             if node_id in self._departed:
@@ -170,7 +220,10 @@
             return
         self._departed.discard(node_id)
         self._gate_reports.pop(node_id, None)
-        self._health.pop(node_id, None)
+        self._health.forget(node_id)
+        place, _ = self._places.pop(node_id, (None, 0))
+        if place is not None and all(p != place for p, _ in self._places.values()):
+            self._zone_loads.forget(place)
 
     def _known_calls(
         self, node_id: str, report: _GateReport | None, now_s: float
@@ -184,11 +237,6 @@
             return calls
         return max(calls, report.calls)
 
-    def _is_ejected(self, node_id: str, now_s: float) -> bool:
-        """Return whether a member is currently ejected for its failures."""
-        health = self._health.get(node_id)
-        return health is not None and now_s < health.ejected_until_s
-
     def _expected_duration_s(
         self,
         member: Member,
@@ -206,68 +254,74 @@
         duration_s *= 1.0 + waiting + _FULL_LOAD_SLOWDOWN * min(1.0, utilization)
         duration_s *= 1.0 + _FAILURE_PENALTY * results.failed_share
         duration_s += self._distance_penalty_s(member, penalties)
-        return duration_s * (1.0 + _JITTER_SHARE * (2.0 * self._rng.random() - 1.0))
+        return duration_s * (1.0 + JITTER_SHARE * (2.0 * self._rng.random() - 1.0))
+
+    def _candidates(
+        self, members: list[Member], mean_service_s: float, now_s: float
+    ) -> list[Candidate]:
+        """Return members with the parts of their expected durations.
+
+        A report loses weight with its age in favour of the mean of its zone. What this
+        node sent since the report is added at once. The loop is written out, because
+        it takes most of the processor time of a choice.
+        """
+        reports, in_flight = self._gate_reports, self._in_flight
+        own_id = self._locality.node_id
+        zone, utilization, distance_s = "", 0.0, 0.0
+        candidates = []
+        for member in members:
+            if member.availability_zone != zone:
+                zone = member.availability_zone
+                place = Place(member.service, zone)
+                utilization = self._zone_loads.expected(place, now_s=now_s)
+                distance_s = self._zone_distance_s(member, DEFAULT_PENALTIES)
+            node_id = member.node_id
+            slots = member.slots or 1
+            own_calls = in_flight.get(node_id, 0)
+            calls = utilization * slots
+            service_s, failed_share = mean_service_s, 0.0
+            report = reports.get(node_id)
+            if report is not None:
+                reported_calls, results, at_s, own_then = report
+                service_s, failed_share = results
+                service_s = service_s or mean_service_s
+                weight = 1.0 - (now_s - at_s) / _REPORTED_LOAD_MAX_AGE_S
+                if weight > 0.0:
+                    calls += weight * (reported_calls + own_calls - own_then - calls)
+            if calls < own_calls:
+                calls = own_calls
+            waiting = calls + 1.0 - slots
+            wait_s = service_s * waiting / slots if waiting > 0.0 else 0.0
+            busy = calls / slots if calls < slots else 1.0
+            penalty_s = service_s * _FULL_LOAD_SLOWDOWN * busy
+            if node_id != own_id:
+                penalty_s += distance_s
+            if failed_share:
+                penalty_s += _FAILURE_PENALTY * failed_share * (service_s + wait_s)
+            candidates.append(Candidate(member, service_s, wait_s, penalty_s))
+        return candidates
 
     def _mean_service_s(self, members: list[Member]) -> float:
         """Return the mean reported service time, used for members without a report."""
-        reports = [
-            self._gate_reports[m.node_id]
-            for m in members
-            if m.node_id in self._gate_reports
-        ]
-        times_s = [r.results.service_s for r in reports if r.results.service_s]
-        return sum(times_s) / len(times_s) if times_s else _DEFAULT_SERVICE_TIME_S
+        reports = self._gate_reports
+        total_s, count = 0.0, 0
+        for member in members:
+            report = reports.get(member.node_id)
+            if report is not None and report.results.service_s:
+                total_s += report.results.service_s
+                count += 1
+        return total_s / count if count else _DEFAULT_SERVICE_TIME_S
 
     def _distance_penalty_s(
         self, member: Member, penalties: DistancePenalties
     ) -> float:
         if member.node_id == self._locality.node_id:
             return 0.0
+        return self._zone_distance_s(member, penalties)
+
+    def _zone_distance_s(self, member: Member, penalties: DistancePenalties) -> float:
         if member.availability_zone == self._locality.availability_zone:
             return penalties.same_zone_s
         if member.region == self._locality.region:
             return penalties.same_region_s
         return penalties.other_region_s
-
-    def _without_ejected(self, members: list[Member], now_s: float) -> list[Member]:
-        """Leave out ejected members.
-
-        Return all members if more than the maximum share of them is ejected.
-        """
-        healthy = [m for m in members if not self._is_ejected(m.node_id, now_s)]
-        if len(healthy) < len(members) * (1 - _MAX_EJECTED_SHARE):
-            return members
-        return healthy
-
-    def _healthy_in_sample(
-        self, sample: list[Member], pool: Pool, now_s: float
-    ) -> list[Member]:
-        """Leave out the ejected members of a sample.
-
-        The maximum ejected share applies to the pool, because a sample may contain a
-        larger share of ejected members. Return the whole sample if the pool exceeds
-        that share.
-        """
-        healthy = [m for m in sample if not self._is_ejected(m.node_id, now_s)]
-        if not healthy or len(healthy) == len(sample):
-            return sample
-        ejected = sum(
-            self._is_ejected(node_id, now_s)
-            for node_id in self._health
-            if pool.get(node_id) is not None
-        )
-        return sample if ejected > len(pool) * _MAX_EJECTED_SHARE else healthy
-
-    def _update_health(self, node_id: str, failed: bool) -> None:
-        if not failed:
-            self._health.pop(node_id, None)
-            return
-        health = self._health.get(node_id, _Health())
-        count = health.consecutive_failures + 1
-        if count < _FAILURES_TO_EJECT:
-            self._health[node_id] = health._replace(consecutive_failures=count)
-            return
-        ejection_s = min(_EJECTION_CAP_S, _EJECTION_BASE_S * 2**health.ejections)
-        self._health[node_id] = _Health(
-            0, health.ejections + 1, self._clock.monotonic() + ejection_s
-        )
--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import functools
-from collections.abc import Iterable
 
 from burdockdock.clock import Clock
 from burdockdock.coordination.backoff import FleetRetryBudget
@@ -27,14 +26,16 @@
     RetryState,
     initial_state,
 )
-from burdockdock.proxy.balancer import LARGE_ANSWER_PENALTIES, Balancer
+from burdockdock.proxy.balancer import Balancer
 from burdockdock.proxy.call import Call, Caller, ReplayableBody
 from burdockdock.proxy.endpoints import Endpoints
 from burdockdock.proxy.free_slots import FreeSlotOdds
+from burdockdock.proxy.member_choice import MemberChoice, ZoneCost
 from burdockdock.proxy.outcomes import resolve_outcome
 from burdockdock.proxy.peer_link import PeerLinks
 from burdockdock.proxy.remote_call import GateState
 from burdockdock.proxy.reply_times import PROMPT_REFUSALS, ReplyTimes
+from burdockdock.proxy.route_sizes import answer_head_size_bytes, request_size_bytes
 from burdockdock.proxy.usable_link import usable_link
 
 _NO_BACKEND_SERVER = "no_backend_server"
@@ -44,6 +45,7 @@
     """Sends calls to the gates of the nodes that have the backend servers.
 
     :param signature: name of the header that signs answers, empty if none does.
+    :param zone_cost: the cost of a zone crossing, None where it has none.
     """
 
     def __init__(
@@ -56,8 +58,12 @@
         metrics: Metrics,
         retry_budget: FleetRetryBudget,
         signature: str = "",
+        zone_cost: ZoneCost | None = None,
     ) -> None:
-        self._endpoints = endpoints
+        self._zone_cost = zone_cost
+        self._choice = MemberChoice(
+            endpoints=endpoints, balancer=balancer, zone_cost=zone_cost
+        )
         self._balancer = balancer
         self._clock = clock
         self._metrics = metrics
@@ -85,7 +91,8 @@
         if body_failure is not None:
             return body_failure
         asks = self._free_slots.is_worth_asking(call.request.service)
-        retry_state = initial_state(call, asks=asks)
+        zone_first = self._zone_cost is not None
+        retry_state = initial_state(call, asks=asks, zone_first=zone_first)
         charges = ArrivalCharges(call.request.service, budget=self._budget)
         strongest_failure: Failure | None = None
         while True:
@@ -137,17 +144,19 @@
         body: ReplayableBody,
         retry_state: RetryState,
     ) -> AttemptFailure | None:
-        member = self._pick(call, retry_state)
+        member = self._choice.pick(call, retry_state)
         if member is None:
             detail = f"no backend server of {call.request.service} accepts calls"
             failure = Failure(Verdict.NOT_RUN, _NO_BACKEND_SERVER, detail)
             return AttemptFailure("", failure)
-        self._balancer.started(member.node_id)
+        node_id = member.node_id
+        crossed = self._choice.crosses(member)
+        self._balancer.started(node_id)
         failed = True
         try:
             may_wait = (
                 call.key != ""
-                or not retry_state.free_slot_attempts_left
+                or retry_state.may_wait_at(node_id, crossed=crossed)
                 or not body.replayable
             )
             result = await self._send_to(
@@ -158,13 +167,13 @@
                 may_wait=may_wait,
                 earlier_may_have_run=retry_state.may_have_run,
             )
-            if not may_wait:
+            if not may_wait and not crossed:
                 self._record_free_slot(call, result)
             failed = is_backend_fault(result)
         finally:
-            self._balancer.finished(member.node_id, failed=failed)
+            self._balancer.finished(node_id, failed=failed)
         if isinstance(result, Failure):
-            return AttemptFailure(member.node_id, result)
+            return AttemptFailure(node_id, result, crossed)
         return None
 
     def _record_free_slot(self, call: Call, result: AnswerHead | Failure) -> None:
@@ -173,25 +182,6 @@
         if not is_refused or result.reason == QUEUE_FULL:
             self._free_slots.record(call.request.service, found=not is_refused)
 
-    def _pick(self, call: Call, retry_state: RetryState) -> Member | None:
-        """Choose a member by load, or by the caller's idempotency key if it sent one.
-
-        A key always selects the same member, which remembers the requests that had it.
-        """
-        service = call.request.service
-        if call.key:
-            return self._endpoints.member_for_key(service, call.key)
-        members = self._endpoints.for_call(service, full=retry_state.excluded)
-        if retry_state.again_id:
-            member = _find(members, retry_state.again_id)
-            if member is not None:
-                return member
-        if call.large_answer:
-            return self._balancer.pick(
-                members, excluded=retry_state.excluded, penalties=LARGE_ANSWER_PENALTIES
-            )
-        return self._balancer.pick(members, excluded=retry_state.excluded)
-
     async def _send_to(
         self,
         member: Member,
@@ -268,7 +258,7 @@
             )
             if unproved is not None:
                 return unproved
-            await relay_answer(
+            body_bytes = await relay_answer(
                 attempt,
                 call,
                 head,
@@ -276,12 +266,23 @@
                 clock=self._clock,
                 metrics=self._metrics,
             )
+            self._record_size(call, head, body_bytes)
             return head
         finally:
             if upload is not None:
                 upload.cancel()
             attempt.remote.cancel()
 
+    def _record_size(self, call: Call, head: AnswerHead, body_bytes: int) -> None:
+        """Learn what a call of this route sends and receives.
+
+        :param body_bytes: bytes of the answer's body that came after its head.
+        """
+        if self._zone_cost is not None:
+            size_bytes = request_size_bytes(call.request) + body_bytes
+            size_bytes += answer_head_size_bytes(head)
+            self._zone_cost.sizes.record(call.request.route, size_bytes)
+
     def _record_gate_state(
         self, attempt: Attempt, call: Call, state: GateState
     ) -> None:
@@ -333,7 +334,3 @@
 
     def _time_left_ms(self, call: Call) -> int:
         return call.time_left_ms(self._clock.monotonic())
-
-
-def _find(members: Iterable[Member], node_id: str) -> Member | None:
-    return next((m for m in members if m.node_id == node_id), None)
--- a/burdockdock/proxy/free_slots.py
+++ b/burdockdock/proxy/free_slots.py
@@ -12,6 +12,9 @@
 MAX_FREE_SLOT_ATTEMPTS = 3
 # Gates that are asked after the call has queued and got no slot.
 MAX_FREE_SLOT_ATTEMPTS_AFTER_WAIT = 2
+# Gates of other zones that are asked where a zone crossing has a cost. The request's
+# bytes cross with each of them.
+MAX_CROSSING_ASKS = 2
 _MIN_WORTHWHILE_ODDS = 0.15
 _SMOOTHING_FACTOR = 0.2
 # Without new answers the odds rise again, so that free slots are found soon.
--- a/burdockdock/proxy/peer_link.py
+++ b/burdockdock/proxy/peer_link.py
@@ -207,7 +207,8 @@
         failed = message.callFailed
         call = self._call_for_message(failed.callId)
         if call is not None:
-            call.refusal = GateState(failed.load, read_failure_results(message))
+            results = read_failure_results(message)
+            call.refusal = GateState(failed.load, results, refused=True)
             call.receive_failure(read_failure(message))
             return
         on_late_refusal = self._late_refusal_handlers.pop(failed.callId, None)
--- a/burdockdock/proxy/pool.py
+++ b/burdockdock/proxy/pool.py
@@ -8,6 +8,10 @@
 
 # Pools of up to this size are compared as a whole, larger ones by a sample this large.
 SAMPLE_SIZE = 16
+# Members that are compared where a zone crossing has a cost: nearly all of the own
+# availability zone, so that the free ones among them are found, and a few others.
+_HOME_SAMPLE_SIZE = 16
+_ELSEWHERE_SAMPLE_SIZE = 4
 # Limits the repeated draws after duplicates and excluded members.
 _MAX_DRAWS_PER_MEMBER = 3
 
@@ -36,6 +40,13 @@
 DEFAULT_QUOTAS = SampleQuotas()
 
 
+class ZoneSample(NamedTuple):
+    """Members to compare, of the own availability zone and of others."""
+
+    home: list[Member]
+    elsewhere: list[Member]
+
+
 class _MemberSet:
     """A set of members with insertion, removal and random access in constant time."""
 
@@ -76,6 +87,8 @@
         self._all = _MemberSet()
         self._zone = _MemberSet()
         self._region = _MemberSet()
+        self._other_zones = _MemberSet()
+        self._other_regions = _MemberSet()
         self.slots = 0
         for member in members:
             self.put(member)
@@ -106,6 +119,10 @@
         self._all.put(member)
         if member.availability_zone == self._locality.availability_zone:
             self._zone.put(member)
+        elif member.region == self._locality.region:
+            self._other_zones.put(member)
+        else:
+            self._other_regions.put(member)
         if member.region == self._locality.region:
             self._region.put(member)
 
@@ -115,7 +132,13 @@
         if member is None:
             return
         self.slots -= max(1, member.slots)
-        for member_set in (self._all, self._zone, self._region):
+        for member_set in (
+            self._all,
+            self._zone,
+            self._region,
+            self._other_zones,
+            self._other_regions,
+        ):
             member_set.remove(node_id)
 
     def sample(
@@ -146,10 +169,77 @@
         _fill_sample(sampled, SAMPLE_SIZE, self._all, excluded=excluded, rng=rng)
         return list(sampled.values()) or self._untried(excluded)
 
+    def sample_by_zone(
+        self, rng: random.Random, *, excluded: frozenset[str] = frozenset()
+    ) -> ZoneSample:
+        """Return the members to compare for one call whose zone crossing has a cost.
+
+        All members of the availability zone, unless it has many, and a few random ones
+        of other zones of the region. Members of other regions fill gaps only, and
+        excluded members are left out unless the pool has no others.
+
+        :param excluded: node ids that were already tried.
+        """
+        home = _draw_in_a_row(self._zone, _HOME_SAMPLE_SIZE, rng=rng)
+        if excluded:
+            home = [m for m in home if m.node_id not in excluded] or _without(
+                self._zone, excluded
+            )
+        missing_count = _ELSEWHERE_SAMPLE_SIZE
+        if not home:
+            missing_count = SAMPLE_SIZE
+        elsewhere = _draw(self._other_zones, missing_count, excluded=excluded, rng=rng)
+        missing_count -= len(elsewhere)
+        if missing_count and self._other_regions.members:
+            elsewhere += _draw(
+                self._other_regions, missing_count, excluded=excluded, rng=rng
+            )
+        if not home and not elsewhere and excluded:
+            return self.sample_by_zone(rng)
+        return ZoneSample(home, elsewhere)
+
     def _untried(self, excluded: frozenset[str]) -> list[Member]:
         return [m for m in self if m.node_id not in excluded]
 
 
+def _without(member_set: _MemberSet, excluded: frozenset[str]) -> list[Member]:
+    return [m for m in member_set.members if m.node_id not in excluded]
+
+
+def _draw_in_a_row(
+    member_set: _MemberSet, size: int, *, rng: random.Random
+) -> list[Member]:
+    """Return members of a set from a random position on, which is a cheap draw.
+
+    Each member is as likely as any other. That the same ones come together doesn't
+    matter for a sample that contains nearly all.
+    """
+    members = member_set.members
+    if len(members) <= size:
+        return list(members)
+    start = int(rng.random() * len(members))
+    drawn = members[start : start + size]
+    return drawn + members[: size - len(drawn)]
+
+
+def _draw(
+    member_set: _MemberSet,
+    size: int,
+    *,
+    excluded: frozenset[str],
+    rng: random.Random,
+) -> list[Member]:
+    """Return random members of a set, all of a set that isn't larger than the size."""
+    members = member_set.members
+    if len(members) <= size:
+        if not excluded:
+            return list(members)
+        return [m for m in members if m.node_id not in excluded]
+    sampled: dict[str, Member] = {}
+    _fill_sample(sampled, size, member_set, excluded=excluded, rng=rng)
+    return list(sampled.values())
+
+
 def _fill_sample(
     sampled: dict[str, Member],
     target_size: int,
--- a/burdockdock/proxy/remote_call.py
+++ b/burdockdock/proxy/remote_call.py
@@ -16,10 +16,13 @@
 
     :param calls: number of calls running and queued at the gate.
     :param results: results of the gate's latest calls.
+    :param refused: whether it came with a failure, so that the number of calls
+        doesn't include the attempt.
     """
 
     calls: int
     results: GateResults
+    refused: bool = False
 
 
 class Link(Protocol):
--- a/tests/node/test_settings.py
+++ b/tests/node/test_settings.py
@@ -26,6 +26,8 @@
             (("drain_timeout_s = 60", "drain_s = 60"), ("limits", "drain_s")),
             (("pipelined_calls = 16", "pipelined_calls = 1.5"), ("limits", "pipel")),
             (("pipelined_calls = 16", "pipelined_calls = 0"), ("limits", "pipel")),
+            (("zone_cost = 0", "zone_cost = -0.1"), ("limits", "zone_cost")),
+            (("zone_cost = 0", "zone_cost = 0.1s"), ("limits", "zone_cost")),
             (
                 ("callers = 127.0.0.1:8080", "callers = host:8080"),
                 ("listen", "callers"),
