--- a/burdockdock/node/proxy_setup.py
+++ b/burdockdock/node/proxy_setup.py
@@ -20,6 +20,7 @@
 from burdockdock.proxy.endpoints import Endpoints
 from burdockdock.proxy.forwarder import Forwarder
 from burdockdock.proxy.local_link import LocalLink
+from burdockdock.proxy.member_choice import ZoneCost
 from burdockdock.proxy.peer_link import PeerLinks
 
 # Share of the fleet's retry budget for retries by this proxy. The rest is left for the
@@ -93,6 +94,9 @@
         node_id=settings.name,
     )
     membership.subscribe(forget_dead_nodes(balancer))
+    zone_cost = None
+    if settings.zone_cost:
+        zone_cost = ZoneCost(settings.zone_cost, clock=clock, metrics=metrics)
     forwarder = Forwarder(
         links=links,
         endpoints=endpoints,
@@ -105,6 +109,7 @@
         identity_refusal=lambda identity: identity_refusal(
             identity, snapshot(), missing_version
         ),
+        zone_cost=zone_cost,
     )
     return CallContext(
         node_id=settings.name,
