--- a/burdockdock/node/settings.py
+++ b/burdockdock/node/settings.py
@@ -27,6 +27,7 @@
         "quota_window",
         "retry_share",
         "retry_reserve",
+        "zone_cost",
     },
     "operators": {"notify_url"},
 }
@@ -72,6 +73,8 @@
     :param retry_reserve: retries per service that the fleet may send beyond that share.
     :param pipelined_calls: calls of one caller's connection that run concurrently.
     :param quota_bounds: how far a workspace may exceed its quota over the whole fleet.
+    :param zone_cost: seconds of expected time that a call must gain for each KB that
+        crosses an availability zone, 0 for none.
     """
 
     name: str
@@ -97,6 +100,7 @@
     retry_reserve: float = DEFAULT_RETRY_RESERVE
     pipelined_calls: int = DEFAULT_MAX_PIPELINED_CALLS
     quota_bounds: QuotaBounds = DEFAULT_QUOTA_BOUNDS
+    zone_cost: float = 0.0
 
 
 def read_settings(path: Path) -> NodeSettings | list[Problem]:
@@ -156,6 +160,7 @@
             "limits", "pipelined_calls", DEFAULT_MAX_PIPELINED_CALLS, 1, 1000
         ),
         quota_bounds=_read_quota_bounds(reader),
+        zone_cost=reader.number("limits", "zone_cost", 0.0, 0, 3600),
     )
     return reader.problems or settings
 
--- a/burdockdock/proxy/call.py
+++ b/burdockdock/proxy/call.py
@@ -7,6 +7,7 @@
 from burdockdock.protocol import ReceiverGone
 from burdockdock.protocol.calls import AnswerHead, CallRequest
 from burdockdock.proxy.authentication import ANONYMOUS, Identity
+from burdockdock.proxy.ready_check import ReadyCheck
 from burdockdock.proxy.remote_call import RemoteCall
 
 _MAX_REPLAY_BYTES = 64 * 1024
@@ -87,19 +88,21 @@
         self.prefix_is_whole_body = True
         self.replayable = True
 
-    async def read_prefix(self, timeout_s: float) -> Failure | None:
+    async def read_prefix(
+        self, timeout_s: float, check_ready: ReadyCheck
+    ) -> Failure | None:
         """Read all of a short body, or the first chunk of a longer one.
 
-        :returns: a failure if it didn't arrive within the timeout.
+        :param check_ready: called then.
+        :returns: a failure if it didn't arrive within the timeout, or that of the check.
         """
-        if not self._length:
-            return None
-        try:
-            async with asyncio.timeout(timeout_s):
-                await self._read_prefix()
-        except TimeoutError:
-            return Failure(Verdict.NOT_RUN, "request_body_late")
-        return None
+        if self._length:
+            try:
+                async with asyncio.timeout(timeout_s):
+                    await self._read_prefix()
+            except TimeoutError:
+                return Failure(Verdict.NOT_RUN, "request_body_late")
+        return await check_ready()
 
     async def _read_prefix(self) -> None:
         self.prefix, self.prefix_is_whole_body = await self._caller.read_body()
--- a/burdockdock/proxy/caller_request.py
+++ b/burdockdock/proxy/caller_request.py
@@ -248,9 +248,7 @@
         refusal = await token.take()
         if refusal is not None:
             return refusal
-        failure = await context.forwarder.forward(
-            call, caller, before_first_attempt=token.renew
-        )
+        failure = await context.forwarder.forward(call, caller, check_ready=token.renew)
         token.end(failure)
         return failure
 
--- a/tests/node/test_settings.py
+++ b/tests/node/test_settings.py
@@ -30,6 +30,8 @@
             (("quota_window = 5s", "quota_window = 5"), ("limits", "quota_window")),
             (("quota_overage = 0.1", "quota_overage = 2"), ("limits", "quota_over")),
             (("quota_slack = 20", "quota_slack = -1"), ("limits", "quota_slack")),
+            (("zone_cost = 0", "zone_cost = -0.1"), ("limits", "zone_cost")),
+            (("zone_cost = 0", "zone_cost = 0.1s"), ("limits", "zone_cost")),
             (
                 ("callers = 127.0.0.1:8080", "callers = host:8080"),
                 ("listen", "callers"),
