--- a/burdockdock/configuration/checks.py
+++ b/burdockdock/configuration/checks.py
@@ -4,7 +4,6 @@
 """
 
 from collections.abc import Iterable
-from datetime import datetime
 
 from burdockdock.configuration.delta import changed_sections
 from burdockdock.configuration.ini import section_digest
@@ -20,7 +19,17 @@
     Sections,
     Service,
     Snapshot,
-    SplitPart,
+    Workspace,
+)
+from burdockdock.configuration.values import (
+    KeyProblem,
+    parse_flag,
+    parse_split,
+    parse_time,
+)
+from burdockdock.configuration.workspaces import (
+    WorkspaceTableBuilder,
+    parse_workspace,
 )
 from burdockdock.coordination.whole_numbers import parse_whole_number
 
@@ -38,6 +47,7 @@
     "kind",
     "split",
     "target_latency_ms",
+    "public",
 }
 _ROUTE_KINDS = ("idempotent", "non_idempotent", "download")
 _MAX_TARGET_LATENCY_MS = 600_000
@@ -78,6 +88,7 @@
         self._services = dict(previous.services)
         self._routes = dict(previous.routes)
         self._overrides = dict(previous.overrides)
+        self._workspaces = WorkspaceTableBuilder(previous.workspaces)
         self._checked = dict(previous.checked_sections)
         self._added: list[str] = []
         self._services_removed = False
@@ -130,6 +141,7 @@
             sections={name: self._checked[name].pairs for name in sections},
             checked_sections=self._checked,
             overrides_by_scope=_group_by_scope(self._overrides.values()),
+            workspaces=self._workspaces.build(),
         )
 
     def _remove_section(self, section: str) -> None:
@@ -142,6 +154,8 @@
             del self._routes[_route_match(checked.value)]
         elif isinstance(checked.value, Override):
             del self._overrides[checked.value.name]
+        elif isinstance(checked.value, Workspace):
+            self._workspaces.remove(checked.value)
         else:
             self._defaults = Policy()
 
@@ -160,12 +174,14 @@
             self._add_route(section, value)
         elif isinstance(value, Override):
             self._overrides[value.name] = value
+        elif isinstance(value, Workspace):
+            self._note_problems(section, self._workspaces.add(value))
         else:
             self._defaults = Policy()._replace(**value)
 
     def _parse_section(
         self, section: str, pairs: dict[str, str]
-    ) -> Service | Route | Override | dict[str, int] | None:
+    ) -> Service | Route | Override | Workspace | dict[str, int] | None:
         kind, _, name = section.partition(" ")
         name = name.strip()
         if section == "defaults":
@@ -176,10 +192,15 @@
             return self._parse_route(section, name, pairs)
         if kind == "exception" and name:
             return self._parse_override(section, name, pairs)
+        if kind == "workspace" and name:
+            workspace, problems = parse_workspace(name, pairs)
+            self._note_problems(section, problems)
+            return workspace
         self._add_problem(
             section,
             "",
-            "unknown section; use defaults, service NAME, route NAME or exception NAME",
+            "unknown section; use defaults, service NAME, route NAME, "
+            "workspace NAME or exception NAME",
         )
         return None
 
@@ -216,12 +237,15 @@
         path = pairs.get("path", "")
         if not path.startswith("/"):
             self._add_problem(section, "path", "give a path that begins with /")
-        split = self._parse_split(section, pairs.get("split", ""))
+        split, problems = parse_split(pairs.get("split", ""))
+        self._note_problems(section, problems)
         if not pairs.get("service") and not split:
             self._add_problem(section, "service", "give the service's name")
         kind = pairs.get("kind", "")
         if kind and kind not in _ROUTE_KINDS:
             self._add_problem(section, "kind", f"give one of {', '.join(_ROUTE_KINDS)}")
+        public, problems = parse_flag("public", pairs.get("public", "false"))
+        self._note_problems(section, problems)
         return Route(
             name=name,
             path=path,
@@ -241,27 +265,9 @@
                 0,
                 _MAX_TARGET_LATENCY_MS,
             ),
+            public=public,
         )
 
-    def _parse_split(self, section: str, text: str) -> tuple[SplitPart, ...]:
-        """Parse services with weights, such as ``work:90, work-next:10``."""
-        parts = []
-        for item in text.split(",") if text else ():
-            service, _, weight = item.strip().rpartition(":")
-            try:
-                part = SplitPart(service, float(weight))
-            except ValueError:
-                part = SplitPart("", 0.0)
-            if not part.service or not 0 <= part.weight < float("inf"):
-                self._add_problem(
-                    section, "split", "give SERVICE:WEIGHT, SERVICE:WEIGHT"
-                )
-                return ()
-            parts.append(part)
-        if parts and not any(part.weight for part in parts):
-            self._add_problem(section, "split", "give at least one weight above 0")
-        return tuple(parts)
-
     def _parse_override(
         self, section: str, name: str, pairs: dict[str, str]
     ) -> Override | None:
@@ -284,7 +290,8 @@
         value = self._parse_integer(
             section, "value", pairs.get("value", ""), *_POLICY_BOUNDS[setting]
         )
-        expires = self._parse_time(section, "expires", pairs.get("expires"))
+        expires, problems = parse_time("expires", pairs.get("expires"))
+        self._note_problems(section, problems)
         return Override(name, kind, target, setting, value, reason, expires)
 
     def _parse_policy(self, section: str, pairs: dict[str, str]) -> dict[str, int]:
@@ -309,21 +316,8 @@
         )
         return low
 
-    def _parse_time(self, section: str, key: str, text: str | None) -> datetime | None:
-        if text is None:
-            return None
-        try:
-            parsed = datetime.fromisoformat(text)
-        except ValueError:
-            parsed = None
-        if parsed is None or parsed.tzinfo is None:
-            self._add_problem(
-                section,
-                key,
-                "give a time with a UTC offset, such as 2026-12-31T18:00:00Z",
-            )
-            return None
-        return parsed
+    def _note_problems(self, section: str, problems: list[KeyProblem]) -> None:
+        self.problems += [Problem(section, *problem) for problem in problems]
 
     def _add_problem(self, section: str, key: str, message: str) -> None:
         self.problems.append(Problem(section, key, message))
