--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -19,6 +19,7 @@
     CallStream,
 )
 from burdockdock.gate.results import ResultTracker
+from burdockdock.gate.work_tracker import WorkTracker
 from burdockdock.logs import log_event
 from burdockdock.metrics import Metrics
 from burdockdock.protocol.calls import CallRequest, GateResults
@@ -68,8 +69,12 @@
         self._limiter = SlotLimiter(slots=DEFAULT_SLOTS, clock=clock)
         self._dedupe = DedupeTable(clock=clock)
         self._durations = DurationEstimator()
+        self._work = WorkTracker(clock=clock)
         self._results = ResultTracker(
-            durations=self._durations, metrics=metrics, observe=observe
+            durations=self._durations,
+            work=self._work,
+            metrics=metrics,
+            observe=observe,
         )
         self._backend_calls = BackendCalls(
             clock=clock,
@@ -175,17 +180,21 @@
         if refusal is not None:
             self._send_refusal(request, refusal, stream)
             return
+        number = self._work.add(request)
         try:
             refusal = await self._acquire_slot(request, deadline_s)
         except asyncio.CancelledError:
+            self._work.end(number)
             # Bar the id rather than release it, so that "not run" stays true.
             self._dedupe.finish(request.request_id, Verdict.NOT_RUN)
             self._send_refusal(request, Failure(Verdict.NOT_RUN, "withdrawn"), stream)
             raise
         if refusal is not None:
+            self._work.end(number)
             self._dedupe.release(request.request_id)
             self._send_refusal(request, refusal, stream)
             return
+        self._work.start(number)
         try:
             # The backend server may have started to leave while the call was queued.
             refusal = self._backend_refusal(request)
@@ -201,6 +210,7 @@
                 on_end=functools.partial(self._finish_request_id, request),
             )
         finally:
+            self._work.end(number)
             self._limiter.release(request.workspace)
 
     async def _acquire_slot(
--- a/burdockdock/gate/results.py
+++ b/burdockdock/gate/results.py
@@ -4,6 +4,7 @@
 
 from burdockdock.coordination.duration_estimator import DurationEstimator
 from burdockdock.gate.model import CallResult
+from burdockdock.gate.work_tracker import WorkTracker
 from burdockdock.metrics import Metrics
 from burdockdock.protocol.calls import CallRequest, GateResults
 
@@ -17,6 +18,7 @@
     """Tracks the duration and success of calls to the backend server.
 
     :param durations: estimator that gets the durations of successful calls.
+    :param work: learns the costs of successful calls.
     :param observe: called with each result.
     """
 
@@ -24,17 +26,21 @@
         self,
         *,
         durations: DurationEstimator,
+        work: WorkTracker,
         metrics: Metrics,
         observe: Callable[[CallResult], None],
     ) -> None:
         self._durations = durations
+        self._work = work
         self._metrics = metrics
         self._observe = observe
         self._failed_share = 0.0
 
     def for_route(self, route: str) -> GateResults:
-        """Return the mean duration of a route and the share of failed calls."""
-        return GateResults(self._durations.mean_s(route), self._failed_share)
+        """Return the mean duration of a route, and the gate's failures and work."""
+        return GateResults(
+            self._durations.mean_s(route), self._failed_share, self._work.remaining_s()
+        )
 
     def record(
         self, request: CallRequest, duration_s: float, *, status: int, complete: bool
@@ -54,6 +60,7 @@
         )
         if not failed and not shed:
             self._durations.record(request.route, duration_s)
+            self._work.record(request, duration_s)
         self._metrics.record_latency(
             "backend",
             duration_s,
--- a/burdockdock/protocol/calls.py
+++ b/burdockdock/protocol/calls.py
@@ -5,6 +5,8 @@
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.protocol.codec import Message, frame
 
+# Largest value of the message's field.
+_MAX_REMAINING_US = 2**32 - 1
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -14,10 +16,13 @@
     :param service_s: mean duration in seconds of calls of the same route, 0 if
         unknown.
     :param failed_share: share of the gate's latest calls that failed, from 0 to 1.
+    :param remaining_s: expected seconds of a slot that the calls running and queued at
+        the gate still need, 0 if unknown.
     """
 
     service_s: float = 0.0
     failed_share: float = 0.0
+    remaining_s: float = 0.0
 
 
 class CallRequest(NamedTuple):
@@ -193,11 +198,16 @@
     return {
         "serviceUs": int(results.service_s * 1_000_000),
         "failedPermille": int(results.failed_share * 1000),
+        "remainingUs": min(int(results.remaining_s * 1_000_000), _MAX_REMAINING_US),
     }
 
 
 def _unpack_results(packed: Message) -> GateResults:
-    return GateResults(packed.serviceUs / 1_000_000, packed.failedPermille / 1000)
+    return GateResults(
+        packed.serviceUs / 1_000_000,
+        packed.failedPermille / 1000,
+        packed.remainingUs / 1_000_000,
+    )
 
 
 def _pack_headers(headers: Headers) -> str:
--- a/burdockdock/protocol/messages.capnp
+++ b/burdockdock/protocol/messages.capnp
@@ -90,6 +90,7 @@
   load @6 :UInt32;
   serviceUs @7 :UInt32;
   failedPermille @8 :UInt16;
+  remainingUs @9 :UInt32;
 }
 
 struct CallFailed {
@@ -100,6 +101,7 @@
   load @4 :UInt32;
   serviceUs @5 :UInt32;
   failedPermille @6 :UInt16;
+  remainingUs @7 :UInt32;
 }
 
 struct OutcomeQuery {
--- a/burdockdock/proxy/balancer.py
+++ b/burdockdock/proxy/balancer.py
@@ -233,7 +233,7 @@
         This is the larger of this node's own attempts there and a recent report.
         """
         calls = self._in_flight.get(node_id, 0)
-        if report is None or now_s - report.received_at_s >= _REPORTED_LOAD_MAX_AGE_S:
+        if not _is_recent(report, now_s):
             return calls
         return max(calls, report.calls)
 
@@ -249,9 +249,14 @@
         results = report.results if report is not None else _NO_RESULTS
         slots = max(1, member.slots)
         utilization = self._known_calls(member.node_id, report, now_s) / slots
-        waiting = max(0.0, utilization + 1 / slots - 1.0)
-        duration_s = results.service_s or mean_service_s
-        duration_s *= 1.0 + waiting + _FULL_LOAD_SLOWDOWN * min(1.0, utilization)
+        service_s = results.service_s or mean_service_s
+        wait_s = max(0.0, utilization + 1 / slots - 1.0) * service_s
+        if wait_s and results.remaining_s and _is_recent(report, now_s):
+            new_calls = self._in_flight.get(member.node_id, 0) - report.in_flight
+            work_s = results.remaining_s + new_calls * service_s
+            wait_s = max(0.0, work_s) / slots
+        duration_s = service_s * (1.0 + _FULL_LOAD_SLOWDOWN * min(1.0, utilization))
+        duration_s += wait_s
         duration_s *= 1.0 + _FAILURE_PENALTY * results.failed_share
         duration_s += self._distance_penalty_s(member, penalties)
         return duration_s * (1.0 + JITTER_SHARE * (2.0 * self._rng.random() - 1.0))
@@ -279,11 +284,11 @@
             slots = member.slots or 1
             own_calls = in_flight.get(node_id, 0)
             calls = utilization * slots
-            service_s, failed_share = mean_service_s, 0.0
+            service_s, failed_share, weight = mean_service_s, 0.0, 0.0
             report = reports.get(node_id)
             if report is not None:
                 reported_calls, results, at_s, own_then = report
-                service_s, failed_share = results
+                service_s, failed_share, remaining_s = results
                 service_s = service_s or mean_service_s
                 weight = 1.0 - (now_s - at_s) / _REPORTED_LOAD_MAX_AGE_S
                 if weight > 0.0:
@@ -292,6 +297,9 @@
                 calls = own_calls
             waiting = calls + 1.0 - slots
             wait_s = service_s * waiting / slots if waiting > 0.0 else 0.0
+            if wait_s and weight > 0.0 and remaining_s:
+                work_s = remaining_s + (own_calls - own_then) * service_s
+                wait_s += weight * (max(0.0, work_s) / slots - wait_s)
             busy = calls / slots if calls < slots else 1.0
             penalty_s = service_s * _FULL_LOAD_SLOWDOWN * busy
             if node_id != own_id:
@@ -325,3 +333,9 @@
         if member.region == self._locality.region:
             return penalties.same_region_s
         return penalties.other_region_s
+
+
+def _is_recent(report: _GateReport | None, now_s: float) -> bool:
+    return (
+        report is not None and now_s - report.received_at_s < _REPORTED_LOAD_MAX_AGE_S
+    )
--- a/tests/gate/test_gate.py
+++ b/tests/gate/test_gate.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from burdockdock.clock import ManualClock
+from burdockdock.clock import ManualClock, SystemClock
 from burdockdock.coordination.shutdown import ShutdownLimit
 from burdockdock.coordination.verdict import KEY_REVOKED, Failure, Verdict
 from burdockdock.gate.gate import Gate
@@ -211,3 +211,32 @@
         self.assertEqual((1, None), (gate._limiter.queued, streams[1].failure))
         runs[1].cancel()
         await asyncio.wait([runs[1]])
+
+
+class RemainingWorkTest(testtools.TestCase):
+    """Tests of the remaining work that a gate reports."""
+
+    @async_test
+    async def test_refused_calls_leave_no_work(self) -> None:
+        # Guards against a gate that looks busy for good after refusals.
+        gate = Gate(clock=SystemClock(), metrics=Metrics())
+        gate.announce(BackendServer("work", "1", "127.0.0.1", 1, 1))
+        gate._work.record(_REQUEST, 0.01)
+        gate._limiter._occupy_slot("t")
+        stream = _RecordingStream()
+        await gate.run(_REQUEST._replace(queue_length=0), stream)
+        self.assertEqual("queue_full", stream.failure.reason)
+        self.assertEqual(0.0, gate.results("r").remaining_s)
+
+    @async_test
+    async def test_queued_call_counts_until_it_is_withdrawn(self) -> None:
+        gate = Gate(clock=SystemClock(), metrics=Metrics())
+        gate.announce(BackendServer("work", "1", "127.0.0.1", 1, 1))
+        gate._work.record(_REQUEST, 0.01)
+        gate._limiter._occupy_slot("t")
+        run = asyncio.create_task(gate.run(_REQUEST, _RecordingStream()))
+        await eventually(lambda: gate.load == 2)
+        self.assertAlmostEqual(0.01, gate.results("r").remaining_s)
+        run.cancel()
+        await asyncio.wait([run])
+        self.assertEqual(0.0, gate.results("r").remaining_s)
--- a/tests/proxy/test_zone_placement.py
+++ b/tests/proxy/test_zone_placement.py
@@ -218,3 +218,56 @@
         load = Load(0.7, servers=(0, 12, 12), demands=(1.0, 1.0, 1.0), duration_s=4.0)
         _, after = self._replay(load)
         self.assertGreater(after.in_time, 0.99)
+
+
+class RemainingWorkTest(testtools.TestCase):
+    """Replays heavy-tailed loads with reports of remaining work and of calls only."""
+
+    def _replay(self, load: Load) -> tuple[Figures, Figures]:
+        """Return the figures by numbers of calls and by remaining work."""
+        by_calls = Replay(load, zone_cost=_COST, reports_work=False).run()
+        return by_calls, Replay(load, zone_cost=_COST).run()
+
+    def test_calls_avoid_servers_with_long_requests(self) -> None:
+        # One call of 25 costs seven times as much as the others of its route.
+        load = Load(0.85, heavy_share=0.04, duration_s=12.0)
+        by_calls, by_work = self._replay(load)
+        self.assertGreater(by_work.in_time, by_calls.in_time)
+        self.assertLess(by_work.crossing, by_calls.crossing)
+
+    def test_uneven_demand_at_capacity(self) -> None:
+        by_calls, by_work = self._replay(Load(1.0, duration_s=12.0))
+        self.assertGreater(by_work.in_time, by_calls.in_time)
+        self.assertLess(by_work.p50_s, by_calls.p50_s)
+
+    def test_report_of_work_decides_between_equal_numbers_of_calls(self) -> None:
+        balancer = Balancer(
+            node_id="caller",
+            availability_zone="z0",
+            region="r",
+            clock=ManualClock(),
+            rng=random.Random(1),
+        )
+        members = [_member("long"), _member("short")]
+        balancer.record_gate_state("long", 4, GateResults(0.2, 0.0, 2.4))
+        balancer.record_gate_state("short", 4, GateResults(0.2, 0.0, 0.5))
+        for _ in range(20):
+            choice = balancer.pick_by_zone(members, terms=_TERMS)
+            self.assertEqual("short", choice.candidate.member.node_id)
+            self.assertEqual("short", balancer.pick(members).node_id)
+
+    def test_own_calls_since_the_report_are_added(self) -> None:
+        balancer = Balancer(
+            node_id="caller",
+            availability_zone="z0",
+            region="r",
+            clock=ManualClock(),
+            rng=random.Random(1),
+        )
+        members = [_member("a"), _member("b")]
+        for member in members:
+            balancer.record_gate_state(member.node_id, 3, GateResults(0.2, 0.0, 0.4))
+        for _ in range(2):
+            balancer.started("a")
+        choice = balancer.pick_by_zone(members, terms=_TERMS)
+        self.assertEqual("b", choice.candidate.member.node_id)
--- a/tests/proxy/zone_replay.py
+++ b/tests/proxy/zone_replay.py
@@ -12,7 +12,9 @@
 from typing import NamedTuple
 
 from burdockdock.clock import ManualClock
+from burdockdock.coordination.cost_estimator import CostEstimator, RequestKind
 from burdockdock.coordination.membership import Member
+from burdockdock.coordination.remaining_work import RemainingWork
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.metrics import Metrics
 from burdockdock.protocol.calls import CallRequest, GateResults
@@ -77,6 +79,7 @@
 
     done: Callable[[Failure | None], None]
     service_s: float
+    kind: RequestKind
     deadline_s: float
     target_s: float
 
@@ -91,6 +94,14 @@
         self.learned_s = mean_s
         self.running = 0
         self.queue: deque[_Try] = deque()
+        self.costs = CostEstimator(clock=replay.clock)
+        self.work = RemainingWork(clock=replay.clock)
+        self.numbers: dict[_Try, int] = {}
+
+    def results(self) -> GateResults:
+        """Return what the gate reports."""
+        remaining_s = self.work.total_s() if self.replay.reports_work else 0.0
+        return GateResults(self.learned_s, 0.0, remaining_s)
 
     @property
     def load(self) -> int:
@@ -101,6 +112,7 @@
         """Run, queue or refuse an attempt."""
         now_s = self.replay.clock.monotonic()
         if self.running < _SLOTS:
+            self._add(attempt)
             self._start(attempt)
             return
         if not may_wait or len(self.queue) >= _QUEUE_LENGTH:
@@ -110,16 +122,24 @@
         if now_s + wait_s + 1.2 * self.learned_s > attempt.deadline_s:
             attempt.done(Failure(Verdict.NOT_RUN, "too_little_time"))
             return
+        self._add(attempt)
         self.queue.append(attempt)
 
+    def _add(self, attempt: _Try) -> None:
+        cost_s = self.costs.estimate_s(attempt.kind)
+        self.numbers[attempt] = self.work.add(cost_s)
+
     def _start(self, attempt: _Try) -> None:
         self.running += 1
+        self.work.start(self.numbers[attempt])
         service_s = attempt.service_s * self.mean_s
         self.replay.after(service_s, lambda: self._end(attempt, service_s))
 
     def _end(self, attempt: _Try, service_s: float) -> None:
         self.learned_s += _SMOOTHING_FACTOR * (service_s - self.learned_s)
+        self.costs.record(attempt.kind, service_s)
         attempt.done(None)
+        self.work.end(self.numbers.pop(attempt))
         self.running -= 1
         now_s = self.replay.clock.monotonic()
         while self.queue and self.running < _SLOTS:
@@ -127,6 +147,7 @@
             chosen = on_target[0] if on_target else self.queue[0]
             self.queue.remove(chosen)
             if now_s + 1.2 * self.learned_s > chosen.deadline_s:
+                self.work.end(self.numbers.pop(chosen))
                 chosen.done(Failure(Verdict.NOT_RUN, "queue_timeout"))
                 continue
             self._start(chosen)
@@ -163,10 +184,14 @@
 class _RunningCall:
     """A call with its attempts."""
 
-    def __init__(self, replay: "Replay", node: _Node, service_s: float) -> None:
+    def __init__(
+        self, replay: "Replay", node: _Node, service_s: float, *, is_heavy: bool
+    ) -> None:
         self.replay = replay
         self.node = node
         self.service_s = service_s
+        workspace = "heavy" if is_heavy else "light"
+        self.kind = RequestKind(_ROUTE, "GET", 0, workspace)
         self.started_s = replay.clock.monotonic()
         request = CallRequest("id", "w", "c", _ROUTE, _SERVICE, 0, True, "GET", "/", ())
         self.call = Call(
@@ -193,7 +218,7 @@
         self.replay.crossing_attempts += leaves
 
         def on_done(failure: Failure | None) -> None:
-            load, results = gate.load, GateResults(gate.learned_s)
+            load, results = gate.load, gate.results()
             self.replay.after(hop_s, lambda: on_result(failure, load, results))
 
         def on_result(failure: Failure | None, load: int, results: GateResults) -> None:
@@ -207,7 +232,11 @@
             self._after(failure, node_id, crossed=crossed, leaves=leaves)
 
         attempt = _Try(
-            on_done, self.service_s, self.call.deadline_s, self.call.target_s
+            on_done,
+            self.service_s,
+            self.kind,
+            self.call.deadline_s,
+            self.call.target_s,
         )
         self.replay.after(hop_s, lambda: gate.arrive(attempt, may_wait=may_wait))
 
@@ -228,10 +257,21 @@
 
 
 class Replay:
-    """A replay of one load."""
+    """A replay of one load.
 
-    def __init__(self, load: Load, *, zone_cost: float, seed: int = 1) -> None:
+    :param reports_work: whether gates report their remaining work.
+    """
+
+    def __init__(
+        self,
+        load: Load,
+        *,
+        zone_cost: float,
+        seed: int = 1,
+        reports_work: bool = True,
+    ) -> None:
         self.load = load
+        self.reports_work = reports_work
         self.clock = ManualClock()
         self._rng = random.Random(seed)
         self._events: list[tuple[float, int, Callable[[], None]]] = []
@@ -276,9 +316,10 @@
                 return
             node = self._rng.choice(self.nodes[zone])
             service_s = self._rng.uniform(0.6, 1.4)
-            if self._rng.random() < self.load.heavy_share:
+            is_heavy = self._rng.random() < self.load.heavy_share
+            if is_heavy:
                 service_s *= 7.0
-            _RunningCall(self, node, service_s).attempt()
+            _RunningCall(self, node, service_s, is_heavy=is_heavy).attempt()
             self._schedule_call(zone, rate)
 
         self.after(self._rng.expovariate(rate), arrive)
