--- a/burdockdock/coordination/cost_estimator.py
+++ b/burdockdock/coordination/cost_estimator.py
@@ -13,6 +13,8 @@
 # A more specific mean with this weight counts as much as the more general one.
 _PRIOR_WEIGHT = 5.0
 _HALF_LIFE_S = 300.0
+# Spares the power for kinds with many requests.
+_NEGLIGIBLE_AGE_S = 1.0
 _MAX_KINDS = 8192
 _MIN_SIZE_BITS = 10
 
@@ -100,4 +102,7 @@
 
 
 def _faded_weight(mean: _Mean, now_s: float) -> float:
-    return mean.weight * 0.5 ** ((now_s - mean.updated_at_s) / _HALF_LIFE_S)
+    age_s = now_s - mean.updated_at_s
+    if age_s < _NEGLIGIBLE_AGE_S:
+        return mean.weight
+    return mean.weight * 0.5 ** (age_s / _HALF_LIFE_S)
--- a/burdockdock/coordination/limiter.py
+++ b/burdockdock/coordination/limiter.py
@@ -1,6 +1,7 @@
 """Admission control with a limited number of slots and a short priority queue."""
 
 import asyncio
+import functools
 import itertools
 from collections.abc import Callable
 from typing import NamedTuple
@@ -24,6 +25,8 @@
     :param future: resolves to None when a slot is granted, otherwise to the refusal.
     :param target_s: latest start that meets the target latency, in monotonic seconds.
     :param recheck: returns why the request must not start any more, None if it may.
+    :param yields_until_s: until when others of its priority go first, in monotonic
+        seconds.
     """
 
     priority: int
@@ -34,13 +37,15 @@
     future: "asyncio.Future[Failure | None]"
     target_s: float
     recheck: Callable[[], Failure | None]
+    yields_until_s: float
 
 
 class SlotLimiter:
     """Grants a limited number of slots to queued requests.
 
     Requests that can still meet their target are served first, then the order is by
-    priority, workspace load and deadline.
+    priority, workspace load and deadline; long requests let others of their priority go
+    first for a while.
 
     The workspace with the empty name stands for all requests that have none, such as
     those on public routes. As they come from many callers, it isn't held to the share
@@ -102,6 +107,7 @@
         queue_length: int = 32,
         target_s: float = float("inf"),
         recheck: Callable[[], Failure | None] = lambda: None,
+        yields_until_s: float = float("-inf"),
     ) -> Failure | None:
         """Wait for a slot until the deadline.
 
@@ -116,6 +122,8 @@
             seconds.
         :param recheck: returns why the request must not start any more, None if it may;
             called by :meth:`recheck_queue`.
+        :param yields_until_s: until when others of the same priority go first, in
+            monotonic seconds.
         :returns: None once a slot is held, otherwise the refusal.
         """
         if self._in_use < self._slots and not self._waiters:
@@ -126,7 +134,9 @@
         refusal = self._make_queue_room(workspace, queue_length)
         if refusal is not None:
             return refusal
-        return await self._wait(workspace, deadline_s, priority, target_s, recheck)
+        return await self._wait(
+            workspace, deadline_s, priority, target_s, recheck, yields_until_s
+        )
 
     def release(self, workspace: str) -> None:
         """Release a slot that the workspace holds."""
@@ -195,6 +205,7 @@
         priority: int,
         target_s: float,
         recheck: Callable[[], Failure | None],
+        yields_until_s: float,
     ) -> Failure | None:
         future: asyncio.Future[Failure | None]
         future = asyncio.get_running_loop().create_future()
@@ -207,6 +218,7 @@
             future,
             target_s,
             recheck,
+            yields_until_s,
         )
         self._waiters.append(waiter)
         self._workspace_waiting[workspace] = (
@@ -244,7 +256,7 @@
     def _grant_slots(self) -> None:
         while self._waiters and self._in_use < self._slots:
             now_s = self._clock.monotonic()
-            waiter = min(self._waiters, key=lambda w: (w.target_s < now_s, w))
+            waiter = min(self._waiters, key=functools.partial(_order, now_s))
             self._remove_waiter(waiter)
             if waiter.future.done():
                 continue
@@ -274,5 +286,10 @@
             self._workspace_waiting.pop(workspace, None)
 
 
+def _order(now_s: float, waiter: _Waiter) -> tuple[bool, int, bool, _Waiter]:
+    yields = now_s < waiter.yields_until_s
+    return waiter.target_s < now_s, waiter.priority, yields, waiter
+
+
 def _was_granted(future: "asyncio.Future[Failure | None]") -> bool:
     return future.done() and not future.cancelled() and future.result() is None
--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -19,7 +19,12 @@
     CallStream,
 )
 from burdockdock.gate.results import ResultTracker
-from burdockdock.gate.work_tracker import WorkTracker
+from burdockdock.gate.work_tracker import (
+    ExpectedWork,
+    WorkTracker,
+    leaves_last_slot,
+    yields_until_s,
+)
 from burdockdock.logs import log_event
 from burdockdock.metrics import Metrics
 from burdockdock.protocol.calls import CallRequest, GateResults
@@ -180,21 +185,21 @@
         if refusal is not None:
             self._send_refusal(request, refusal, stream)
             return
-        number = self._work.add(request)
+        work = self._work.add(request)
         try:
-            refusal = await self._acquire_slot(request, deadline_s)
+            refusal = await self._acquire_slot(request, deadline_s, work)
         except asyncio.CancelledError:
-            self._work.end(number)
+            self._work.end(work)
             # Bar the id rather than release it, so that "not run" stays true.
             self._dedupe.finish(request.request_id, Verdict.NOT_RUN)
             self._send_refusal(request, Failure(Verdict.NOT_RUN, "withdrawn"), stream)
             raise
         if refusal is not None:
-            self._work.end(number)
+            self._work.end(work)
             self._dedupe.release(request.request_id)
             self._send_refusal(request, refusal, stream)
             return
-        self._work.start(number)
+        self._work.start(work)
         try:
             # The backend server may have started to leave while the call was queued.
             refusal = self._backend_refusal(request)
@@ -210,11 +215,11 @@
                 on_end=functools.partial(self._finish_request_id, request),
             )
         finally:
-            self._work.end(number)
+            self._work.end(work)
             self._limiter.release(request.workspace)
 
     async def _acquire_slot(
-        self, request: CallRequest, deadline_s: float
+        self, request: CallRequest, deadline_s: float, work: ExpectedWork
     ) -> Failure | None:
         """Wait for a slot, but no longer than the call could still finish in time."""
         needed_s = max(
@@ -229,12 +234,20 @@
             return Failure(
                 Verdict.NOT_RUN, "too_little_time", f"expected wait {wait_s:.3f} s"
             )
-        refusal = await self._limiter.acquire(
+        limiter = self._limiter
+        if not request.queue_length and leaves_last_slot(
+            work, in_use=limiter.in_use, slots=limiter.slots
+        ):
+            return Failure(Verdict.NOT_RUN, "queue_full")
+        refusal = await limiter.acquire(
             workspace=request.workspace,
             deadline_s=latest_start_s,
             priority=request.priority,
             queue_length=request.queue_length,
             target_s=self._latest_start_for_target_s(request, now_s),
+            yields_until_s=yields_until_s(
+                work, now_s=now_s, latest_start_s=latest_start_s
+            ),
             recheck=functools.partial(self._key_refusal, request),
         )
         if refusal is not None and refusal.reason == "queue_timeout":
--- a/burdockdock/gate/work_tracker.py
+++ b/burdockdock/gate/work_tracker.py
@@ -1,5 +1,7 @@
 """The work that a gate has to do, by what its requests are expected to cost."""
 
+from typing import NamedTuple
+
 from burdockdock.clock import Clock
 from burdockdock.coordination.cost_estimator import (
     CostEstimator,
@@ -9,6 +11,26 @@
 from burdockdock.coordination.remaining_work import RemainingWork
 from burdockdock.protocol.calls import CallRequest
 
+# A request is long if it is expected to cost this many times the mean.
+_LONG_FACTOR = 3.0
+_MEAN_SMOOTHING_FACTOR = 0.05
+# Share of the time until its latest start for which a long request lets others of its
+# priority go first.
+_YIELDING_SHARE = 0.5
+# With fewer slots, a long request may take the last one as well.
+_MIN_SLOTS_TO_RESERVE = 3
+
+
+class ExpectedWork(NamedTuple):
+    """What a request is expected to cost.
+
+    :param number: its number at the tracker.
+    :param is_long: whether that is several times the mean of the gate's requests.
+    """
+
+    number: int
+    is_long: bool
+
 
 class WorkTracker:
     """Learns what requests cost, and sums up what is left of those at the gate."""
@@ -16,22 +38,27 @@
     def __init__(self, *, clock: Clock) -> None:
         self._costs = CostEstimator(clock=clock)
         self._remaining = RemainingWork(clock=clock)
+        self._mean_s = 0.0
 
-    def add(self, request: CallRequest) -> int:
-        """Add a request that waits for a slot, and return its number."""
-        return self._remaining.add(self._costs.estimate_s(_kind(request)))
+    def add(self, request: CallRequest) -> ExpectedWork:
+        """Add a request that waits for a slot."""
+        cost_s = self._costs.estimate_s(_kind(request))
+        is_long = cost_s > self._mean_s * _LONG_FACTOR > 0.0
+        return ExpectedWork(self._remaining.add(cost_s), is_long)
 
-    def start(self, number: int) -> None:
+    def start(self, work: ExpectedWork) -> None:
         """Note that a request got its slot."""
-        self._remaining.start(number)
+        self._remaining.start(work.number)
 
-    def end(self, number: int) -> None:
+    def end(self, work: ExpectedWork) -> None:
         """Remove a request that ended, or that was refused."""
-        self._remaining.end(number)
+        self._remaining.end(work.number)
 
     def record(self, request: CallRequest, duration_s: float) -> None:
         """Learn from a request that succeeded."""
         self._costs.record(_kind(request), duration_s)
+        weight = _MEAN_SMOOTHING_FACTOR if self._mean_s else 1.0
+        self._mean_s += weight * (duration_s - self._mean_s)
 
     def remaining_s(self) -> float:
         """Return the expected seconds of a slot that all requests still need.
@@ -41,6 +68,28 @@
         return self._remaining.total_s()
 
 
+def leaves_last_slot(work: ExpectedWork, *, in_use: int, slots: int) -> bool:
+    """Return whether a request that asks for a free slot should look elsewhere.
+
+    Load pattern: one request of 25 costs seven times as much as the others, at 0.7 to
+    0.95 of the capacity. Two long ones beside each other hold up the short ones behind
+    them while other gates have more room, so a long one leaves the last free slot. It
+    may still queue here, which gets it that slot if no gate has two.
+    """
+    return work.is_long and slots >= _MIN_SLOTS_TO_RESERVE and in_use == slots - 1
+
+
+def yields_until_s(work: ExpectedWork, *, now_s: float, latest_start_s: float) -> float:
+    """Return until when a queued request lets shorter ones of its priority go first.
+
+    Load pattern: as above, with a queue at the gate. The bound keeps a long request
+    from waiting for as long as there are short ones.
+    """
+    if not work.is_long:
+        return now_s
+    return now_s + _YIELDING_SHARE * (latest_start_s - now_s)
+
+
 def _kind(request: CallRequest) -> RequestKind:
     return RequestKind(
         request.route,
--- a/tests/gate/test_gate.py
+++ b/tests/gate/test_gate.py
@@ -15,6 +15,7 @@
 
 _REQUEST = CallRequest("id-1", "t", "c", "r", "work", 1000, True, "GET", "/", ())
 
+_LONG = _REQUEST._replace(method="PUT")
 _REVOKED = Failure(Verdict.NOT_RUN, KEY_REVOKED)
 
 
@@ -240,3 +241,52 @@
         run.cancel()
         await asyncio.wait([run])
         self.assertEqual(0.0, gate.results("r").remaining_s)
+
+
+class LongRequestsTest(testtools.TestCase):
+    """Tests of requests that cost several times as much as the mean."""
+
+    def _gate(self, *, slots: int) -> Gate:
+        gate = Gate(clock=SystemClock(), metrics=Metrics())
+        gate.announce(BackendServer("work", "1", "127.0.0.1", 1, slots))
+        for _ in range(30):
+            gate._work.record(_REQUEST, 0.001)
+        for _ in range(30):
+            gate._work.record(_LONG, 0.02)
+            for _ in range(20):
+                gate._work.record(_REQUEST, 0.001)
+        return gate
+
+    async def _reason(self, gate: Gate, request: CallRequest) -> str:
+        stream = _RecordingStream()
+        await gate.run(request, stream)
+        return stream.failure.reason
+
+    @async_test
+    async def test_long_request_that_only_asks_leaves_the_last_slot(self) -> None:
+        gate = self._gate(slots=3)
+        asks = _LONG._replace(queue_length=0)
+        for reason in ("no_connection", "no_connection", "queue_full"):
+            gate._backend_calls.run = _fail_without_connection
+            self.assertEqual(reason, await self._reason(gate, asks))
+            gate._limiter._occupy_slot("t")
+        gate._limiter.release("t")
+        for request in (_REQUEST._replace(queue_length=0), _LONG):
+            self.assertEqual("no_connection", await self._reason(gate, request))
+
+    @async_test
+    async def test_servers_with_few_slots_run_long_requests(self) -> None:
+        # Guards against a long request that no gate runs though its slot is free.
+        for slots in (1, 2):
+            gate = self._gate(slots=slots)
+            for _ in range(slots - 1):
+                gate._limiter._occupy_slot("t")
+            gate._backend_calls.run = _fail_without_connection
+            asks = _LONG._replace(queue_length=0)
+            self.assertEqual("no_connection", await self._reason(gate, asks))
+
+
+async def _fail_without_connection(
+    request: CallRequest, backend: object, stream: _RecordingStream, **_: object
+) -> None:
+    stream.fail(Failure(Verdict.NOT_RUN, "no_connection"))
--- a/tests/proxy/test_zone_placement.py
+++ b/tests/proxy/test_zone_placement.py
@@ -271,3 +271,18 @@
             balancer.started("a")
         choice = balancer.pick_by_zone(members, terms=_TERMS)
         self.assertEqual("b", choice.candidate.member.node_id)
+
+
+class LongRequestsTest(testtools.TestCase):
+    """Replays heavy-tailed loads with and without regard to long requests."""
+
+    def test_short_requests_are_blocked_less(self) -> None:
+        load = Load(0.85, heavy_share=0.04, duration_s=12.0, timeout_s=4.0)
+        before, after = (
+            Replay(load, zone_cost=_COST, tells_long=tells_long).run()
+            for tells_long in (False, True)
+        )
+        self.assertLess(after.short_p99_s, before.short_p99_s * 0.9)
+        self.assertGreater(after.short_in_time, before.short_in_time)
+        # Guards against long requests that starve behind short ones.
+        self.assertLess(after.long_p99_s, load.timeout_s * 0.8)
--- a/tests/proxy/zone_replay.py
+++ b/tests/proxy/zone_replay.py
@@ -7,15 +7,12 @@
 import heapq
 import itertools
 import random
-from collections import deque
 from collections.abc import Callable
 from typing import NamedTuple
 
 from burdockdock.clock import ManualClock
-from burdockdock.coordination.cost_estimator import CostEstimator, RequestKind
 from burdockdock.coordination.membership import Member
-from burdockdock.coordination.remaining_work import RemainingWork
-from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.coordination.verdict import Failure
 from burdockdock.metrics import Metrics
 from burdockdock.protocol.calls import CallRequest, GateResults
 from burdockdock.proxy.attempts import (
@@ -29,16 +26,13 @@
 from burdockdock.proxy.free_slots import FreeSlotOdds
 from burdockdock.proxy.member_choice import MemberChoice, ZoneCost
 from burdockdock.proxy.pool import Locality, Pool
+from tests.proxy.modelled_gate import SLOTS, GateAttempt, ModelledGate
 
-_SLOTS = 3
-_QUEUE_LENGTH = 32
 _NODES_PER_ZONE = 29
-_TIMEOUT_S = 2.0
 _HOP_S = 0.0005
 _CROSSING_HOP_S = 0.001
 _ROUTE = "route"
 _SERVICE = "service"
-_SMOOTHING_FACTOR = 0.1
 
 
 class Load(NamedTuple):
@@ -55,6 +49,7 @@
     demands: tuple[float, ...] = (280.0, 219.0, 199.0)
     duration_s: float = 12.0
     target_s: float = 0.6
+    timeout_s: float = 2.0
     heavy_share: float = 0.0
 
 
@@ -72,85 +67,9 @@
     p99_s: float
     in_time: float
     attempts: float
-
-
-class _Try(NamedTuple):
-    """An attempt at a gate."""
-
-    done: Callable[[Failure | None], None]
-    service_s: float
-    kind: RequestKind
-    deadline_s: float
-    target_s: float
-
-
-class _Gate:
-    """A modelled gate with its backend server."""
-
-    def __init__(self, replay: "Replay", member: Member, mean_s: float) -> None:
-        self.replay = replay
-        self.member = member
-        self.mean_s = mean_s
-        self.learned_s = mean_s
-        self.running = 0
-        self.queue: deque[_Try] = deque()
-        self.costs = CostEstimator(clock=replay.clock)
-        self.work = RemainingWork(clock=replay.clock)
-        self.numbers: dict[_Try, int] = {}
-
-    def results(self) -> GateResults:
-        """Return what the gate reports."""
-        remaining_s = self.work.total_s() if self.replay.reports_work else 0.0
-        return GateResults(self.learned_s, 0.0, remaining_s)
-
-    @property
-    def load(self) -> int:
-        """Calls running and queued."""
-        return self.running + len(self.queue)
-
-    def arrive(self, attempt: _Try, *, may_wait: bool) -> None:
-        """Run, queue or refuse an attempt."""
-        now_s = self.replay.clock.monotonic()
-        if self.running < _SLOTS:
-            self._add(attempt)
-            self._start(attempt)
-            return
-        if not may_wait or len(self.queue) >= _QUEUE_LENGTH:
-            attempt.done(Failure(Verdict.NOT_RUN, "queue_full"))
-            return
-        wait_s = (len(self.queue) + 1) * self.learned_s / _SLOTS
-        if now_s + wait_s + 1.2 * self.learned_s > attempt.deadline_s:
-            attempt.done(Failure(Verdict.NOT_RUN, "too_little_time"))
-            return
-        self._add(attempt)
-        self.queue.append(attempt)
-
-    def _add(self, attempt: _Try) -> None:
-        cost_s = self.costs.estimate_s(attempt.kind)
-        self.numbers[attempt] = self.work.add(cost_s)
-
-    def _start(self, attempt: _Try) -> None:
-        self.running += 1
-        self.work.start(self.numbers[attempt])
-        service_s = attempt.service_s * self.mean_s
-        self.replay.after(service_s, lambda: self._end(attempt, service_s))
-
-    def _end(self, attempt: _Try, service_s: float) -> None:
-        self.learned_s += _SMOOTHING_FACTOR * (service_s - self.learned_s)
-        self.costs.record(attempt.kind, service_s)
-        attempt.done(None)
-        self.work.end(self.numbers.pop(attempt))
-        self.running -= 1
-        now_s = self.replay.clock.monotonic()
-        while self.queue and self.running < _SLOTS:
-            on_target = [a for a in self.queue if a.target_s > now_s + self.learned_s]
-            chosen = on_target[0] if on_target else self.queue[0]
-            self.queue.remove(chosen)
-            if now_s + 1.2 * self.learned_s > chosen.deadline_s:
-                self.work.end(self.numbers.pop(chosen))
-                chosen.done(Failure(Verdict.NOT_RUN, "queue_timeout"))
-                continue
-            self._start(chosen)
+    short_p99_s: float
+    short_in_time: float
+    long_p99_s: float
 
 
 class _Node:
@@ -190,13 +109,15 @@
         self.replay = replay
         self.node = node
         self.service_s = service_s
-        workspace = "heavy" if is_heavy else "light"
-        self.kind = RequestKind(_ROUTE, "GET", 0, workspace)
+        self.is_heavy = is_heavy
         self.started_s = replay.clock.monotonic()
-        request = CallRequest("id", "w", "c", _ROUTE, _SERVICE, 0, True, "GET", "/", ())
+        workspace = "heavy" if is_heavy else "light"
+        request = CallRequest(
+            "id", workspace, "c", _ROUTE, _SERVICE, 0, True, "GET", "/", ()
+        )
         self.call = Call(
             request,
-            self.started_s + _TIMEOUT_S,
+            self.started_s + replay.load.timeout_s,
             1,
             target_s=self.started_s + replay.load.target_s,
         )
@@ -231,10 +152,10 @@
                     self.node.odds.record(_SERVICE, found=failure is None)
             self._after(failure, node_id, crossed=crossed, leaves=leaves)
 
-        attempt = _Try(
+        attempt = GateAttempt(
             on_done,
             self.service_s,
-            self.kind,
+            self.call.request,
             self.call.deadline_s,
             self.call.target_s,
         )
@@ -245,7 +166,7 @@
     ) -> None:
         now_s = self.replay.clock.monotonic()
         if failure is None:
-            self.replay.durations_s.append((self.started_s, now_s - self.started_s))
+            self.replay.durations_s.append((self.is_heavy, now_s - self.started_s))
             self.replay.crossings += leaves
             return
         assert is_refused_by_node(failure)
@@ -260,6 +181,7 @@
     """A replay of one load.
 
     :param reports_work: whether gates report their remaining work.
+    :param tells_long: whether gates treat long requests in their own way.
     """
 
     def __init__(
@@ -269,22 +191,24 @@
         zone_cost: float,
         seed: int = 1,
         reports_work: bool = True,
+        tells_long: bool = True,
     ) -> None:
+        self.tells_long = tells_long
         self.load = load
         self.reports_work = reports_work
         self.clock = ManualClock()
         self._rng = random.Random(seed)
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
-        self.durations_s: list[tuple[float, float]] = []
+        self.durations_s: list[tuple[bool, float]] = []
         self.attempts = self.crossing_attempts = self.crossings = self.failures = 0
-        self.gates: dict[str, _Gate] = {}
+        self.gates: dict[str, ModelledGate] = {}
         zones = range(len(load.servers))
         for zone in zones:
             for i in range(load.servers[zone]):
-                member = _member(zone, i, slots=_SLOTS)
+                member = _member(zone, i, slots=SLOTS)
                 mean_s = 0.1 + 0.15 * (i + 0.5) / load.servers[zone]
-                self.gates[member.node_id] = _Gate(self, member, mean_s)
+                self.gates[member.node_id] = ModelledGate(self, member, mean_s)
         self.nodes = [
             [_Node(self, _member(zone, i), zone_cost) for i in range(_NODES_PER_ZONE)]
             for zone in zones
@@ -298,7 +222,7 @@
     def run(self) -> Figures:
         """Replay the load and return its figures."""
         work_s = 1.0 + 6.0 * self.load.heavy_share
-        capacity = sum(_SLOTS / (g.mean_s * work_s) for g in self.gates.values())
+        capacity = sum(SLOTS / (g.mean_s * work_s) for g in self.gates.values())
         total = sum(self.load.demands)
         for zone, demand in enumerate(self.load.demands):
             rate = capacity * self.load.factor * demand / total
@@ -326,18 +250,26 @@
 
     def _figures(self) -> Figures:
         durations_s = sorted(d for _, d in self.durations_s)
+        short_s = [d for is_heavy, d in self.durations_s if not is_heavy]
         count = len(durations_s) + self.failures
         in_time = sum(d <= self.load.target_s for d in durations_s)
         return Figures(
             self.crossings / count,
             self.crossing_attempts / count,
             durations_s[len(durations_s) // 2],
-            durations_s[int(len(durations_s) * 0.99)],
+            _p99(durations_s),
             in_time / count,
             self.attempts / count,
+            _p99(short_s),
+            sum(d <= self.load.target_s for d in short_s) / len(short_s),
+            _p99([d for is_heavy, d in self.durations_s if is_heavy]),
         )
 
 
+def _p99(durations_s: list[float]) -> float:
+    return sorted(durations_s)[int(len(durations_s) * 0.99)] if durations_s else 0.0
+
+
 def _member(zone: int, i: int, *, slots: int = 0) -> Member:
     return Member(
         f"z{zone}-{i}",
