--- a/tests/platform/test_workspaces.py
+++ b/tests/platform/test_workspaces.py
@@ -170,6 +170,30 @@
         self.assertEqual(401, (await nodes.call("late", Credential=_KEYS[0])).code)
         await nodes.deployment.close()
 
+    @async_test
+    async def test_pipelined_request_does_not_run_behind_one_that_does(self) -> None:
+        _HeldBackend.released, _HeldBackend.arrived = asyncio.Event(), []
+        nodes = _Nodes()
+        await nodes.start(_spec(7, *_KEYS), _HeldBackend)
+        port = nodes.caller_node._settings.callers[1]
+        reader, writer = await streams.open_connection(HOST, port)
+        for request_id in ("first", "second"):
+            writer.write(
+                f"POST /x/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {request_id}\r\n"
+                f"Credential: {_KEYS[0]}\r\nContent-Length: 0\r\n\r\n".encode()
+            )
+        await eventually(lambda: _HeldBackend.arrived)
+        await nodes.apply(_spec(8, _KEYS[1]))
+        _HeldBackend.released.set()
+        answers = b""
+        async with asyncio.timeout(PATIENCE_S):
+            while b"unknown_key" not in answers:
+                answers += await reader.read(65536)
+        self.assertTrue(answers.startswith(b"HTTP/1.1 200 "), answers)
+        self.assertIn(b"HTTP/1.1 401 ", answers)
+        self.assertEqual(["first"], _HeldBackend.arrived)
+        await nodes.deployment.close()
+
     @async_test
     async def test_gate_that_lags_behind_does_not_refuse_a_new_key(self) -> None:
         nodes = _Nodes()
