--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -27,7 +27,6 @@
 )
 from burdockdock.proxy.attempts import (
     NO_BACKEND_SERVER,
-    QUEUE_FULL,
     Attempt,
     AttemptFailure,
     RetryState,
@@ -46,7 +45,6 @@
 from burdockdock.proxy.ready_check import ReadyCheck, always_ready
 from burdockdock.proxy.remote_call import GateState
 from burdockdock.proxy.reply_times import PROMPT_REFUSALS, ReplyTimes
-from burdockdock.proxy.route_sizes import answer_head_size_bytes, request_size_bytes
 from burdockdock.proxy.usable_link import usable_link
 
 
@@ -179,7 +177,7 @@
                 earlier_may_have_run=retry_state.may_have_run,
             )
             if not may_wait and not crossed:
-                self._record_free_slot(call, result)
+                self._free_slots.record_result(call.request.service, result)
             failed = is_backend_fault(result)
         finally:
             self._balancer.finished(node_id, failed=failed)
@@ -187,12 +185,6 @@
             return AttemptFailure(node_id, result, crossed)
         return None
 
-    def _record_free_slot(self, call: Call, result: AnswerHead | Failure) -> None:
-        """Record whether a gate that was asked for a free slot had one."""
-        is_refused = isinstance(result, Failure) and result.verdict is Verdict.NOT_RUN
-        if not is_refused or result.reason == QUEUE_FULL:
-            self._free_slots.record(call.request.service, found=not is_refused)
-
     async def _send_to(
         self,
         member: Member,
@@ -288,23 +280,14 @@
                 clock=self._clock,
                 metrics=self._metrics,
             )
-            self._record_size(call, head, body_bytes)
+            if self._zone_cost is not None:
+                self._zone_cost.record_size(call, head, body_bytes)
             return head
         finally:
             if upload is not None:
                 upload.cancel()
             attempt.remote.cancel()
 
-    def _record_size(self, call: Call, head: AnswerHead, body_bytes: int) -> None:
-        """Learn what a call of this route sends and receives.
-
-        :param body_bytes: bytes of the answer's body that came after its head.
-        """
-        if self._zone_cost is not None:
-            size_bytes = request_size_bytes(call.request) + body_bytes
-            size_bytes += answer_head_size_bytes(head)
-            self._zone_cost.sizes.record(call.request.route, size_bytes)
-
     def _record_gate_state(
         self, attempt: Attempt, call: Call, state: GateState
     ) -> None:
--- a/burdockdock/proxy/free_slots.py
+++ b/burdockdock/proxy/free_slots.py
@@ -7,7 +7,10 @@
 from typing import NamedTuple
 
 from burdockdock.clock import Clock
+from burdockdock.coordination.verdict import Failure, Verdict
 
+# Reason of a gate without a free slot, or with a full queue if the call may wait.
+QUEUE_FULL = "queue_full"
 # Gates that are asked for a free slot before the call queues at one of them.
 MAX_FREE_SLOT_ATTEMPTS = 3
 # Gates that are asked after the call has queued and got no slot.
@@ -39,6 +42,15 @@
         share += _SMOOTHING_FACTOR * (float(found) - share)
         self._odds[service] = _Odds(share, self._clock.monotonic())
 
+    def record_result(self, service: str, result: object) -> None:
+        """Record the result of an attempt that asked a gate for a free slot.
+
+        Refusals for another reason don't tell whether it had one.
+        """
+        is_refused = isinstance(result, Failure) and result.verdict is Verdict.NOT_RUN
+        if not is_refused or result.reason == QUEUE_FULL:
+            self.record(service, found=not is_refused)
+
     def is_worth_asking(self, service: str) -> bool:
         """Return whether gates are likely enough to have a free slot."""
         return self._share_free(service) >= _MIN_WORTHWHILE_ODDS
