--- a/burdockdock/proxy/call.py
+++ b/burdockdock/proxy/call.py
@@ -94,7 +94,7 @@
         """Read all of a short body, or the first chunk of a longer one.
 
         :param check_ready: called then.
-        :returns: a failure if it didn't arrive within the timeout, or that of the check.
+        :returns: a failure if it didn't arrive in time, or that of the check.
         """
         if self._length:
             try:
