--- a/burdockdock/proxy/call.py
+++ b/burdockdock/proxy/call.py
@@ -1,10 +1,13 @@
 """A call and its caller as the listener passes them to the forwarder."""
 
+import asyncio
 from typing import NamedTuple, Protocol
 
+from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.protocol import ReceiverGone
 from burdockdock.protocol.calls import AnswerHead, CallRequest
 from burdockdock.proxy.authentication import ANONYMOUS, Identity
+from burdockdock.proxy.ready_check import ReadyCheck
 from burdockdock.proxy.remote_call import RemoteCall
 
 _MAX_REPLAY_BYTES = 64 * 1024
@@ -85,8 +88,23 @@
         self.prefix_is_whole_body = True
         self.replayable = True
 
-    async def read_prefix(self) -> None:
-        """Read all of a short body, or the first chunk of a longer one."""
+    async def read_prefix(
+        self, timeout_s: float, check_ready: ReadyCheck
+    ) -> Failure | None:
+        """Read all of a short body, or the first chunk of a longer one.
+
+        :param check_ready: called then.
+        :returns: a failure if it didn't arrive in time, or that of the check.
+        """
+        if self._length:
+            try:
+                async with asyncio.timeout(timeout_s):
+                    await self._read_prefix()
+            except TimeoutError:
+                return Failure(Verdict.NOT_RUN, "request_body_late")
+        return await check_ready()
+
+    async def _read_prefix(self) -> None:
         self.prefix, self.prefix_is_whole_body = await self._caller.read_body()
         while not self.prefix_is_whole_body and 0 < self._length <= _MAX_REPLAY_BYTES:
             data, self.prefix_is_whole_body = await self._caller.read_body()
--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -42,6 +42,7 @@
 from burdockdock.proxy.member_choice import MemberChoice, ZoneCost
 from burdockdock.proxy.outcomes import resolve_outcome
 from burdockdock.proxy.peer_link import PeerLink, PeerLinks
+from burdockdock.proxy.ready_check import ReadyCheck, always_ready
 from burdockdock.proxy.remote_call import GateState
 from burdockdock.proxy.reply_times import PROMPT_REFUSALS, ReplyTimes
 from burdockdock.proxy.usable_link import usable_link
@@ -93,17 +94,20 @@
             resolve_outcome, links=links, clock=clock
         )
 
-    async def forward(self, call: Call, caller: Caller) -> Failure | None:
+    async def forward(
+        self, call: Call, caller: Caller, *, check_ready: ReadyCheck = always_ready
+    ) -> Failure | None:
         """Forward a call and relay its answer to the caller.
 
+        :param check_ready: returns why not to make the first attempt.
         :returns: None once the answer was relayed completely or aborted visibly, else
             a failure that still has to be reported to the caller.
         """
         self._budget.record_call(call.request.service)
         body = ReplayableBody(caller, call.request.body_length)
-        body_failure = await self._read_body_prefix(call, body)
-        if body_failure is not None:
-            return body_failure
+        refusal = await body.read_prefix(self._time_left_ms(call) / 1000, check_ready)
+        if refusal is not None:
+            return refusal
         asks = self._free_slots.is_worth_asking(call.request.service)
         zone_first = self._zone_cost is not None
         retry_state = initial_state(call, asks=asks, zone_first=zone_first)
@@ -142,19 +146,6 @@
         # refusal doesn't change that.
         return strongest_failure
 
-    async def _read_body_prefix(
-        self, call: Call, body: ReplayableBody
-    ) -> Failure | None:
-        """Buffer the beginning of the request's body, until the deadline at most."""
-        if not call.request.body_length:
-            return None
-        try:
-            async with asyncio.timeout(self._time_left_ms(call) / 1000):
-                await body.read_prefix()
-        except TimeoutError:
-            return Failure(Verdict.NOT_RUN, "request_body_late")
-        return None
-
     async def _attempt(
         self,
         call: Call,
