--- a/burdockdock/standin/object_table.py
+++ b/burdockdock/standin/object_table.py
@@ -37,6 +37,7 @@
         self.revision = 0
         self.era = 0
         self.objects: dict[str, dict[str, Any]] = {}
+        self._deleted: dict[str, int] = {}
         self.changed = asyncio.Condition()
 
     async def put(self, key: str, expected_version: int | None, value: Any) -> bool:
@@ -53,10 +54,15 @@
         await self.notify_watches()
         return True
 
-    def delete(self, key: str) -> None:
-        """Remove an object; watches don't tell of it."""
+    async def delete(self, key: str) -> None:
+        """Remove an object, if there is one; watches tell of it."""
+        if key not in self.objects:
+            return
         self._remember(key)
-        self.objects.pop(key, None)
+        self.revision += 1
+        del self.objects[key]
+        self._deleted[key] = self.revision
+        await self.notify_watches()
 
     def version(self, key: str) -> int:
         """Return an object's version, or 0 if it does not exist."""
@@ -71,6 +77,17 @@
             if key.startswith(prefix) and item["version"] > revision
         ]
 
+    def changes(self, prefix: str, revision: int) -> list[dict[str, Any]]:
+        """Return what changed after a revision; a deleted object has version 0."""
+        deleted = [
+            {"key": key, "version": 0}
+            for key, deleted_at in self._deleted.items()
+            if key.startswith(prefix)
+            and deleted_at > revision
+            and key not in self.objects
+        ]
+        return self.after(prefix, revision) + deleted
+
     async def return_from_copy(self, age_s: float) -> int:
         """Undo the changes of the last seconds; their revisions are given out again.
 
@@ -85,6 +102,7 @@
         while self._changes and self._changes[-1].at_s > copied_at_s:
             self._undo(self._changes.pop())
             lost += 1
+        self._deleted = {k: r for k, r in self._deleted.items() if r <= self.revision}
         self.era += 1
         await self.notify_watches()
         return lost
--- a/burdockdock/standin/platform.py
+++ b/burdockdock/standin/platform.py
@@ -140,7 +140,7 @@
         self.write({"key": key, "version": found["version"]} if stored else found)
 
     async def delete(self, key: str) -> None:
-        self.table.delete(key)
+        await self.table.delete(key)
         self.write({"key": key, "version": 0})
 
 
@@ -167,14 +167,14 @@
                     lambda: (
                         self.faults.unreachable
                         or self.table.era != era
-                        or self.table.after(prefix, after)
+                        or self.table.changes(prefix, after)
                     )
                 )
         except TimeoutError:
             pass
         if self.faults.unreachable or self.table.era != era:
             self.set_status(503)
-        objects = self.table.after(prefix, after)
+        objects = self.table.changes(prefix, after)
         try:
             await self.finish({"revision": self.table.revision, "objects": objects})
         except StreamClosedError:
--- a/tests/standin/test_object_table.py
+++ b/tests/standin/test_object_table.py
@@ -26,7 +26,7 @@
         await self._put("a", 1)
         await self._put("b", 1)
         await self._put("a", 2)
-        self.table.delete("b")
+        await self.table.delete("b")
         await self._put("a", 3)
         await self._put("c", 1)
         lost = await self.table.return_from_copy(2.5)
@@ -42,6 +42,25 @@
         await self._put("a", 3)
         self.assertEqual(2, self.table.version("a"))
 
+    @async_test
+    async def test_deletion_is_told_until_the_object_is_there_again(self) -> None:
+        await self._put("a", 1)
+        await self.table.delete("a")
+        self.assertEqual([{"key": "a", "version": 0}], self.table.changes("a", 1))
+        self.assertEqual([], self.table.changes("a", 2))
+        self.assertEqual([], self.table.after("a", 0))
+        await self._put("a", 2)
+        self.assertEqual([3], [item["version"] for item in self.table.changes("a", 1)])
+
+    @async_test
+    async def test_deletion_that_is_undone(self) -> None:
+        await self._put("a", 1)
+        await self._put("b", 1)
+        self._now_s += 1.0
+        await self.table.delete("a")
+        await self.table.return_from_copy(0.5)
+        self.assertEqual({1, 2}, {i["version"] for i in self.table.changes("", 0)})
+
     @async_test
     async def test_two_returns(self) -> None:
         await self._put("a", 1)
