--- a/burdockdock/coordination/limiter.py
+++ b/burdockdock/coordination/limiter.py
@@ -127,6 +127,13 @@
             self._workspace_in_use.pop(workspace, None)
         self._grant_slots()
 
+    def refuse_waiting(self, refusal: Failure) -> None:
+        """Refuse all queued requests."""
+        for waiter in list(self._waiters):
+            self._remove_waiter(waiter)
+            if not waiter.future.done():
+                waiter.future.set_result(refusal)
+
     def _make_queue_room(self, workspace: str, queue_length: int) -> Failure | None:
         """Make room for one more request in the queue.
 
--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -14,6 +14,7 @@
 from burdockdock.gate.headers import OWN_HEADERS, CallHeaders
 from burdockdock.gate.model import (
     DEFAULT_SLOTS,
+    ZONE_EVACUATED,
     BackendServer,
     CallResult,
     CallStream,
@@ -76,6 +77,7 @@
         )
         self._backend: BackendServer | None = None
         self._draining = False
+        self._evacuated = False
         self._shutdown = ShutdownLimit()
         self._running = 0
         self._idle = asyncio.Event()
@@ -121,6 +123,12 @@
         elif self._refuses_calls_from_s == float("inf"):
             self._refuses_calls_from_s = self._clock.monotonic() + _LEAVE_PROPAGATION_S
 
+    def set_evacuated(self, evacuated: bool) -> None:
+        """Refuse new and queued calls while the availability zone is evacuated."""
+        self._evacuated = evacuated
+        if evacuated:
+            self._limiter.refuse_waiting(Failure(Verdict.NOT_RUN, ZONE_EVACUATED))
+
     def limit_to_shutdown(self, limit: ShutdownLimit) -> None:
         """Refuse calls that may take longer than this node runs."""
         self._shutdown = limit
@@ -254,6 +262,8 @@
 
     def _backend_refusal(self, request: CallRequest) -> Failure | None:
         """Return why the backend server can't take the request, None if it can."""
+        if self._evacuated:
+            return Failure(Verdict.NOT_RUN, ZONE_EVACUATED)
         if self._clock.monotonic() >= self._refuses_calls_from_s:
             return Failure(Verdict.NOT_RUN, "backend_leaving")
         if self._backend is None or self._backend.service != request.service:
--- a/burdockdock/gate/model.py
+++ b/burdockdock/gate/model.py
@@ -11,6 +11,9 @@
 # sends the request on a connection of its own if it arrives there again.
 KEPT_CONNECTION_ENDED = "kept_connection_ended"
 
+# Reason of a refusal: the availability zone is evacuated.
+ZONE_EVACUATED = "zone_evacuated"
+
 
 class BackendServer(NamedTuple):
     """A backend server as it announced itself.
--- a/burdockdock/node/bootstrap.py
+++ b/burdockdock/node/bootstrap.py
@@ -8,7 +8,7 @@
 from burdockdock.coordination.membership import MembershipTable
 from burdockdock.coordination.verdict import Failure
 from burdockdock.logs import log_event
-from burdockdock.node.relay import PlatformReader
+from burdockdock.node.platform_reader import PlatformReader
 from burdockdock.node.roster import Roster
 from burdockdock.overlay.datagrams import Address
 from burdockdock.overlay.sync import SyncClient
--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -18,6 +18,7 @@
 from burdockdock.node.config_freshness import ConfigFreshness
 from burdockdock.node.config_state import CONFIG_KEY, ConfigState
 from burdockdock.node.draining import drain, drain_timing
+from burdockdock.node.evacuations import EvacuationParts
 from burdockdock.node.interface import (
     OWN_INTERFACE,
     BackendActions,
@@ -139,6 +140,14 @@
             rollouts=lambda: self.rollouts,
             rng=self._rng,
         )
+        self.evacuations = EvacuationParts(
+            self._settings.availability_zone,
+            records=self.records,
+            endpoints=self._endpoints,
+            gate=self.gate,
+            clock=self._clock,
+            metrics=self.metrics,
+        )
         self.links = PeerLinks(self._identity, count=self.metrics.count)
         self.context = build_context(
             self._settings,
@@ -178,6 +187,7 @@
             clock=self._clock,
             rng=self._rng,
             change_own=self._change_own,
+            watches_evacuations=settings.evacuation_s > 0,
         )
         self.rollouts = RolloutParticipant(
             records=self.records,
@@ -326,6 +336,7 @@
         self.rollouts.close()
         self._store_returns.close()
         self._notifier.close()
+        self.evacuations.close()
         self.platform.close()
         self.sync.close()
         self.links.close()
--- a/burdockdock/node/platform_setup.py
+++ b/burdockdock/node/platform_setup.py
@@ -10,7 +10,8 @@
 from burdockdock.coordination.records import Record, RecordStore
 from burdockdock.node.bootstrap import Bootstrap
 from burdockdock.node.interface import Interface
-from burdockdock.node.relay import PlatformReader, Relay
+from burdockdock.node.platform_reader import PlatformReader
+from burdockdock.node.relay import Relay
 from burdockdock.node.roster import Roster
 from burdockdock.overlay.datagrams import Address
 from burdockdock.overlay.sync import SyncClient
@@ -38,11 +39,13 @@
     clock: Clock,
     rng: random.Random,
     change_own: Callable[..., None],
+    watches_evacuations: bool = False,
 ) -> PlatformComponents:
     """Build the components and connect them.
 
     :param spread: stores a record and broadcasts it to every node.
     :param change_own: updates and broadcasts this node's own membership entry.
+    :param watches_evacuations: whether the deployment evacuates availability zones.
     """
     reader = PlatformReader(
         platform,
@@ -52,6 +55,7 @@
         ),
         records=records,
         spread=spread,
+        watches_evacuations=watches_evacuations,
     )
     roster = Roster(platform, own=membership.own, rng=rng)
     relay = Relay(
--- a/burdockdock/node/settings.py
+++ b/burdockdock/node/settings.py
@@ -18,7 +18,10 @@
     "backend_server": {"service", "address", "announce_interval"},
     "limits": {
         "config_apply",
+        "cold_overage",
+        "cold_slack",
         "drain_timeout_s",
+        "evacuation",
         "grace_period",
         "pipelined_calls",
         "retry_share",
@@ -65,6 +68,11 @@
     :param grace_period_s: seconds from the stop signal to the kill, 0 for no kill.
     :param retry_share: retries per call that the fleet may send to backend servers.
     :param retry_reserve: retries per service that the fleet may send beyond that share.
+    :param evacuation_s: seconds within which an availability zone has to be evacuated,
+        0 if the deployment evacuates none.
+    :param cold_overage: how many times its own rate a cold backend server withstands
+        within a second, 0 if the deployment says nothing about it.
+    :param cold_slack: requests that it withstands beyond that.
     :param pipelined_calls: calls of one caller's connection that run concurrently.
     """
 
@@ -90,6 +98,9 @@
     retry_share: float = DEFAULT_RETRY_SHARE
     retry_reserve: float = DEFAULT_RETRY_RESERVE
     pipelined_calls: int = DEFAULT_MAX_PIPELINED_CALLS
+    evacuation_s: float = 0.0
+    cold_overage: float = 0.0
+    cold_slack: float = 0.0
 
 
 def read_settings(path: Path) -> NodeSettings | list[Problem]:
@@ -148,6 +159,9 @@
         pipelined_calls=reader.integer(
             "limits", "pipelined_calls", DEFAULT_MAX_PIPELINED_CALLS, 1, 1000
         ),
+        evacuation_s=reader.positive_duration_s("limits", "evacuation"),
+        cold_overage=reader.number("limits", "cold_overage", 0.0, 1, 1000),
+        cold_slack=reader.number("limits", "cold_slack", 0.0, 0, 1_000_000),
     )
     return reader.problems or settings
 
@@ -247,6 +261,13 @@
             return 0.0
         return float(match[1]) / (1000 if match[2] == "ms" else 1)
 
+    def positive_duration_s(self, section: str, key: str) -> float:
+        """Return a duration in seconds, 0 if absent; report one that is zero."""
+        duration_s = self.duration_s(section, key)
+        if not duration_s and _DURATION.fullmatch(self.text(section, key)):
+            self._add_problem(section, key, "give a time above 0, or leave it empty")
+        return duration_s
+
     def _parse_address(self, section: str, key: str, text: str) -> Address:
         host, _, port = text.rpartition(":")
         try:
--- a/burdockdock/platform_api/client.py
+++ b/burdockdock/platform_api/client.py
@@ -109,6 +109,7 @@
         """Read all objects under a prefix, and the revision from which to watch."""
         objects: list[PlatformObject] = []
         page = ""
+        revision: int | None = None
         while True:
             call = self._dialect.encode_list(prefix, page)
             result = await self._fetch_objects(
@@ -118,8 +119,10 @@
                 return result
             objects += result.objects
             page = result.next_page
+            # What changes while the pages are read is told by a watch from the first.
+            revision = result.revision if revision is None else revision
             if not page:
-                return result._replace(objects=objects)
+                return result._replace(objects=objects, revision=revision)
 
     async def watch(
         self, prefix: str, *, after: int, wait_s: float = 25.0
@@ -274,9 +277,9 @@
 
 
 def _with_era(result: WatchResult, era: int) -> WatchResult:
-    """Return a result whose objects state the era in which they were read."""
+    """Return a result that states, as its objects do, the era in which it was read."""
     objects = [found._replace(era=era) for found in result.objects]
-    return result._replace(objects=objects)
+    return result._replace(objects=objects, era=era)
 
 
 def _find_own_write(conflict: Conflict, token: str) -> PlatformObject | None:
--- a/burdockdock/platform_api/dialect.py
+++ b/burdockdock/platform_api/dialect.py
@@ -33,11 +33,18 @@
 
     :param revision: revision of the store from which to watch next.
     :param next_page: start of the next page of a long list, empty on the last page.
+    :param era: era of the store that answered, 0 if the store states none.
     """
 
     revision: int
     objects: list[PlatformObject]
     next_page: str = ""
+    era: int = 0
+
+    @property
+    def record_version(self) -> int:
+        """Version of a record that was written at this revision."""
+        return ordered_version(self.era, self.revision)
 
 
 class ApiCall(NamedTuple):
--- a/burdockdock/proxy/attempts.py
+++ b/burdockdock/proxy/attempts.py
@@ -1,10 +1,11 @@
 """Decides which further attempts a call may make after a failed one."""
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from burdockdock.coordination.membership import Member
 from burdockdock.coordination.verdict import Failure, Verdict
-from burdockdock.gate.model import KEPT_CONNECTION_ENDED
+from burdockdock.gate.model import KEPT_CONNECTION_ENDED, ZONE_EVACUATED
 from burdockdock.proxy.call import Call
 from burdockdock.proxy.free_slots import (
     MAX_FREE_SLOT_ATTEMPTS,
@@ -44,10 +45,12 @@
     """A failed attempt.
 
     :param node_id: the node that it was sent to, empty if there was no such node.
+    :param zone: availability zone of that node.
     """
 
     node_id: str
     failure: Failure
+    zone: str = ""
 
 
 class RetryState(NamedTuple):
@@ -69,6 +72,7 @@
         of its own; empty for any node.
     :param repeated_ids: nodes to which the call was sent once more for that reason.
     :param may_have_run: whether an attempt may have run the call.
+    :param closed_zones: availability zones that nodes said to be evacuated.
     :param must_not_wait: the call already queued and got no slot, or has no time to
         queue, so that it only runs where a slot is free.
     """
@@ -84,12 +88,27 @@
     again_id: str = ""
     repeated_ids: frozenset[str] = frozenset()
     may_have_run: bool = False
+    closed_zones: frozenset[str] = frozenset()
 
     @property
     def excluded(self) -> frozenset[str]:
         """Nodes that the next attempt avoids."""
         return self.failed_ids | self.full_ids
 
+    def choose_from(self, members: Sequence[Member]) -> Sequence[Member]:
+        """Return the members that the next attempt may choose from.
+
+        One node's word that its zone is evacuated spares the call the others there. A
+        node without a free slot is asked again rather than one that refused the call.
+        """
+        if self.closed_zones:
+            members = [
+                m for m in members if m.availability_zone not in self.closed_zones
+            ]
+        if not self.failed_ids or len(self.excluded) < len(members):
+            return members
+        return [m for m in members if m.node_id not in self.failed_ids] or members
+
     def after(self, outcome: AttemptFailure) -> "RetryState | None":
         """Return the state after a failed attempt, None if no attempt is left."""
         if outcome.failure.verdict is not Verdict.NOT_RUN:
@@ -117,16 +136,25 @@
             return self._after_wait(node_id)
         if outcome.failure.reason == QUEUE_FULL:
             return self._after_full_queue(node_id)
-        failed_ids = self.failed_ids | {node_id}
+        if outcome.failure.reason == ZONE_EVACUATED:
+            closed_zones = self.closed_zones | {outcome.zone}
+            return self._replace(closed_zones=closed_zones)._after_refusal(node_id)
         if is_refused_by_node(outcome.failure):
-            if not self.failovers_left or node_id in self.failed_ids:
-                return None
-            return self._replace(
-                failovers_left=self.failovers_left - 1, failed_ids=failed_ids
-            )
+            return self._after_refusal(node_id)
         if not self.retries_left:
             return None
-        return self._replace(retries_left=self.retries_left - 1, failed_ids=failed_ids)
+        return self._replace(
+            retries_left=self.retries_left - 1, failed_ids=self.failed_ids | {node_id}
+        )
+
+    def _after_refusal(self, node_id: str) -> "RetryState | None":
+        """Try another node, which costs no retry."""
+        if not self.failovers_left or node_id in self.failed_ids:
+            return None
+        return self._replace(
+            failovers_left=self.failovers_left - 1,
+            failed_ids=self.failed_ids | {node_id},
+        )
 
     def _after_wait(self, node_id: str) -> "RetryState | None":
         """Allow a few more attempts at a free slot after queueing without success."""
--- a/burdockdock/proxy/endpoints.py
+++ b/burdockdock/proxy/endpoints.py
@@ -134,6 +134,8 @@
         new_version_of: Callable[[str], str] = lambda _service: "",
     ) -> None:
         own = membership.own
+        self._membership = membership
+        self._excluded_zones: frozenset[str] = frozenset()
         self._locality = Locality(own.node_id, own.availability_zone, own.region)
         self._by_service: dict[str, _ServiceMembers] = {}
         self._weights_of = weights_of
@@ -143,6 +145,20 @@
             self._update(member, None)
         membership.subscribe(self._update)
 
+    def exclude_zones(self, zones: frozenset[str]) -> None:
+        """Leave out the members of some availability zones from now on."""
+        self._excluded_zones = zones
+        self._by_service.clear()
+        for member in self._membership:
+            self._update(member, None)
+
+    def has_excluded(self, service: str) -> bool:
+        """Return whether a service has members that are left out by their zone."""
+        return any(
+            m.service == service and m.availability_zone in self._excluded_zones
+            for m in self._membership.live()
+        )
+
     def members_of(self, service: str) -> list[Member]:
         """Return the members of a service that may take new calls."""
         return [m for pool in self._pools_by_version_of(service).values() for m in pool]
@@ -212,7 +228,8 @@
     def _update(self, member: Member, previous: Member | None) -> None:
         if previous is not None:
             self._remove(previous)
-        if member.service:
+        is_excluded = member.availability_zone in self._excluded_zones
+        if member.service and not is_excluded:
             self._put(member)
 
     def _remove(self, member: Member) -> None:
--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -31,14 +31,13 @@
 from burdockdock.proxy.call import Call, Caller, ReplayableBody
 from burdockdock.proxy.endpoints import Endpoints
 from burdockdock.proxy.free_slots import FreeSlotOdds
+from burdockdock.proxy.no_member import no_member_failure
 from burdockdock.proxy.outcomes import resolve_outcome
 from burdockdock.proxy.peer_link import PeerLinks
 from burdockdock.proxy.remote_call import GateState
 from burdockdock.proxy.reply_times import PROMPT_REFUSALS, ReplyTimes
 from burdockdock.proxy.usable_link import usable_link
 
-_NO_BACKEND_SERVER = "no_backend_server"
-
 
 class Forwarder:
     """Sends calls to the gates of the nodes that have the backend servers.
@@ -107,7 +106,7 @@
             )
             next_state = retry_state.after(outcome)
             if next_state is None or not self._should_retry(
-                call, body, failure, charges
+                call, body, outcome, charges
             ):
                 break
             retry_state = next_state
@@ -139,8 +138,7 @@
     ) -> AttemptFailure | None:
         member = self._pick(call, retry_state)
         if member is None:
-            detail = f"no backend server of {call.request.service} accepts calls"
-            failure = Failure(Verdict.NOT_RUN, _NO_BACKEND_SERVER, detail)
+            failure = no_member_failure(call.request.service, self._endpoints)
             return AttemptFailure("", failure)
         self._balancer.started(member.node_id)
         failed = True
@@ -164,7 +162,7 @@
         finally:
             self._balancer.finished(member.node_id, failed=failed)
         if isinstance(result, Failure):
-            return AttemptFailure(member.node_id, result)
+            return AttemptFailure(member.node_id, result, member.availability_zone)
         return None
 
     def _record_free_slot(self, call: Call, result: AnswerHead | Failure) -> None:
@@ -181,7 +179,9 @@
         service = call.request.service
         if call.key:
             return self._endpoints.member_for_key(service, call.key)
-        members = self._endpoints.for_call(service, full=retry_state.excluded)
+        members = retry_state.choose_from(
+            self._endpoints.for_call(service, full=retry_state.excluded)
+        )
         if retry_state.again_id:
             member = _find(members, retry_state.again_id)
             if member is not None:
@@ -310,13 +310,13 @@
         self,
         call: Call,
         body: ReplayableBody,
-        failure: Failure,
+        outcome: AttemptFailure,
         charges: ArrivalCharges,
     ) -> bool:
         """Return whether to make another attempt; charge it if needed."""
         return (
-            failure.reason != _NO_BACKEND_SERVER
-            and may_retry(failure, idempotent=call.request.idempotent)
+            outcome.node_id != ""
+            and may_retry(outcome.failure, idempotent=call.request.idempotent)
             and body.replayable
             and self._time_left_ms(call) > 0
             and charges.may_arrive()
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -49,8 +49,13 @@
         """Start the stand-in for the platform."""
         self._platform_server = serve_platform(HOST, self._platform_port)
 
-    async def add_node(self, name: str, zone: str = "z1") -> Node:
-        """Start a node and wait until it is running."""
+    async def add_node(
+        self, name: str, zone: str = "z1", **settings_fields: object
+    ) -> Node:
+        """Start a node and wait until it is running.
+
+        :param settings_fields: further fields of its settings.
+        """
         ports = [free_port() for _ in range(3)]
         settings = NodeSettings(
             name=name,
@@ -62,6 +67,7 @@
             operators=(HOST, ports[2]),
             platform_url=self.platform_url,
             seeds=tuple(n.membership.own[1:3] for n in self.nodes.values()),
+            **settings_fields,
         )
         node = Node(settings)
         await node.start()
--- a/tests/gate/test_gate.py
+++ b/tests/gate/test_gate.py
@@ -157,6 +157,35 @@
         self.assertEqual("backend_leaving", reason)
         self.assertEqual(0, gate._limiter.in_use)
 
+    @async_test
+    async def test_evacuated_zone_gets_no_new_and_no_queued_calls(self) -> None:
+        gate = Gate(clock=ManualClock(), metrics=Metrics())
+        gate.announce(BackendServer("work", "1", "127.0.0.1", 1, 1))
+        await gate._limiter.acquire(workspace="t", deadline_s=99.0)
+        stream = _RecordingStream()
+        run = asyncio.create_task(gate.run(_REQUEST, stream))
+        await eventually(lambda: gate._limiter.queued)
+        # No slot is released: a queued call must not be held until its deadline.
+        gate.set_evacuated(True)
+        async with asyncio.timeout(5):
+            await run
+        self.assertEqual((Verdict.NOT_RUN, "zone_evacuated"), stream.failure[:2])
+        self.assertEqual("zone_evacuated", await self._refusal(gate))
+        self.assertEqual(1, gate._limiter.in_use)
+        gate.set_evacuated(False)
+        self.assertIsNone(gate._backend_refusal(_REQUEST))
+
+    @async_test
+    async def test_call_that_got_a_slot_just_before_the_evacuation(self) -> None:
+        # Guards against a call that a slot was granted to and that hasn't resumed yet.
+        gate = Gate(clock=ManualClock(), metrics=Metrics())
+        gate.announce(BackendServer("work", "1", "127.0.0.1", 1, 1))
+        reason = await self._refusal_of_queued_call(
+            gate, lambda: setattr(gate, "_evacuated", True)
+        )
+        self.assertEqual("zone_evacuated", reason)
+        self.assertEqual(0, gate._limiter.in_use)
+
     @async_test
     async def test_queued_call_is_refused_if_the_version_is_stopped(self) -> None:
         stopped = set()
--- a/tests/node/test_reader.py
+++ b/tests/node/test_reader.py
@@ -4,7 +4,7 @@
 
 from burdockdock.configuration.source import OWN_SOURCE
 from burdockdock.coordination.records import Record, RecordStore
-from burdockdock.node.relay import PlatformReader
+from burdockdock.node.platform_reader import PlatformReader
 from burdockdock.platform.orders import ORDER_FORMAT
 from burdockdock.platform_api import PlatformObject
 from tests.support import FakePlatform, async_test
--- a/tests/node/test_relay.py
+++ b/tests/node/test_relay.py
@@ -59,6 +59,9 @@
         """Return whether the platform answered."""
         return not self._platform.outage.is_set()
 
+    def note_listed(self, prefix: str, found: WatchResult) -> None:
+        """Accept any list."""
+
     async def ingest(self, objects: list) -> bool:
         """Accept all objects."""
         return True
--- a/tests/node/test_settings.py
+++ b/tests/node/test_settings.py
@@ -30,6 +30,10 @@
                 ("callers = 127.0.0.1:8080", "callers = host:8080"),
                 ("listen", "callers"),
             ),
+            (("evacuation = 5s", "evacuation = soon"), ("limits", "evacuation")),
+            (("evacuation = 5s", "evacuation = 0s"), ("limits", "evacuation")),
+            (("cold_overage = 1.5", "cold_overage = 0.5"), ("limits", "cold_over")),
+            (("cold_slack = 8", "cold_slack = -1"), ("limits", "cold_slack")),
             (("peers = 127.0.0.1:7000", "peers = 127.0.0.1:0"), ("listen", "peers")),
             (("availability_zone = lk-west", ""), ("node", "availability_zone")),
             (("url = http:", "url = ftp:"), ("platform", "url")),
@@ -43,5 +47,18 @@
             ]
             self.assertTrue(any(found), (change, locations))
 
+    def test_limits_that_a_deployment_lacks(self) -> None:
+        # Guards against a template that renders what isn't there to nothing.
+        for key, value in (
+            ("evacuation", "5s"),
+            ("cold_overage", "1.5"),
+            ("cold_slack", "8"),
+        ):
+            line = f"{key} = {value}"
+            self.assertIn(line, _SAMPLE)
+            settings = parse_settings(_SAMPLE.replace(line, f"{key} ="))
+            self.assertIsInstance(settings, NodeSettings)
+            self.assertIn(0.0, (settings.evacuation_s, settings[-2], settings[-1]))
+
     def test_missing_file_is_a_problem(self) -> None:
         self.assertIsInstance(read_settings(Path("/nowhere/node.ini")), list)
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -244,6 +244,19 @@
         self.assertEqual(6.0, settings.grace_period_s)
         self.assertEqual(2.0, settings.config_apply_timeout_s)
 
+    def test_deployment_with_evacuations_and_cold_servers(self) -> None:
+        settings = parse_settings(self._render())
+        limits = (settings.evacuation_s, settings.cold_overage, settings.cold_slack)
+        self.assertEqual((0.0, 0.0, 0.0), limits)
+        bounds = {
+            "bounds.evacuation": "5000ms",
+            "bounds.cold-overage": "1.5",
+            "bounds.cold-slack": "8",
+        }
+        settings = parse_settings(self._render(**bounds))
+        limits = (settings.evacuation_s, settings.cold_overage, settings.cold_slack)
+        self.assertEqual((5.0, 1.5, 8.0), limits)
+
     def test_unknown_fields_do_not_change_the_settings(self) -> None:
         self.assertEqual(self._render(), self._render(**{"new-field": "1"}))
 
--- a/tests/proxy/test_endpoints.py
+++ b/tests/proxy/test_endpoints.py
@@ -73,6 +73,62 @@
         self.assertTrue(400 < drawn.count("b") < 600, drawn.count("b"))
 
 
+class ExcludedZonesTest(testtools.TestCase):
+    """Tests of availability zones whose members take no calls."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        own = Member("own", "h", 1, "r", "z1", 1)
+        self.table = MembershipTable(own, clock=ManualClock())
+        self.weights: dict[str, float] = {}
+        self.endpoints = Endpoints(
+            self.table, weights_of=lambda _: self.weights, rng=random.Random(1)
+        )
+        for node_id, zone in (("a", "z1"), ("b", "z2"), ("c", "z2")):
+            self.table.merge(_member(node_id, availability_zone=zone))
+
+    def _ids(self) -> set[str]:
+        return {m.node_id for m in self.endpoints.for_call("desk")}
+
+    def test_members_come_back_when_the_zone_does(self) -> None:
+        self.endpoints.exclude_zones(frozenset({"z2"}))
+        self.assertEqual({"a"}, self._ids())
+        self.assertEqual({"desk": {"1": 1}}, self.endpoints.counts())
+        self.endpoints.exclude_zones(frozenset())
+        self.assertEqual({"a", "b", "c"}, self._ids())
+
+    def test_members_that_change_or_join_stay_out(self) -> None:
+        # Guards against an update of a member that puts it back in use.
+        self.endpoints.exclude_zones(frozenset({"z2"}))
+        self.table.merge(_member("b", availability_zone="z2", incarnation=2, slots=9))
+        self.table.merge(_member("d", availability_zone="z2"))
+        self.assertEqual({"a"}, self._ids())
+        self.assertEqual({"1": 4}, self.endpoints.slots("desk"))
+
+    def test_all_zones(self) -> None:
+        self.assertFalse(self.endpoints.has_excluded("desk"))
+        self.endpoints.exclude_zones(frozenset({"z1", "z2"}))
+        self.assertEqual([], list(self.endpoints.for_call("desk")))
+        self.assertTrue(self.endpoints.has_excluded("desk"))
+        self.assertFalse(self.endpoints.has_excluded("vault"))
+
+    def test_key_selects_a_member_of_another_zone(self) -> None:
+        # Guards against repetitions with a key that still reach the zone.
+        keys = [f"k{i}" for i in range(50)]
+        self.endpoints.exclude_zones(frozenset({"z2"}))
+        chosen = {self.endpoints.member_for_key("desk", key).node_id for key in keys}
+        self.assertEqual({"a"}, chosen)
+
+    def test_version_with_no_member_elsewhere_takes_no_call(self) -> None:
+        self.table.merge(_member("e", service_version="2"))
+        self.weights.update({"1": 0.5, "2": 0.5})
+        self.endpoints.exclude_zones(frozenset({"z2"}))
+        self.table.confirm_dead("a", incarnation=1)
+        self.assertEqual({"1": 4, "2": 4}, self.endpoints.slots("desk"))
+        self.endpoints.exclude_zones(frozenset({"z1", "z2"}))
+        self.assertEqual({}, self.endpoints.slots("desk"))
+
+
 class IndexTest(testtools.TestCase):
     """Tests that the index matches the membership after any change."""
 
