--- a/burdockdock/cli/status.py
+++ b/burdockdock/cli/status.py
@@ -23,7 +23,7 @@
     """Show the state of the fleet.
 
     Prints on how many nodes the newest configuration is in force, the members, the
-    state of the platform, and the moves.
+    state of the platform, the moves, and the evacuated availability zones.
     """
     if not node_url:
         raise click.UsageError("give --node URL, the operator address of any node")
@@ -46,4 +46,6 @@
     for move in node_status["moves"]:
         share = f"{move['share']:.0%}"
         lines.append(f"move of {move['service']}: {move['phase']}, share {share}")
-    return lines
+    # A node of an earlier release doesn't report them.
+    zones = node_status.get("evacuated_zones", [])
+    return lines + [f"evacuated: {zone}" for zone in zones]
--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -385,6 +385,7 @@
             platform=self.platform,
             applied=self.applied,
             rollouts=self.rollouts.view,
+            evacuated_zones=self.evacuations.zones,
             datagrams=self.datagrams,
             sync=self.sync,
             server=self._peer_server,
--- a/burdockdock/node/status.py
+++ b/burdockdock/node/status.py
@@ -70,6 +70,7 @@
     platform_failures_in_row: int
     fleet: FleetReport | None
     moves: list[MoveReport]
+    evacuated_zones: list[str]
     control_bytes: ControlBytes
 
 
@@ -81,6 +82,7 @@
     platform: PlatformClient,
     applied: AppliedTracker,
     rollouts: RolloutView,
+    evacuated_zones: frozenset[str],
     datagrams: Datagrams,
     sync: SyncClient,
     server: PeerServer,
@@ -96,6 +98,7 @@
         platform_failures_in_row=platform.failures_in_row,
         fleet=report_fleet(await applied.status()),
         moves=[report_move(rollout) for rollout in rollouts.all()],
+        evacuated_zones=sorted(evacuated_zones),
         control_bytes=report_control_bytes(datagrams, sync, server),
     )
 
--- a/tests/node/test_evacuations.py
+++ b/tests/node/test_evacuations.py
@@ -11,6 +11,7 @@
 from burdockdock.coordination.records import Record, RecordStore
 from burdockdock.metrics import Metrics
 from burdockdock.node.evacuations import EvacuationReader, Evacuations
+from burdockdock.node.operator_client import call_node
 from burdockdock.platform_api import PlatformObject, WatchResult
 from tests.fleet import Fleet
 from tests.support import async_test, eventually
@@ -171,6 +172,8 @@
             await fleet.evacuate("z1")
             for node in ("n-z1", "n-z2"):
                 self.assertEqual({"z2", "z3"}, await fleet.served_by(node))
+            status = await call_node(fleet.operators["n-z2"], "/status")
+            self.assertEqual(["z1"], status["evacuated_zones"])
             joining = await fleet.add_node("late", "z1", **_EVACUATION)
             self.assertEqual({"z1"}, set(joining.evacuations.zones))
             self.assertEqual({"z2", "z3"}, await fleet.served_by("late"))
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -82,6 +82,7 @@
             readiness=(HOST, ports[4]),
             backend_service="work",
             backend_address=(HOST, ports[5]),
+            evacuation_s=5.0,
         )
         node = Node(settings, interface=INTERFACE)
         self.nodes.append(node)
--- a/tests/platform/test_store_returns.py
+++ b/tests/platform/test_store_returns.py
@@ -11,6 +11,8 @@
 from tests.platform.deployment import Deployment, config_spec
 from tests.support import async_test, eventually
 
+_ZONE = frozenset({"z"})
+
 
 def _version(node: Node) -> int:
     return node.config.snapshot.version
@@ -121,6 +123,26 @@
         await eventually(lambda: {_phase(n) for n in nodes} == {"shifting"})
         await deployment.close()
 
+    @async_test
+    async def test_evacuation_that_the_store_lost_stays_in_force(self) -> None:
+        # Guards against requests to a zone whose evacuation only the store forgot.
+        deployment = await self._start()
+        store, nodes = deployment.store, deployment.nodes
+        await store.put("evacuations", "z", spec={})
+        await eventually(lambda: {n.evacuations.zones for n in nodes} == {_ZONE})
+        await store.return_from_copy()
+        await eventually(lambda: all(_era(n) == store.era for n in nodes))
+        joining = deployment.make_node("c")
+        await joining.start()
+        for node in deployment.nodes:
+            await node._reader.refresh()
+            self.assertEqual(_ZONE, node.evacuations.zones)
+        await store.put("evacuations", "z", spec={})
+        await nodes[0]._reader.refresh()
+        await store.remove("evacuations", "z")
+        await eventually(lambda: {n.evacuations.zones for n in nodes} == {frozenset()})
+        await deployment.close()
+
     @async_test
     async def test_store_without_eras_works_as_before(self) -> None:
         deployment = Deployment()
@@ -134,6 +156,11 @@
         await deployment.close()
 
 
+def _era(node: Node) -> int:
+    record = node.records.get("store-era")
+    return record.version if record else 0
+
+
 def _rollout(phase: str, step: int, *, number: int = 1) -> dict:
     return {
         "service": "work",
