--- a/burdockdock/configuration/checks.py
+++ b/burdockdock/configuration/checks.py
@@ -22,6 +22,7 @@
     Snapshot,
     SplitPart,
 )
+from burdockdock.configuration.values import parse_names, parse_number, parse_time
 from burdockdock.coordination.whole_numbers import parse_whole_number
 
 _POLICY_BOUNDS = {
@@ -38,11 +39,14 @@
     "kind",
     "split",
     "target_latency_ms",
+    "allowed_regions",
 }
 _ROUTE_KINDS = ("idempotent", "non_idempotent", "download")
 _MAX_TARGET_LATENCY_MS = 600_000
 _OVERRIDE_KEYS = {"scope", "setting", "value", "reason", "expires"}
-_INITIAL_VERSION_KEY = "initial_version"
+_SERVICE_KEYS = {"initial_version", "cold_per_s", "cold_start_ms"}
+_MAX_COLD_PER_S = 1_000_000
+_MAX_COLD_START_MS = 3_600_000
 _SCOPE_KINDS = ("zone", "service", "route", "node")
 _MIN_REASON_LENGTH = 5
 
@@ -204,11 +208,20 @@
             )
 
     def _parse_service(self, section: str, name: str, pairs: dict[str, str]) -> Service:
-        policy = {k: v for k, v in pairs.items() if k != _INITIAL_VERSION_KEY}
+        policy = {k: v for k, v in pairs.items() if k not in _SERVICE_KEYS}
+        cold_per_s = parse_number(pairs.get("cold_per_s", "0"), 0, _MAX_COLD_PER_S)
+        if cold_per_s is None:
+            message = f"give a number from 0 to {_MAX_COLD_PER_S}, such as 8.5"
+            self._add_problem(section, "cold_per_s", message)
+        cold_start = pairs.get("cold_start_ms", "0")
         return Service(
             name,
             self._parse_policy(section, policy),
-            pairs.get(_INITIAL_VERSION_KEY, ""),
+            pairs.get("initial_version", ""),
+            cold_per_s or 0.0,
+            self._parse_integer(
+                section, "cold_start_ms", cold_start, 0, _MAX_COLD_START_MS
+            ),
         )
 
     def _parse_route(self, section: str, name: str, pairs: dict[str, str]) -> Route:
@@ -241,6 +254,7 @@
                 0,
                 _MAX_TARGET_LATENCY_MS,
             ),
+            allowed_regions=parse_names(pairs.get("allowed_regions", "")),
         )
 
     def _parse_split(self, section: str, text: str) -> tuple[SplitPart, ...]:
@@ -312,17 +326,10 @@
     def _parse_time(self, section: str, key: str, text: str | None) -> datetime | None:
         if text is None:
             return None
-        try:
-            parsed = datetime.fromisoformat(text)
-        except ValueError:
-            parsed = None
-        if parsed is None or parsed.tzinfo is None:
-            self._add_problem(
-                section,
-                key,
-                "give a time with a UTC offset, such as 2026-12-31T18:00:00Z",
-            )
-            return None
+        parsed = parse_time(text)
+        if parsed is None:
+            message = "give a time with a UTC offset, such as 2026-12-31T18:00:00Z"
+            self._add_problem(section, key, message)
         return parsed
 
     def _add_problem(self, section: str, key: str, message: str) -> None:
--- a/burdockdock/configuration/model.py
+++ b/burdockdock/configuration/model.py
@@ -46,11 +46,17 @@
     :param policy_settings: policy settings of its calls, by name.
     :param initial_version: version of the backend servers that gets the calls before
         the first rollout, empty to send calls to all versions.
+    :param cold_per_s: requests per second that a cold backend server takes, 0 for no
+        limit.
+    :param cold_start_ms: how long a backend server is cold after its start, 0 if
+        unknown.
     """
 
     name: str
     policy_settings: dict[str, int]
     initial_version: str = ""
+    cold_per_s: float = 0.0
+    cold_start_ms: int = 0
 
 
 class SplitPart(NamedTuple):
@@ -76,6 +82,8 @@
         large answer); empty to decide by the HTTP method whether a call is idempotent.
     :param split: weighted services that the calls are divided among.
     :param target_latency_ms: time after which an answer loses value, 0 for none.
+    :param allowed_regions: regions whose backend servers may get the route's calls,
+        empty for all.
     """
 
     name: str
@@ -88,6 +96,7 @@
     kind: str = ""
     split: tuple[SplitPart, ...] = ()
     target_latency_ms: int = 0
+    allowed_regions: tuple[str, ...] = ()
 
     @property
     def services(self) -> tuple[str, ...]:
--- a/burdockdock/coordination/membership.py
+++ b/burdockdock/coordination/membership.py
@@ -32,6 +32,7 @@
     :param platform_lost: whether the member can't reach the platform.
     :param stopped: whether the backend server's version was stopped and its last call
         has ended.
+    :param cold: whether the backend server takes fewer calls since it is warming up.
     """
 
     node_id: str
@@ -48,6 +49,7 @@
     slots: int = 0
     platform_lost: bool = False
     stopped: bool = False
+    cold: bool = False
 
     @property
     def takes_work(self) -> bool:
--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -11,8 +11,10 @@
 from burdockdock.coordination.shutdown import ShutdownLimit
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.gate.backend_call import BackendCalls
+from burdockdock.gate.cold_admission import ColdAdmission, ColdLimits
 from burdockdock.gate.headers import OWN_HEADERS, CallHeaders
 from burdockdock.gate.model import (
+    BACKEND_COLD,
     DEFAULT_SLOTS,
     ZONE_EVACUATED,
     BackendServer,
@@ -47,6 +49,7 @@
     :param headers: names of the headers that the backend server understands.
     :param is_stopped: returns whether the backend server's version was stopped and
         gets no more calls.
+    :param cold_limits: returns what the cold backend servers of a service take.
     """
 
     def __init__(
@@ -57,6 +60,7 @@
         observe: Callable[[CallResult], None] = lambda _: None,
         headers: CallHeaders = OWN_HEADERS,
         is_stopped: Callable[[BackendServer], bool] = lambda _: False,
+        cold_limits: Callable[[str], ColdLimits] = lambda _: ColdLimits(),
     ) -> None:
         self._is_stopped = is_stopped
         self._clock = clock
@@ -78,6 +82,7 @@
         self._backend: BackendServer | None = None
         self._draining = False
         self._evacuated = False
+        self.cold = ColdAdmission(clock=clock, metrics=metrics, limits_of=cold_limits)
         self._shutdown = ShutdownLimit()
         self._running = 0
         self._idle = asyncio.Event()
@@ -88,6 +93,19 @@
         """The backend server, or None if it has not announced itself yet."""
         return self._backend
 
+    @property
+    def is_cold(self) -> bool:
+        """Whether the backend server takes fewer requests since it is cold.
+
+        It may turn cold while its zone is evacuated, so it counts as cold until then.
+        """
+        if self._backend is None:
+            return False
+        service = self._backend.service
+        if self._evacuated:
+            return self.cold.is_limited(service)
+        return self.cold.is_cold(service)
+
     @property
     def load(self) -> int:
         """Number of calls that hold or wait for a slot."""
@@ -116,6 +134,18 @@
         self._backend = backend
         self._limiter.resize(backend.slots)
 
+    def announce_cold(self, cold_s: float | None, *, new_start: bool) -> None:
+        """Note what the backend server says of its warm-up.
+
+        :param cold_s: remaining seconds, None if it doesn't say.
+        :param new_start: whether this is the first message of a start.
+        """
+        service = self._backend.service
+        self.cold.announced(service, cold_s, new_start=new_start)
+        if self.cold.is_limiting(service):
+            # They wait for slots, but few of them would get a start.
+            self._limiter.refuse_waiting(Failure(Verdict.NOT_RUN, BACKEND_COLD))
+
     def set_leaving(self, leaving: bool) -> None:
         """Set whether to refuse calls once other nodes know that the backend leaves."""
         if not leaving:
@@ -128,6 +158,8 @@
         self._evacuated = evacuated
         if evacuated:
             self._limiter.refuse_waiting(Failure(Verdict.NOT_RUN, ZONE_EVACUATED))
+        elif self._backend is not None:
+            self.cold.evacuation_ended(self._backend.service)
 
     def limit_to_shutdown(self, limit: ShutdownLimit) -> None:
         """Refuse calls that may take longer than this node runs."""
@@ -189,6 +221,8 @@
         try:
             # The backend server may have started to leave while the call was queued.
             refusal = self._backend_refusal(request)
+            if refusal is None:
+                refusal = self.cold.take(request.service)
             if refusal is not None:
                 self._dedupe.release(request.request_id)
                 self._send_refusal(request, refusal, stream)
@@ -252,7 +286,18 @@
     def _admission_refusal(self, request: CallRequest) -> Failure | None:
         if self._draining or self._shutdown_would_cut(request):
             return Failure(Verdict.NOT_RUN, "draining")
-        return self._backend_refusal(request)
+        refusal = self._backend_refusal(request)
+        return self._cold_refusal(request) if refusal is None else refusal
+
+    def _cold_refusal(self, request: CallRequest) -> Failure | None:
+        """Return why a cold backend server has no room, None if it has.
+
+        A call that waited for a slot might then find its turn used by another one.
+        """
+        must_wait = self._limiter.releases_until_slot(request.priority) > 0
+        if must_wait and self.cold.is_limiting(request.service):
+            return Failure(Verdict.NOT_RUN, BACKEND_COLD, "no slot is free")
+        return self.cold.refusal(request.service)
 
     def _shutdown_would_cut(self, request: CallRequest) -> bool:
         """Return whether this node may stop before the call's deadline."""
--- a/burdockdock/gate/model.py
+++ b/burdockdock/gate/model.py
@@ -11,6 +11,8 @@
 # sends the request on a connection of its own if it arrives there again.
 KEPT_CONNECTION_ENDED = "kept_connection_ended"
 
+# Reason of a refusal: the backend server is cold and has got what it takes for now.
+BACKEND_COLD = "backend_cold"
 # Reason of a refusal: the availability zone is evacuated.
 ZONE_EVACUATED = "zone_evacuated"
 
@@ -39,6 +41,7 @@
     :param failed: whether the call failed by a fault of the backend server. Errors of
         the caller and shed calls don't count.
     :param shed: whether the backend server refused the call because of overload.
+    :param answered: whether there was any answer.
     """
 
     route: str
@@ -47,6 +50,7 @@
     duration_s: float
     failed: bool
     shed: bool
+    answered: bool = True
 
 
 class CallStream(Protocol):
--- a/burdockdock/gate/results.py
+++ b/burdockdock/gate/results.py
@@ -68,5 +68,6 @@
                 duration_s,
                 failed,
                 shed,
+                answered=status > 0,
             )
         )
--- a/burdockdock/node/announcements.py
+++ b/burdockdock/node/announcements.py
@@ -159,6 +159,7 @@
         while True:
             await sleep_to_tick(_SILENCE_CHECK_INTERVAL_S)
             self.check_silence()
+            self.check_cold()
 
     def check_silence(self) -> None:
         """Publish the backend server as not ready if its announcements stopped."""
@@ -169,6 +170,11 @@
             )
             self._publish_changes(ready=False)
 
+    def check_cold(self) -> None:
+        """Publish whether the backend server is cold, which may end by itself."""
+        if self._last is not None:
+            self._publish_changes(cold=self._gate.is_cold)
+
     def _apply(self, announcement: Announcement) -> None:
         last = self._last
         self._held = None
@@ -177,6 +183,8 @@
         is_new_start = not _is_same_start(last, announcement)
         if is_new_start:
             self._on_start(announcement.cold_s)
+        self._gate.announce(announcement.backend)
+        self._gate.announce_cold(announcement.cold_s, new_start=is_new_start)
         self._publish(announcement)
         if announcement.state is BackendState.READY or not announcement.sequence:
             return
@@ -256,13 +264,13 @@
         """Update the gate and this node's membership entry."""
         backend = announcement.backend
         ready = announcement.state is BackendState.READY
-        self._gate.announce(backend)
         self._gate.set_leaving(not ready)
         self._publish_changes(
             service=backend.service,
             service_version=backend.version,
             slots=backend.slots,
             ready=ready,
+            cold=self._gate.is_cold,
         )
 
     def _publish_changes(self, **changes: object) -> None:
--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -15,6 +15,7 @@
 from burdockdock.metrics import Metrics
 from burdockdock.node.announcements import Announcement, BackendState
 from burdockdock.node.backend_parts import build_backend_parts
+from burdockdock.node.cold_servers import cold_limits_callback, doubt_with_zone
 from burdockdock.node.config_freshness import ConfigFreshness
 from burdockdock.node.config_state import CONFIG_KEY, ConfigState
 from burdockdock.node.draining import drain, drain_timing
@@ -127,13 +128,18 @@
         self.datagrams, self.spreader, self.sync, self.detector, self.applied = parts
 
     def _build_call_path(self) -> None:
+        cold_limits = cold_limits_callback(
+            self._settings, snapshot=lambda: self.config.snapshot
+        )
         self.gate = Gate(
             clock=self._clock,
             metrics=self.metrics,
             observe=self._on_call_result,
             headers=self._interface.headers,
             is_stopped=lambda b: self.rollouts.is_stopped(b.service, b.version),
+            cold_limits=cold_limits,
         )
+        doubt_with_zone(self.membership, self.gate.cold)
         self._endpoints = build_endpoints(
             self.membership,
             snapshot=lambda: self.config.snapshot,
@@ -158,6 +164,7 @@
             missing_version=lambda: self.records.missing_version(CONFIG_KEY),
             config_refusal=self.freshness.refusal,
             own_service=self._own_service,
+            cold_limits=cold_limits,
             headers=self._interface.headers,
             clock=self._clock,
             rng=self._rng,
@@ -375,7 +382,8 @@
     def _on_call_result(self, result: CallResult) -> None:
         backend = self.gate.backend
         if backend is not None:
-            self.rollouts.observe(result, backend)
+            cold = self.gate.cold.is_warming_up
+            self.rollouts.observe(result, backend, cold=cold)
 
     async def _status(self) -> StatusReport:
         return await report_status(
--- a/burdockdock/node/proxy_setup.py
+++ b/burdockdock/node/proxy_setup.py
@@ -8,11 +8,13 @@
 from burdockdock.coordination.backoff import FleetRetryBudget
 from burdockdock.coordination.membership import Member, MembershipTable, MemberState
 from burdockdock.coordination.verdict import Failure
+from burdockdock.gate.cold_admission import ColdLimits
 from burdockdock.gate.headers import CallHeaders
 from burdockdock.metrics import Metrics
 from burdockdock.node.rollouts import RolloutParticipant
 from burdockdock.node.settings import NodeSettings
 from burdockdock.proxy.balancer import Balancer
+from burdockdock.proxy.cold_share import ColdShares
 from burdockdock.proxy.context import CallContext
 from burdockdock.proxy.endpoints import Endpoints
 from burdockdock.proxy.forwarder import Forwarder
@@ -64,6 +66,7 @@
     missing_version: Callable[[], int],
     config_refusal: Callable[[], Failure | None],
     own_service: Callable[[], str],
+    cold_limits: Callable[[str], ColdLimits],
     headers: CallHeaders,
     clock: Clock,
     rng: random.Random,
@@ -77,6 +80,7 @@
     :param missing_version: returns the newest known configuration version if this node
         does not have it yet, otherwise 0.
     :param config_refusal: returns why calls must not be routed by that configuration.
+    :param cold_limits: returns what the cold backend servers of a service take.
     :param own_service: returns the service of this node's backend server.
     """
     balancer = Balancer(
@@ -85,6 +89,12 @@
         clock=clock,
         rng=rng,
         node_id=settings.name,
+        cold_shares=ColdShares(
+            clock=clock,
+            rng=rng,
+            rate_of=lambda service: cold_limits(service).rate_per_s,
+            nodes=lambda: len(membership.live()),
+        ),
     )
     membership.subscribe(forget_dead_nodes(balancer))
     forwarder = Forwarder(
--- a/burdockdock/node/rollouts.py
+++ b/burdockdock/node/rollouts.py
@@ -154,12 +154,17 @@
         wait_s = _DEFAULT_WARM_UP_S if cold_s is None else cold_s
         self._warm_up_end_s = self._clock.monotonic() + wait_s
 
-    def observe(self, result: CallResult, backend: BackendServer) -> None:
-        """Collect a call result as evidence if the service has an active rollout."""
+    def observe(
+        self, result: CallResult, backend: BackendServer, *, cold: bool = False
+    ) -> None:
+        """Collect a call result as evidence if the service has an active rollout.
+
+        :param cold: whether the backend server says that it is warming up.
+        """
         rollout = self.view.get(backend.service)
         if rollout is None or rollout.phase.final:
             return
-        cold = self._clock.monotonic() < self._warm_up_end_s
+        cold |= self._clock.monotonic() < self._warm_up_end_s
         self._collector.add(result, version=backend.version, cold=cold)
 
     @property
--- a/burdockdock/platform/configuration.py
+++ b/burdockdock/platform/configuration.py
@@ -9,6 +9,7 @@
 from burdockdock.platform.values import (
     MALFORMED,
     parse_duration_ms,
+    parse_name_list,
     parse_table,
     parse_version,
 )
@@ -42,12 +43,21 @@
 def _decode_sections(spec: dict[str, Any]) -> Sections:
     sections = {}
     for service in parse_table(spec["services"]):
-        sections[f"service {service['name']}"] = {}
+        sections[f"service {service['name']}"] = _decode_service(service)
     for route in parse_table(spec["routes"]):
         sections[f"route {route['name']}"] = _decode_route(route)
     return sections
 
 
+def _decode_service(row: dict[str, Any]) -> dict[str, str]:
+    section = {}
+    if "cold-per-s" in row:
+        section["cold_per_s"] = str(float(row["cold-per-s"]))
+    if "cold-start" in row:
+        section["cold_start_ms"] = str(parse_duration_ms(row["cold-start"]))
+    return section
+
+
 def _decode_route(row: dict[str, Any]) -> dict[str, str]:
     attempts = int(row.get("max-attempts", 1))
     section = {
@@ -64,6 +74,8 @@
         section["target_latency_ms"] = str(
             max(1, parse_duration_ms(row["target-latency"]))
         )
+    if row.get("allowed-regions"):
+        section["allowed_regions"] = parse_name_list(row["allowed-regions"])
     if row.get("traffic-split"):
         shares = row["traffic-split"]
         section["split"] = ",".join(
--- a/burdockdock/platform/values.py
+++ b/burdockdock/platform/values.py
@@ -32,6 +32,19 @@
     return int(float(match[1]) * _MS_PER_UNIT[match[2]])
 
 
+def parse_name_list(names: Any) -> str:
+    """Return a list of names as a comma-separated text.
+
+    :raises ValueError: if the value is not a list of names without commas.
+    """
+    is_list = isinstance(names, list)
+    if not is_list or not all(isinstance(n, str) and n.strip() for n in names):
+        raise ValueError(f"{names!r} is not a list of names")
+    if any("," in name for name in names):
+        raise ValueError(f"a name in {names!r} has a comma")
+    return ",".join(names)
+
+
 def parse_version(text: Any) -> int:
     """Parse a version such as ``r12``.
 
--- a/burdockdock/protocol/members.py
+++ b/burdockdock/protocol/members.py
@@ -31,6 +31,7 @@
         "slots": member.slots,
         "platformLost": member.platform_lost,
         "stopped": member.stopped,
+        "cold": member.cold,
     }
 
 
@@ -54,6 +55,7 @@
         slots=packed.slots,
         platform_lost=packed.platformLost,
         stopped=packed.stopped,
+        cold=packed.cold,
     )
 
 
--- a/burdockdock/protocol/messages.capnp
+++ b/burdockdock/protocol/messages.capnp
@@ -127,6 +127,7 @@
   slots @11 :UInt32;
   platformLost @12 :Bool;
   stopped @13 :Bool;
+  cold @14 :Bool;
 }
 
 struct Ping {
--- a/burdockdock/proxy/attempt_results.py
+++ b/burdockdock/proxy/attempt_results.py
@@ -1,7 +1,11 @@
 """Classifies and logs the results of a call's attempts."""
 
 from burdockdock.coordination.verdict import Failure, Verdict
-from burdockdock.gate.model import KEPT_CONNECTION_ENDED, ZONE_EVACUATED
+from burdockdock.gate.model import (
+    BACKEND_COLD,
+    KEPT_CONNECTION_ENDED,
+    ZONE_EVACUATED,
+)
 from burdockdock.logs import log_event
 from burdockdock.protocol.calls import AnswerHead, CallRequest
 from burdockdock.proxy.attempts import BACKEND_REFUSED, QUEUE_FULL
@@ -32,6 +36,7 @@
         BACKEND_REFUSED,
         KEPT_CONNECTION_ENDED,
         ZONE_EVACUATED,
+        BACKEND_COLD,
         _REFUSAL_WITHOUT_PROOF,
     }
 )
--- a/burdockdock/proxy/balancer.py
+++ b/burdockdock/proxy/balancer.py
@@ -8,6 +8,7 @@
 from burdockdock.clock import Clock
 from burdockdock.coordination.membership import Member
 from burdockdock.protocol.calls import GateResults
+from burdockdock.proxy.cold_share import ColdShares
 from burdockdock.proxy.pool import DEFAULT_QUOTAS, Locality, Pool, SampleQuotas
 
 _EJECTION_BASE_S = 2.0
@@ -78,6 +79,7 @@
     :param node_id: id of this node, empty if it has no backend server.
     :param availability_zone: availability zone of this node.
     :param region: region of this node.
+    :param cold_shares: what this node may send to cold members, None for no limit.
     """
 
     def __init__(
@@ -88,6 +90,7 @@
         clock: Clock,
         rng: random.Random,
         node_id: str = "",
+        cold_shares: ColdShares | None = None,
     ) -> None:
         self._locality = Locality(node_id, availability_zone, region)
         self._clock = clock
@@ -96,6 +99,9 @@
         self._gate_reports: dict[str, _GateReport] = {}
         self._health: dict[str, _Health] = {}
         self._departed: set[str] = set()
+        self._cold_shares = cold_shares or ColdShares(
+            clock=clock, rng=rng, rate_of=lambda _service: 0.0, nodes=lambda: 1
+        )
 
     def pick(
         self,
@@ -117,14 +123,18 @@
         candidates = self._without_ejected(sample, now_s)
         if len(candidates) == len(sample) < len(pool) - len(excluded):
             candidates = self._healthy_in_sample(sample, pool, now_s)
+        candidates = self._cold_shares.within_share(candidates)
         mean_service_s = self._mean_service_s(candidates)
-        return min(
+        chosen = min(
             candidates,
             key=lambda m: self._expected_duration_s(
                 m, mean_service_s, penalties, now_s
             ),
             default=None,
         )
+        if chosen is not None:
+            self._cold_shares.sent(chosen)
+        return chosen
 
     def started(self, node_id: str) -> None:
         """Count an attempt in flight."""
@@ -160,6 +170,10 @@
             if node_id in self._departed:
                 self.forget(node_id)
 
+    def refused_as_cold(self, node_id: str) -> None:
+        """Record that a member's gate refused an attempt since it is cold."""
+        self._cold_shares.refused(node_id)
+
     def forget(self, node_id: str) -> None:
         """Drop the state of a member that left.
 
@@ -171,6 +185,7 @@
         self._departed.discard(node_id)
         self._gate_reports.pop(node_id, None)
         self._health.pop(node_id, None)
+        self._cold_shares.forget(node_id)
 
     def _known_calls(
         self, node_id: str, report: _GateReport | None, now_s: float
@@ -208,7 +223,7 @@
         duration_s += self._distance_penalty_s(member, penalties)
         return duration_s * (1.0 + _JITTER_SHARE * (2.0 * self._rng.random() - 1.0))
 
-    def _mean_service_s(self, members: list[Member]) -> float:
+    def _mean_service_s(self, members: Sequence[Member]) -> float:
         """Return the mean reported service time, used for members without a report."""
         reports = [
             self._gate_reports[m.node_id]
--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -9,6 +9,7 @@
 from burdockdock.coordination.duration_estimator import DurationEstimator
 from burdockdock.coordination.membership import Member
 from burdockdock.coordination.verdict import Failure, Verdict, may_retry
+from burdockdock.gate.model import BACKEND_COLD
 from burdockdock.metrics import Metrics
 from burdockdock.protocol.calls import AnswerHead
 from burdockdock.proxy.answer_relay import relay_answer, wait_for_head
@@ -158,10 +159,12 @@
             )
             if not may_wait:
                 self._record_free_slot(call, result)
-            failed = is_backend_fault(result)
+            failed = is_backend_fault(result) and not member.cold
         finally:
             self._balancer.finished(member.node_id, failed=failed)
         if isinstance(result, Failure):
+            if result.reason == BACKEND_COLD:
+                self._balancer.refused_as_cold(member.node_id)
             return AttemptFailure(member.node_id, result, member.availability_zone)
         return None
 
--- a/burdockdock/rollout/evidence.py
+++ b/burdockdock/rollout/evidence.py
@@ -43,9 +43,12 @@
     def add(self, result: CallResult, *, version: str, cold: bool) -> None:
         """Add one result.
 
-        :param cold: whether the backend server started recently and is still slow.
+        A cold backend server that doesn't answer may be slow, or may have got more than
+        it takes; neither is a fault of its version.
+
+        :param cold: whether the backend server is warming up and still slow.
         """
-        if result.shed:
+        if result.shed or (cold and not result.answered):
             return
         key = EvidenceKey(result.route, result.traffic_class, version)
         self._calls[key] += 1
--- a/tests/configuration/test_checks.py
+++ b/tests/configuration/test_checks.py
@@ -12,6 +12,8 @@
 from burdockdock.configuration.model import Sections
 from tests.configuration.configurations import SECTIONS, VALID_CONFIG
 
+_COLD = "[service vault]\ncold_per_s = "
+
 
 class ChecksTest(testtools.TestCase):
     """Tests of the checks of a whole configuration."""
@@ -33,6 +35,13 @@
             (("service:vault", "service:nowhere"), ("exception slow", "scope")),
             (("-06-01T00:00:00Z", "-06-01"), ("exception slow", "expires")),
             (("[defaults]", "[default]"), ("default", "")),
+            (("[service vault]", _COLD + "-1"), ("service vault", "cold_per_s")),
+            (("[service vault]", _COLD + "nan"), ("service vault", "cold_per_s")),
+            (("[service vault]", _COLD + "many"), ("service vault", "cold_per_s")),
+            (
+                ("[service vault]", "[service vault]\ncold_start_ms = 3s"),
+                ("service vault", "cold_start_ms"),
+            ),
         ):
             self.assertIn(change[0], VALID_CONFIG)
             problems = build_snapshot(
@@ -41,6 +50,21 @@
             self.assertIsInstance(problems, list, change)
             self.assertIn(place, [(p.section, p.key) for p in problems], change)
 
+    def test_cold_servers_and_allowed_regions(self) -> None:
+        text = VALID_CONFIG.replace(
+            "[service vault]", _COLD + "8.5\ncold_start_ms = 3000"
+        ).replace(
+            "path = /trips\nservice",
+            "path = /trips\nallowed_regions = eu, us ,eu\nservice",
+        )
+        snapshot = build_snapshot(read_sections(text), version=1)
+        vault, desk = snapshot.services["vault"], snapshot.services["desk"]
+        self.assertEqual((8.5, 3000), (vault.cold_per_s, vault.cold_start_ms))
+        self.assertEqual((0.0, 0), (desk.cold_per_s, desk.cold_start_ms))
+        regions = {r.name: r.allowed_regions for r in snapshot.routes.values()}
+        self.assertEqual(("eu", "us"), regions["trips"])
+        self.assertEqual({()}, set(regions.values()) - {("eu", "us")})
+
     def test_sections_survive_a_round_trip_as_text(self) -> None:
         sections = read_sections(VALID_CONFIG)
         self.assertEqual(sections, read_sections(write_sections(sections)))
--- a/tests/node/test_announcements.py
+++ b/tests/node/test_announcements.py
@@ -18,6 +18,10 @@
     def __init__(self) -> None:
         self.backend: BackendServer | None = None
         self.leaving = False
+        self.is_cold = False
+
+    def announce_cold(self, cold_s: float | None, *, new_start: bool) -> None:
+        self.is_cold = bool(cold_s)
 
     def announce(self, backend: BackendServer) -> None:
         self.backend = backend
@@ -74,6 +78,23 @@
         refusal = self.watch.handle_announcement(announcement)
         return "" if refusal is None else refusal.reason
 
+    def test_coldness_is_published_until_it_ends(self) -> None:
+        # Guards against members that others take for cold, or for warm, for too long.
+        self._refusal_reason(_announcement(1)._replace(cold_s=5.0))
+        self.assertIs(True, self.changes[-1]["cold"])
+        self.watch.check_cold()
+        self.assertEqual(1, len(self.changes))
+        self.gate.is_cold = False
+        self.watch.check_cold()
+        self.assertEqual({"cold": False}, self.changes[-1])
+        self._refusal_reason(_announcement(2)._replace(cold_s=4.0))
+        self.assertIs(True, self.changes[-1]["cold"])
+
+    def test_coldness_is_not_published_before_the_first_announcement(self) -> None:
+        self.gate.is_cold = True
+        self.watch.check_cold()
+        self.assertEqual([], self.changes)
+
     def test_unchanged_announcements_are_published_once(self) -> None:
         for sequence in range(1, 4):
             self.assertEqual("", self._refusal_reason(_announcement(sequence)))
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -94,7 +94,9 @@
         Application([(r"/.*", _EchoBackend)]).listen(port, address=host)
         await self.announce(node, self.heartbeat(node, seq=1))
 
-    def heartbeat(self, node: Node, *, seq: int, state: str = "ready") -> str:
+    def heartbeat(
+        self, node: Node, *, seq: int, state: str = "ready", cold: str = "0ms"
+    ) -> str:
         """Return a heartbeat of the backend server beside a node."""
         host, port = node._settings.backend_address
         fields = {
@@ -104,7 +106,7 @@
             "version": "v1",
             "slots": 4,
             "state": state,
-            "cold-remaining": "0ms",
+            "cold-remaining": cold,
             "seq": seq,
             "born": 5,
         }
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -23,6 +23,8 @@
     "instances.deregister",
     "heartbeat-endpoint",
     "cold-remaining",
+    "cold-per-s",
+    "allowed-regions",
     "config/main",
     "traffic-split",
     "path-prefix",
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -47,6 +47,12 @@
     }
 
 
+def _add_column(spec: dict, table: str, column: str, value: object) -> None:
+    spec[table]["columns"] = [*spec[table]["columns"], column]
+    for row in spec[table]["rows"]:
+        row.append(value)
+
+
 class ConfigurationTest(testtools.TestCase):
     """Tests of decoded routes, splits and malformed configurations."""
 
@@ -82,6 +88,24 @@
         drawn = Counter(draw_service(route, rng=rng) for _ in range(2000))
         self.assertAlmostEqual(0.1, drawn["b"] / 2000, delta=0.02)
 
+    @async_test
+    async def test_cold_servers_and_allowed_regions(self) -> None:
+        spec = _spec()
+        spec["services"] = {
+            "columns": ["name", "cold-per-s", "cold-start"],
+            "rows": [["a", 8.5, "2.5s"], ["b", None, None]],
+        }
+        spec["routes"]["columns"] = [*_COLUMNS, "allowed-regions"]
+        rows = spec["routes"]["rows"]
+        rows[0].append(["eu", "us"])
+        rows[1].append([])
+        snapshot = await self._snapshot(spec)
+        cold, other = snapshot.services["a"], snapshot.services["b"]
+        self.assertEqual((8.5, 2500), (cold.cold_per_s, cold.cold_start_ms))
+        self.assertEqual((0.0, 0), (other.cold_per_s, other.cold_start_ms))
+        regions = {r.name: r.allowed_regions for r in snapshot.routes.values()}
+        self.assertEqual({"r1": ("eu", "us"), "r2": ()}, regions)
+
     @async_test
     async def test_malformed_configuration_is_refused_as_a_whole(self) -> None:
         for corrupt in (
@@ -91,6 +115,10 @@
             lambda spec: spec["routes"]["rows"][0].pop(),
             lambda spec: spec["routes"]["rows"][0].__setitem__(4, "soon"),
             lambda spec: spec["routes"]["rows"][0].__setitem__(2, None),
+            lambda spec: _add_column(spec, "routes", "allowed-regions", "eu"),
+            lambda spec: _add_column(spec, "routes", "allowed-regions", ["a,b"]),
+            lambda spec: _add_column(spec, "services", "cold-per-s", "many"),
+            lambda spec: _add_column(spec, "services", "cold-start", 3),
         ):
             spec = _spec()
             corrupt(spec)
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -133,6 +133,46 @@
         await deployment.close()
 
 
+class ColdServerTest(testtools.TestCase):
+    """Tests of calls to a backend server that says it is cold."""
+
+    @async_test
+    async def test_cold_server_gets_few_calls_until_it_is_warm(self) -> None:
+        deployment = Deployment()
+        deployment.start_store()
+        spec = config_spec(7)
+        spec["services"] = {
+            "columns": ["name", "cold-per-s", "cold-start"],
+            "rows": [["work", 0.01, "3s"]],
+        }
+        await deployment.store.put("config", "main", spec=spec)
+        caller_node, node = (deployment.make_node(name) for name in ("a", "b"))
+        await asyncio.gather(caller_node.start(), node.start())
+        await deployment.start_backend_server(node)
+        cold = deployment.heartbeat(node, seq=2, cold="60s")
+        self.assertEqual(200, await deployment.announce(node, cold))
+        membership = caller_node.membership
+        await eventually(lambda: (m := membership.get("b")) and m.cold)
+        codes, reasons = set(), set()
+        for i in range(5):
+            response = await deployment.call(caller_node, f"id-{i}")
+            codes.add(response.code)
+            if response.code == 503:
+                reasons.add(json.loads(response.body)["reason"])
+        self.assertIn(503, codes)
+        self.assertEqual({"backend_cold"}, reasons)
+        self.assertGreater(
+            node.metrics.counter("gate_refusals", label="backend_cold"), 0
+        )
+        warm = deployment.heartbeat(node, seq=3)
+        self.assertEqual(200, await deployment.announce(node, warm))
+        await eventually(lambda: not membership.get("b").cold)
+        for i in range(5):
+            response = await deployment.call(caller_node, f"id-w{i}")
+            self.assertEqual(200, response.code)
+        await deployment.close()
+
+
 class OldConfigurationTest(testtools.TestCase):
     """Tests of calls at a node that may have an old configuration."""
 
--- a/tests/protocol/test_members.py
+++ b/tests/protocol/test_members.py
@@ -40,6 +40,13 @@
             self.assertEqual(reference.merge(update), merge_member(table, item))
         self.assertEqual(list(reference), list(table))
 
+    def test_entry_survives_a_round_trip(self) -> None:
+        entry = Member(
+            "a", "h", 1, "r", "z", 1, ready=True, slots=3, stopped=True, cold=True
+        )
+        packed = encode("ping", mesh="m", members=[pack_member(entry)])
+        self.assertEqual(entry, members.unpack_member(decode(packed).ping.members[0]))
+
     def test_known_update_is_not_unpacked(self) -> None:
         update = Member("a", "h", 1, "r", "z", 1)
         packed = encode("ping", mesh="m", members=[pack_member(update)] * 3)
--- a/tests/proxy/test_attempt_results.py
+++ b/tests/proxy/test_attempt_results.py
@@ -21,6 +21,8 @@
     "too_little_time",
     "too_many_calls",
     "withdrawn",
+    "zone_evacuated",
+    "backend_cold",
 )
 _FAULTS = ("backend_connection_broken", "other_requests_answer", "peer_unreachable")
 
@@ -54,6 +56,16 @@
         for status, is_fault in ((200, False), (500, True), (503, False), (429, False)):
             self.assertEqual(is_fault, is_backend_fault(AnswerHead(status, "", ())))
 
+    @async_test
+    async def test_cold_backend_servers_are_not_ejected(self) -> None:
+        # Guards against an ejection of servers that are slow only while they warm up.
+        broken = Failure(Verdict.MAY_HAVE_RUN, "backend_connection_broken")
+        for cold in (False, True):
+            fixture = _HealthRecorder({name: FakeLink(name, broken) for name in "ab"})
+            fixture._members = [m._replace(cold=cold) for m in fixture._members]
+            await fixture.call(idempotent=True)
+            self.assertEqual({not cold}, set(fixture.faults))
+
     @async_test
     async def test_saturated_gates_are_not_ejected(self) -> None:
         refusal = Failure(Verdict.NOT_RUN, "too_late_to_wait")
--- a/tests/proxy/test_forwarder.py
+++ b/tests/proxy/test_forwarder.py
@@ -127,6 +127,9 @@
     def finished(self, node_id: str, *, failed: bool) -> None:
         """Do nothing."""
 
+    def refused_as_cold(self, node_id: str) -> None:
+        """Do nothing."""
+
     def record_gate_state(self, node_id: str, *gate_state: object) -> None:
         """Do nothing."""
 
