--- a/burdockdock/proxy/call.py
+++ b/burdockdock/proxy/call.py
@@ -43,6 +43,7 @@
     :param target_s: when the answer loses value, in monotonic seconds; 0 for never.
     :param large_answer: whether to prefer near backend servers for a large answer.
     :param may_wait: whether it may queue for a slot at a gate.
+    :param allowed_regions: regions whose backend servers it may reach, None for all.
     """
 
     request: CallRequest
@@ -52,6 +53,7 @@
     target_s: float = 0.0
     large_answer: bool = False
     may_wait: bool = True
+    allowed_regions: frozenset[str] | None = None
 
     def time_left_ms(self, now_s: float) -> int:
         """Return the time left until the deadline.
--- a/burdockdock/proxy/call_factory.py
+++ b/burdockdock/proxy/call_factory.py
@@ -12,6 +12,7 @@
 from burdockdock.protocol.calls import CallRequest, Headers
 from burdockdock.proxy.call import Call
 from burdockdock.proxy.context import CallContext
+from burdockdock.proxy.regions import allowed_regions
 
 DEFAULT_WORKSPACE = "default"
 _IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS", "TRACE"})
@@ -110,6 +111,7 @@
         target_s=target_s if route.target_latency_ms else 0.0,
         large_answer=route.kind == _DOWNLOAD_KIND,
         may_wait=context.may_wait,
+        allowed_regions=allowed_regions(route.allowed_regions),
     )
 
 
--- a/burdockdock/proxy/endpoints.py
+++ b/burdockdock/proxy/endpoints.py
@@ -10,6 +10,8 @@
 from burdockdock.proxy.pool import Locality, Pool
 
 Weights = dict[str, float]
+# Regions that the members for a call may be in, None for all.
+Regions = frozenset[str] | None
 # Up to this traffic share, the calls of a new version go to the same share of its
 # members, except for calls with an idempotency key, which may go to any of them.
 _MAX_CANARY_SHARE = 0.25
@@ -35,6 +37,7 @@
         self._suspects: dict[str, Pool] = {}
         self._all_members: Pool | None = None
         self._canaries: _CanarySubset | None = None
+        self._by_regions: dict[frozenset[str], _ServiceMembers] = {}
 
     def __bool__(self) -> bool:
         return bool(self._available or self._suspects)
@@ -76,6 +79,17 @@
             )
         return self._canaries.members
 
+    def in_regions(self, regions: frozenset[str]) -> "_ServiceMembers":
+        """Return the members in some regions."""
+        found = self._by_regions.get(regions)
+        if found is None:
+            found = self._by_regions[regions] = _ServiceMembers(self._locality)
+            for pool in (*self._available.values(), *self._suspects.values()):
+                for member in pool:
+                    if member.region in regions:
+                        found.put(member)
+        return found
+
     def put(self, member: Member) -> None:
         """Add a member if it may take calls."""
         self._invalidate_caches()
@@ -103,6 +117,7 @@
     def _invalidate_caches(self) -> None:
         self._all_members = None
         self._canaries = None
+        self._by_regions.clear()
 
     def _pools_of(self, member: Member) -> dict[str, Pool] | None:
         if member.takes_work:
@@ -159,6 +174,13 @@
             for m in self._membership.live()
         )
 
+    def has_members(self, service: str, regions: Regions = None) -> bool:
+        """Return whether a service has members that may take new calls.
+
+        :param regions: regions that the members may be in, None for all.
+        """
+        return self._find(service, regions) is not None
+
     def members_of(self, service: str) -> list[Member]:
         """Return the members of a service that may take new calls."""
         return [m for pool in self._pools_by_version_of(service).values() for m in pool]
@@ -181,7 +203,12 @@
         }
 
     def for_call(
-        self, service: str, *, key: str = "", full: frozenset[str] = frozenset()
+        self,
+        service: str,
+        *,
+        key: str = "",
+        full: frozenset[str] = frozenset(),
+        regions: Regions = None,
     ) -> Sequence[Member]:
         """Choose a version by weight for one call and return its members.
 
@@ -195,8 +222,9 @@
             same version until the weights change.
         :param full: ids of the nodes that couldn't take the call. If they include the
             whole subset, all members of the version are returned.
+        :param regions: regions that the members may be in, None for all.
         """
-        members = self._by_service.get(service)
+        members = self._find(service, regions)
         if members is None:
             return []
         weights = self._weights_of(service)
@@ -212,15 +240,23 @@
         canaries = members.canaries(version, share=weights[version])
         return pool if all(m.node_id in full for m in canaries) else canaries
 
-    def member_for_key(self, service: str, key: str) -> Member | None:
+    def member_for_key(
+        self, service: str, key: str, *, regions: Regions = None
+    ) -> Member | None:
         """Return the member that remembers a caller's idempotency key.
 
         Nodes that know the same members and weights select the same member: the key
         determines the version, and rendezvous hashing the member.
         """
-        members = self.for_call(service, key=key)
+        members = self.for_call(service, key=key, regions=regions)
         return min(members, key=lambda m: rank(m.node_id, key), default=None)
 
+    def _find(self, service: str, regions: Regions) -> _ServiceMembers | None:
+        members = self._by_service.get(service)
+        if members is not None and regions is not None:
+            members = members.in_regions(regions)
+        return members or None
+
     def _pools_by_version_of(self, service: str) -> dict[str, Pool]:
         members = self._by_service.get(service)
         return {} if members is None else members.pools_by_version
--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -32,7 +32,7 @@
 from burdockdock.proxy.call import Call, Caller, ReplayableBody
 from burdockdock.proxy.endpoints import Endpoints
 from burdockdock.proxy.free_slots import FreeSlotOdds
-from burdockdock.proxy.no_member import no_member_failure
+from burdockdock.proxy.no_member import no_member_failure, refusal_without_members
 from burdockdock.proxy.outcomes import resolve_outcome
 from burdockdock.proxy.peer_link import PeerLinks
 from burdockdock.proxy.remote_call import GateState
@@ -123,6 +123,9 @@
         """Buffer the beginning of the request's body, until the deadline at most."""
         if not call.request.body_length:
             return None
+        refusal = refusal_without_members(call, self._endpoints)
+        if refusal is not None:
+            return refusal
         try:
             async with asyncio.timeout(self._time_left_ms(call) / 1000):
                 await body.read_prefix()
@@ -139,8 +142,7 @@
     ) -> AttemptFailure | None:
         member = self._pick(call, retry_state)
         if member is None:
-            failure = no_member_failure(call.request.service, self._endpoints)
-            return AttemptFailure("", failure)
+            return AttemptFailure("", no_member_failure(call, self._endpoints))
         self._balancer.started(member.node_id)
         failed = True
         try:
@@ -179,11 +181,13 @@
 
         A key always selects the same member, which remembers the requests that had it.
         """
-        service = call.request.service
+        service, regions = call.request.service, call.allowed_regions
         if call.key:
-            return self._endpoints.member_for_key(service, call.key)
+            return self._endpoints.member_for_key(service, call.key, regions=regions)
         members = retry_state.choose_from(
-            self._endpoints.for_call(service, full=retry_state.excluded)
+            self._endpoints.for_call(
+                service, full=retry_state.excluded, regions=regions
+            )
         )
         if retry_state.again_id:
             member = _find(members, retry_state.again_id)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -50,7 +50,12 @@
         self._platform_server = serve_platform(HOST, self._platform_port)
 
     async def add_node(
-        self, name: str, zone: str = "z1", **settings_fields: object
+        self,
+        name: str,
+        zone: str = "z1",
+        *,
+        region: str = "r",
+        **settings_fields: object,
     ) -> Node:
         """Start a node and wait until it is running.
 
@@ -60,7 +65,7 @@
         settings = NodeSettings(
             name=name,
             mesh="test",
-            region="r",
+            region=region,
             availability_zone=zone,
             callers=(HOST, ports[0]),
             peers=(HOST, ports[1]),
--- a/tests/proxy/test_call_completion.py
+++ b/tests/proxy/test_call_completion.py
@@ -265,7 +265,9 @@
         clock = SystemClock()
         forwarder = Forwarder(
             links=links,
-            endpoints=SimpleNamespace(for_call=lambda *_, **__: [member]),
+            endpoints=SimpleNamespace(
+                for_call=lambda *_, **__: [member], has_members=lambda *_: True
+            ),
             balancer=SimpleNamespace(
                 pick=lambda *_, **__: member,
                 started=lambda _: None,
--- a/tests/proxy/test_forwarder.py
+++ b/tests/proxy/test_forwarder.py
@@ -113,7 +113,7 @@
         """Wait forever, as for a link that never opens."""
         await asyncio.Event().wait()
 
-    def for_call(self, service: str, *, full: frozenset[str]) -> list[Member]:
+    def for_call(self, service: str, **_: object) -> list[Member]:
         """Return all members."""
         return self._members
 
--- a/tests/proxy/test_traffic_split.py
+++ b/tests/proxy/test_traffic_split.py
@@ -61,9 +61,9 @@
         self.weights = weights
         self._rng = random.Random(seed)
 
-    def for_call(self, service: str, *, full: frozenset[str]) -> list[Member]:
+    def for_call(self, service: str, **options: object) -> list[Member]:
         """Return the member of a service, none if it has no backend server."""
-        return [m for m in super().for_call(service, full=full) if m.node_id == service]
+        return [m for m in super().for_call(service, **options) if m.node_id == service]
 
     def pick(self, members: list[Member], *, excluded: frozenset[str]) -> Member | None:
         """Return the member."""
