--- a/burdockdock/gate/cold_admission.py
+++ b/burdockdock/gate/cold_admission.py
@@ -59,7 +59,7 @@
 
     def is_limiting(self, service: str) -> bool:
         """Return whether calls are limited, since the server is or may be cold."""
-        return self._limiter.is_limiting and self.is_limited(service)
+        return self.is_limited(service) and self._limiter.is_limiting
 
     def announced(self, service: str, cold_s: float | None, *, new_start: bool) -> None:
         """Note an announcement of the server.
--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -294,8 +294,9 @@
 
         A call that waited for a slot might then find its turn used by another one.
         """
-        must_wait = self._limiter.releases_until_slot(request.priority) > 0
-        if must_wait and self.cold.is_limiting(request.service):
+        if not self.cold.is_limiting(request.service):
+            return None
+        if self._limiter.releases_until_slot(request.priority) > 0:
             return Failure(Verdict.NOT_RUN, BACKEND_COLD, "no slot is free")
         return self.cold.refusal(request.service)
 
--- a/tests/cli/test_operating_pages.py
+++ b/tests/cli/test_operating_pages.py
@@ -15,7 +15,7 @@
 from tests.support import PATIENCE_S, async_test
 
 _PAGES_FOLDER = Path(__file__).parent.parent.parent / "docs" / "operating"
-_PAGE_ORDER = ("start", "configuration", "moves", "watching", "failures")
+_PAGE_ORDER = ("start", "configuration", "moves", "watching", "zones", "failures")
 _SHELL_BLOCK = re.compile(r"```sh\n(.*?)```", re.DOTALL)
 _CONFIGURATION = (
     "[service matchdesk]\n[service tripvault]\n"
