--- a/burdockdock/configuration/checks.py
+++ b/burdockdock/configuration/checks.py
@@ -4,7 +4,6 @@
 """
 
 from collections.abc import Iterable
-from datetime import datetime
 
 from burdockdock.configuration.delta import changed_sections
 from burdockdock.configuration.ini import section_digest
@@ -20,9 +19,20 @@
     Sections,
     Service,
     Snapshot,
-    SplitPart,
+    Workspace,
+)
+from burdockdock.configuration.values import (
+    KeyProblem,
+    parse_flag,
+    parse_list,
+    parse_number,
+    parse_split,
+    parse_time,
+)
+from burdockdock.configuration.workspaces import (
+    WorkspaceTableBuilder,
+    parse_workspace,
 )
-from burdockdock.configuration.values import parse_names, parse_number, parse_time
 from burdockdock.coordination.whole_numbers import parse_whole_number
 
 _POLICY_BOUNDS = {
@@ -40,6 +50,7 @@
     "split",
     "target_latency_ms",
     "allowed_regions",
+    "public",
 }
 _ROUTE_KINDS = ("idempotent", "non_idempotent", "download")
 _MAX_TARGET_LATENCY_MS = 600_000
@@ -82,6 +93,7 @@
         self._services = dict(previous.services)
         self._routes = dict(previous.routes)
         self._overrides = dict(previous.overrides)
+        self._workspaces = WorkspaceTableBuilder(previous.workspaces)
         self._checked = dict(previous.checked_sections)
         self._added: list[str] = []
         self._services_removed = False
@@ -134,6 +146,7 @@
             sections={name: self._checked[name].pairs for name in sections},
             checked_sections=self._checked,
             overrides_by_scope=_group_by_scope(self._overrides.values()),
+            workspaces=self._workspaces.build(),
         )
 
     def _remove_section(self, section: str) -> None:
@@ -146,6 +159,8 @@
             del self._routes[_route_match(checked.value)]
         elif isinstance(checked.value, Override):
             del self._overrides[checked.value.name]
+        elif isinstance(checked.value, Workspace):
+            self._workspaces.remove(checked.value)
         else:
             self._defaults = Policy()
 
@@ -164,12 +179,14 @@
             self._add_route(section, value)
         elif isinstance(value, Override):
             self._overrides[value.name] = value
+        elif isinstance(value, Workspace):
+            self._note_problems(section, self._workspaces.add(value))
         else:
             self._defaults = Policy()._replace(**value)
 
     def _parse_section(
         self, section: str, pairs: dict[str, str]
-    ) -> Service | Route | Override | dict[str, int] | None:
+    ) -> Service | Route | Override | Workspace | dict[str, int] | None:
         kind, _, name = section.partition(" ")
         name = name.strip()
         if section == "defaults":
@@ -180,10 +197,15 @@
             return self._parse_route(section, name, pairs)
         if kind == "exception" and name:
             return self._parse_override(section, name, pairs)
+        if kind == "workspace" and name:
+            workspace, problems = parse_workspace(name, pairs)
+            self._note_problems(section, problems)
+            return workspace
         self._add_problem(
             section,
             "",
-            "unknown section; use defaults, service NAME, route NAME or exception NAME",
+            "unknown section; use defaults, service NAME, route NAME, "
+            "workspace NAME or exception NAME",
         )
         return None
 
@@ -209,16 +231,16 @@
 
     def _parse_service(self, section: str, name: str, pairs: dict[str, str]) -> Service:
         policy = {k: v for k, v in pairs.items() if k not in _SERVICE_KEYS}
-        cold_per_s = parse_number(pairs.get("cold_per_s", "0"), 0, _MAX_COLD_PER_S)
-        if cold_per_s is None:
-            message = f"give a number from 0 to {_MAX_COLD_PER_S}, such as 8.5"
-            self._add_problem(section, "cold_per_s", message)
+        cold_per_s, problems = parse_number(
+            "cold_per_s", pairs.get("cold_per_s", "0"), 0, _MAX_COLD_PER_S
+        )
+        self._note_problems(section, problems)
         cold_start = pairs.get("cold_start_ms", "0")
         return Service(
             name,
             self._parse_policy(section, policy),
             pairs.get("initial_version", ""),
-            cold_per_s or 0.0,
+            cold_per_s,
             self._parse_integer(
                 section, "cold_start_ms", cold_start, 0, _MAX_COLD_START_MS
             ),
@@ -229,12 +251,15 @@
         path = pairs.get("path", "")
         if not path.startswith("/"):
             self._add_problem(section, "path", "give a path that begins with /")
-        split = self._parse_split(section, pairs.get("split", ""))
+        split, problems = parse_split(pairs.get("split", ""))
+        self._note_problems(section, problems)
         if not pairs.get("service") and not split:
             self._add_problem(section, "service", "give the service's name")
         kind = pairs.get("kind", "")
         if kind and kind not in _ROUTE_KINDS:
             self._add_problem(section, "kind", f"give one of {', '.join(_ROUTE_KINDS)}")
+        public, problems = parse_flag("public", pairs.get("public", "false"))
+        self._note_problems(section, problems)
         return Route(
             name=name,
             path=path,
@@ -254,28 +279,10 @@
                 0,
                 _MAX_TARGET_LATENCY_MS,
             ),
-            allowed_regions=parse_names(pairs.get("allowed_regions", "")),
+            allowed_regions=parse_list(pairs.get("allowed_regions", "")),
+            public=public,
         )
 
-    def _parse_split(self, section: str, text: str) -> tuple[SplitPart, ...]:
-        """Parse services with weights, such as ``work:90, work-next:10``."""
-        parts = []
-        for item in text.split(",") if text else ():
-            service, _, weight = item.strip().rpartition(":")
-            try:
-                part = SplitPart(service, float(weight))
-            except ValueError:
-                part = SplitPart("", 0.0)
-            if not part.service or not 0 <= part.weight < float("inf"):
-                self._add_problem(
-                    section, "split", "give SERVICE:WEIGHT, SERVICE:WEIGHT"
-                )
-                return ()
-            parts.append(part)
-        if parts and not any(part.weight for part in parts):
-            self._add_problem(section, "split", "give at least one weight above 0")
-        return tuple(parts)
-
     def _parse_override(
         self, section: str, name: str, pairs: dict[str, str]
     ) -> Override | None:
@@ -298,7 +305,8 @@
         value = self._parse_integer(
             section, "value", pairs.get("value", ""), *_POLICY_BOUNDS[setting]
         )
-        expires = self._parse_time(section, "expires", pairs.get("expires"))
+        expires, problems = parse_time("expires", pairs.get("expires"))
+        self._note_problems(section, problems)
         return Override(name, kind, target, setting, value, reason, expires)
 
     def _parse_policy(self, section: str, pairs: dict[str, str]) -> dict[str, int]:
@@ -323,14 +331,8 @@
         )
         return low
 
-    def _parse_time(self, section: str, key: str, text: str | None) -> datetime | None:
-        if text is None:
-            return None
-        parsed = parse_time(text)
-        if parsed is None:
-            message = "give a time with a UTC offset, such as 2026-12-31T18:00:00Z"
-            self._add_problem(section, key, message)
-        return parsed
+    def _note_problems(self, section: str, problems: list[KeyProblem]) -> None:
+        self.problems += [Problem(section, *problem) for problem in problems]
 
     def _add_problem(self, section: str, key: str, message: str) -> None:
         self.problems.append(Problem(section, key, message))
--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -50,6 +50,8 @@
     :param is_stopped: returns whether the backend server's version was stopped and
         gets no more calls.
     :param cold_limits: returns what the cold backend servers of a service take.
+    :param key_refusal: returns why the API key of a request is not valid any more, None
+        if it is, or if the request needs none.
     """
 
     def __init__(
@@ -61,7 +63,9 @@
         headers: CallHeaders = OWN_HEADERS,
         is_stopped: Callable[[BackendServer], bool] = lambda _: False,
         cold_limits: Callable[[str], ColdLimits] = lambda _: ColdLimits(),
+        key_refusal: Callable[[CallRequest], Failure | None] = lambda _: None,
     ) -> None:
+        self._key_refusal = key_refusal
         self._is_stopped = is_stopped
         self._clock = clock
         self._refuses_calls_from_s = float("inf")
@@ -99,12 +103,8 @@
 
         It may turn cold while its zone is evacuated, so it counts as cold until then.
         """
-        if self._backend is None:
-            return False
-        service = self._backend.service
-        if self._evacuated:
-            return self.cold.is_limited(service)
-        return self.cold.is_cold(service)
+        check = self.cold.is_limited if self._evacuated else self.cold.is_cold
+        return self._backend is not None and check(self._backend.service)
 
     @property
     def load(self) -> int:
@@ -146,6 +146,10 @@
             # They wait for slots, but few of them would get a start.
             self._limiter.refuse_waiting(Failure(Verdict.NOT_RUN, BACKEND_COLD))
 
+    def recheck_keys(self) -> None:
+        """Refuse the queued calls whose API keys are not valid any more."""
+        self._limiter.recheck_queue()
+
     def set_leaving(self, leaving: bool) -> None:
         """Set whether to refuse calls once other nodes know that the backend leaves."""
         if not leaving:
@@ -259,6 +263,7 @@
             priority=request.priority,
             queue_length=request.queue_length,
             target_s=self._latest_start_for_target_s(request, now_s),
+            recheck=functools.partial(self._key_refusal, request),
         )
         if refusal is not None and refusal.reason == "queue_timeout":
             self._durations.record_refusal(request.route)
@@ -320,7 +325,7 @@
             )
         if self._is_stopped(self._backend):
             return Failure(Verdict.NOT_RUN, "version_stopped", self._backend.version)
-        return None
+        return self._key_refusal(request)
 
     def _send_refusal(
         self, request: CallRequest, refusal: Failure, stream: CallStream
--- a/burdockdock/node/settings.py
+++ b/burdockdock/node/settings.py
@@ -26,6 +26,7 @@
         "pipelined_calls",
         "retry_share",
         "retry_reserve",
+        "zone_cost",
     },
     "operators": {"notify_url"},
 }
@@ -74,6 +75,8 @@
         within a second, 0 if the deployment says nothing about it.
     :param cold_slack: requests that it withstands beyond that.
     :param pipelined_calls: calls of one caller's connection that run concurrently.
+    :param zone_cost: seconds of expected time that a call must gain for each KB that
+        crosses an availability zone, 0 for none.
     """
 
     name: str
@@ -98,6 +101,7 @@
     retry_share: float = DEFAULT_RETRY_SHARE
     retry_reserve: float = DEFAULT_RETRY_RESERVE
     pipelined_calls: int = DEFAULT_MAX_PIPELINED_CALLS
+    zone_cost: float = 0.0
     evacuation_s: float = 0.0
     cold_overage: float = 0.0
     cold_slack: float = 0.0
@@ -159,6 +163,7 @@
         pipelined_calls=reader.integer(
             "limits", "pipelined_calls", DEFAULT_MAX_PIPELINED_CALLS, 1, 1000
         ),
+        zone_cost=reader.number("limits", "zone_cost", 0.0, 0, 3600),
         evacuation_s=reader.positive_duration_s("limits", "evacuation"),
         cold_overage=reader.number("limits", "cold_overage", 0.0, 1, 1000),
         cold_slack=reader.number("limits", "cold_slack", 0.0, 0, 1_000_000),
--- a/burdockdock/proxy/call.py
+++ b/burdockdock/proxy/call.py
@@ -4,6 +4,7 @@
 
 from burdockdock.protocol import ReceiverGone
 from burdockdock.protocol.calls import AnswerHead, CallRequest
+from burdockdock.proxy.authentication import ANONYMOUS, Identity
 from burdockdock.proxy.remote_call import RemoteCall
 
 _MAX_REPLAY_BYTES = 64 * 1024
@@ -44,6 +45,7 @@
     :param large_answer: whether to prefer near backend servers for a large answer.
     :param may_wait: whether it may queue for a slot at a gate.
     :param allowed_regions: regions whose backend servers it may reach, None for all.
+    :param identity: whose request it is.
     """
 
     request: CallRequest
@@ -54,6 +56,7 @@
     large_answer: bool = False
     may_wait: bool = True
     allowed_regions: frozenset[str] | None = None
+    identity: Identity = ANONYMOUS
 
     def time_left_ms(self, now_s: float) -> int:
         """Return the time left until the deadline.
@@ -62,6 +65,17 @@
         """
         return int((self.deadline_s - now_s) * 1000)
 
+    def target_left_ms(self, now_s: float) -> int:
+        """Return the time left until the target, 0 if the call has no target.
+
+        A target that is less than 1 ms away or was just missed is -1, not 0.
+
+        :param now_s: monotonic seconds.
+        """
+        if not self.target_s:
+            return 0
+        return int((self.target_s - now_s) * 1000) or -1
+
 
 class ReplayableBody:
     """A request's body whose prefix is buffered, so that a retry can send it again."""
--- a/burdockdock/proxy/no_member.py
+++ b/burdockdock/proxy/no_member.py
@@ -2,10 +2,10 @@
 
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.gate.model import ZONE_EVACUATED
+from burdockdock.proxy.attempts import NO_BACKEND_SERVER
 from burdockdock.proxy.call import Call
 from burdockdock.proxy.endpoints import Endpoints
 
-_NO_BACKEND_SERVER = "no_backend_server"
 _NO_ALLOWED_REGION = "no_allowed_region"
 
 
@@ -31,4 +31,4 @@
         detail = f"all backend servers of {service} are in evacuated zones"
         return Failure(Verdict.NOT_RUN, ZONE_EVACUATED, detail)
     detail = f"no backend server of {service} accepts calls"
-    return Failure(Verdict.NOT_RUN, _NO_BACKEND_SERVER, detail)
+    return Failure(Verdict.NOT_RUN, NO_BACKEND_SERVER, detail)
--- a/tests/proxy/test_attempts.py
+++ b/tests/proxy/test_attempts.py
@@ -36,28 +36,28 @@
 
     def test_refusal_costs_no_retry_and_no_charge(self) -> None:
         self.assertFalse(has_arrived(_EVACUATED))
-        state = self.state.after(AttemptFailure("a0", _EVACUATED, "z1"))
+        state = self.state.after(AttemptFailure("a0", _EVACUATED, zone="z1"))
         self.assertEqual(self.state.retries_left, state.retries_left)
 
     def test_whole_zone_is_left_out(self) -> None:
         # Guards against a call that uses up its attempts in one evacuated zone.
-        state = self.state.after(AttemptFailure("a0", _EVACUATED, "z1"))
+        state = self.state.after(AttemptFailure("a0", _EVACUATED, zone="z1"))
         self.assertEqual({"b", "c"}, self._ids(state))
-        state = state.after(AttemptFailure("b", _EVACUATED, "z2"))
+        state = state.after(AttemptFailure("b", _EVACUATED, zone="z2"))
         self.assertEqual({"c"}, self._ids(state))
-        state = state.after(AttemptFailure("c", _EVACUATED, "z3"))
+        state = state.after(AttemptFailure("c", _EVACUATED, zone="z3"))
         self.assertEqual(set(), self._ids(state))
 
     def test_call_queues_at_a_full_node_rather_than_ask_one_that_refused(self) -> None:
         # Guards against a refused call while one node would let it wait.
         self.members = [_member("a0", "z1"), _member("b", "z2")]
         state = self.state.after(
-            AttemptFailure("a0", Failure(Verdict.NOT_RUN, "backend_leaving"), "z1")
+            AttemptFailure("a0", Failure(Verdict.NOT_RUN, "backend_leaving"), zone="z1")
         )
-        state = state.after(AttemptFailure("b", _FULL, "z2"))
+        state = state.after(AttemptFailure("b", _FULL, zone="z2"))
         self.assertEqual({"b"}, self._ids(state))
 
     def test_members_are_not_copied_before_a_refusal(self) -> None:
         self.assertIs(self.members, self.state.choose_from(self.members))
-        state = self.state.after(AttemptFailure("b", _FULL, "z2"))
+        state = self.state.after(AttemptFailure("b", _FULL, zone="z2"))
         self.assertIs(self.members, state.choose_from(self.members))
--- a/tests/proxy/test_regions.py
+++ b/tests/proxy/test_regions.py
@@ -9,8 +9,11 @@
 from tornado.httpclient import HTTPRequest, HTTPResponse
 
 from burdockdock.clock import ManualClock
+from burdockdock.configuration.model import NO_WORKSPACES, Route, Workspace
 from burdockdock.coordination.membership import Member, MembershipTable
 from burdockdock.protocol.calls import CallRequest
+from burdockdock.proxy import call_factory
+from burdockdock.proxy.authentication import Identity
 from burdockdock.proxy.call import Call
 from burdockdock.proxy.endpoints import Endpoints
 from burdockdock.proxy.no_member import no_member_failure
@@ -52,6 +55,18 @@
         ):
             self.assertEqual(expected, allowed_regions(route, workspace))
 
+    def test_call_has_the_lists_of_its_route_and_workspace(self) -> None:
+        # Guards against calls of a workspace that leave its regions.
+        route = Route("r", "/", "work", allowed_regions=("eu", "us"))
+        identity = Identity(NO_WORKSPACES, 1, public=False)
+        call_regions = call_factory._allowed_regions
+        self.assertEqual({"eu", "us"}, call_regions(route, identity))
+        workspace = Workspace("w", ("d",), allowed_regions=("us", "ap"))
+        identity = identity._replace(workspace=workspace, digest="d")
+        self.assertEqual({"us"}, call_regions(route, identity))
+        route = route._replace(allowed_regions=())
+        self.assertEqual({"us", "ap"}, call_regions(route, identity))
+
 
 class EndpointsTest(testtools.TestCase):
     """Tests of the members that a call may reach."""
