--- a/burdockdock/proxy/attempts.py
+++ b/burdockdock/proxy/attempts.py
@@ -16,6 +16,7 @@
     MAX_CROSSING_ASKS,
     MAX_FREE_SLOT_ATTEMPTS,
     MAX_FREE_SLOT_ATTEMPTS_AFTER_WAIT,
+    QUEUE_FULL,
 )
 from burdockdock.proxy.local_link import LocalLink
 from burdockdock.proxy.peer_link import PeerLink
@@ -27,8 +28,6 @@
 # Refusals by backend servers, which a request has reached though it didn't run.
 _REFUSALS_BY_BACKENDS = frozenset({BACKEND_REFUSED, "other_instance"})
 NO_BACKEND_SERVER = "no_backend_server"
-# Reason of a gate without a free slot, or with a full queue if the call may wait.
-QUEUE_FULL = "queue_full"
 # Other nodes that are tried after nodes that refused the call or are unreachable.
 MAX_FAILOVERS = 4
 # Refusals of calls that queued and got no slot; these don't queue again elsewhere.
--- a/burdockdock/proxy/cold_share.py
+++ b/burdockdock/proxy/cold_share.py
@@ -33,8 +33,8 @@
         *,
         clock: Clock,
         rng: random.Random,
-        rate_of: Callable[[str], float],
-        nodes: Callable[[], int],
+        rate_of: Callable[[str], float] = lambda _service: 0.0,
+        nodes: Callable[[], int] = lambda: 1,
     ) -> None:
         self._clock = clock
         self._rng = rng
@@ -52,9 +52,10 @@
             return members
         return [m for m in members if self._may_get_call(m)] or members
 
-    def sent(self, member: Member) -> None:
-        """Count a call to a member."""
-        rate_per_s = self._rate_of(member.service) if member.cold else 0.0
+    def sent(self, member: Member | None) -> None:
+        """Count a call to a member, if there is one."""
+        is_cold = member is not None and member.cold
+        rate_per_s = self._rate_of(member.service) if is_cold else 0.0
         if not rate_per_s:
             return
         interval_s = share_interval_s(rate_per_s, self._nodes())
--- a/burdockdock/proxy/member_choice.py
+++ b/burdockdock/proxy/member_choice.py
@@ -6,12 +6,17 @@
 from burdockdock.coordination.membership import Member
 from burdockdock.logs import log_event
 from burdockdock.metrics import Metrics
+from burdockdock.protocol.calls import AnswerHead
 from burdockdock.proxy.attempts import RetryState
 from burdockdock.proxy.balancer import LARGE_ANSWER_PENALTIES, Balancer
 from burdockdock.proxy.call import Call
 from burdockdock.proxy.endpoints import Endpoints
 from burdockdock.proxy.placement import Choice, CrossingTerms
-from burdockdock.proxy.route_sizes import RouteSizes
+from burdockdock.proxy.route_sizes import (
+    RouteSizes,
+    answer_head_size_bytes,
+    request_size_bytes,
+)
 
 
 class ZoneCost:
@@ -41,6 +46,15 @@
             left_s = min(left_s, call.target_s - now_s)
         return CrossingTerms(self._cost_s_per_kb * size_kb, left_s)
 
+    def record_size(self, call: Call, head: AnswerHead, body_bytes: int) -> None:
+        """Learn what a call of this route sends and receives.
+
+        :param body_bytes: bytes of the answer's body that came after its head.
+        """
+        size_bytes = request_size_bytes(call.request) + body_bytes
+        size_bytes += answer_head_size_bytes(head)
+        self.sizes.record(call.request.route, size_bytes)
+
     def note_crossing(self, call: Call, choice: Choice) -> None:
         """Count and log an attempt in another zone with the reason."""
         self._metrics.count("zone_crossings", label=choice.reason)
--- a/tests/proxy/test_cold_share.py
+++ b/tests/proxy/test_cold_share.py
@@ -8,6 +8,7 @@
 from burdockdock.coordination.membership import Member
 from burdockdock.proxy.balancer import Balancer
 from burdockdock.proxy.cold_share import ColdShares, share_interval_s
+from burdockdock.proxy.placement import CrossingTerms
 
 _RATE_PER_S = 8.0
 _NODES = 20
@@ -91,9 +92,14 @@
             cold_shares=self.shares,
         )
         members = [_member("c", cold=True), _member("w")]
-        chosen = []
-        for _ in range(2000):
-            self.clock.advance(0.01)
-            chosen.append(balancer.pick(members).node_id)
-        self.assertLessEqual(chosen.count("c"), 20.0 * _RATE_PER_S / _NODES + 1)
-        self.assertGreater(chosen.count("c"), 3)
+        terms = CrossingTerms(0.1, 1.0)
+        for pick in (
+            lambda: balancer.pick(members),
+            lambda: balancer.pick_by_zone(members, terms=terms).candidate.member,
+        ):
+            chosen = []
+            for _ in range(2000):
+                self.clock.advance(0.01)
+                chosen.append(pick().node_id)
+            self.assertLessEqual(chosen.count("c"), 20.0 * _RATE_PER_S / _NODES + 1)
+            self.assertGreater(chosen.count("c"), 3)
