--- a/burdockdock/gate/results.py
+++ b/burdockdock/gate/results.py
@@ -75,5 +75,6 @@
                 duration_s,
                 failed,
                 shed,
+                answered=status > 0,
             )
         )
--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -14,6 +14,7 @@
     Verdict,
     may_retry,
 )
+from burdockdock.gate.model import BACKEND_COLD
 from burdockdock.metrics import Metrics
 from burdockdock.protocol.calls import AnswerHead
 from burdockdock.proxy.answer_relay import relay_answer, wait_for_head
@@ -26,7 +27,6 @@
     unproved_refusal,
 )
 from burdockdock.proxy.attempts import (
-    NO_BACKEND_SERVER,
     Attempt,
     AttemptFailure,
     RetryState,
@@ -40,6 +40,7 @@
 from burdockdock.proxy.free_slots import FreeSlotOdds
 from burdockdock.proxy.local_link import LocalLink
 from burdockdock.proxy.member_choice import MemberChoice, ZoneCost
+from burdockdock.proxy.no_member import no_member_failure, refusal_without_members
 from burdockdock.proxy.outcomes import resolve_outcome
 from burdockdock.proxy.peer_link import PeerLink, PeerLinks
 from burdockdock.proxy.ready_check import ReadyCheck, always_ready
@@ -73,6 +74,7 @@
         identity_refusal: Callable[[Identity], Failure | None] = lambda _: None,
         zone_cost: ZoneCost | None = None,
     ) -> None:
+        self._endpoints = endpoints
         self._zone_cost = zone_cost
         self._choice = MemberChoice(
             endpoints=endpoints, balancer=balancer, zone_cost=zone_cost
@@ -105,7 +107,7 @@
         """
         self._budget.record_call(call.request.service)
         body = ReplayableBody(caller, call.request.body_length)
-        refusal = await body.read_prefix(self._time_left_ms(call) / 1000, check_ready)
+        refusal = await self._refusal_before_first_attempt(call, body, check_ready)
         if refusal is not None:
             return refusal
         asks = self._free_slots.is_worth_asking(call.request.service)
@@ -132,7 +134,7 @@
             )
             next_state = retry_state.after(outcome)
             if next_state is None or not self._should_retry(
-                call, body, failure, charges
+                call, body, outcome, charges
             ):
                 break
             retry_state = next_state
@@ -146,6 +148,16 @@
         # refusal doesn't change that.
         return strongest_failure
 
+    async def _refusal_before_first_attempt(
+        self, call: Call, body: ReplayableBody, check_ready: ReadyCheck
+    ) -> Failure | None:
+        """Buffer the beginning of the request's body, until the deadline at most."""
+        if call.request.body_length:
+            refusal = refusal_without_members(call, self._endpoints)
+            if refusal is not None:
+                return refusal
+        return await body.read_prefix(self._time_left_ms(call) / 1000, check_ready)
+
     async def _attempt(
         self,
         call: Call,
@@ -155,9 +167,7 @@
     ) -> AttemptFailure | None:
         member = self._choice.pick(call, retry_state)
         if member is None:
-            detail = f"no backend server of {call.request.service} accepts calls"
-            failure = Failure(Verdict.NOT_RUN, NO_BACKEND_SERVER, detail)
-            return AttemptFailure("", failure)
+            return AttemptFailure("", no_member_failure(call, self._endpoints))
         node_id = member.node_id
         crossed = self._choice.crosses(member)
         self._balancer.started(node_id)
@@ -178,11 +188,13 @@
             )
             if not may_wait and not crossed:
                 self._free_slots.record_result(call.request.service, result)
-            failed = is_backend_fault(result)
+            failed = is_backend_fault(result) and not member.cold
         finally:
             self._balancer.finished(node_id, failed=failed)
         if isinstance(result, Failure):
-            return AttemptFailure(node_id, result, crossed)
+            if result.reason == BACKEND_COLD:
+                self._balancer.refused_as_cold(node_id)
+            return AttemptFailure(node_id, result, crossed, member.availability_zone)
         return None
 
     async def _send_to(
@@ -316,13 +328,14 @@
         self,
         call: Call,
         body: ReplayableBody,
-        failure: Failure,
+        outcome: AttemptFailure,
         charges: ArrivalCharges,
     ) -> bool:
         """Return whether to make another attempt; charge it if needed."""
         return (
-            not is_final(failure)
-            and may_retry(failure, idempotent=call.request.idempotent)
+            outcome.node_id != ""
+            and not is_final(outcome.failure)
+            and may_retry(outcome.failure, idempotent=call.request.idempotent)
             and body.replayable
             and self._time_left_ms(call) > 0
             and charges.may_arrive()
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -133,6 +133,46 @@
         await deployment.close()
 
 
+class ColdServerTest(testtools.TestCase):
+    """Tests of calls to a backend server that says it is cold."""
+
+    @async_test
+    async def test_cold_server_gets_few_calls_until_it_is_warm(self) -> None:
+        deployment = Deployment()
+        deployment.start_store()
+        spec = config_spec(7)
+        spec["services"] = {
+            "columns": ["name", "cold-per-s", "cold-start"],
+            "rows": [["work", 0.01, "3s"]],
+        }
+        await deployment.store.put("config", "main", spec=spec)
+        caller_node, node = (deployment.make_node(name) for name in ("a", "b"))
+        await asyncio.gather(caller_node.start(), node.start())
+        await deployment.start_backend_server(node)
+        cold = deployment.heartbeat(node, seq=2, cold="60s")
+        self.assertEqual(200, await deployment.announce(node, cold))
+        membership = caller_node.membership
+        await eventually(lambda: (m := membership.get("b")) and m.cold)
+        codes, reasons = set(), set()
+        for i in range(5):
+            response = await deployment.call(caller_node, f"id-{i}")
+            codes.add(response.code)
+            if response.code == 503:
+                reasons.add(json.loads(response.body)["reason"])
+        self.assertIn(503, codes)
+        self.assertEqual({"backend_cold"}, reasons)
+        self.assertGreater(
+            node.metrics.counter("gate_refusals", label="backend_cold"), 0
+        )
+        warm = deployment.heartbeat(node, seq=3)
+        self.assertEqual(200, await deployment.announce(node, warm))
+        await eventually(lambda: not membership.get("b").cold)
+        for i in range(5):
+            response = await deployment.call(caller_node, f"id-w{i}")
+            self.assertEqual(200, response.code)
+        await deployment.close()
+
+
 class OldConfigurationTest(testtools.TestCase):
     """Tests of calls at a node that may have an old configuration."""
 
@@ -244,6 +284,19 @@
         self.assertEqual(6.0, settings.grace_period_s)
         self.assertEqual(2.0, settings.config_apply_timeout_s)
 
+    def test_deployment_with_evacuations_and_cold_servers(self) -> None:
+        settings = parse_settings(self._render())
+        limits = (settings.evacuation_s, settings.cold_overage, settings.cold_slack)
+        self.assertEqual((0.0, 0.0, 0.0), limits)
+        bounds = {
+            "bounds.evacuation": "5000ms",
+            "bounds.cold-overage": "1.5",
+            "bounds.cold-slack": "8",
+        }
+        settings = parse_settings(self._render(**bounds))
+        limits = (settings.evacuation_s, settings.cold_overage, settings.cold_slack)
+        self.assertEqual((5.0, 1.5, 8.0), limits)
+
     def test_unknown_fields_do_not_change_the_settings(self) -> None:
         self.assertEqual(self._render(), self._render(**{"new-field": "1"}))
 
--- a/tests/proxy/test_forwarder.py
+++ b/tests/proxy/test_forwarder.py
@@ -116,7 +116,7 @@
         """Wait forever, as for a link that never opens."""
         await asyncio.Event().wait()
 
-    def for_call(self, service: str, *, full: frozenset[str]) -> list[Member]:
+    def for_call(self, service: str, **_: object) -> list[Member]:
         """Return all members."""
         return self._members
 
@@ -130,6 +130,9 @@
     def finished(self, node_id: str, *, failed: bool) -> None:
         """Do nothing."""
 
+    def refused_as_cold(self, node_id: str) -> None:
+        """Do nothing."""
+
     def record_gate_state(self, node_id: str, *gate_state: object) -> None:
         """Do nothing."""
 
--- a/tests/proxy/zone_replay.py
+++ b/tests/proxy/zone_replay.py
@@ -95,7 +95,7 @@
         locality = Locality(member.node_id, member.availability_zone, member.region)
         self.pool = Pool(locality, (g.member for g in replay.gates.values()))
 
-    def for_call(self, service: str, *, full: frozenset[str]) -> Pool:
+    def for_call(self, service: str, **_: object) -> Pool:
         """Return all members."""
         return self.pool
 
