--- a/burdockdock/coordination/quota.py
+++ b/burdockdock/coordination/quota.py
@@ -16,6 +16,10 @@
 # that requests which arrive at the same moment find tokens.
 _DEPTH_SHARE = 0.25
 _DEPTH_S = 0.05
+# Part of the tolerance of a window that is granted on top of the rate. Requests inside
+# the quota would be refused otherwise where tokens expired unused at other nodes, or
+# went to requests that a caller counts at a slightly different time.
+_EXTRA_RATE_SHARE = 0.25
 # A node that was denied asks again after this time at the latest: its demand may have
 # changed, and that of others too.
 MAX_HOLD_S = 0.5
@@ -80,6 +84,11 @@
         allowed = limit.rate_per_s * self.window_s + limit.burst
         return self.overage * allowed + self.slack
 
+    def granted_rate_per_s(self, limit: QuotaLimit) -> float:
+        """Return how many tokens the whole fleet is granted per second."""
+        extra = _EXTRA_RATE_SHARE * self.tolerance(limit) / self.window_s
+        return limit.rate_per_s + extra
+
     def grant_life_s(self, limit: QuotaLimit) -> float:
         """Return how long a granted token may be used, in seconds."""
         life_s = _GRANT_LIFE_SHARE * self.tolerance(limit) / limit.rate_per_s
@@ -209,7 +218,7 @@
             bucket = self._buckets[ask.workspace] = QuotaBucket(self._empty_since_s)
         return bucket.grant(
             ask,
-            rate_per_s=limit.rate_per_s * share,
+            rate_per_s=self._bounds.granted_rate_per_s(limit) * share,
             depth=max(1.0, self._bounds.depth(limit) * share),
             now_s=now_s,
         )
