--- a/burdockdock/node/proxy_setup.py
+++ b/burdockdock/node/proxy_setup.py
@@ -106,10 +106,10 @@
         retry_budget=build_retry_budget(settings, nodes=lambda: len(membership)),
         local_link=local_link,
         signature=headers.signature,
-        zone_cost=zone_cost,
         identity_refusal=lambda identity: identity_refusal(
             identity, snapshot(), missing_version
         ),
+        zone_cost=zone_cost,
     )
     return CallContext(
         node_id=settings.name,
--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -53,9 +53,9 @@
     :param local_link: way to this node's own gate; without one, the node opens a
         connection to itself.
     :param signature: name of the header that signs answers, empty if none does.
-    :param zone_cost: the cost of a zone crossing, None where it has none.
     :param identity_refusal: returns why a request must not be sent any more by the
         configuration in force, None if it may.
+    :param zone_cost: the cost of a zone crossing, None where it has none.
     """
 
     def __init__(
@@ -69,8 +69,8 @@
         retry_budget: FleetRetryBudget,
         local_link: LocalLink | None = None,
         signature: str = "",
-        zone_cost: ZoneCost | None = None,
         identity_refusal: Callable[[Identity], Failure | None] = lambda _: None,
+        zone_cost: ZoneCost | None = None,
     ) -> None:
         self._zone_cost = zone_cost
         self._choice = MemberChoice(
