--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -25,7 +25,6 @@
 from burdockdock.gate.work_tracker import (
     ExpectedWork,
     WorkTracker,
-    leaves_last_slot,
     yields_until_s,
 )
 from burdockdock.logs import log_event
@@ -272,12 +271,7 @@
             return Failure(
                 Verdict.NOT_RUN, "too_little_time", f"expected wait {wait_s:.3f} s"
             )
-        limiter = self._limiter
-        if not request.queue_length and leaves_last_slot(
-            work, in_use=limiter.in_use, slots=limiter.slots
-        ):
-            return Failure(Verdict.NOT_RUN, "queue_full")
-        refusal = await limiter.acquire(
+        refusal = await self._limiter.acquire(
             workspace=request.workspace,
             deadline_s=latest_start_s,
             priority=request.priority,
--- a/burdockdock/gate/work_tracker.py
+++ b/burdockdock/gate/work_tracker.py
@@ -17,8 +17,6 @@
 # Share of the time until its latest start for which a long request lets others of its
 # priority go first.
 _YIELDING_SHARE = 0.5
-# With fewer slots, a long request may take the last one as well.
-_MIN_SLOTS_TO_RESERVE = 3
 
 
 class ExpectedWork(NamedTuple):
@@ -68,22 +66,12 @@
         return self._remaining.total_s()
 
 
-def leaves_last_slot(work: ExpectedWork, *, in_use: int, slots: int) -> bool:
-    """Return whether a request that asks for a free slot should look elsewhere.
-
-    Load pattern: one request of 25 costs seven times as much as the others, at 0.7 to
-    0.95 of the capacity. Two long ones beside each other hold up the short ones behind
-    them while other gates have more room, so a long one leaves the last free slot. It
-    may still queue here, which gets it that slot if no gate has two.
-    """
-    return work.is_long and slots >= _MIN_SLOTS_TO_RESERVE and in_use == slots - 1
-
-
 def yields_until_s(work: ExpectedWork, *, now_s: float, latest_start_s: float) -> float:
     """Return until when a queued request lets shorter ones of its priority go first.
 
-    Load pattern: as above, with a queue at the gate. The bound keeps a long request
-    from waiting for as long as there are short ones.
+    Load pattern: one request of 25 costs seven times as much as the others, at 0.7 to
+    0.95 of the capacity, and holds up the short ones that queue behind it. The bound
+    keeps it from waiting for as long as there are short ones.
     """
     if not work.is_long:
         return now_s
