--- a/burdockdock/cli/config.py
+++ b/burdockdock/cli/config.py
@@ -9,8 +9,8 @@
     change_config,
     version_or_exit,
 )
+from burdockdock.cli.exit_status import EXIT_USAGE
 from burdockdock.cli.output import (
-    EXIT_USAGE,
     author_option,
     fail,
     node_option,
--- a/burdockdock/cli/config_change.py
+++ b/burdockdock/cli/config_change.py
@@ -4,16 +4,13 @@
 import time
 from typing import Any
 
-from burdockdock.cli.fleet_text import describe_fleet
-from burdockdock.cli.output import (
+from burdockdock.cli.exit_status import (
     EXIT_OUTCOME_UNKNOWN,
     EXIT_REFUSED,
     EXIT_UNAVAILABLE,
-    end_progress,
-    fail,
-    show,
-    show_progress,
 )
+from burdockdock.cli.fleet_text import describe_fleet
+from burdockdock.cli.output import end_progress, fail, show, show_progress
 from burdockdock.cli.platform_access import load_head_or_exit, open_platform
 from burdockdock.clock import SystemClock
 from burdockdock.configuration.acceptance import (
--- a/burdockdock/cli/demo.py
+++ b/burdockdock/cli/demo.py
@@ -9,7 +9,7 @@
 
 import click
 
-from burdockdock.cli.output import EXIT_REFUSED
+from burdockdock.cli.exit_status import EXIT_REFUSED
 from burdockdock.standin.load import LoadReport, LoadRunner
 from burdockdock.standin.local_fleet import LocalFleet, NodePlace
 
--- a/burdockdock/cli/exception.py
+++ b/burdockdock/cli/exception.py
@@ -3,8 +3,8 @@
 import click
 
 from burdockdock.cli.config_change import EXCEPTION_SECTION_PREFIX, change_config
+from burdockdock.cli.exit_status import EXIT_REFUSED
 from burdockdock.cli.output import (
-    EXIT_REFUSED,
     author_option,
     fail,
     node_option,
--- a/burdockdock/cli/logs.py
+++ b/burdockdock/cli/logs.py
@@ -8,7 +8,7 @@
 
 import click
 
-from burdockdock.cli.output import EXIT_USAGE
+from burdockdock.cli.exit_status import EXIT_USAGE
 
 _KEY_VALUE_PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S+)')
 _VERDICT_MEANINGS = {
--- a/burdockdock/cli/move.py
+++ b/burdockdock/cli/move.py
@@ -7,10 +7,12 @@
 
 import click
 
-from burdockdock.cli.output import (
+from burdockdock.cli.exit_status import (
     EXIT_OUTCOME_UNKNOWN,
     EXIT_REFUSED,
     EXIT_UNAVAILABLE,
+)
+from burdockdock.cli.output import (
     author_option,
     end_progress,
     fail,
--- a/burdockdock/cli/output.py
+++ b/burdockdock/cli/output.py
@@ -10,11 +10,6 @@
 
 import click
 
-EXIT_REFUSED = 1
-EXIT_USAGE = 2
-EXIT_OUTCOME_UNKNOWN = 3
-EXIT_UNAVAILABLE = 4
-
 _Result = TypeVar("_Result")
 
 
--- a/burdockdock/cli/platform_access.py
+++ b/burdockdock/cli/platform_access.py
@@ -1,6 +1,7 @@
 """The commands' access to the platform, and the configuration accepted there."""
 
-from burdockdock.cli.output import EXIT_UNAVAILABLE, fail
+from burdockdock.cli.exit_status import EXIT_UNAVAILABLE
+from burdockdock.cli.output import fail
 from burdockdock.clock import SystemClock
 from burdockdock.configuration.acceptance import Head, read_document, read_head
 from burdockdock.configuration.model import Sections
--- a/burdockdock/cli/status.py
+++ b/burdockdock/cli/status.py
@@ -4,15 +4,9 @@
 
 import click
 
+from burdockdock.cli.exit_status import EXIT_UNAVAILABLE
 from burdockdock.cli.fleet_text import describe_fleet
-from burdockdock.cli.output import (
-    EXIT_UNAVAILABLE,
-    fail,
-    node_option,
-    output_option,
-    run_async,
-    show,
-)
+from burdockdock.cli.output import fail, node_option, output_option, run_async, show
 from burdockdock.node.operator_client import call_node
 
 
