--- a/burdockdock/cli/node_process.py
+++ b/burdockdock/cli/node_process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import os
 import sys
 from pathlib import Path
 
@@ -18,13 +19,16 @@
 
 
 def run_node_process(path: str) -> None:
-    """Run one node until it is stopped.
+    """Run one node until it is stopped, then exit the process.
 
     :param path: INI file with the node's settings.
     """
     settings = read_settings_or_exit(path)
-    start_logging(node=settings.name)
+    log_writer = start_logging(node=settings.name)
     asyncio.run(_run_until_stopped(settings, Path(path)))
+    log_writer.flush()
+    # Nothing is left to do, and tearing down the interpreter takes 0.03 s.
+    os._exit(0)
 
 
 def read_settings_or_exit(path: str) -> NodeSettings:
