--- a/burdockdock/proxy/answer_relay.py
+++ b/burdockdock/proxy/answer_relay.py
@@ -47,8 +47,10 @@
 
     :returns: how many bytes of its body came after its head.
     """
-    size_bytes = 0
-    await caller.send_head(head)
+    # A part of a body stays in the window until the caller's connection takes it.
+    body = attempt.remote.take_body() if head.end else b""
+    size_bytes = len(body)
+    await caller.send_head(head, body)
     while True:
         chunk = await _next_chunk(attempt.remote, call, clock)
         if isinstance(chunk, Failure):
@@ -72,6 +74,8 @@
     remote: RemoteCall, call: Call, clock: Clock
 ) -> bytes | Failure | None:
     """Wait for the next chunk of an answer; its node ends it by the deadline."""
+    if remote.body_arrived:
+        return await remote.read_body()
     left_s = call.deadline_s - clock.monotonic()
     try:
         async with asyncio.timeout(max(0.0, left_s) + _ANSWER_END_GRACE_S):
--- a/burdockdock/proxy/call.py
+++ b/burdockdock/proxy/call.py
@@ -17,8 +17,8 @@
         """Return the next chunk of the request's body and whether it is the last."""
         ...
 
-    async def send_head(self, head: AnswerHead) -> None:
-        """Send the head of the answer."""
+    async def send_head(self, head: AnswerHead, body: bytes = b"") -> None:
+        """Send the head of the answer, and the whole body if it has arrived."""
         ...
 
     async def send_body(self, data: bytes) -> None:
--- a/burdockdock/proxy/caller_answer.py
+++ b/burdockdock/proxy/caller_answer.py
@@ -74,9 +74,11 @@
         self._version = version
         self._request_headers = headers
 
-    async def send_head(self, head: AnswerHead) -> None:
+    async def send_head(self, head: AnswerHead, body: bytes = b"") -> None:
         """Send the head of the answer, after the answers to all requests before it.
 
+        :param body: the whole body, if it has arrived; it is sent in the same system
+            call unless its length contradicts the head.
         :raises ValueError: if its status is not that of a final answer.
         """
         if not is_final_status(head.status):
@@ -92,11 +94,18 @@
         if self._context.draining and self._stop_reading():
             headers["Connection"] = "close"
         start_line = ResponseStartLine("HTTP/1.1", head.status, head.reason)
+        fits = self._method != "HEAD" and self._body_bytes_left in (-1, len(body))
         with self._stream.answer_write():
-            written = self._connection.write_headers(start_line, headers)
+            written = self._connection.write_headers(
+                start_line, headers, body if fits else None
+            )
         self.started = True
         self.status = head.status
         await self._wait_written(written)
+        if fits:
+            self._body_bytes_left -= len(body)
+        elif body:
+            await self.send_body(body)
 
     async def send_body(self, data: bytes) -> None:
         """Send a chunk of the answer's body, and wait until it was written."""
--- a/burdockdock/proxy/caller_request.py
+++ b/burdockdock/proxy/caller_request.py
@@ -275,8 +275,7 @@
         """Send the caller an answer with the verdict and the reason of a failure."""
         self._context.metrics.count("call_failures", label=failure.reason)
         refusal = build_refusal(failure, self._context.rng)
-        await self._answer.send_head(refusal.head)
-        await self._answer.send_body(refusal.body)
+        await self._answer.send_head(refusal.head, refusal.body)
         self._answer.mark_complete()
 
 
--- a/burdockdock/proxy/remote_call.py
+++ b/burdockdock/proxy/remote_call.py
@@ -81,9 +81,18 @@
                 return self._failure
             self._arrived.clear()
             await self._arrived.wait()
+        return self.take_body()
+
+    @property
+    def body_arrived(self) -> bool:
+        """Whether ``read_body`` returns without waiting."""
+        return bool(self._chunks) or self._ended or self._failure is not None
+
+    def take_body(self) -> bytes:
+        """Take the part of the answer body that has arrived."""
         data = b"".join(self._chunks)
         self._chunks.clear()
-        if not self._ended:
+        if data and not self._ended:
             self._grant_credit(len(data))
         return data
 
--- a/tests/proxy/test_call_completion.py
+++ b/tests/proxy/test_call_completion.py
@@ -204,7 +204,7 @@
             await asyncio.Event().wait()
         return b"", True
 
-    async def send_head(self, head: AnswerHead) -> None:
+    async def send_head(self, head: AnswerHead, body: bytes = b"") -> None:
         """Discard the head."""
 
     async def send_body(self, data: bytes) -> None:
