--- a/burdockdock/gate/curl_client.py
+++ b/burdockdock/gate/curl_client.py
@@ -1,12 +1,15 @@
 """Asynchronous HTTP client for backend servers, built on libcurl."""
 
 import asyncio
+import math
 
 import pycurl
 
 from burdockdock.gate.transfer import BackendRequest, HeadCheck, Transfer
 
 _STOP_POLLING = pycurl.POLL_REMOVE
+# The event loop may run a timer early by its clock's resolution.
+_TIMER_TOLERANCE_S = 0.001
 
 
 class CurlClient:
@@ -22,7 +25,11 @@
         self._multi.setopt(pycurl.M_TIMERFUNCTION, self._set_timer)
         self._multi.setopt(pycurl.M_MAXCONNECTS, max_connections)
         self._timer: asyncio.TimerHandle | None = None
-        self._watched_fds: set[int] = set()
+        # When libcurl wants to be called, in seconds of the event loop's time. The
+        # timer may be set for an earlier time.
+        self._due_s = math.inf
+        # Events of libcurl's sockets that the event loop watches, by descriptor.
+        self._watched: dict[int, int] = {}
         self._transfers: dict[pycurl.Curl, Transfer] = {}
         self._idle_handles: list[pycurl.Curl] = []
 
@@ -43,6 +50,10 @@
         transfer = Transfer(easy, request, self, check_head=check_head)
         self._transfers[easy] = transfer
         self._multi.add_handle(easy)
+        if request.body_length == 0:
+            # Saves the timer with which libcurl would ask for this call. A request with
+            # a body waits for its first chunk, which is passed on in the next turn.
+            self._run_due_work()
         return transfer
 
     def cancel(self, transfer: Transfer) -> None:
@@ -74,13 +85,16 @@
         return self._transfers.get(transfer.easy) is transfer
 
     def _watch_socket(self, event: int, fd: int, multi: object, data: object) -> None:
-        if fd in self._watched_fds:
+        # Watched anew even for the same events: a new socket may have the descriptor of
+        # a closed one.
+        watched = self._watched.pop(fd, 0)
+        if watched & pycurl.POLL_IN:
             self._loop.remove_reader(fd)
+        if watched & pycurl.POLL_OUT:
             self._loop.remove_writer(fd)
-            self._watched_fds.discard(fd)
         if event == _STOP_POLLING:
             return
-        self._watched_fds.add(fd)
+        self._watched[fd] = event
         if event & pycurl.POLL_IN:
             self._loop.add_reader(fd, self._process_socket_event, fd, pycurl.CSELECT_IN)
         if event & pycurl.POLL_OUT:
@@ -89,14 +103,31 @@
             )
 
     def _set_timer(self, timeout_ms: int) -> None:
+        """Set when libcurl wants to be called.
+
+        libcurl moves the time several times a call, mostly back. A timer that is set
+        for an earlier time is kept, and set again when it fires.
+        """
+        if timeout_ms < 0:
+            self._due_s = math.inf
+            return
+        self._due_s = self._loop.time() + timeout_ms / 1000
         if self._timer is not None:
+            if self._timer.when() <= self._due_s:
+                return
             self._timer.cancel()
-            self._timer = None
-        if timeout_ms >= 0:
-            self._timer = self._loop.call_later(timeout_ms / 1000, self._on_timer)
+        self._timer = self._loop.call_at(self._due_s, self._on_timer)
 
     def _on_timer(self) -> None:
         self._timer = None
+        if self._due_s > self._loop.time() + _TIMER_TOLERANCE_S:
+            if self._due_s < math.inf:
+                self._timer = self._loop.call_at(self._due_s, self._on_timer)
+            return
+        self._run_due_work()
+
+    def _run_due_work(self) -> None:
+        self._due_s = math.inf
         self._process_socket_event(pycurl.SOCKET_TIMEOUT, 0)
 
     def _process_socket_event(self, fd: int, events: int) -> None:
