--- a/burdockdock/logs.py
+++ b/burdockdock/logs.py
@@ -29,12 +29,18 @@
     :returns: the line without a trailing line feed.
     """
     name = event.get("message_type") or event.get("action_type") or "event"
-    pairs = [f"time_s={event.get('timestamp', 0):.6f}", f"event={name}"]
-    pairs += [
-        f"{key}={_render_value(value)}"
-        for key, value in event.items()
-        if key not in _OMITTED_KEYS
-    ]
+    pairs = [f"time_s={event.get('timestamp', 0):.6f} event={name}"]
+    for key, value in event.items():
+        if key in _OMITTED_KEYS:
+            continue
+        kind = type(value)
+        if kind is int:
+            pairs.append(f"{key}={value}")
+        elif kind is str and value.isalnum():
+            # Most texts are ids, which need no quotes.
+            pairs.append(f"{key}={value}")
+        else:
+            pairs.append(f"{key}={_render_value(value)}")
     return " ".join(pairs)
 
 
--- a/burdockdock/protocol/codec.py
+++ b/burdockdock/protocol/codec.py
@@ -24,6 +24,8 @@
 _schema = capnp.load(str(Path(__file__).with_name("messages.capnp")))
 
 Message = Any
+# Types of nearly all values, which are set as they are.
+_SCALAR_TYPES = frozenset({bool, bytes, float, int, str})
 
 
 class ProtocolError(Exception):
@@ -88,7 +90,9 @@
     This takes a tenth of the time that pycapnp needs to convert a dict.
     """
     for name, value in fields.items():
-        if isinstance(value, dict):
+        if type(value) in _SCALAR_TYPES:
+            setattr(builder, name, value)
+        elif isinstance(value, dict):
             _set_fields(builder.init(name), value)
         elif isinstance(value, list) and value and isinstance(value[0], dict):
             items = builder.init(name, len(value))
