--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -44,6 +44,7 @@
     overload: dict[str, Any]
     placement: dict[str, Any]
     long_versions: list[dict[str, Any]]
+    starts: dict[str, dict[str, float]]
 
 
 class RoleRow(NamedTuple):
@@ -69,6 +70,7 @@
         load("overload"),
         load("placement"),
         load("long_versions"),
+        load("starts"),
     )
 
 
@@ -416,6 +418,14 @@
     return "\n".join(lines)
 
 
+def _start_table(measured: Measurements) -> str:
+    lines = ["| release | processor time | resident memory |", "|---|---|---|"]
+    for label, row in measured.starts.items():
+        memory = _megabytes(row["resident_bytes"])
+        lines.append(f"| {label} | {row['cpu_s']:.2f} s | {memory} |")
+    return "\n".join(lines)
+
+
 def _overload_table(estimates: _Estimates) -> str:
     overload = estimates.measured.overload
     rows = {f"{load} times": row for load, row in overload["loads"].items()}
@@ -584,6 +594,14 @@
 
 {_overload_table(estimates)}
 
+## Starts of a node
+
+`python -m bench.starts`: a node until 1 s after it is ready, with no other node and no
+configuration; medians of {measured.starts["this release"]["starts"]:.0f} starts. Nearly
+all of it is imports. `tests/node/test_imports.py` guards them.
+
+{_start_table(measured)}
+
 ## Ordinary days and incidents
 
 {_event_table(estimates)}
