--- a/burdockdock/configuration/checks.py
+++ b/burdockdock/configuration/checks.py
@@ -24,6 +24,8 @@
 from burdockdock.configuration.values import (
     KeyProblem,
     parse_flag,
+    parse_list,
+    parse_number,
     parse_split,
     parse_time,
 )
@@ -47,12 +49,15 @@
     "kind",
     "split",
     "target_latency_ms",
+    "allowed_regions",
     "public",
 }
 _ROUTE_KINDS = ("idempotent", "non_idempotent", "download")
 _MAX_TARGET_LATENCY_MS = 600_000
 _OVERRIDE_KEYS = {"scope", "setting", "value", "reason", "expires"}
-_INITIAL_VERSION_KEY = "initial_version"
+_SERVICE_KEYS = {"initial_version", "cold_per_s", "cold_start_ms"}
+_MAX_COLD_PER_S = 1_000_000
+_MAX_COLD_START_MS = 3_600_000
 _SCOPE_KINDS = ("zone", "service", "route", "node")
 _MIN_REASON_LENGTH = 5
 
@@ -225,11 +230,20 @@
             )
 
     def _parse_service(self, section: str, name: str, pairs: dict[str, str]) -> Service:
-        policy = {k: v for k, v in pairs.items() if k != _INITIAL_VERSION_KEY}
+        policy = {k: v for k, v in pairs.items() if k not in _SERVICE_KEYS}
+        cold_per_s, problems = parse_number(
+            "cold_per_s", pairs.get("cold_per_s", "0"), 0, _MAX_COLD_PER_S
+        )
+        self._note_problems(section, problems)
+        cold_start = pairs.get("cold_start_ms", "0")
         return Service(
             name,
             self._parse_policy(section, policy),
-            pairs.get(_INITIAL_VERSION_KEY, ""),
+            pairs.get("initial_version", ""),
+            cold_per_s,
+            self._parse_integer(
+                section, "cold_start_ms", cold_start, 0, _MAX_COLD_START_MS
+            ),
         )
 
     def _parse_route(self, section: str, name: str, pairs: dict[str, str]) -> Route:
@@ -265,6 +279,7 @@
                 0,
                 _MAX_TARGET_LATENCY_MS,
             ),
+            allowed_regions=parse_list(pairs.get("allowed_regions", "")),
             public=public,
         )
 
--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -11,14 +11,23 @@
 from burdockdock.coordination.shutdown import ShutdownLimit
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.gate.backend_call import BackendCalls
+from burdockdock.gate.cold_admission import ColdAdmission, ColdLimits
 from burdockdock.gate.headers import OWN_HEADERS, CallHeaders
 from burdockdock.gate.model import (
+    BACKEND_COLD,
     DEFAULT_SLOTS,
+    ZONE_EVACUATED,
     BackendServer,
     CallResult,
     CallStream,
 )
 from burdockdock.gate.results import ResultTracker
+from burdockdock.gate.work_tracker import (
+    ExpectedWork,
+    WorkTracker,
+    leaves_last_slot,
+    yields_until_s,
+)
 from burdockdock.logs import log_event
 from burdockdock.metrics import Metrics
 from burdockdock.protocol.calls import CallRequest, GateResults
@@ -46,6 +55,7 @@
     :param headers: names of the headers that the backend server understands.
     :param is_stopped: returns whether the backend server's version was stopped and
         gets no more calls.
+    :param cold_limits: returns what the cold backend servers of a service take.
     :param key_refusal: returns why the API key of a request is not valid any more, None
         if it is, or if the request needs none.
     """
@@ -58,6 +68,7 @@
         observe: Callable[[CallResult], None] = lambda _: None,
         headers: CallHeaders = OWN_HEADERS,
         is_stopped: Callable[[BackendServer], bool] = lambda _: False,
+        cold_limits: Callable[[str], ColdLimits] = lambda _: ColdLimits(),
         key_refusal: Callable[[CallRequest], Failure | None] = lambda _: None,
     ) -> None:
         self._key_refusal = key_refusal
@@ -68,8 +79,12 @@
         self._limiter = SlotLimiter(slots=DEFAULT_SLOTS, clock=clock)
         self._dedupe = DedupeTable(clock=clock)
         self._durations = DurationEstimator()
+        self._work = WorkTracker(clock=clock)
         self._results = ResultTracker(
-            durations=self._durations, metrics=metrics, observe=observe
+            durations=self._durations,
+            work=self._work,
+            metrics=metrics,
+            observe=observe,
         )
         self._backend_calls = BackendCalls(
             clock=clock,
@@ -80,6 +95,8 @@
         )
         self._backend: BackendServer | None = None
         self._draining = False
+        self._evacuated = False
+        self.cold = ColdAdmission(clock=clock, metrics=metrics, limits_of=cold_limits)
         self._shutdown = ShutdownLimit()
         self._running = 0
         self._idle = asyncio.Event()
@@ -90,6 +107,15 @@
         """The backend server, or None if it has not announced itself yet."""
         return self._backend
 
+    @property
+    def is_cold(self) -> bool:
+        """Whether the backend server takes fewer requests since it is cold.
+
+        It may turn cold while its zone is evacuated, so it counts as cold until then.
+        """
+        check = self.cold.is_limited if self._evacuated else self.cold.is_cold
+        return self._backend is not None and check(self._backend.service)
+
     @property
     def load(self) -> int:
         """Number of calls that hold or wait for a slot."""
@@ -118,6 +144,18 @@
         self._backend = backend
         self._limiter.resize(backend.slots)
 
+    def announce_cold(self, cold_s: float | None, *, new_start: bool) -> None:
+        """Note what the backend server says of its warm-up.
+
+        :param cold_s: remaining seconds, None if it doesn't say.
+        :param new_start: whether this is the first message of a start.
+        """
+        service = self._backend.service
+        self.cold.announced(service, cold_s, new_start=new_start)
+        if self.cold.is_limiting(service):
+            # They wait for slots, but few of them would get a start.
+            self._limiter.refuse_waiting(Failure(Verdict.NOT_RUN, BACKEND_COLD))
+
     def recheck_keys(self) -> None:
         """Refuse the queued calls whose API keys are not valid any more."""
         self._limiter.recheck_queue()
@@ -129,6 +167,14 @@
         elif self._refuses_calls_from_s == float("inf"):
             self._refuses_calls_from_s = self._clock.monotonic() + _LEAVE_PROPAGATION_S
 
+    def set_evacuated(self, evacuated: bool) -> None:
+        """Refuse new and queued calls while the availability zone is evacuated."""
+        self._evacuated = evacuated
+        if evacuated:
+            self._limiter.refuse_waiting(Failure(Verdict.NOT_RUN, ZONE_EVACUATED))
+        elif self._backend is not None:
+            self.cold.evacuation_ended(self._backend.service)
+
     def limit_to_shutdown(self, limit: ShutdownLimit) -> None:
         """Refuse calls that may take longer than this node runs."""
         self._shutdown = limit
@@ -175,20 +221,26 @@
         if refusal is not None:
             self._send_refusal(request, refusal, stream)
             return
+        work = self._work.add(request)
         try:
-            refusal = await self._acquire_slot(request, deadline_s)
+            refusal = await self._acquire_slot(request, deadline_s, work)
         except asyncio.CancelledError:
+            self._work.end(work)
             # Bar the id rather than release it, so that "not run" stays true.
             self._dedupe.finish(request.request_id, Verdict.NOT_RUN)
             self._send_refusal(request, Failure(Verdict.NOT_RUN, "withdrawn"), stream)
             raise
         if refusal is not None:
+            self._work.end(work)
             self._dedupe.release(request.request_id)
             self._send_refusal(request, refusal, stream)
             return
+        self._work.start(work)
         try:
             # The backend server may have started to leave while the call was queued.
             refusal = self._backend_refusal(request)
+            if refusal is None:
+                refusal = self.cold.take(request.service)
             if refusal is not None:
                 self._dedupe.release(request.request_id)
                 self._send_refusal(request, refusal, stream)
@@ -201,10 +253,11 @@
                 on_end=functools.partial(self._finish_request_id, request),
             )
         finally:
+            self._work.end(work)
             self._limiter.release(request.workspace)
 
     async def _acquire_slot(
-        self, request: CallRequest, deadline_s: float
+        self, request: CallRequest, deadline_s: float, work: ExpectedWork
     ) -> Failure | None:
         """Wait for a slot, but no longer than the call could still finish in time."""
         needed_s = max(
@@ -219,12 +272,20 @@
             return Failure(
                 Verdict.NOT_RUN, "too_little_time", f"expected wait {wait_s:.3f} s"
             )
-        refusal = await self._limiter.acquire(
+        limiter = self._limiter
+        if not request.queue_length and leaves_last_slot(
+            work, in_use=limiter.in_use, slots=limiter.slots
+        ):
+            return Failure(Verdict.NOT_RUN, "queue_full")
+        refusal = await limiter.acquire(
             workspace=request.workspace,
             deadline_s=latest_start_s,
             priority=request.priority,
             queue_length=request.queue_length,
             target_s=self._latest_start_for_target_s(request, now_s),
+            yields_until_s=yields_until_s(
+                work, now_s=now_s, latest_start_s=latest_start_s
+            ),
             recheck=functools.partial(self._key_refusal, request),
         )
         if refusal is not None and refusal.reason == "queue_timeout":
@@ -253,7 +314,19 @@
     def _admission_refusal(self, request: CallRequest) -> Failure | None:
         if self._draining or self._shutdown_would_cut(request):
             return Failure(Verdict.NOT_RUN, "draining")
-        return self._backend_refusal(request)
+        refusal = self._backend_refusal(request)
+        return self._cold_refusal(request) if refusal is None else refusal
+
+    def _cold_refusal(self, request: CallRequest) -> Failure | None:
+        """Return why a cold backend server has no room, None if it has.
+
+        A call that waited for a slot might then find its turn used by another one.
+        """
+        if not self.cold.is_limiting(request.service):
+            return None
+        if self._limiter.releases_until_slot(request.priority) > 0:
+            return Failure(Verdict.NOT_RUN, BACKEND_COLD, "no slot is free")
+        return self.cold.refusal(request.service)
 
     def _shutdown_would_cut(self, request: CallRequest) -> bool:
         """Return whether this node may stop before the call's deadline."""
@@ -263,6 +336,8 @@
 
     def _backend_refusal(self, request: CallRequest) -> Failure | None:
         """Return why the backend server can't take the request, None if it can."""
+        if self._evacuated:
+            return Failure(Verdict.NOT_RUN, ZONE_EVACUATED)
         if self._clock.monotonic() >= self._refuses_calls_from_s:
             return Failure(Verdict.NOT_RUN, "backend_leaving")
         if self._backend is None or self._backend.service != request.service:
--- a/burdockdock/node/proxy_setup.py
+++ b/burdockdock/node/proxy_setup.py
@@ -9,6 +9,7 @@
 from burdockdock.coordination.backoff import FleetRetryBudget
 from burdockdock.coordination.membership import Member, MembershipTable, MemberState
 from burdockdock.coordination.verdict import Failure
+from burdockdock.gate.cold_admission import ColdLimits
 from burdockdock.gate.headers import CallHeaders
 from burdockdock.metrics import Metrics
 from burdockdock.node.rollouts import RolloutParticipant
@@ -16,12 +17,14 @@
 from burdockdock.protocol.calls import CallRequest
 from burdockdock.proxy.authentication import identity_refusal
 from burdockdock.proxy.balancer import Balancer
+from burdockdock.proxy.cold_share import ColdShares
 from burdockdock.proxy.context import CallContext
 from burdockdock.proxy.endpoints import Endpoints
 from burdockdock.proxy.forwarder import Forwarder
 from burdockdock.proxy.local_link import LocalLink
 from burdockdock.proxy.member_choice import ZoneCost
 from burdockdock.proxy.peer_link import PeerLinks
+from burdockdock.proxy.quota_client import QuotaClient
 
 # Share of the fleet's retry budget for retries by this proxy. The rest is left for the
 # calls that a backend server makes again while it handles a retried call: no message
@@ -70,6 +73,8 @@
     missing_version: Callable[[], int],
     config_refusal: Callable[[], Failure | None],
     own_service: Callable[[], str],
+    quota: QuotaClient,
+    cold_limits: Callable[[str], ColdLimits],
     headers: CallHeaders,
     clock: Clock,
     rng: random.Random,
@@ -84,7 +89,9 @@
     :param missing_version: returns the newest known configuration version if this node
         does not have it yet, otherwise 0.
     :param config_refusal: returns why calls must not be routed by that configuration.
+    :param cold_limits: returns what the cold backend servers of a service take.
     :param own_service: returns the service of this node's backend server.
+    :param quota: admits calls within the quotas of their workspaces.
     """
     balancer = Balancer(
         availability_zone=settings.availability_zone,
@@ -92,6 +99,12 @@
         clock=clock,
         rng=rng,
         node_id=settings.name,
+        cold_shares=ColdShares(
+            clock=clock,
+            rng=rng,
+            rate_of=lambda service: cold_limits(service).rate_per_s,
+            nodes=lambda: len(membership.live()),
+        ),
     )
     membership.subscribe(forget_dead_nodes(balancer))
     zone_cost = None
@@ -122,6 +135,7 @@
         metrics=metrics,
         rng=rng,
         own_service=own_service,
+        quota=quota,
         headers=headers,
     )
 
--- a/burdockdock/node/settings.py
+++ b/burdockdock/node/settings.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from burdockdock.configuration.model import Problem
+from burdockdock.coordination.quota import QuotaBounds
 from burdockdock.overlay.datagrams import Address
 from burdockdock.proxy.listener import DEFAULT_MAX_PIPELINED_CALLS
 
@@ -18,9 +19,15 @@
     "backend_server": {"service", "address", "announce_interval"},
     "limits": {
         "config_apply",
+        "cold_overage",
+        "cold_slack",
         "drain_timeout_s",
+        "evacuation",
         "grace_period",
         "pipelined_calls",
+        "quota_overage",
+        "quota_slack",
+        "quota_window",
         "retry_share",
         "retry_reserve",
         "zone_cost",
@@ -32,6 +39,7 @@
 DEFAULT_CONFIG_APPLY_TIMEOUT_S = 2.5
 DEFAULT_RETRY_SHARE = 0.2
 DEFAULT_RETRY_RESERVE = 100.0
+DEFAULT_QUOTA_BOUNDS = QuotaBounds()
 _NO_ADDRESS: Address = ("", 0)
 _REQUIRED_KEYS = {
     "node": ("name", "mesh", "region", "availability_zone"),
@@ -66,7 +74,13 @@
     :param grace_period_s: seconds from the stop signal to the kill, 0 for no kill.
     :param retry_share: retries per call that the fleet may send to backend servers.
     :param retry_reserve: retries per service that the fleet may send beyond that share.
+    :param evacuation_s: seconds within which an availability zone has to be evacuated,
+        0 if the deployment evacuates none.
+    :param cold_overage: how many times its own rate a cold backend server withstands
+        within a second, 0 if the deployment says nothing about it.
+    :param cold_slack: requests that it withstands beyond that.
     :param pipelined_calls: calls of one caller's connection that run concurrently.
+    :param quota_bounds: how far a workspace may exceed its quota over the whole fleet.
     :param zone_cost: seconds of expected time that a call must gain for each KB that
         crosses an availability zone, 0 for none.
     """
@@ -93,7 +107,11 @@
     retry_share: float = DEFAULT_RETRY_SHARE
     retry_reserve: float = DEFAULT_RETRY_RESERVE
     pipelined_calls: int = DEFAULT_MAX_PIPELINED_CALLS
+    quota_bounds: QuotaBounds = DEFAULT_QUOTA_BOUNDS
     zone_cost: float = 0.0
+    evacuation_s: float = 0.0
+    cold_overage: float = 0.0
+    cold_slack: float = 0.0
 
 
 def read_settings(path: Path) -> NodeSettings | list[Problem]:
@@ -152,11 +170,25 @@
         pipelined_calls=reader.integer(
             "limits", "pipelined_calls", DEFAULT_MAX_PIPELINED_CALLS, 1, 1000
         ),
+        quota_bounds=_read_quota_bounds(reader),
         zone_cost=reader.number("limits", "zone_cost", 0.0, 0, 3600),
+        evacuation_s=reader.positive_duration_s("limits", "evacuation"),
+        cold_overage=reader.number("limits", "cold_overage", 0.0, 1, 1000),
+        cold_slack=reader.number("limits", "cold_slack", 0.0, 0, 1_000_000),
     )
     return reader.problems or settings
 
 
+def _read_quota_bounds(reader: "_ValueReader") -> QuotaBounds:
+    """Read how far quotas may be exceeded; an empty value is as good as none."""
+    default = DEFAULT_QUOTA_BOUNDS
+    return QuotaBounds(
+        window_s=reader.duration_s("limits", "quota_window") or default.window_s,
+        overage=reader.number("limits", "quota_overage", default.overage, 0, 1),
+        slack=reader.number("limits", "quota_slack", default.slack, 0, 1_000_000),
+    )
+
+
 class _ValueReader:
     """Reads values of the settings file and collects the problems found."""
 
@@ -252,6 +284,13 @@
             return 0.0
         return float(match[1]) / (1000 if match[2] == "ms" else 1)
 
+    def positive_duration_s(self, section: str, key: str) -> float:
+        """Return a duration in seconds, 0 if absent; report one that is zero."""
+        duration_s = self.duration_s(section, key)
+        if not duration_s and _DURATION.fullmatch(self.text(section, key)):
+            self._add_problem(section, key, "give a time above 0, or leave it empty")
+        return duration_s
+
     def _parse_address(self, section: str, key: str, text: str) -> Address:
         host, _, port = text.rpartition(":")
         try:
--- a/burdockdock/protocol/messages.capnp
+++ b/burdockdock/protocol/messages.capnp
@@ -23,6 +23,8 @@
     syncReply @17 :SyncReply;
     applied @18 :AppliedReport;
     evidence @19 :Evidence;
+    quotaRequest @20 :QuotaRequest;
+    quotaGrant @21 :QuotaGrant;
   }
 }
 
@@ -90,6 +92,7 @@
   load @6 :UInt32;
   serviceUs @7 :UInt32;
   failedPermille @8 :UInt16;
+  remainingUs @9 :UInt32;
 }
 
 struct CallFailed {
@@ -100,6 +103,7 @@
   load @4 :UInt32;
   serviceUs @5 :UInt32;
   failedPermille @6 :UInt16;
+  remainingUs @7 :UInt32;
 }
 
 struct OutcomeQuery {
@@ -129,6 +133,7 @@
   slots @11 :UInt32;
   platformLost @12 :Bool;
   stopped @13 :Bool;
+  cold @14 :Bool;
 }
 
 struct Ping {
@@ -241,3 +246,23 @@
   service @2 :Text;
   rows @3 :List(EvidenceRow);
 }
+
+# A node asks the grantor of a workspace, or its deputy, for tokens. With a count of 0 it
+# asks only whether the grantor responds.
+struct QuotaRequest {
+  mesh @0 :Text;
+  nodeId @1 :Text;
+  workspace @2 :Text;
+  number @3 :UInt64;
+  count @4 :UInt16;
+}
+
+struct QuotaGrant {
+  mesh @0 :Text;
+  workspace @1 :Text;
+  number @2 :UInt64;
+  count @3 :UInt16;
+  retryAfterMs @4 :UInt32;
+  notGrantor @5 :Bool;
+  probe @6 :Bool;
+}
--- a/burdockdock/proxy/answers.py
+++ b/burdockdock/proxy/answers.py
@@ -11,6 +11,7 @@
 from burdockdock.protocol.calls import AnswerHead
 from burdockdock.proxy.authentication import UNKNOWN_KEY
 from burdockdock.proxy.call_factory import hop_by_hop_names
+from burdockdock.proxy.quota_client import OVER_QUOTA
 
 VERDICT_HEADER = "X-Burdockdock-Verdict"
 _STATUS_BY_VERDICT = {
@@ -23,12 +24,14 @@
     "backend_timeout": 504,
     "already_ran": 409,
 }
-# Refusals that stay the same however often the request is sent. The others get 503.
-_FINAL_REFUSAL_STATUSES = {"no_route": 404, UNKNOWN_KEY: 401}
+# Refusals that stay the same however often the request is sent, and those that tell a
+# caller to send less. The others get 503.
+_REFUSAL_STATUSES = {"no_route": 404, UNKNOWN_KEY: 401, OVER_QUOTA: 429}
 _REASON_PHRASES = {
     401: "Unauthorized",
     404: "Not Found",
     409: "Conflict",
+    429: "Too Many Requests",
     502: "Bad Gateway",
     503: "Service Unavailable",
 }
@@ -61,7 +64,9 @@
     if status == _UNAUTHORIZED_STATUS:
         headers.append(("WWW-Authenticate", "ApiKey"))
     elif failure.verdict is Verdict.NOT_RUN:
-        after_s = rng.uniform(_RETRY_AFTER_MIN_S, _RETRY_AFTER_MAX_S)
+        after_s = failure.retry_after_s or rng.uniform(
+            _RETRY_AFTER_MIN_S, _RETRY_AFTER_MAX_S
+        )
         headers.append(("Retry-After", f"{after_s:.3f}"))
     phrase = _REASON_PHRASES.get(status, "Gateway Timeout")
     return Refusal(AnswerHead(status, phrase, tuple(headers)), body)
@@ -70,10 +75,11 @@
 def _status_for(failure: Failure) -> int:
     """Return an HTTP status that promises no more than the verdict.
 
-    A call that did not run gets 503, unless its route or its key is unknown.
+    A call that did not run gets 503, unless its route or its key is unknown or its
+    workspace is over its quota.
     """
     if failure.verdict is Verdict.NOT_RUN:
-        return _FINAL_REFUSAL_STATUSES.get(failure.reason, 503)
+        return _REFUSAL_STATUSES.get(failure.reason, 503)
     return _STATUS_BY_REASON.get(failure.reason, _STATUS_BY_VERDICT[failure.verdict])
 
 
--- a/burdockdock/proxy/balancer.py
+++ b/burdockdock/proxy/balancer.py
@@ -8,6 +8,7 @@
 from burdockdock.clock import Clock
 from burdockdock.coordination.membership import Member
 from burdockdock.protocol.calls import GateResults
+from burdockdock.proxy.cold_share import ColdShares
 from burdockdock.proxy.member_health import MemberHealth
 from burdockdock.proxy.placement import (
     JITTER_SHARE,
@@ -76,6 +77,7 @@
     :param node_id: id of this node, empty if it has no backend server.
     :param availability_zone: availability zone of this node.
     :param region: region of this node.
+    :param cold_shares: what this node may send to cold members, None for no limit.
     """
 
     def __init__(
@@ -86,6 +88,7 @@
         clock: Clock,
         rng: random.Random,
         node_id: str = "",
+        cold_shares: ColdShares | None = None,
     ) -> None:
         self._locality = Locality(node_id, availability_zone, region)
         self._clock = clock
@@ -94,6 +97,7 @@
         self._gate_reports: dict[str, _GateReport] = {}
         self._health = MemberHealth()
         self._departed: set[str] = set()
+        self._cold_shares = cold_shares or ColdShares(clock=clock, rng=rng)
         self._places: dict[str, tuple[Place, int]] = {}
         self._zone_loads = ZoneLoads()
 
@@ -121,14 +125,17 @@
         candidates = self._health.without_ejected(sample, now_s)
         if len(candidates) == len(sample) < len(pool) - len(excluded):
             candidates = self._health.healthy_in_sample(sample, pool, now_s)
+        candidates = self._cold_shares.within_share(candidates)
         mean_service_s = self._mean_service_s(candidates)
-        return min(
+        chosen = min(
             candidates,
             key=lambda m: self._expected_duration_s(
                 m, mean_service_s, penalties, now_s
             ),
             default=None,
         )
+        self._cold_shares.sent(chosen)
+        return chosen
 
     def pick_by_zone(
         self,
@@ -146,12 +153,13 @@
         pool = members if isinstance(members, Pool) else Pool(self._locality, members)
         now_s = self._clock.monotonic()
         home, elsewhere = pool.sample_by_zone(self._rng, excluded=excluded)
+        sample = usable = home + elsewhere
         if self._health:
-            sample = home + elsewhere
-            healthy = self._health.healthy_in_sample(sample, pool, now_s)
-            if len(healthy) < len(sample):
-                home = [m for m in healthy if not self.crosses(m)]
-                elsewhere = [m for m in healthy if self.crosses(m)]
+            usable = self._health.healthy_in_sample(sample, pool, now_s)
+        usable = self._cold_shares.within_share(usable)
+        if len(usable) < len(sample):
+            home = [m for m in usable if not self.crosses(m)]
+            elsewhere = [m for m in usable if self.crosses(m)]
         mean_service_s = self._mean_service_s(home or elsewhere)
         choice = choose(
             self._candidates(home, mean_service_s, now_s),
@@ -161,6 +169,7 @@
         )
         if choice is not None:
             member = choice.candidate.member
+            self._cold_shares.sent(member)
             place = Place(member.service, member.availability_zone)
             self._places[member.node_id] = place, max(1, member.slots)
         return choice
@@ -210,6 +219,10 @@
             if node_id in self._departed:
                 self.forget(node_id)
 
+    def refused_as_cold(self, node_id: str) -> None:
+        """Record that a member's gate refused an attempt since it is cold."""
+        self._cold_shares.refused(node_id)
+
     def forget(self, node_id: str) -> None:
         """Drop the state of a member that left.
 
@@ -221,6 +234,7 @@
         self._departed.discard(node_id)
         self._gate_reports.pop(node_id, None)
         self._health.forget(node_id)
+        self._cold_shares.forget(node_id)
         place, _ = self._places.pop(node_id, (None, 0))
         if place is not None and all(p != place for p, _ in self._places.values()):
             self._zone_loads.forget(place)
@@ -233,7 +247,7 @@
         This is the larger of this node's own attempts there and a recent report.
         """
         calls = self._in_flight.get(node_id, 0)
-        if report is None or now_s - report.received_at_s >= _REPORTED_LOAD_MAX_AGE_S:
+        if not _is_recent(report, now_s):
             return calls
         return max(calls, report.calls)
 
@@ -249,9 +263,14 @@
         results = report.results if report is not None else _NO_RESULTS
         slots = max(1, member.slots)
         utilization = self._known_calls(member.node_id, report, now_s) / slots
-        waiting = max(0.0, utilization + 1 / slots - 1.0)
-        duration_s = results.service_s or mean_service_s
-        duration_s *= 1.0 + waiting + _FULL_LOAD_SLOWDOWN * min(1.0, utilization)
+        service_s = results.service_s or mean_service_s
+        wait_s = max(0.0, utilization + 1 / slots - 1.0) * service_s
+        if wait_s and results.remaining_s and _is_recent(report, now_s):
+            new_calls = self._in_flight.get(member.node_id, 0) - report.in_flight
+            work_s = results.remaining_s + new_calls * service_s
+            wait_s = max(0.0, work_s) / slots
+        duration_s = service_s * (1.0 + _FULL_LOAD_SLOWDOWN * min(1.0, utilization))
+        duration_s += wait_s
         duration_s *= 1.0 + _FAILURE_PENALTY * results.failed_share
         duration_s += self._distance_penalty_s(member, penalties)
         return duration_s * (1.0 + JITTER_SHARE * (2.0 * self._rng.random() - 1.0))
@@ -279,11 +298,11 @@
             slots = member.slots or 1
             own_calls = in_flight.get(node_id, 0)
             calls = utilization * slots
-            service_s, failed_share = mean_service_s, 0.0
+            service_s, failed_share, weight = mean_service_s, 0.0, 0.0
             report = reports.get(node_id)
             if report is not None:
                 reported_calls, results, at_s, own_then = report
-                service_s, failed_share = results
+                service_s, failed_share, remaining_s = results
                 service_s = service_s or mean_service_s
                 weight = 1.0 - (now_s - at_s) / _REPORTED_LOAD_MAX_AGE_S
                 if weight > 0.0:
@@ -292,6 +311,9 @@
                 calls = own_calls
             waiting = calls + 1.0 - slots
             wait_s = service_s * waiting / slots if waiting > 0.0 else 0.0
+            if wait_s and weight > 0.0 and remaining_s:
+                work_s = remaining_s + (own_calls - own_then) * service_s
+                wait_s += weight * (max(0.0, work_s) / slots - wait_s)
             busy = calls / slots if calls < slots else 1.0
             penalty_s = service_s * _FULL_LOAD_SLOWDOWN * busy
             if node_id != own_id:
@@ -301,7 +323,7 @@
             candidates.append(Candidate(member, service_s, wait_s, penalty_s))
         return candidates
 
-    def _mean_service_s(self, members: list[Member]) -> float:
+    def _mean_service_s(self, members: Sequence[Member]) -> float:
         """Return the mean reported service time, used for members without a report."""
         reports = self._gate_reports
         total_s, count = 0.0, 0
@@ -325,3 +347,9 @@
         if member.region == self._locality.region:
             return penalties.same_region_s
         return penalties.other_region_s
+
+
+def _is_recent(report: _GateReport | None, now_s: float) -> bool:
+    return (
+        report is not None and now_s - report.received_at_s < _REPORTED_LOAD_MAX_AGE_S
+    )
--- a/burdockdock/proxy/call.py
+++ b/burdockdock/proxy/call.py
@@ -1,10 +1,13 @@
 """A call and its caller as the listener passes them to the forwarder."""
 
+import asyncio
 from typing import NamedTuple, Protocol
 
+from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.protocol import ReceiverGone
 from burdockdock.protocol.calls import AnswerHead, CallRequest
 from burdockdock.proxy.authentication import ANONYMOUS, Identity
+from burdockdock.proxy.ready_check import ReadyCheck
 from burdockdock.proxy.remote_call import RemoteCall
 
 _MAX_REPLAY_BYTES = 64 * 1024
@@ -44,6 +47,7 @@
     :param target_s: when the answer loses value, in monotonic seconds; 0 for never.
     :param large_answer: whether to prefer near backend servers for a large answer.
     :param may_wait: whether it may queue for a slot at a gate.
+    :param allowed_regions: regions whose backend servers it may reach, None for all.
     :param identity: whose request it is.
     """
 
@@ -54,6 +58,7 @@
     target_s: float = 0.0
     large_answer: bool = False
     may_wait: bool = True
+    allowed_regions: frozenset[str] | None = None
     identity: Identity = ANONYMOUS
 
     def time_left_ms(self, now_s: float) -> int:
@@ -85,8 +90,23 @@
         self.prefix_is_whole_body = True
         self.replayable = True
 
-    async def read_prefix(self) -> None:
-        """Read all of a short body, or the first chunk of a longer one."""
+    async def read_prefix(
+        self, timeout_s: float, check_ready: ReadyCheck
+    ) -> Failure | None:
+        """Read all of a short body, or the first chunk of a longer one.
+
+        :param check_ready: called then.
+        :returns: a failure if it didn't arrive in time, or that of the check.
+        """
+        if self._length:
+            try:
+                async with asyncio.timeout(timeout_s):
+                    await self._read_prefix()
+            except TimeoutError:
+                return Failure(Verdict.NOT_RUN, "request_body_late")
+        return await check_ready()
+
+    async def _read_prefix(self) -> None:
         self.prefix, self.prefix_is_whole_body = await self._caller.read_body()
         while not self.prefix_is_whole_body and 0 < self._length <= _MAX_REPLAY_BYTES:
             data, self.prefix_is_whole_body = await self._caller.read_body()
--- a/burdockdock/proxy/local_link.py
+++ b/burdockdock/proxy/local_link.py
@@ -99,5 +99,6 @@
 
     def fail(self, failure: Failure) -> None:
         """Report that the call failed before its answer was complete."""
-        self._call.refusal = GateState(self._gate.load, self._gate.results(self._route))
+        results = self._gate.results(self._route)
+        self._call.refusal = GateState(self._gate.load, results, refused=True)
         self._call.receive_failure(failure)
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -82,6 +82,7 @@
             readiness=(HOST, ports[4]),
             backend_service="work",
             backend_address=(HOST, ports[5]),
+            evacuation_s=5.0,
         )
         node = Node(settings, interface=INTERFACE)
         self.nodes.append(node)
@@ -96,7 +97,13 @@
         await self.announce(node, self.heartbeat(node, seq=1, slots=slots))
 
     def heartbeat(
-        self, node: Node, *, seq: int, state: str = "ready", slots: int = 4
+        self,
+        node: Node,
+        *,
+        seq: int,
+        state: str = "ready",
+        cold: str = "0ms",
+        slots: int = 4,
     ) -> str:
         """Return a heartbeat of the backend server beside a node."""
         host, port = node._settings.backend_address
@@ -107,7 +114,7 @@
             "version": "v1",
             "slots": slots,
             "state": state,
-            "cold-remaining": "0ms",
+            "cold-remaining": cold,
             "seq": seq,
             "born": 5,
         }
--- a/tests/proxy/test_local_link.py
+++ b/tests/proxy/test_local_link.py
@@ -90,7 +90,8 @@
 
         call = _start(_Gate(behave))
         self.assertEqual(Failure(Verdict.NOT_RUN, "queue_full"), await call.head())
-        self.assertEqual(GateState(3, GateResults(0.5, 0.25)), call.refusal)
+        expected = GateState(3, GateResults(0.5, 0.25), refused=True)
+        self.assertEqual(expected, call.refusal)
 
     @async_test
     async def test_exception_of_the_gate_fails_the_call(self) -> None:
