--- a/burdockdock/configuration/checks.py
+++ b/burdockdock/configuration/checks.py
@@ -6,10 +6,12 @@
 from collections.abc import Iterable
 from datetime import datetime
 
+from burdockdock.configuration.caller_limits import parse_caller_limits
 from burdockdock.configuration.delta import changed_sections
 from burdockdock.configuration.ini import section_digest
 from burdockdock.configuration.model import (
     EMPTY_SNAPSHOT,
+    CallerLimits,
     CheckedSection,
     Override,
     Policy,
@@ -75,6 +77,7 @@
         self._previous = previous
         self._digest = previous.digest
         self._defaults = previous.defaults
+        self._limits = previous.limits
         self._services = dict(previous.services)
         self._routes = dict(previous.routes)
         self._overrides = dict(previous.overrides)
@@ -130,6 +133,7 @@
             sections={name: self._checked[name].pairs for name in sections},
             checked_sections=self._checked,
             overrides_by_scope=_group_by_scope(self._overrides.values()),
+            limits=self._limits,
         )
 
     def _remove_section(self, section: str) -> None:
@@ -142,6 +146,8 @@
             del self._routes[_route_match(checked.value)]
         elif isinstance(checked.value, Override):
             del self._overrides[checked.value.name]
+        elif isinstance(checked.value, CallerLimits):
+            self._limits = CallerLimits()
         else:
             self._defaults = Policy()
 
@@ -160,27 +166,28 @@
             self._add_route(section, value)
         elif isinstance(value, Override):
             self._overrides[value.name] = value
+        elif isinstance(value, CallerLimits):
+            self._limits = value
         else:
             self._defaults = Policy()._replace(**value)
 
     def _parse_section(
         self, section: str, pairs: dict[str, str]
-    ) -> Service | Route | Override | dict[str, int] | None:
+    ) -> Service | Route | Override | CallerLimits | dict[str, int] | None:
         kind, _, name = section.partition(" ")
         name = name.strip()
         if section == "defaults":
             return self._parse_policy(section, pairs)
+        if section == "limits":
+            return parse_caller_limits(section, pairs, self.problems)
         if kind == "service" and name:
             return self._parse_service(section, name, pairs)
         if kind == "route" and name:
             return self._parse_route(section, name, pairs)
         if kind == "exception" and name:
             return self._parse_override(section, name, pairs)
-        self._add_problem(
-            section,
-            "",
-            "unknown section; use defaults, service NAME, route NAME or exception NAME",
-        )
+        allowed = "defaults, limits, service NAME, route NAME or exception NAME"
+        self._add_problem(section, "", f"unknown section; use {allowed}")
         return None
 
     def _add_route(self, section: str, route: Route) -> None:
--- a/burdockdock/configuration/model.py
+++ b/burdockdock/configuration/model.py
@@ -116,6 +116,21 @@
     expires: datetime | None = None
 
 
+class CallerLimits(NamedTuple):
+    """What callers may send; 0 for no limit.
+
+    :param max_header_bytes: size of a request's head.
+    :param max_body_bytes: size of a request's body.
+    :param header_timeout_ms: time for a request's head, from its first byte.
+    :param idle_timeout_ms: time that a connection may wait for its next request.
+    """
+
+    max_header_bytes: int = 0
+    max_body_bytes: int = 0
+    header_timeout_ms: int = 0
+    idle_timeout_ms: int = 0
+
+
 class CheckedSection(NamedTuple):
     """A section of the configuration that passed its checks.
 
@@ -126,7 +141,7 @@
 
     pairs: dict[str, str]
     digest: int
-    value: "Service | Route | Override | dict[str, int]"
+    value: "Service | Route | Override | CallerLimits | dict[str, int]"
 
 
 class RouteMatch(NamedTuple):
@@ -152,6 +167,7 @@
     :param sections: the sections as written in the configuration.
     :param checked_sections: the checked sections by name.
     :param overrides_by_scope: the overrides of each scope, sorted by name.
+    :param limits: what callers may send.
     """
 
     version: int
@@ -163,6 +179,7 @@
     sections: Sections
     checked_sections: dict[str, CheckedSection]
     overrides_by_scope: dict[Scope, list[Override]]
+    limits: CallerLimits = CallerLimits()
 
 
 EMPTY_SNAPSHOT = Snapshot(0, 0, Policy(), {}, {}, {}, {}, {}, {})
--- a/burdockdock/node/settings.py
+++ b/burdockdock/node/settings.py
@@ -20,6 +20,8 @@
         "config_apply",
         "drain_timeout_s",
         "grace_period",
+        "max_fds",
+        "memory_mb",
         "pipelined_calls",
         "retry_share",
         "retry_reserve",
@@ -31,6 +33,9 @@
 DEFAULT_CONFIG_APPLY_TIMEOUT_S = 2.5
 DEFAULT_RETRY_SHARE = 0.2
 DEFAULT_RETRY_RESERVE = 100.0
+# Above what any VM of an ordinary deployment has.
+DEFAULT_MEMORY_MB = 4096.0
+DEFAULT_MAX_FDS = 65_536
 _NO_ADDRESS: Address = ("", 0)
 _REQUIRED_KEYS = {
     "node": ("name", "mesh", "region", "availability_zone"),
@@ -66,6 +71,8 @@
     :param retry_share: retries per call that the fleet may send to backend servers.
     :param retry_reserve: retries per service that the fleet may send beyond that share.
     :param pipelined_calls: calls of one caller's connection that run concurrently.
+    :param memory_mb: memory of the VM.
+    :param max_fds: file descriptors that this process may open.
     """
 
     name: str
@@ -90,6 +97,8 @@
     retry_share: float = DEFAULT_RETRY_SHARE
     retry_reserve: float = DEFAULT_RETRY_RESERVE
     pipelined_calls: int = DEFAULT_MAX_PIPELINED_CALLS
+    memory_mb: float = DEFAULT_MEMORY_MB
+    max_fds: int = DEFAULT_MAX_FDS
 
 
 def read_settings(path: Path) -> NodeSettings | list[Problem]:
@@ -148,6 +157,10 @@
         pipelined_calls=reader.integer(
             "limits", "pipelined_calls", DEFAULT_MAX_PIPELINED_CALLS, 1, 1000
         ),
+        memory_mb=reader.number(
+            "limits", "memory_mb", DEFAULT_MEMORY_MB, 1, 100_000_000
+        ),
+        max_fds=reader.integer("limits", "max_fds", DEFAULT_MAX_FDS, 32, 100_000_000),
     )
     return reader.problems or settings
 
--- a/burdockdock/platform/configuration.py
+++ b/burdockdock/platform/configuration.py
@@ -45,9 +45,24 @@
         sections[f"service {service['name']}"] = {}
     for route in parse_table(spec["routes"]):
         sections[f"route {route['name']}"] = _decode_route(route)
+    if spec.get("limits"):
+        sections["limits"] = _decode_limits(spec["limits"])
     return sections
 
 
+def _decode_limits(limits: dict[str, Any]) -> dict[str, str]:
+    """Decode the limits for callers; what is missing isn't limited."""
+    section = {}
+    for name in ("max-header-bytes", "max-body-bytes"):
+        if limits.get(name) is not None:
+            section[name.replace("-", "_")] = str(max(0, int(limits[name])))
+    for name in ("header-timeout", "idle-timeout"):
+        if limits.get(name) is not None:
+            key = name.replace("-", "_") + "_ms"
+            section[key] = str(parse_duration_ms(limits[name]))
+    return section
+
+
 def _decode_route(row: dict[str, Any]) -> dict[str, str]:
     attempts = int(row.get("max-attempts", 1))
     section = {
