--- a/burdockdock/gate/call_server.py
+++ b/burdockdock/gate/call_server.py
@@ -1,10 +1,12 @@
 """Serves the calls that another node sends over a connection."""
 
 import asyncio
+import functools
 
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.gate.body_streaming import MAX_CHUNK_BYTES
 from burdockdock.gate.gate import Gate
+from burdockdock.gate.model import BufferAccount, OpenAccount
 from burdockdock.logs import log_event
 from burdockdock.protocol import FrameConnection, Message, ReceiverGone, SendWindow
 from burdockdock.protocol.calls import (
@@ -14,18 +16,32 @@
     frame_failure,
     read_call_start,
 )
+from burdockdock.protocol.chunk_buffer import ChunkBuffer
 from burdockdock.protocol.codec import frame
 
 _CALL_MESSAGE_TYPES = frozenset(
     {"callStart", "callBody", "callCancel", "credit", "outcomeQuery"}
 )
 _MAX_CONCURRENT_CALLS = 4096
+# What the objects of a call occupy, beside its body.
+_CALL_BYTES = 8 * 1024
+_SHED_REASON = "gate_memory"
 
 
 class CallServer:
-    """Runs the calls that arrive on one connection at the gate."""
+    """Runs the calls that arrive on one connection at the gate.
 
-    def __init__(self, connection: FrameConnection, gate: Gate) -> None:
+    :param open_account: accounts for the memory of each call, None for no bound.
+    """
+
+    def __init__(
+        self,
+        connection: FrameConnection,
+        gate: Gate,
+        *,
+        open_account: OpenAccount | None = None,
+    ) -> None:
+        self._open_account = open_account
         self._connection = connection
         self._gate = gate
         self._streams: dict[int, _ServerCallStream] = {}
@@ -82,6 +98,20 @@
         self._tasks[call_id] = task
         # Cleanup needs a callback: a task cancelled before its first step runs no code.
         task.add_done_callback(lambda _: self._forget(call_id))
+        if self._open_account is not None:
+            stream.account = self._open_account(
+                functools.partial(self._shed, call_id),
+                held_bytes=_CALL_BYTES + len(request.body),
+            )
+            stream.account.whole = request.end
+
+    def _shed(self, call_id: int) -> None:
+        """End a call to free its memory; it is refused only if it waits for a slot."""
+        stream = self._streams.get(call_id)
+        if stream is not None:
+            log_event("gate.shed", route=stream.route, reason=_SHED_REASON)
+            stream.shed()
+            self._tasks[call_id].cancel()
 
     async def _run(self, request: CallRequest, stream: "_ServerCallStream") -> None:
         try:
@@ -95,7 +125,8 @@
             stream.fail(Failure(Verdict.MAY_HAVE_RUN, "gate_fault", repr(error)))
 
     def _forget(self, call_id: int) -> None:
-        del self._streams[call_id]
+        stream = self._streams.pop(call_id)
+        stream.release()
         del self._tasks[call_id]
 
     def _receive_body(self, call_id: int, data: bytes, end: bool) -> None:
@@ -146,26 +177,59 @@
         self.window = SendWindow()
         self.idempotent = idempotent
         self.has_whole_body = has_whole_body
-        self._route = route
+        self.account: BufferAccount | None = None
+        self.route = route
+        self._shed = False
+        self._failed = False
         self._call_id = call_id
         self._connection = connection
         self._gate = gate
-        self._request_chunks: asyncio.Queue[tuple[bytes, bool]] = asyncio.Queue()
+        self._request_body = ChunkBuffer()
+        self._request_body_changed = asyncio.Event()
 
     def receive_body(self, data: bytes, end: bool) -> None:
-        """Queue a chunk of the request's body; the sender's window bounds the queue."""
+        """Buffer a chunk of the body; the sender's window bounds the buffer."""
+        if self._shed:
+            return
         self.has_whole_body |= end
-        self._request_chunks.put_nowait((data, end))
+        self._request_body.append(data)
+        self._request_body_changed.set()
+        self._update_account(len(data), in_hand_bytes=0)
 
     async def read_body(self) -> tuple[bytes, bool]:
-        """Return the next chunk of the request's body and grant new credit."""
-        data, end = await self._request_chunks.get()
+        """Return the next part of the request's body and grant new credit."""
+        while not self._request_body and not self.has_whole_body:
+            self._request_body_changed.clear()
+            await self._request_body_changed.wait()
+        data = self._request_body.take()
+        end = self.has_whole_body and not self._request_body
+        self._update_account(len(data), in_hand_bytes=len(data))
         if data and not end:
             self._connection.send(
                 frame("credit", callId=self._call_id, sizeBytes=len(data))
             )
         return data, end
 
+    def shed(self) -> None:
+        """Drop what is buffered, and report the call as failed once it has ended."""
+        self._shed = True
+        self._request_body.clear()
+
+    def release(self) -> None:
+        """Release the memory of a call that has ended."""
+        if self.account is not None:
+            self.account.close()
+        if self._shed and not self._failed:
+            self.fail(Failure(Verdict.MAY_HAVE_RUN, _SHED_REASON))
+
+    def _update_account(self, moved_bytes: int, *, in_hand_bytes: int) -> None:
+        if self.account is None:
+            return
+        self.account.whole = self.has_whole_body
+        self.account.move(moved_bytes)
+        held_bytes = self._request_body.occupied_bytes + in_hand_bytes
+        self.account.hold(_CALL_BYTES + held_bytes)
+
     def send_head(self, head: AnswerHead) -> None:
         """Send the head of the answer and size the window for its body."""
         self.window.resize(self._gate.answer_window_bytes)
@@ -187,12 +251,13 @@
 
     def fail(self, failure: Failure) -> None:
         """Report that the call failed before its answer was complete."""
+        self._failed = True
         self._connection.send(
             frame_failure(
                 self._call_id,
                 failure,
                 load=self._gate.load,
-                results=self._gate.results(self._route),
+                results=self._gate.results(self.route),
             )
         )
 
--- a/burdockdock/gate/model.py
+++ b/burdockdock/gate/model.py
@@ -1,5 +1,6 @@
 """Data types and interfaces between a gate and its users."""
 
+from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
 from burdockdock.coordination.verdict import Failure
@@ -64,3 +65,34 @@
     def fail(self, failure: Failure) -> None:
         """Report that the call failed before its answer was complete."""
         ...
+
+
+class BufferAccount(Protocol):
+    """Accounts for the memory that is held for one call.
+
+    ``whole`` tells whether all of the call's request has arrived.
+    """
+
+    whole: bool
+
+    def hold(self, held_bytes: int) -> None:
+        """Set the memory that is held; this may end the call."""
+        ...
+
+    def move(self, size_bytes: int) -> None:
+        """Note that bytes arrived or were passed on."""
+        ...
+
+    def close(self) -> None:
+        """Release everything."""
+        ...
+
+
+class OpenAccount(Protocol):
+    """Opens accounts of calls under the bound of the process."""
+
+    def __call__(
+        self, shed: Callable[[], None], *, held_bytes: int = 0
+    ) -> BufferAccount:
+        """Open an account; ``shed`` ends the call to free its memory."""
+        ...
--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -32,6 +32,8 @@
 from burdockdock.node.proxy_setup import (
     build_context,
     build_endpoints,
+    build_memory_budget,
+    max_caller_connections,
     retire_links_to_lost_nodes,
 )
 from burdockdock.node.rollouts import RolloutParticipant
@@ -126,6 +128,9 @@
         self.datagrams, self.spreader, self.sync, self.detector, self.applied = parts
 
     def _build_call_path(self) -> None:
+        self.memory = build_memory_budget(
+            self._settings, clock=self._clock, metrics=self.metrics
+        )
         self.gate = Gate(
             clock=self._clock,
             metrics=self.metrics,
@@ -153,6 +158,7 @@
             clock=self._clock,
             rng=self._rng,
             metrics=self.metrics,
+            memory=self.memory,
         )
         self.membership.subscribe(retire_links_to_lost_nodes(self.links))
 
@@ -232,6 +238,7 @@
             ),
             clock=self._clock,
             metrics=self.metrics,
+            open_account=self.memory.open,
         )
         host, port = settings.peers
         await self.datagrams.open(host, port)
@@ -268,6 +275,7 @@
             host=settings.callers[0],
             port=settings.callers[1],
             max_pipelined_calls=settings.pipelined_calls,
+            max_connections=max_caller_connections(settings),
         )
         log_event(
             "node.serving",
--- a/burdockdock/node/peer_server.py
+++ b/burdockdock/node/peer_server.py
@@ -10,6 +10,7 @@
 from burdockdock.coordination.verdict import Failure
 from burdockdock.gate.call_server import CallServer
 from burdockdock.gate.gate import Gate
+from burdockdock.gate.model import OpenAccount
 from burdockdock.logs import log_event
 from burdockdock.metrics import Metrics
 from burdockdock.overlay.sync_server import SyncServer, SyncSession
@@ -39,12 +40,14 @@
         sync_server: SyncServer,
         clock: Clock,
         metrics: Metrics,
+        open_account: OpenAccount | None = None,
     ) -> None:
         super().__init__()
         self._own = own
         self._gate = gate
         self._sync_server = sync_server
         self._metrics = metrics
+        self._open_account = open_account
         self._handshakes = TokenBucket(
             rate_per_s=_HANDSHAKES_PER_S, burst=_HANDSHAKE_BURST, clock=clock
         )
@@ -87,7 +90,7 @@
             # Lets the refusal arrive before the connection is closed.
             await asyncio.sleep(0.05)
             return
-        calls = CallServer(connection, self._gate)
+        calls = CallServer(connection, self._gate, open_account=self._open_account)
         session = self._sync_server.session(peer.node_id, connection)
         try:
             while (message := await connection.read()) is not None:
--- a/burdockdock/node/proxy_setup.py
+++ b/burdockdock/node/proxy_setup.py
@@ -16,7 +16,10 @@
 from burdockdock.proxy.context import CallContext
 from burdockdock.proxy.endpoints import Endpoints
 from burdockdock.proxy.forwarder import Forwarder
+from burdockdock.proxy.listener import connection_bound
+from burdockdock.proxy.memory_budget import MemoryBudget, budget_bytes
 from burdockdock.proxy.peer_link import PeerLinks
+from burdockdock.proxy.shed_log import ShedLog
 
 # Share of the fleet's retry budget for retries by this proxy. The rest is left for the
 # calls that a backend server makes again while it handles a retried call: no message
@@ -68,6 +71,7 @@
     clock: Clock,
     rng: random.Random,
     metrics: Metrics,
+    memory: MemoryBudget,
 ) -> CallContext:
     """Return the context of the caller listener, with its forwarder and balancer.
 
@@ -78,6 +82,7 @@
         does not have it yet, otherwise 0.
     :param config_refusal: returns why calls must not be routed by that configuration.
     :param own_service: returns the service of this node's backend server.
+    :param memory: bounds what this process holds for callers.
     """
     balancer = Balancer(
         availability_zone=settings.availability_zone,
@@ -108,6 +113,26 @@
         rng=rng,
         own_service=own_service,
         headers=headers,
+        memory=memory,
+    )
+
+
+def build_memory_budget(
+    settings: NodeSettings, *, clock: Clock, metrics: Metrics
+) -> MemoryBudget:
+    """Return the bound for what this process holds for callers and calls."""
+    shed_log = ShedLog(metrics=metrics, clock=clock)
+    return MemoryBudget(
+        limit_bytes=budget_bytes(settings.memory_mb),
+        clock=clock,
+        note_shed=lambda: shed_log.note("memory"),
+    )
+
+
+def max_caller_connections(settings: NodeSettings) -> int:
+    """Return how many connections of callers this node keeps open."""
+    return connection_bound(
+        max_fds=settings.max_fds, memory_bytes=budget_bytes(settings.memory_mb)
     )
 
 
--- a/burdockdock/protocol/connection.py
+++ b/burdockdock/protocol/connection.py
@@ -13,6 +13,9 @@
 )
 
 _MAX_READ_BYTES = 128 * 1024
+# Bodies wait while this many bytes wait for the socket: each call may have a window of
+# bytes in flight, but their sum must not pile up in front of a narrow link.
+_MAX_UNSENT_BYTES = 1024 * 1024
 
 
 class FrameConnection:
@@ -26,7 +29,10 @@
         self._buffer = bytearray()
         self._finishing = False
         self._closed_event = asyncio.Event()
-        stream.set_close_callback(self._closed_event.set)
+        self._unsent_bytes = 0
+        self._writable = asyncio.Event()
+        self._writable.set()
+        stream.set_close_callback(self._on_closed)
         self.sent_bytes = 0
         self.received_bytes = 0
         # Size of the message that was read last.
@@ -70,7 +76,27 @@
         except StreamClosedError:
             return
         if not future.done():
-            future.add_done_callback(_retrieve_exception)
+            self._unsent_bytes += len(data)
+            if self._unsent_bytes > _MAX_UNSENT_BYTES:
+                self._writable.clear()
+            future.add_done_callback(lambda f: self._on_sent(f, len(data)))
+
+    async def wait_writable(self) -> None:
+        """Wait while too many bytes wait for the socket, until the connection ends."""
+        await self._writable.wait()
+
+    def _on_sent(self, future: "asyncio.Future[None]", size_bytes: int) -> None:
+        # Marks a failed write's exception as retrieved, so that asyncio doesn't log it.
+        # The reader of the connection sees the failure as well.
+        if not future.cancelled():
+            future.exception()
+        self._unsent_bytes -= size_bytes
+        if self._unsent_bytes <= _MAX_UNSENT_BYTES:
+            self._writable.set()
+
+    def _on_closed(self) -> None:
+        self._closed_event.set()
+        self._writable.set()
 
     async def flush(self) -> None:
         """Wait until all sent data is written to the socket, or the connection ends."""
@@ -118,11 +144,3 @@
         data = bytes(self._buffer[HEADER_BYTES:end])
         del self._buffer[:end]
         return data
-
-
-def _retrieve_exception(future: object) -> None:
-    """Mark a failed write's exception as retrieved, so that asyncio doesn't log it.
-
-    The reader of the connection sees the failure as well.
-    """
-    future.exception()  # type: ignore[attr-defined]
--- a/burdockdock/proxy/answers.py
+++ b/burdockdock/proxy/answers.py
@@ -20,12 +20,18 @@
 _STATUS_BY_REASON = {
     "deadline_passed": 504,
     "backend_timeout": 504,
-    "no_route": 404,
     "already_ran": 409,
 }
+_NOT_RUN_STATUS_BY_REASON = {
+    "no_route": 404,
+    "body_too_large": 413,
+    "head_too_large": 431,
+}
 _REASON_PHRASES = {
     404: "Not Found",
     409: "Conflict",
+    413: "Content Too Large",
+    431: "Request Header Fields Too Large",
     502: "Bad Gateway",
     503: "Service Unavailable",
 }
@@ -64,10 +70,10 @@
 def _status_for(failure: Failure) -> int:
     """Return an HTTP status that promises no more than the verdict.
 
-    A call that did not run gets 503, unless its route is missing.
+    A call that did not run gets 503, unless its route is missing or it is too large.
     """
-    if failure.verdict is Verdict.NOT_RUN and failure.reason != "no_route":
-        return 503
+    if failure.verdict is Verdict.NOT_RUN:
+        return _NOT_RUN_STATUS_BY_REASON.get(failure.reason, 503)
     return _STATUS_BY_REASON.get(failure.reason, _STATUS_BY_VERDICT[failure.verdict])
 
 
--- a/burdockdock/proxy/call.py
+++ b/burdockdock/proxy/call.py
@@ -74,9 +74,11 @@
     async def read_prefix(self) -> None:
         """Read all of a short body, or the first chunk of a longer one."""
         self.prefix, self.prefix_is_whole_body = await self._caller.read_body()
+        parts = [self.prefix]
         while not self.prefix_is_whole_body and 0 < self._length <= _MAX_REPLAY_BYTES:
             data, self.prefix_is_whole_body = await self._caller.read_body()
-            self.prefix += data
+            parts.append(data)
+        self.prefix = b"".join(parts)
 
     async def send_rest(self, remote: RemoteCall) -> None:
         """Send what follows the prefix; a call that sent any of it can't be retried."""
--- a/burdockdock/proxy/caller_answer.py
+++ b/burdockdock/proxy/caller_answer.py
@@ -25,11 +25,14 @@
     passed to the connection. ``ended`` tells whether nothing more will be sent: the
     answer is complete or aborted, or the call's task has ended. ``status`` is the HTTP
     status that the caller gets, 0 if none yet. ``completed_at_s`` is the monotonic time
-    in seconds at which the answer was complete.
+    in seconds at which the answer was complete. ``held_bytes`` is the memory of what
+    the caller has not read yet. If ``closes``, the connection ends with this answer.
 
     :param body: body of the request.
     :param stop_reading: starts no further request on the connection, and returns
         whether this one is the last.
+    :param on_change: called with the bytes that were written, when ``held_bytes``
+        changes.
     """
 
     def __init__(
@@ -40,12 +43,16 @@
         body: RequestBody,
         *,
         stop_reading: Callable[[], bool],
+        on_change: Callable[[int], None],
     ) -> None:
         self.started = False
         self.ended = False
         self.complete = False
         self.completed_at_s: float | None = None
         self.status = 0
+        self.held_bytes = 0
+        self.closes = False
+        self._on_change = on_change
         self._context = context
         self._connection = connection
         self._stream = stream
@@ -84,7 +91,7 @@
             # Otherwise tornado would announce that the connection stays open.
             self._request_headers.pop("Connection", None)
             self._stream.reset_on_close(True)
-        if self._context.draining and self._stop_reading():
+        if (self._context.draining or self.closes) and self._stop_reading():
             headers["Connection"] = "close"
         start_line = ResponseStartLine("HTTP/1.1", head.status, head.reason)
         with self._stream.answer_write():
@@ -98,7 +105,7 @@
         if self._method != "HEAD":
             with self._stream.answer_write():
                 written = self._connection.write(data)
-            await self._wait_written(written)
+            await self._wait_written(written, len(data))
             self._body_bytes_left -= len(data)
 
     def mark_complete(self) -> None:
@@ -148,8 +155,17 @@
         except TimeoutError:
             log_event("call.body_unread", timeout_s=REQUEST_DRAIN_TIMEOUT_S)
 
-    async def _wait_written(self, future: "asyncio.Future[None]") -> None:
+    async def _wait_written(
+        self, future: "asyncio.Future[None]", size_bytes: int = 0
+    ) -> None:
+        if not future.done():
+            # As much again may have arrived from the gate meanwhile.
+            self.held_bytes = 2 * size_bytes
+            self._on_change(0)
         try:
             await future
         except StreamClosedError:
             raise asyncio.CancelledError from None
+        if self.held_bytes:
+            self.held_bytes = 0
+            self._on_change(size_bytes)
--- a/burdockdock/proxy/caller_connection.py
+++ b/burdockdock/proxy/caller_connection.py
@@ -8,13 +8,16 @@
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
 
+from burdockdock.configuration.model import CallerLimits
 from burdockdock.logs import log_event
+from burdockdock.proxy.caller_bounds import TIMEOUT_MARGIN
 from burdockdock.proxy.caller_request import CallerRequest
 from burdockdock.proxy.caller_stream import (
     CallerStream,
     discard_input,
     shutdown_write,
 )
+from burdockdock.proxy.chunk_pace import ChunkPace
 from burdockdock.proxy.context import CallContext
 
 # How long a connection may wait for its next request.
@@ -57,7 +60,11 @@
         self._ending = False
         self._changed = asyncio.Event()
         self._ended = asyncio.Event()
-        self._idle_since_s = 0.0
+        self._pace = ChunkPace(context.tiny_chunk_time)
+        # Whether a request was served, and since when a head has been incomplete.
+        self._has_served = False
+        self._head_since_s: float | None = None
+        self._idle_since_s = context.clock.monotonic()
         self._idle_timer: asyncio.TimerHandle | None = None
 
     async def serve(self) -> None:
@@ -78,6 +85,42 @@
         self.stream.close()
         await self._ended.wait()
 
+    @property
+    def idle(self) -> bool:
+        """Whether no request is in progress; its head may have arrived in part."""
+        return not any(request.started for request in self._requests)
+
+    @property
+    def idle_rank(self) -> tuple[bool, float]:
+        """Order in which idle connections are closed to make room for others."""
+        return self._has_served, self._idle_since_s
+
+    def overdue(self, limits: CallerLimits) -> str:
+        """Return which of the configuration's time-outs has passed, empty if none."""
+        if self._ending or not self.idle:
+            self._head_since_s = None
+            return ""
+        now_s = self._context.clock.monotonic()
+        # Tornado's stream doesn't tell otherwise that a head has begun.
+        if self.stream._read_buffer_size:
+            self._head_since_s = self._head_since_s or now_s
+            waited_s, timeout_ms = now_s - self._head_since_s, limits.header_timeout_ms
+            reason = "header_timeout"
+        else:
+            self._head_since_s = None
+            waited_s, timeout_ms = now_s - self._idle_since_s, limits.idle_timeout_ms
+            reason = "idle_timeout"
+        is_late = timeout_ms and waited_s * 1000 > timeout_ms * TIMEOUT_MARGIN
+        if not is_late or (reason == "idle_timeout" and self._has_input()):
+            return ""
+        return reason
+
+    def _has_input(self) -> bool:
+        """Return whether a request has arrived that was not read yet."""
+        poller = select.poll()
+        poller.register(self.stream.socket, select.POLLIN)
+        return bool(poller.poll(0))
+
     def stop_reading(self, request: CallerRequest) -> bool:
         """Start no request any more that has not started yet.
 
@@ -89,7 +132,7 @@
         return next(r for r in reversed(self._requests) if r.started) is request
 
     def _read_next_request(self) -> None:
-        stream = CallerStream(self.stream, self._end)
+        stream = CallerStream(self.stream, self._end, self._pace)
         connection = HTTP1Connection(stream, False, self._params, self._address)
         request = CallerRequest(self._context, connection, stream, pipeline=self)
         self._requests.append(request)
@@ -128,6 +171,7 @@
     ) -> None:
         """Give the turn to the next request, or end with the last one."""
         self._requests.remove(request)
+        self._has_served |= request.started
         self._idle_since_s = self._context.clock.monotonic()
         self._changed.set()
         if task.cancelled():
--- a/burdockdock/proxy/caller_request.py
+++ b/burdockdock/proxy/caller_request.py
@@ -27,6 +27,7 @@
 )
 from burdockdock.proxy.context import CallContext
 from burdockdock.proxy.request_body import MAX_BUFFERED_BODY_BYTES, RequestBody
+from burdockdock.proxy.request_guard import RequestGuard
 
 _BAD_REQUEST_STATUS = 400
 _MALFORMED_BODY = "malformed_body"
@@ -74,14 +75,17 @@
         self._connection = connection
         self._pipeline = pipeline
         stream.on_foreign_write = self._on_tornado_error_line
-        self._body = RequestBody()
+        self._guard = RequestGuard(context, stream)
+        self._body = RequestBody(self._guard.update)
         self._answer = CallerAnswer(
             context,
             connection,
             stream,
             self._body,
             stop_reading=lambda: pipeline.stop_reading(self),
+            on_change=self._guard.update,
         )
+        self._guard.attach(self._body, self._answer)
         self._closed = False
         self._task: asyncio.Task[None] | None = None
         self._body_malformed = False
@@ -103,6 +107,7 @@
         self._version = start_line.version
         self._request_headers = headers
         self._answer.set_request(start_line.method, start_line.version, headers)
+        self._guard.check_head(headers)
         self._context.open_calls += 1
         # Without this, tornado reports a closed connection only while it reads.
         self._connection.set_close_callback(self.on_connection_close)
@@ -110,7 +115,8 @@
         # A callback, because a task that is cancelled before its first step doesn't run
         # its ``finally`` block.
         self._task.add_done_callback(self._on_call_done)
-        if pop_expect_continue(start_line, headers):
+        self._guard.start(self._task.cancel)
+        if pop_expect_continue(start_line, headers) and self._guard.refusal is None:
             self.stream.send_continue()
         return None
 
@@ -120,13 +126,14 @@
         :returns: a future for which tornado waits before it reads on, if the buffer is
             full.
         """
-        if self._answer.ended:
+        if not self._guard.takes(chunk):
             return None
         return self._body.append(chunk)
 
     def finish(self) -> None:
         """Handle the end of the request's body."""
         self._body.end()
+        self._guard.update(0)
         self._pipeline.note_change()
 
     def on_connection_close(self) -> None:
@@ -180,14 +187,18 @@
         call: Call | Failure = _CALL_NOT_BUILT
         failure: Failure | None = None
         try:
-            call = await self._make_call(start_line, headers, started_s)
-            self._allow_next(call)
+            if self._guard.refusal is not None:
+                call = self._guard.refusal
+            else:
+                call = await self._make_call(start_line, headers, started_s)
+                self._allow_next(call)
             failure = call if isinstance(call, Failure) else await self._forward(call)
             if failure is not None:
                 await self._refuse(failure)
             await self._answer.finish()
         except asyncio.CancelledError:
             failure = self._failure_after_cancel() or failure
+            await self._refuse_rejected()
         except Exception as error:
             failure = internal_failure(error)
             await self._report_internal_failure(failure)
@@ -246,6 +257,9 @@
         # Nothing reads the body any more: a connection that waits for room in the
         # buffer would never end.
         self._answer.end()
+        self._guard.end()
+        if self._guard.rejection is not None and not self._answer.complete:
+            asyncio.ensure_future(self._abort_in_turn())
         self._context.open_calls -= 1
 
     async def _report_internal_failure(self, failure: Failure) -> None:
@@ -268,9 +282,18 @@
             refused = not self._answer.started and not self._body.forwarded
             verdict = Verdict.NOT_RUN if refused else Verdict.MAY_HAVE_RUN
             return Failure(verdict, _MALFORMED_BODY)
+        if self._guard.rejection is not None:
+            return self._guard.failure()
         self._context.metrics.count("calls_abandoned")
         return Failure(Verdict.MAY_HAVE_RUN, "caller_left")
 
+    async def _refuse_rejected(self) -> None:
+        """Refuse a request that was cancelled for a limit, if it can't have run."""
+        if self._guard.rejection is not None and self._guard.is_proved_not_run():
+            asyncio.current_task().uncancel()
+            await self._refuse(self._guard.rejection)
+            await self._answer.finish()
+
     async def _refuse(self, failure: Failure) -> None:
         """Send the caller an answer with the verdict and the reason of a failure."""
         self._context.metrics.count("call_failures", label=failure.reason)
--- a/burdockdock/proxy/caller_stream.py
+++ b/burdockdock/proxy/caller_stream.py
@@ -13,6 +13,8 @@
 from tornado.httputil import HTTPHeaders, RequestStartLine
 from tornado.iostream import IOStream, StreamClosedError
 
+from burdockdock.proxy.chunk_pace import ChunkPace
+
 _CONTINUE_LINE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # C struct linger: on or off, and the linger time in seconds. With a linger time of 0,
 # closing the socket resets the connection.
@@ -30,11 +32,18 @@
     the middle of an answer. A write outside of ``answer_write`` is therefore not made,
     but passed to ``on_foreign_write``, which decides how to handle it.
 
+    ``head_bytes`` is the size of the request's head, 0 before it has arrived.
+
     :param end: ends the connection when tornado closes it after the answer.
+    :param pace: slows down tiny chunks of the connection.
     """
 
-    def __init__(self, stream: IOStream, end: Callable[[], None]) -> None:
+    def __init__(
+        self, stream: IOStream, end: Callable[[], None], pace: ChunkPace
+    ) -> None:
         self.raw = stream
+        self.head_bytes = 0
+        self.pace = pace
         self.on_foreign_write: Callable[[bytes], asyncio.Future[None]] | None = None
         self.has_turn = False
         self._end = end
@@ -48,6 +57,38 @@
         """Delegate everything else to the wrapped stream."""
         return getattr(self.raw, name)
 
+    def read_until_regex(
+        self, regex: bytes, max_bytes: int | None = None
+    ) -> "asyncio.Future[bytes]":
+        """Read the head of the request, and note its size."""
+        future = self.raw.read_until_regex(regex, max_bytes=max_bytes)
+        if future.done():
+            self._note_head(future)
+        else:
+            future.add_done_callback(self._note_head)
+        return future
+
+    def read_until(
+        self, delimiter: bytes, max_bytes: int | None = None
+    ) -> "asyncio.Future[bytes]":
+        """Read the size line of a chunk, which waits if chunks are tiny."""
+        pause_s = self.pace.pause_s()
+        if not pause_s:
+            return self.raw.read_until(delimiter, max_bytes=max_bytes)
+        return asyncio.ensure_future(
+            self._read_until_later(pause_s, delimiter, max_bytes)
+        )
+
+    async def _read_until_later(
+        self, pause_s: float, delimiter: bytes, max_bytes: int | None
+    ) -> bytes:
+        await asyncio.sleep(pause_s)
+        return await self.raw.read_until(delimiter, max_bytes=max_bytes)
+
+    def _note_head(self, future: "asyncio.Future[bytes]") -> None:
+        if not future.cancelled() and future.exception() is None:
+            self.head_bytes = len(future.result())
+
     def take_turn(self) -> None:
         """Let the answer be written."""
         if self.has_turn:
--- a/burdockdock/proxy/context.py
+++ b/burdockdock/proxy/context.py
@@ -9,7 +9,13 @@
 from burdockdock.coordination.verdict import Failure
 from burdockdock.gate.headers import OWN_HEADERS, CallHeaders
 from burdockdock.metrics import Metrics
+from burdockdock.proxy.chunk_pace import TinyChunkTime
 from burdockdock.proxy.forwarder import Forwarder
+from burdockdock.proxy.memory_budget import MemoryBudget
+from burdockdock.proxy.shed_log import ShedLog
+
+# Bound for tests and benchmarks that give none.
+_DEFAULT_MEMORY_BYTES = 1 << 30
 
 
 class CallContext:
@@ -18,7 +24,8 @@
     While ``draining``, the node asks callers by ``Connection: close`` to send their
     next calls to other nodes. While ``refusing``, it refuses every new call,
     because none could end before the node stops. ``shutdown`` bounds the deadlines of
-    calls and says which of them are refused before. If ``may_wait`` is false, calls
+    calls and says which of them are refused before. ``tiny_chunk_time`` and
+    ``shed_log`` are shared by all callers. If ``may_wait`` is false, calls
     don't queue: they get a free slot or are refused. ``open_calls`` counts the calls in
     progress.
 
@@ -28,6 +35,7 @@
         this node, None if it may.
     :param own_service: returns the service of the backend server beside this node.
     :param headers: names of the headers of calls.
+    :param memory: bounds what is held for callers.
     """
 
     def __init__(
@@ -44,7 +52,13 @@
         config_refusal: Callable[[], Failure | None] = lambda: None,
         own_service: Callable[[], str] = lambda: "",
         headers: CallHeaders = OWN_HEADERS,
+        memory: MemoryBudget | None = None,
     ) -> None:
+        self.memory = memory or MemoryBudget(
+            limit_bytes=_DEFAULT_MEMORY_BYTES, clock=clock
+        )
+        self.tiny_chunk_time = TinyChunkTime(clock)
+        self.shed_log = ShedLog(metrics=metrics, clock=clock)
         self.node_id = node_id
         self.rng = rng
         self.missing_version = missing_version
--- a/burdockdock/proxy/listener.py
+++ b/burdockdock/proxy/listener.py
@@ -1,6 +1,7 @@
 """HTTP server for callers."""
 
 import asyncio
+from collections.abc import Awaitable
 
 from tornado.http1connection import HTTP1ConnectionParameters
 from tornado.iostream import IOStream
@@ -10,9 +11,18 @@
 from burdockdock.proxy.context import CallContext
 
 DEFAULT_MAX_PIPELINED_CALLS = 16
+DEFAULT_MAX_CONNECTIONS = 30_000
 MAX_HEADER_BYTES = 64 * 1024
 MAX_BODY_BYTES = 1 << 40
 _ACCEPT_QUEUE_LENGTH = 1024
+# Each connection that waits for its body to be taken keeps this much unread.
+_READ_CHUNK_BYTES = 32 * 1024
+# Memory of a connection beside its requests, for which room is kept in the budget.
+_CONNECTION_BYTES = 40 * 1024
+# Part of the descriptors for callers. The rest is for the node's links, for backend
+# connections, and for the platform.
+_CALLERS_FD_SHARE = 0.5
+_TIMEOUT_CHECK_INTERVAL_S = 0.5
 
 
 class CallerServer(TCPServer):
@@ -21,46 +31,125 @@
     ``connections`` holds those that are open.
 
     :param max_pipelined_calls: how many requests of one connection may be in progress.
+    :param max_connections: how many connections may be open. One more closes the one
+        that has been idle for longest; if none is idle, it is closed itself.
     """
 
-    def __init__(self, context: CallContext, *, max_pipelined_calls: int) -> None:
-        super().__init__()
+    def __init__(
+        self,
+        context: CallContext,
+        *,
+        max_pipelined_calls: int,
+        max_connections: int = DEFAULT_MAX_CONNECTIONS,
+    ) -> None:
+        super().__init__(read_chunk_size=_READ_CHUNK_BYTES)
         self.connections: set[CallerConnection] = set()
         self._context = context
         self.max_pipelined_calls = max_pipelined_calls
-        self._params = HTTP1ConnectionParameters(
-            max_header_size=MAX_HEADER_BYTES, max_body_size=MAX_BODY_BYTES
-        )
+        self.max_connections = max_connections
+        self._timer: asyncio.TimerHandle | None = None
+
+    def handle_stream(
+        self, stream: IOStream, address: tuple[str, int]
+    ) -> Awaitable[None] | None:
+        """Serve a connection until it ends.
 
-    async def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
-        """Serve a connection until it ends."""
+        Room is made at once, since many connections are accepted in one turn.
+        """
+        if not self._make_room():
+            stream.close()
+            return None
         connection = CallerConnection(
             stream,
             self._context,
             max_calls=self.max_pipelined_calls,
-            params=self._params,
+            params=self._params(),
             address=address,
         )
         self.connections.add(connection)
+        return self._serve(connection)
+
+    async def _serve(self, connection: CallerConnection) -> None:
         try:
             await connection.serve()
         finally:
             self.connections.discard(connection)
 
+    def _params(self) -> HTTP1ConnectionParameters:
+        """Return the bounds of tornado's parser, which closes the connection.
+
+        They are wider than the configuration's limits, which are refused by an answer.
+        """
+        limit_bytes = self._context.snapshot().limits.max_header_bytes
+        return HTTP1ConnectionParameters(
+            chunk_size=_READ_CHUNK_BYTES,
+            max_header_size=max(MAX_HEADER_BYTES, 2 * limit_bytes),
+            max_body_size=MAX_BODY_BYTES,
+        )
+
+    def _make_room(self) -> bool:
+        """Return whether one more connection may be open, and close an idle one."""
+        if len(self.connections) < self.max_connections:
+            return True
+        self._context.shed_log.note("connection_limit")
+        idle = [connection for connection in self.connections if connection.idle]
+        if not idle:
+            return False
+        self._close(min(idle, key=lambda connection: connection.idle_rank))
+        return True
+
+    def _close(self, connection: CallerConnection) -> None:
+        self.connections.discard(connection)
+        connection.stream.close()
+
+    def check_timeouts_later(self) -> None:
+        """Close connections that exceed a time-out, from now on."""
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(_TIMEOUT_CHECK_INTERVAL_S, self._check_timeouts)
+
+    def _check_timeouts(self) -> None:
+        self.check_timeouts_later()
+        limits = self._context.snapshot().limits
+        if not (limits.header_timeout_ms or limits.idle_timeout_ms):
+            return
+        for connection in list(self.connections):
+            reason = connection.overdue(limits)
+            if reason:
+                self._context.shed_log.note(reason)
+                self._close(connection)
+
     async def close_all_connections(self) -> None:
         """Close every connection and wait until its requests have ended."""
+        if self._timer is not None:
+            self._timer.cancel()
         closing = [connection.close() for connection in self.connections]
         await asyncio.gather(*closing)
 
 
+def connection_bound(*, max_fds: int, memory_bytes: int) -> int:
+    """Return how many connections of callers may be open.
+
+    :param max_fds: descriptors that the process may open.
+    :param memory_bytes: memory for what is held for callers.
+    """
+    bound = min(max_fds * _CALLERS_FD_SHARE, memory_bytes / _CONNECTION_BYTES)
+    return max(1, int(bound))
+
+
 def serve_callers(
     context: CallContext,
     *,
     host: str,
     port: int,
     max_pipelined_calls: int = DEFAULT_MAX_PIPELINED_CALLS,
+    max_connections: int = DEFAULT_MAX_CONNECTIONS,
 ) -> CallerServer:
     """Start the HTTP server for callers."""
-    server = CallerServer(context, max_pipelined_calls=max_pipelined_calls)
+    server = CallerServer(
+        context,
+        max_pipelined_calls=max_pipelined_calls,
+        max_connections=max_connections,
+    )
     server.listen(port, address=host, backlog=_ACCEPT_QUEUE_LENGTH)
+    server.check_timeouts_later()
     return server
--- a/burdockdock/proxy/peer_link.py
+++ b/burdockdock/proxy/peer_link.py
@@ -81,7 +81,7 @@
         Without a connection the returned call has already failed.
         """
         call_id = next(self._ids)
-        call = RemoteCall(call_id, self)
+        call = RemoteCall(call_id, self, wait_writable=self._connection.wait_writable)
         self._calls[call_id] = call
         if self.closed:
             call.receive_failure(Failure(Verdict.NOT_RUN, "peer_connection_closed"))
--- a/burdockdock/proxy/remote_call.py
+++ b/burdockdock/proxy/remote_call.py
@@ -1,13 +1,13 @@
 """One attempt of a call on a link to another node."""
 
 import asyncio
-from collections import deque
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple, Protocol
 
 from burdockdock.coordination.verdict import Failure
 from burdockdock.protocol import SendWindow
 from burdockdock.protocol.calls import AnswerHead, GateResults
+from burdockdock.protocol.chunk_buffer import ChunkBuffer
 from burdockdock.protocol.codec import frame
 
 
@@ -40,15 +40,24 @@
     ``refusal`` is the gate's state as reported when the node refused or failed the
     call. ``on_late_refusal`` is called with a failure that arrives after the call was
     cancelled.
+
+    :param wait_writable: waits while too many sent bytes wait on the link.
     """
 
-    def __init__(self, call_id: int, link: Link) -> None:
+    def __init__(
+        self,
+        call_id: int,
+        link: Link,
+        *,
+        wait_writable: Callable[[], Awaitable[None]] | None = None,
+    ) -> None:
         self._call_id = call_id
+        self._wait_writable = wait_writable
         self._link = link
         self._window = SendWindow()
         loop = asyncio.get_running_loop()
         self._head: asyncio.Future[AnswerHead | Failure] = loop.create_future()
-        self._chunks: deque[bytes] = deque()
+        self._chunks = ChunkBuffer()
         self._ended = False
         self._failure: Failure | None = None
         self.refusal: GateState | None = None
@@ -66,6 +75,8 @@
         :raises ReceiverGone: if the call has ended.
         """
         if data:
+            if self._wait_writable is not None:
+                await self._wait_writable()
             await self._window.reserve(len(data))
         self._link.send(frame("callBody", callId=self._call_id, data=data, end=end))
 
@@ -78,8 +89,7 @@
                 return self._failure
             self._arrived.clear()
             await self._arrived.wait()
-        data = b"".join(self._chunks)
-        self._chunks.clear()
+        data = self._chunks.take()
         if not self._ended:
             self._link.send(frame("credit", callId=self._call_id, sizeBytes=len(data)))
         return data
@@ -100,8 +110,7 @@
 
     def receive_body(self, data: bytes, end: bool) -> None:
         """Handle a chunk of the answer body."""
-        if data:
-            self._chunks.append(data)
+        self._chunks.append(data)
         self._ended |= end
         self._arrived.set()
 
--- a/tests/proxy/caller_server.py
+++ b/tests/proxy/caller_server.py
@@ -8,11 +8,15 @@
 import testtools
 
 from burdockdock.clock import SystemClock
+from burdockdock.configuration.model import CallerLimits
 from burdockdock.metrics import Metrics
 from burdockdock.protocol.calls import CallRequest
 from burdockdock.proxy import caller_request
+from burdockdock.proxy.chunk_pace import TinyChunkTime
 from burdockdock.proxy.listener import CallerServer as Server
 from burdockdock.proxy.listener import serve_callers
+from burdockdock.proxy.memory_budget import MemoryBudget
+from burdockdock.proxy.shed_log import ShedLog
 from burdockdock.standin.local_fleet import free_port
 
 HOST = "127.0.0.1"
@@ -42,16 +46,20 @@
     :param make_call: builds the call of a request; by default all get the same call.
     """
     test.patch(caller_request, "make_call", make_call)
+    clock, metrics = SystemClock(), Metrics()
     context = SimpleNamespace(
         forwarder=forwarder,
-        clock=SystemClock(),
-        metrics=Metrics(),
+        clock=clock,
+        metrics=metrics,
+        memory=MemoryBudget(limit_bytes=1 << 30, clock=clock),
+        tiny_chunk_time=TinyChunkTime(clock),
+        shed_log=ShedLog(metrics=metrics, clock=clock),
         headers=SimpleNamespace(request_id="Request-Id"),
         open_calls=0,
         draining=False,
         refusing=False,
         rng=random.Random(1),
-        snapshot=lambda: SimpleNamespace(version=1),
+        snapshot=lambda: SimpleNamespace(version=1, limits=CallerLimits()),
     )
     port = free_port()
     server = serve_callers(context, host=HOST, port=port)
--- a/tests/proxy/fake_connection.py
+++ b/tests/proxy/fake_connection.py
@@ -18,6 +18,9 @@
         """Record a sent frame."""
         self.sent.append(decode(data[HEADER_BYTES:]))
 
+    async def wait_writable(self) -> None:
+        """Return at once, since nothing waits here."""
+
     async def read(self) -> Message | None:
         """Return the next message that the test delivers."""
         return await self._incoming.get()
