--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -33,6 +33,7 @@
     build_context,
     build_endpoints,
     build_memory_budget,
+    key_check,
     max_caller_connections,
     retire_links_to_lost_nodes,
 )
@@ -45,6 +46,7 @@
 from burdockdock.platform_api.client import PlatformClient
 from burdockdock.protocol.handshake import PeerIdentity
 from burdockdock.proxy.listener import CallerServer, serve_callers
+from burdockdock.proxy.local_link import LocalLink
 from burdockdock.proxy.peer_link import PeerLinks
 
 
@@ -137,6 +139,7 @@
             observe=self._on_call_result,
             headers=self._interface.headers,
             is_stopped=lambda b: self.rollouts.is_stopped(b.service, b.version),
+            key_refusal=key_check(lambda: self.config.snapshot),
         )
         self._endpoints = build_endpoints(
             self.membership,
@@ -148,6 +151,7 @@
         self.context = build_context(
             self._settings,
             links=self.links,
+            local_link=LocalLink(self.gate, self._identity),
             endpoints=self._endpoints,
             membership=self.membership,
             snapshot=lambda: self.config.snapshot,
@@ -358,13 +362,22 @@
         if record.key != CONFIG_KEY:
             held_version = self.records.held_version(record.key)
             return self.rollouts.view.accepts(record, held_version)
+        workspaces = self.config.snapshot.workspaces
         accepted = self.config.accept(record)
+        if self.config.snapshot.workspaces is not workspaces:
+            self.gate.recheck_keys()
         self.applied.wake()
         state = self.config.applied_state()
         if accepted:
             told_s = self.records.told_s(CONFIG_KEY, record.version)
             waited_s = 0.0 if told_s is None else self._clock.monotonic() - told_s
-            log_event("config.applied", version=record.version, waited_s=waited_s)
+            log_event(
+                "config.applied",
+                version=record.version,
+                waited_s=waited_s,
+                workspaces=len(self.config.snapshot.workspaces.by_name),
+                keys=len(self.config.snapshot.workspaces.by_digest),
+            )
         else:
             log_event("config.refused", version=record.version, reason=state.reason)
         return accepted
--- a/burdockdock/node/proxy_setup.py
+++ b/burdockdock/node/proxy_setup.py
@@ -5,6 +5,7 @@
 
 from burdockdock.clock import Clock
 from burdockdock.configuration.model import Snapshot
+from burdockdock.configuration.workspaces import revocation
 from burdockdock.coordination.backoff import FleetRetryBudget
 from burdockdock.coordination.membership import Member, MembershipTable, MemberState
 from burdockdock.coordination.verdict import Failure
@@ -12,11 +13,15 @@
 from burdockdock.metrics import Metrics
 from burdockdock.node.rollouts import RolloutParticipant
 from burdockdock.node.settings import NodeSettings
+from burdockdock.protocol.calls import CallRequest
+from burdockdock.proxy.authentication import identity_refusal
 from burdockdock.proxy.balancer import Balancer
 from burdockdock.proxy.context import CallContext
 from burdockdock.proxy.endpoints import Endpoints
 from burdockdock.proxy.forwarder import Forwarder
 from burdockdock.proxy.listener import connection_bound
+from burdockdock.proxy.local_link import LocalLink
+from burdockdock.proxy.member_choice import ZoneCost
 from burdockdock.proxy.memory_budget import MemoryBudget, budget_bytes
 from burdockdock.proxy.peer_link import PeerLinks
 from burdockdock.proxy.shed_log import ShedLog
@@ -61,6 +66,7 @@
     settings: NodeSettings,
     *,
     links: PeerLinks,
+    local_link: LocalLink,
     endpoints: Endpoints,
     membership: MembershipTable,
     snapshot: Callable[[], Snapshot],
@@ -75,6 +81,7 @@
 ) -> CallContext:
     """Return the context of the caller listener, with its forwarder and balancer.
 
+    :param local_link: way to this node's own gate.
     :param membership: reports dead nodes and the number of nodes that share the retry
         budget.
     :param snapshot: returns the configuration that this node applies.
@@ -92,6 +99,9 @@
         node_id=settings.name,
     )
     membership.subscribe(forget_dead_nodes(balancer))
+    zone_cost = None
+    if settings.zone_cost:
+        zone_cost = ZoneCost(settings.zone_cost, clock=clock, metrics=metrics)
     forwarder = Forwarder(
         links=links,
         endpoints=endpoints,
@@ -99,7 +109,12 @@
         clock=clock,
         metrics=metrics,
         retry_budget=build_retry_budget(settings, nodes=lambda: len(membership)),
+        local_link=local_link,
         signature=headers.signature,
+        identity_refusal=lambda identity: identity_refusal(
+            identity, snapshot(), missing_version
+        ),
+        zone_cost=zone_cost,
     )
     return CallContext(
         node_id=settings.name,
@@ -136,6 +151,28 @@
     )
 
 
+def key_check(
+    snapshot: Callable[[], Snapshot],
+) -> Callable[[CallRequest], Failure | None]:
+    """Return the gate's check of the API keys of other nodes' requests.
+
+    Only a version newer than the one that the caller's node used can say that a key is
+    not valid any more: it may be missing from an older one because it is new.
+
+    :param snapshot: returns the configuration that this node applies.
+    """
+
+    def refusal(request: CallRequest) -> Failure | None:
+        held = snapshot()
+        if not 0 < request.authenticated_version < held.version:
+            return None
+        return revocation(
+            held.workspaces, request.workspace, request.key_id, version=held.version
+        )
+
+    return refusal
+
+
 def build_retry_budget(
     settings: NodeSettings, *, nodes: Callable[[], int]
 ) -> FleetRetryBudget:
--- a/burdockdock/node/settings.py
+++ b/burdockdock/node/settings.py
@@ -25,6 +25,7 @@
         "pipelined_calls",
         "retry_share",
         "retry_reserve",
+        "zone_cost",
     },
     "operators": {"notify_url"},
 }
@@ -73,6 +74,8 @@
     :param pipelined_calls: calls of one caller's connection that run concurrently.
     :param memory_mb: memory of the VM.
     :param max_fds: file descriptors that this process may open.
+    :param zone_cost: seconds of expected time that a call must gain for each KB that
+        crosses an availability zone, 0 for none.
     """
 
     name: str
@@ -99,6 +102,7 @@
     pipelined_calls: int = DEFAULT_MAX_PIPELINED_CALLS
     memory_mb: float = DEFAULT_MEMORY_MB
     max_fds: int = DEFAULT_MAX_FDS
+    zone_cost: float = 0.0
 
 
 def read_settings(path: Path) -> NodeSettings | list[Problem]:
@@ -161,6 +165,7 @@
             "limits", "memory_mb", DEFAULT_MEMORY_MB, 1, 100_000_000
         ),
         max_fds=reader.integer("limits", "max_fds", DEFAULT_MAX_FDS, 32, 100_000_000),
+        zone_cost=reader.number("limits", "zone_cost", 0.0, 0, 3600),
     )
     return reader.problems or settings
 
--- a/burdockdock/protocol/calls.py
+++ b/burdockdock/protocol/calls.py
@@ -5,6 +5,9 @@
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.protocol.codec import Message, frame
 
+# Reason of a failure: what came in place of an answer has a status that no final answer
+# can have.
+INVALID_STATUS = "invalid_status"
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -35,6 +38,9 @@
     :param queue_length: highest number of calls that may wait for the backend server.
     :param target_left_ms: milliseconds until the answer loses value, negative if that
         time has passed, 0 if the answer never loses value.
+    :param key_id: number of the API key among those of the workspace.
+    :param authenticated_version: configuration version by which the caller's node
+        found the workspace by its key, 0 if the workspace is not authenticated.
     """
 
     request_id: str
@@ -53,6 +59,8 @@
     priority: int = 0
     queue_length: int = 32
     target_left_ms: int = 0
+    key_id: int = 0
+    authenticated_version: int = 0
 
 
 class AnswerHead(NamedTuple):
@@ -73,6 +81,14 @@
     results: GateResults = GateResults()
 
 
+def is_final_status(status: int) -> bool:
+    """Return whether an HTTP status is that of a final answer.
+
+    Any other one is no answer, and tells nothing of whether the request ran.
+    """
+    return 200 <= status <= 599
+
+
 def frame_call_start(call_id: int, request: CallRequest) -> bytes:
     """Return the frame that starts a call."""
     return frame(
@@ -95,6 +111,8 @@
         priority=request.priority,
         queueLength=request.queue_length,
         targetLeftMs=request.target_left_ms,
+        keyId=request.key_id,
+        authenticatedVersion=request.authenticated_version,
     )
 
 
@@ -118,6 +136,8 @@
         priority=start.priority,
         queue_length=start.queueLength,
         target_left_ms=start.targetLeftMs,
+        key_id=start.keyId,
+        authenticated_version=start.authenticatedVersion,
     )
 
 
--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -2,13 +2,18 @@
 
 import asyncio
 import functools
-from collections.abc import Iterable
+from collections.abc import Callable
 
 from burdockdock.clock import Clock
 from burdockdock.coordination.backoff import FleetRetryBudget
 from burdockdock.coordination.duration_estimator import DurationEstimator
 from burdockdock.coordination.membership import Member
-from burdockdock.coordination.verdict import Failure, Verdict, may_retry
+from burdockdock.coordination.verdict import (
+    KEY_REVOKED,
+    Failure,
+    Verdict,
+    may_retry,
+)
 from burdockdock.metrics import Metrics
 from burdockdock.protocol.calls import AnswerHead
 from burdockdock.proxy.answer_relay import relay_answer, wait_for_head
@@ -21,29 +26,38 @@
     unproved_refusal,
 )
 from burdockdock.proxy.attempts import (
+    NO_BACKEND_SERVER,
     QUEUE_FULL,
     Attempt,
     AttemptFailure,
     RetryState,
     initial_state,
+    is_final,
 )
-from burdockdock.proxy.balancer import LARGE_ANSWER_PENALTIES, Balancer
+from burdockdock.proxy.authentication import Identity
+from burdockdock.proxy.balancer import Balancer
 from burdockdock.proxy.call import Call, Caller, ReplayableBody
 from burdockdock.proxy.endpoints import Endpoints
 from burdockdock.proxy.free_slots import FreeSlotOdds
+from burdockdock.proxy.local_link import LocalLink
+from burdockdock.proxy.member_choice import MemberChoice, ZoneCost
 from burdockdock.proxy.outcomes import resolve_outcome
-from burdockdock.proxy.peer_link import PeerLinks
+from burdockdock.proxy.peer_link import PeerLink, PeerLinks
 from burdockdock.proxy.remote_call import GateState
 from burdockdock.proxy.reply_times import PROMPT_REFUSALS, ReplyTimes
+from burdockdock.proxy.route_sizes import answer_head_size_bytes, request_size_bytes
 from burdockdock.proxy.usable_link import usable_link
 
-_NO_BACKEND_SERVER = "no_backend_server"
-
 
 class Forwarder:
     """Sends calls to the gates of the nodes that have the backend servers.
 
+    :param local_link: way to this node's own gate; without one, the node opens a
+        connection to itself.
     :param signature: name of the header that signs answers, empty if none does.
+    :param identity_refusal: returns why a request must not be sent any more by the
+        configuration in force, None if it may.
+    :param zone_cost: the cost of a zone crossing, None where it has none.
     """
 
     def __init__(
@@ -55,14 +69,22 @@
         clock: Clock,
         metrics: Metrics,
         retry_budget: FleetRetryBudget,
+        local_link: LocalLink | None = None,
         signature: str = "",
+        identity_refusal: Callable[[Identity], Failure | None] = lambda _: None,
+        zone_cost: ZoneCost | None = None,
     ) -> None:
-        self._endpoints = endpoints
+        self._zone_cost = zone_cost
+        self._choice = MemberChoice(
+            endpoints=endpoints, balancer=balancer, zone_cost=zone_cost
+        )
         self._balancer = balancer
         self._clock = clock
         self._metrics = metrics
         self._budget = retry_budget
+        self._local_link = local_link
         self._signature = signature
+        self._identity_refusal = identity_refusal
         self._reply_times = ReplyTimes(clock=clock)
         self._durations = DurationEstimator()
         self._free_slots = FreeSlotOdds(clock=clock)
@@ -85,7 +107,8 @@
         if body_failure is not None:
             return body_failure
         asks = self._free_slots.is_worth_asking(call.request.service)
-        retry_state = initial_state(call, asks=asks)
+        zone_first = self._zone_cost is not None
+        retry_state = initial_state(call, asks=asks, zone_first=zone_first)
         charges = ArrivalCharges(call.request.service, budget=self._budget)
         strongest_failure: Failure | None = None
         while True:
@@ -113,6 +136,10 @@
             retry_state = next_state
             self._metrics.count("retries", label=failure.reason)
         charges.end()
+        if strongest_failure.reason == KEY_REVOKED:
+            # This node may have the gate's newer version by now.
+            refusal = self._identity_refusal(call.identity)
+            return strongest_failure if refusal is None else refusal
         # Keep the strongest verdict: if an earlier attempt may have run, a later
         # refusal doesn't change that.
         return strongest_failure
@@ -137,17 +164,19 @@
         body: ReplayableBody,
         retry_state: RetryState,
     ) -> AttemptFailure | None:
-        member = self._pick(call, retry_state)
+        member = self._choice.pick(call, retry_state)
         if member is None:
             detail = f"no backend server of {call.request.service} accepts calls"
-            failure = Failure(Verdict.NOT_RUN, _NO_BACKEND_SERVER, detail)
+            failure = Failure(Verdict.NOT_RUN, NO_BACKEND_SERVER, detail)
             return AttemptFailure("", failure)
-        self._balancer.started(member.node_id)
+        node_id = member.node_id
+        crossed = self._choice.crosses(member)
+        self._balancer.started(node_id)
         failed = True
         try:
             may_wait = (
                 call.key != ""
-                or not retry_state.free_slot_attempts_left
+                or retry_state.may_wait_at(node_id, crossed=crossed)
                 or not body.replayable
             )
             result = await self._send_to(
@@ -158,13 +187,13 @@
                 may_wait=may_wait,
                 earlier_may_have_run=retry_state.may_have_run,
             )
-            if not may_wait:
+            if not may_wait and not crossed:
                 self._record_free_slot(call, result)
             failed = is_backend_fault(result)
         finally:
-            self._balancer.finished(member.node_id, failed=failed)
+            self._balancer.finished(node_id, failed=failed)
         if isinstance(result, Failure):
-            return AttemptFailure(member.node_id, result)
+            return AttemptFailure(node_id, result, crossed)
         return None
 
     def _record_free_slot(self, call: Call, result: AnswerHead | Failure) -> None:
@@ -173,25 +202,6 @@
         if not is_refused or result.reason == QUEUE_FULL:
             self._free_slots.record(call.request.service, found=not is_refused)
 
-    def _pick(self, call: Call, retry_state: RetryState) -> Member | None:
-        """Choose a member by load, or by the caller's idempotency key if it sent one.
-
-        A key always selects the same member, which remembers the requests that had it.
-        """
-        service = call.request.service
-        if call.key:
-            return self._endpoints.member_for_key(service, call.key)
-        members = self._endpoints.for_call(service, full=retry_state.excluded)
-        if retry_state.again_id:
-            member = _find(members, retry_state.again_id)
-            if member is not None:
-                return member
-        if call.large_answer:
-            return self._balancer.pick(
-                members, excluded=retry_state.excluded, penalties=LARGE_ANSWER_PENALTIES
-            )
-        return self._balancer.pick(members, excluded=retry_state.excluded)
-
     async def _send_to(
         self,
         member: Member,
@@ -207,9 +217,12 @@
         :param may_wait: whether it may queue there; otherwise it needs a free slot.
         :param earlier_may_have_run: whether an earlier attempt may have run it.
         """
-        link = await self._usable_link(member, call)
+        link = await self._link_to(member, call)
         if isinstance(link, Failure):
             return link
+        refusal = self._identity_refusal(call.identity)
+        if refusal is not None:
+            return refusal
         if self._time_left_ms(call) <= 0:
             return Failure(Verdict.NOT_RUN, DEADLINE_PASSED)
         # Reserve time for the reply: if the deadline passed while a refusal is on its
@@ -227,7 +240,7 @@
             return Failure(Verdict.NOT_RUN, "too_little_time", detail)
         request = call.request._replace(
             time_left_ms=time_left_ms,
-            target_left_ms=self._target_time_left_ms(call),
+            target_left_ms=call.target_left_ms(self._clock.monotonic()),
             queue_length=call.request.queue_length if may_wait else 0,
             body=body.prefix,
             end=body.prefix_is_whole_body,
@@ -239,6 +252,14 @@
             attempt, call, caller, body, earlier_may_have_run=earlier_may_have_run
         )
 
+    async def _link_to(
+        self, member: Member, call: Call
+    ) -> PeerLink | LocalLink | Failure:
+        local = self._local_link
+        if local is not None and local.peer.node_id == member.node_id:
+            return local
+        return await self._usable_link(member, call)
+
     async def _exchange(
         self,
         attempt: Attempt,
@@ -268,7 +289,7 @@
             )
             if unproved is not None:
                 return unproved
-            await relay_answer(
+            body_bytes = await relay_answer(
                 attempt,
                 call,
                 head,
@@ -276,12 +297,23 @@
                 clock=self._clock,
                 metrics=self._metrics,
             )
+            self._record_size(call, head, body_bytes)
             return head
         finally:
             if upload is not None:
                 upload.cancel()
             attempt.remote.cancel()
 
+    def _record_size(self, call: Call, head: AnswerHead, body_bytes: int) -> None:
+        """Learn what a call of this route sends and receives.
+
+        :param body_bytes: bytes of the answer's body that came after its head.
+        """
+        if self._zone_cost is not None:
+            size_bytes = request_size_bytes(call.request) + body_bytes
+            size_bytes += answer_head_size_bytes(head)
+            self._zone_cost.sizes.record(call.request.route, size_bytes)
+
     def _record_gate_state(
         self, attempt: Attempt, call: Call, state: GateState
     ) -> None:
@@ -315,25 +347,12 @@
     ) -> bool:
         """Return whether to make another attempt; charge it if needed."""
         return (
-            failure.reason != _NO_BACKEND_SERVER
+            not is_final(failure)
             and may_retry(failure, idempotent=call.request.idempotent)
             and body.replayable
             and self._time_left_ms(call) > 0
             and charges.may_arrive()
         )
 
-    def _target_time_left_ms(self, call: Call) -> int:
-        """Return the time left until the target, 0 if the call has no target.
-
-        A target that is less than 1 ms away or was just missed is -1, not 0.
-        """
-        if not call.target_s:
-            return 0
-        return int((call.target_s - self._clock.monotonic()) * 1000) or -1
-
     def _time_left_ms(self, call: Call) -> int:
         return call.time_left_ms(self._clock.monotonic())
-
-
-def _find(members: Iterable[Member], node_id: str) -> Member | None:
-    return next((m for m in members if m.node_id == node_id), None)
--- a/burdockdock/proxy/remote_call.py
+++ b/burdockdock/proxy/remote_call.py
@@ -16,10 +16,13 @@
 
     :param calls: number of calls running and queued at the gate.
     :param results: results of the gate's latest calls.
+    :param refused: whether it came with a failure, so that the number of calls
+        doesn't include the attempt.
     """
 
     calls: int
     results: GateResults
+    refused: bool = False
 
 
 class Link(Protocol):
@@ -78,7 +81,7 @@
             if self._wait_writable is not None:
                 await self._wait_writable()
             await self._window.reserve(len(data))
-        self._link.send(frame("callBody", callId=self._call_id, data=data, end=end))
+        self._pass_body_on(data, end=end)
 
     async def read_body(self) -> bytes | Failure | None:
         """Return the next chunk of the answer body, or None at its end."""
@@ -91,13 +94,13 @@
             await self._arrived.wait()
         data = self._chunks.take()
         if not self._ended:
-            self._link.send(frame("credit", callId=self._call_id, sizeBytes=len(data)))
+            self._grant_credit(len(data))
         return data
 
     def cancel(self) -> None:
         """Cancel the call at the other node unless it has ended."""
         if not self._ended and self._failure is None:
-            self._link.send(frame("callCancel", callId=self._call_id))
+            self._withdraw()
         self._link.forget(self._call_id)
         self._window.close()
 
@@ -125,3 +128,12 @@
     def grant(self, size_bytes: int) -> None:
         """Handle flow-control credit for the request body."""
         self._window.grant(size_bytes)
+
+    def _pass_body_on(self, data: bytes, *, end: bool) -> None:
+        self._link.send(frame("callBody", callId=self._call_id, data=data, end=end))
+
+    def _grant_credit(self, size_bytes: int) -> None:
+        self._link.send(frame("credit", callId=self._call_id, sizeBytes=size_bytes))
+
+    def _withdraw(self) -> None:
+        self._link.send(frame("callCancel", callId=self._call_id))
