--- a/burdockdock/node/proxy_setup.py
+++ b/burdockdock/node/proxy_setup.py
@@ -24,6 +24,7 @@
 from burdockdock.proxy.member_choice import ZoneCost
 from burdockdock.proxy.memory_budget import MemoryBudget, budget_bytes
 from burdockdock.proxy.peer_link import PeerLinks
+from burdockdock.proxy.quota_client import QuotaClient
 from burdockdock.proxy.shed_log import ShedLog
 
 # Share of the fleet's retry budget for retries by this proxy. The rest is left for the
@@ -73,6 +74,7 @@
     missing_version: Callable[[], int],
     config_refusal: Callable[[], Failure | None],
     own_service: Callable[[], str],
+    quota: QuotaClient,
     headers: CallHeaders,
     clock: Clock,
     rng: random.Random,
@@ -90,6 +92,7 @@
     :param config_refusal: returns why calls must not be routed by that configuration.
     :param own_service: returns the service of this node's backend server.
     :param memory: bounds what this process holds for callers.
+    :param quota: admits calls within the quotas of their workspaces.
     """
     balancer = Balancer(
         availability_zone=settings.availability_zone,
@@ -127,6 +130,7 @@
         metrics=metrics,
         rng=rng,
         own_service=own_service,
+        quota=quota,
         headers=headers,
         memory=memory,
     )
--- a/burdockdock/node/settings.py
+++ b/burdockdock/node/settings.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from burdockdock.configuration.model import Problem
+from burdockdock.coordination.quota import QuotaBounds
 from burdockdock.overlay.datagrams import Address
 from burdockdock.proxy.listener import DEFAULT_MAX_PIPELINED_CALLS
 
@@ -23,6 +24,9 @@
         "max_fds",
         "memory_mb",
         "pipelined_calls",
+        "quota_overage",
+        "quota_slack",
+        "quota_window",
         "retry_share",
         "retry_reserve",
         "zone_cost",
@@ -37,6 +41,7 @@
 # Above what any VM of an ordinary deployment has.
 DEFAULT_MEMORY_MB = 4096.0
 DEFAULT_MAX_FDS = 65_536
+DEFAULT_QUOTA_BOUNDS = QuotaBounds()
 _NO_ADDRESS: Address = ("", 0)
 _REQUIRED_KEYS = {
     "node": ("name", "mesh", "region", "availability_zone"),
@@ -74,6 +79,7 @@
     :param pipelined_calls: calls of one caller's connection that run concurrently.
     :param memory_mb: memory of the VM.
     :param max_fds: file descriptors that this process may open.
+    :param quota_bounds: how far a workspace may exceed its quota over the whole fleet.
     :param zone_cost: seconds of expected time that a call must gain for each KB that
         crosses an availability zone, 0 for none.
     """
@@ -102,6 +108,7 @@
     pipelined_calls: int = DEFAULT_MAX_PIPELINED_CALLS
     memory_mb: float = DEFAULT_MEMORY_MB
     max_fds: int = DEFAULT_MAX_FDS
+    quota_bounds: QuotaBounds = DEFAULT_QUOTA_BOUNDS
     zone_cost: float = 0.0
 
 
@@ -165,11 +172,22 @@
             "limits", "memory_mb", DEFAULT_MEMORY_MB, 1, 100_000_000
         ),
         max_fds=reader.integer("limits", "max_fds", DEFAULT_MAX_FDS, 32, 100_000_000),
+        quota_bounds=_read_quota_bounds(reader),
         zone_cost=reader.number("limits", "zone_cost", 0.0, 0, 3600),
     )
     return reader.problems or settings
 
 
+def _read_quota_bounds(reader: "_ValueReader") -> QuotaBounds:
+    """Read how far quotas may be exceeded; an empty value is as good as none."""
+    default = DEFAULT_QUOTA_BOUNDS
+    return QuotaBounds(
+        window_s=reader.duration_s("limits", "quota_window") or default.window_s,
+        overage=reader.number("limits", "quota_overage", default.overage, 0, 1),
+        slack=reader.number("limits", "quota_slack", default.slack, 0, 1_000_000),
+    )
+
+
 class _ValueReader:
     """Reads values of the settings file and collects the problems found."""
 
--- a/burdockdock/proxy/context.py
+++ b/burdockdock/proxy/context.py
@@ -12,6 +12,7 @@
 from burdockdock.proxy.chunk_pace import TinyChunkTime
 from burdockdock.proxy.forwarder import Forwarder
 from burdockdock.proxy.memory_budget import MemoryBudget
+from burdockdock.proxy.quota_client import QuotaClient
 from burdockdock.proxy.shed_log import ShedLog
 
 # Bound for tests and benchmarks that give none.
@@ -34,6 +35,7 @@
     :param config_refusal: returns why a call must not be routed by the configuration of
         this node, None if it may.
     :param own_service: returns the service of the backend server beside this node.
+    :param quota: admits calls within the quotas, None to admit all.
     :param headers: names of the headers of calls.
     :param memory: bounds what is held for callers.
     """
@@ -51,6 +53,7 @@
         missing_version: Callable[[], int] = lambda: 0,
         config_refusal: Callable[[], Failure | None] = lambda: None,
         own_service: Callable[[], str] = lambda: "",
+        quota: QuotaClient | None = None,
         headers: CallHeaders = OWN_HEADERS,
         memory: MemoryBudget | None = None,
     ) -> None:
@@ -64,6 +67,7 @@
         self.missing_version = missing_version
         self.config_refusal = config_refusal
         self.own_service = own_service
+        self.quota = quota
         self.headers = headers
         self.replaced_headers = _replaced_headers(headers)
         self.identity_headers = _identity_headers(headers)
--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -27,7 +27,6 @@
 )
 from burdockdock.proxy.attempts import (
     NO_BACKEND_SERVER,
-    QUEUE_FULL,
     Attempt,
     AttemptFailure,
     RetryState,
@@ -43,9 +42,9 @@
 from burdockdock.proxy.member_choice import MemberChoice, ZoneCost
 from burdockdock.proxy.outcomes import resolve_outcome
 from burdockdock.proxy.peer_link import PeerLink, PeerLinks
+from burdockdock.proxy.ready_check import ReadyCheck, always_ready
 from burdockdock.proxy.remote_call import GateState
 from burdockdock.proxy.reply_times import PROMPT_REFUSALS, ReplyTimes
-from burdockdock.proxy.route_sizes import answer_head_size_bytes, request_size_bytes
 from burdockdock.proxy.usable_link import usable_link
 
 
@@ -95,17 +94,20 @@
             resolve_outcome, links=links, clock=clock
         )
 
-    async def forward(self, call: Call, caller: Caller) -> Failure | None:
+    async def forward(
+        self, call: Call, caller: Caller, *, check_ready: ReadyCheck = always_ready
+    ) -> Failure | None:
         """Forward a call and relay its answer to the caller.
 
+        :param check_ready: returns why not to make the first attempt.
         :returns: None once the answer was relayed completely or aborted visibly, else
             a failure that still has to be reported to the caller.
         """
         self._budget.record_call(call.request.service)
         body = ReplayableBody(caller, call.request.body_length)
-        body_failure = await self._read_body_prefix(call, body)
-        if body_failure is not None:
-            return body_failure
+        refusal = await body.read_prefix(self._time_left_ms(call) / 1000, check_ready)
+        if refusal is not None:
+            return refusal
         asks = self._free_slots.is_worth_asking(call.request.service)
         zone_first = self._zone_cost is not None
         retry_state = initial_state(call, asks=asks, zone_first=zone_first)
@@ -144,19 +146,6 @@
         # refusal doesn't change that.
         return strongest_failure
 
-    async def _read_body_prefix(
-        self, call: Call, body: ReplayableBody
-    ) -> Failure | None:
-        """Buffer the beginning of the request's body, until the deadline at most."""
-        if not call.request.body_length:
-            return None
-        try:
-            async with asyncio.timeout(self._time_left_ms(call) / 1000):
-                await body.read_prefix()
-        except TimeoutError:
-            return Failure(Verdict.NOT_RUN, "request_body_late")
-        return None
-
     async def _attempt(
         self,
         call: Call,
@@ -188,7 +177,7 @@
                 earlier_may_have_run=retry_state.may_have_run,
             )
             if not may_wait and not crossed:
-                self._record_free_slot(call, result)
+                self._free_slots.record_result(call.request.service, result)
             failed = is_backend_fault(result)
         finally:
             self._balancer.finished(node_id, failed=failed)
@@ -196,12 +185,6 @@
             return AttemptFailure(node_id, result, crossed)
         return None
 
-    def _record_free_slot(self, call: Call, result: AnswerHead | Failure) -> None:
-        """Record whether a gate that was asked for a free slot had one."""
-        is_refused = isinstance(result, Failure) and result.verdict is Verdict.NOT_RUN
-        if not is_refused or result.reason == QUEUE_FULL:
-            self._free_slots.record(call.request.service, found=not is_refused)
-
     async def _send_to(
         self,
         member: Member,
@@ -297,23 +280,14 @@
                 clock=self._clock,
                 metrics=self._metrics,
             )
-            self._record_size(call, head, body_bytes)
+            if self._zone_cost is not None:
+                self._zone_cost.record_size(call, head, body_bytes)
             return head
         finally:
             if upload is not None:
                 upload.cancel()
             attempt.remote.cancel()
 
-    def _record_size(self, call: Call, head: AnswerHead, body_bytes: int) -> None:
-        """Learn what a call of this route sends and receives.
-
-        :param body_bytes: bytes of the answer's body that came after its head.
-        """
-        if self._zone_cost is not None:
-            size_bytes = request_size_bytes(call.request) + body_bytes
-            size_bytes += answer_head_size_bytes(head)
-            self._zone_cost.sizes.record(call.request.route, size_bytes)
-
     def _record_gate_state(
         self, attempt: Attempt, call: Call, state: GateState
     ) -> None:
--- a/tests/gate/test_gate.py
+++ b/tests/gate/test_gate.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from burdockdock.clock import ManualClock
+from burdockdock.clock import ManualClock, SystemClock
 from burdockdock.coordination.shutdown import ShutdownLimit
 from burdockdock.coordination.verdict import KEY_REVOKED, Failure, Verdict
 from burdockdock.gate.gate import Gate
@@ -15,6 +15,7 @@
 
 _REQUEST = CallRequest("id-1", "t", "c", "r", "work", 1000, True, "GET", "/", ())
 
+_LONG = _REQUEST._replace(method="PUT")
 _REVOKED = Failure(Verdict.NOT_RUN, KEY_REVOKED)
 
 
@@ -211,3 +212,81 @@
         self.assertEqual((1, None), (gate._limiter.queued, streams[1].failure))
         runs[1].cancel()
         await asyncio.wait([runs[1]])
+
+
+class RemainingWorkTest(testtools.TestCase):
+    """Tests of the remaining work that a gate reports."""
+
+    @async_test
+    async def test_refused_calls_leave_no_work(self) -> None:
+        # Guards against a gate that looks busy for good after refusals.
+        gate = Gate(clock=SystemClock(), metrics=Metrics())
+        gate.announce(BackendServer("work", "1", "127.0.0.1", 1, 1))
+        gate._work.record(_REQUEST, 0.01)
+        gate._limiter._occupy_slot("t")
+        stream = _RecordingStream()
+        await gate.run(_REQUEST._replace(queue_length=0), stream)
+        self.assertEqual("queue_full", stream.failure.reason)
+        self.assertEqual(0.0, gate.results("r").remaining_s)
+
+    @async_test
+    async def test_queued_call_counts_until_it_is_withdrawn(self) -> None:
+        gate = Gate(clock=SystemClock(), metrics=Metrics())
+        gate.announce(BackendServer("work", "1", "127.0.0.1", 1, 1))
+        gate._work.record(_REQUEST, 0.01)
+        gate._limiter._occupy_slot("t")
+        run = asyncio.create_task(gate.run(_REQUEST, _RecordingStream()))
+        await eventually(lambda: gate.load == 2)
+        self.assertAlmostEqual(0.01, gate.results("r").remaining_s)
+        run.cancel()
+        await asyncio.wait([run])
+        self.assertEqual(0.0, gate.results("r").remaining_s)
+
+
+class LongRequestsTest(testtools.TestCase):
+    """Tests of requests that cost several times as much as the mean."""
+
+    def _gate(self, *, slots: int) -> Gate:
+        gate = Gate(clock=SystemClock(), metrics=Metrics())
+        gate.announce(BackendServer("work", "1", "127.0.0.1", 1, slots))
+        for _ in range(30):
+            gate._work.record(_REQUEST, 0.001)
+        for _ in range(30):
+            gate._work.record(_LONG, 0.02)
+            for _ in range(20):
+                gate._work.record(_REQUEST, 0.001)
+        return gate
+
+    async def _reason(self, gate: Gate, request: CallRequest) -> str:
+        stream = _RecordingStream()
+        await gate.run(request, stream)
+        return stream.failure.reason
+
+    @async_test
+    async def test_long_request_that_only_asks_leaves_the_last_slot(self) -> None:
+        gate = self._gate(slots=3)
+        asks = _LONG._replace(queue_length=0)
+        for reason in ("no_connection", "no_connection", "queue_full"):
+            gate._backend_calls.run = _fail_without_connection
+            self.assertEqual(reason, await self._reason(gate, asks))
+            gate._limiter._occupy_slot("t")
+        gate._limiter.release("t")
+        for request in (_REQUEST._replace(queue_length=0), _LONG):
+            self.assertEqual("no_connection", await self._reason(gate, request))
+
+    @async_test
+    async def test_servers_with_few_slots_run_long_requests(self) -> None:
+        # Guards against a long request that no gate runs though its slot is free.
+        for slots in (1, 2):
+            gate = self._gate(slots=slots)
+            for _ in range(slots - 1):
+                gate._limiter._occupy_slot("t")
+            gate._backend_calls.run = _fail_without_connection
+            asks = _LONG._replace(queue_length=0)
+            self.assertEqual("no_connection", await self._reason(gate, asks))
+
+
+async def _fail_without_connection(
+    request: CallRequest, backend: object, stream: _RecordingStream, **_: object
+) -> None:
+    stream.fail(Failure(Verdict.NOT_RUN, "no_connection"))
--- a/tests/proxy/caller_server.py
+++ b/tests/proxy/caller_server.py
@@ -49,6 +49,7 @@
     clock, metrics = SystemClock(), Metrics()
     context = SimpleNamespace(
         forwarder=forwarder,
+        quota=None,
         clock=clock,
         metrics=metrics,
         memory=MemoryBudget(limit_bytes=1 << 30, clock=clock),
