--- a/burdockdock/proxy/caller_request.py
+++ b/burdockdock/proxy/caller_request.py
@@ -188,6 +188,7 @@
         call: Call | Failure = _CALL_NOT_BUILT
         failure: Failure | None = None
         try:
+            self._guard.running = True
             if self._guard.refusal is not None:
                 call = self._guard.refusal
             else:
--- a/burdockdock/proxy/request_guard.py
+++ b/burdockdock/proxy/request_guard.py
@@ -26,13 +26,15 @@
 class RequestGuard:
     """Decides when one request of a caller exceeds what it may send or hold.
 
-    ``refusal`` is why the request is refused by its head, and ``rejection`` why it was
-    ended later on; both are None if it wasn't.
+    ``refusal`` is why the request is refused before its call was built, and
+    ``rejection`` why it was ended later on; both are None if it wasn't. ``running``
+    tells whether the call's task has begun.
     """
 
     def __init__(self, context: CallContext, stream: CallerStream) -> None:
         self.refusal: Failure | None = None
         self.rejection: Failure | None = None
+        self.running = False
         self._context = context
         self._stream = stream
         self._limits = CallerLimits()
@@ -79,7 +81,7 @@
         if failure is not None and self.rejection is None:
             self._context.shed_log.note(failure.reason)
             self._reject(failure)
-        return self.rejection is None
+        return self.rejection is None and self.refusal is None
 
     def update(self, moved_bytes: int) -> None:
         """Account for the memory that is held for the request.
@@ -120,7 +122,11 @@
 
     def _reject(self, failure: Failure) -> None:
         """End the call, which refuses the request or ends the connection."""
-        self.rejection = failure
         self._answer.closes = True
         self._body.discard()
+        if not self.running:
+            # A task that is cancelled before its first step could refuse nothing.
+            self.refusal = failure
+            return
+        self.rejection = failure
         self._cancel()
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -158,6 +158,26 @@
             self.assertIsInstance(result, Failure, row)
             self.assertNotIn("secret", repr(result))
 
+    @async_test
+    async def test_limits_for_callers_become_a_section(self) -> None:
+        limits = {
+            "max-header-bytes": 16384,
+            "max-body-bytes": 67108864,
+            "header-timeout": "3000ms",
+            "idle-timeout": "15s",
+        }
+        found = PlatformObject("config/main", 9, {**_spec(), "limits": limits})
+        document = await CONFIG_SOURCE.read(None, found)
+        expected = {
+            "max_header_bytes": "16384",
+            "max_body_bytes": "67108864",
+            "header_timeout_ms": "3000",
+            "idle_timeout_ms": "15000",
+        }
+        self.assertEqual(expected, document.sections["limits"])
+        snapshot = build_snapshot(document.sections, version=9)
+        self.assertEqual(67108864, snapshot.limits.max_body_bytes)
+
     @async_test
     async def test_malformed_configuration_is_refused_as_a_whole(self) -> None:
         for corrupt in (
