--- a/burdockdock/configuration/caller_limits.py
+++ b/burdockdock/configuration/caller_limits.py
@@ -4,10 +4,10 @@
 from burdockdock.coordination.whole_numbers import parse_whole_number
 
 _BOUNDS = {
-    "max_header_bytes": (0, 1024 * 1024),
-    "max_body_bytes": (0, 1 << 40),
-    "header_timeout_ms": (0, 600_000),
-    "idle_timeout_ms": (0, 3_600_000),
+    "max_header_bytes": (0, 1 << 30),
+    "max_body_bytes": (0, 1 << 60),
+    "header_timeout_ms": (0, 1 << 40),
+    "idle_timeout_ms": (0, 1 << 40),
 }
 
 
--- a/burdockdock/platform/configuration.py
+++ b/burdockdock/platform/configuration.py
@@ -43,7 +43,7 @@
 def _decode_sections(spec: dict[str, Any]) -> Sections:
     sections = {}
     for service in parse_table(spec["services"]):
-        sections[f"service {service['name']}"] = {}
+        sections[f"service {service['name']}"] = _decode_service(service)
     for route in parse_table(spec["routes"]):
         sections[f"route {route['name']}"] = _decode_route(route)
     if spec.get("limits"):
@@ -66,6 +66,15 @@
     return section
 
 
+def _decode_service(row: dict[str, Any]) -> dict[str, str]:
+    section = {}
+    if "cold-per-s" in row:
+        section["cold_per_s"] = str(float(row["cold-per-s"]))
+    if "cold-start" in row:
+        section["cold_start_ms"] = str(parse_duration_ms(row["cold-start"]))
+    return section
+
+
 def _decode_route(row: dict[str, Any]) -> dict[str, str]:
     attempts = int(row.get("max-attempts", 1))
     section = {
@@ -82,6 +91,8 @@
         section["target_latency_ms"] = str(
             max(1, parse_duration_ms(row["target-latency"]))
         )
+    if row.get("allowed-regions"):
+        section["allowed_regions"] = _decode_names(row, "allowed-regions")
     if row.get("public") is True:
         section["public"] = "true"
     if row.get("traffic-split"):
@@ -102,7 +113,7 @@
         ),
         "rate_per_s": str(_decode_number(row, "rate-per-s")),
         "burst": str(_decode_number(row, "burst")),
-        "allowed_regions": ",".join(_decode_texts(row, "allowed-regions")),
+        "allowed_regions": _decode_names(row, "allowed-regions"),
     }
     if "priority" in row:
         section["priority"] = _clamp_priority(row["priority"])
@@ -117,6 +128,14 @@
     return texts
 
 
+def _decode_names(row: dict[str, Any], column: str) -> str:
+    """Decode a list of names into a comma-separated text."""
+    names = _decode_texts(row, column)
+    if any("," in name for name in names):
+        raise ValueError(f"a name in {column} of a row has a comma")
+    return ",".join(names)
+
+
 def _decode_number(row: dict[str, Any], column: str) -> float:
     """Decode a number; no error says the value, which may be a misplaced key."""
     try:
--- a/burdockdock/proxy/member_choice.py
+++ b/burdockdock/proxy/member_choice.py
@@ -91,11 +91,13 @@
 
         A key always selects the same member, which remembers the requests that had it.
         """
-        service = call.request.service
+        service, regions = call.request.service, call.allowed_regions
         if call.key:
-            return self._endpoints.member_for_key(service, call.key)
+            return self._endpoints.member_for_key(service, call.key, regions=regions)
         excluded = retry_state.excluded
-        members = self._endpoints.for_call(service, full=excluded)
+        members = retry_state.choose_from(
+            self._endpoints.for_call(service, full=excluded, regions=regions)
+        )
         if retry_state.again_id:
             member = _find(members, retry_state.again_id)
             if member is not None:
