--- a/burdockdock/configuration/checks.py
+++ b/burdockdock/configuration/checks.py
@@ -3,19 +3,19 @@
 Runs when a configuration is accepted, and again on each node that applies it.
 """
 
-from collections.abc import Iterable
-
+from burdockdock.configuration.caller_limits import parse_caller_limits
 from burdockdock.configuration.delta import changed_sections
 from burdockdock.configuration.ini import section_digest
+from burdockdock.configuration.lookup import group_by_scope
 from burdockdock.configuration.model import (
     EMPTY_SNAPSHOT,
+    CallerLimits,
     CheckedSection,
     Override,
     Policy,
     Problem,
     Route,
     RouteMatch,
-    Scope,
     Sections,
     Service,
     Snapshot,
@@ -90,6 +90,7 @@
         self._previous = previous
         self._digest = previous.digest
         self._defaults = previous.defaults
+        self._limits = previous.limits
         self._services = dict(previous.services)
         self._routes = dict(previous.routes)
         self._overrides = dict(previous.overrides)
@@ -145,7 +146,8 @@
             overrides=self._overrides,
             sections={name: self._checked[name].pairs for name in sections},
             checked_sections=self._checked,
-            overrides_by_scope=_group_by_scope(self._overrides.values()),
+            overrides_by_scope=group_by_scope(self._overrides.values()),
+            limits=self._limits,
             workspaces=self._workspaces.build(),
         )
 
@@ -159,6 +161,8 @@
             del self._routes[_route_match(checked.value)]
         elif isinstance(checked.value, Override):
             del self._overrides[checked.value.name]
+        elif isinstance(checked.value, CallerLimits):
+            self._limits = CallerLimits()
         elif isinstance(checked.value, Workspace):
             self._workspaces.remove(checked.value)
         else:
@@ -179,6 +183,8 @@
             self._add_route(section, value)
         elif isinstance(value, Override):
             self._overrides[value.name] = value
+        elif isinstance(value, CallerLimits):
+            self._limits = value
         elif isinstance(value, Workspace):
             self._note_problems(section, self._workspaces.add(value))
         else:
@@ -186,11 +192,13 @@
 
     def _parse_section(
         self, section: str, pairs: dict[str, str]
-    ) -> Service | Route | Override | Workspace | dict[str, int] | None:
+    ) -> Service | Route | Override | CallerLimits | Workspace | dict[str, int] | None:
         kind, _, name = section.partition(" ")
         name = name.strip()
         if section == "defaults":
             return self._parse_policy(section, pairs)
+        if section == "limits":
+            return parse_caller_limits(section, pairs, self.problems)
         if kind == "service" and name:
             return self._parse_service(section, name, pairs)
         if kind == "route" and name:
@@ -201,12 +209,9 @@
             workspace, problems = parse_workspace(name, pairs)
             self._note_problems(section, problems)
             return workspace
-        self._add_problem(
-            section,
-            "",
-            "unknown section; use defaults, service NAME, route NAME, "
-            "workspace NAME or exception NAME",
-        )
+        allowed = "defaults, limits, service NAME, route NAME, workspace NAME"
+        message = f"unknown section; use {allowed} or exception NAME"
+        self._add_problem(section, "", message)
         return None
 
     def _add_route(self, section: str, route: Route) -> None:
@@ -338,13 +343,5 @@
         self.problems.append(Problem(section, key, message))
 
 
-def _group_by_scope(overrides: Iterable[Override]) -> dict[Scope, list[Override]]:
-    grouped: dict[Scope, list[Override]] = {}
-    for override in sorted(overrides, key=lambda o: o.name):
-        scope = Scope(override.scope_kind, override.scope_name)
-        grouped.setdefault(scope, []).append(override)
-    return grouped
-
-
 def _route_match(route: Route) -> RouteMatch:
     return RouteMatch(route.host, route.path)
--- a/burdockdock/configuration/model.py
+++ b/burdockdock/configuration/model.py
@@ -128,6 +128,21 @@
     expires: datetime | None = None
 
 
+class CallerLimits(NamedTuple):
+    """What callers may send; 0 for no limit.
+
+    :param max_header_bytes: size of a request's head.
+    :param max_body_bytes: size of a request's body.
+    :param header_timeout_ms: time for a request's head, from its first byte.
+    :param idle_timeout_ms: time that a connection may wait for its next request.
+    """
+
+    max_header_bytes: int = 0
+    max_body_bytes: int = 0
+    header_timeout_ms: int = 0
+    idle_timeout_ms: int = 0
+
+
 class Workspace(NamedTuple):
     """A group of callers that share API keys, a priority and a quota.
 
@@ -178,7 +193,7 @@
 
     pairs: dict[str, str]
     digest: int
-    value: "Service | Route | Override | Workspace | dict[str, int]"
+    value: "Service | Route | Override | CallerLimits | Workspace | dict[str, int]"
 
 
 class RouteMatch(NamedTuple):
@@ -204,6 +219,7 @@
     :param sections: the sections as written in the configuration.
     :param checked_sections: the checked sections by name.
     :param overrides_by_scope: the overrides of each scope, sorted by name.
+    :param limits: what callers may send.
     :param workspaces: the workspaces and their API keys.
     """
 
@@ -216,6 +232,7 @@
     sections: Sections
     checked_sections: dict[str, CheckedSection]
     overrides_by_scope: dict[Scope, list[Override]]
+    limits: CallerLimits = CallerLimits()
     workspaces: WorkspaceTable = NO_WORKSPACES
 
 
--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -34,7 +34,9 @@
 from burdockdock.node.proxy_setup import (
     build_context,
     build_endpoints,
+    build_memory_budget,
     key_check,
+    max_caller_connections,
     retire_links_to_lost_nodes,
 )
 from burdockdock.node.quota_setup import build_quota_service
@@ -131,6 +133,9 @@
         self.datagrams, self.spreader, self.sync, self.detector, self.applied = parts
 
     def _build_call_path(self) -> None:
+        self.memory = build_memory_budget(
+            self._settings, clock=self._clock, metrics=self.metrics
+        )
         cold_limits = cold_limits_callback(
             self._settings, snapshot=lambda: self.config.snapshot
         )
@@ -173,7 +178,9 @@
         self.context = build_context(
             self._settings,
             links=self.links,
-            local_link=LocalLink(self.gate, self._identity),
+            local_link=LocalLink(
+                self.gate, self._identity, open_account=self.memory.open
+            ),
             endpoints=self._endpoints,
             membership=self.membership,
             snapshot=lambda: self.config.snapshot,
@@ -186,6 +193,7 @@
             clock=self._clock,
             rng=self._rng,
             metrics=self.metrics,
+            memory=self.memory,
         )
         self.membership.subscribe(retire_links_to_lost_nodes(self.links))
 
@@ -266,6 +274,7 @@
             ),
             clock=self._clock,
             metrics=self.metrics,
+            open_account=self.memory.open,
         )
         host, port = settings.peers
         await self.datagrams.open(host, port)
@@ -302,6 +311,7 @@
             host=settings.callers[0],
             port=settings.callers[1],
             max_pipelined_calls=settings.pipelined_calls,
+            max_connections=max_caller_connections(settings),
         )
         log_event(
             "node.serving",
--- a/burdockdock/node/settings.py
+++ b/burdockdock/node/settings.py
@@ -24,6 +24,8 @@
         "drain_timeout_s",
         "evacuation",
         "grace_period",
+        "max_fds",
+        "memory_mb",
         "pipelined_calls",
         "quota_overage",
         "quota_slack",
@@ -39,6 +41,9 @@
 DEFAULT_CONFIG_APPLY_TIMEOUT_S = 2.5
 DEFAULT_RETRY_SHARE = 0.2
 DEFAULT_RETRY_RESERVE = 100.0
+# Above what any VM of an ordinary deployment has.
+DEFAULT_MEMORY_MB = 4096.0
+DEFAULT_MAX_FDS = 65_536
 DEFAULT_QUOTA_BOUNDS = QuotaBounds()
 _NO_ADDRESS: Address = ("", 0)
 _REQUIRED_KEYS = {
@@ -80,6 +85,8 @@
         within a second, 0 if the deployment says nothing about it.
     :param cold_slack: requests that it withstands beyond that.
     :param pipelined_calls: calls of one caller's connection that run concurrently.
+    :param memory_mb: memory of the VM.
+    :param max_fds: file descriptors that this process may open.
     :param quota_bounds: how far a workspace may exceed its quota over the whole fleet.
     :param zone_cost: seconds of expected time that a call must gain for each KB that
         crosses an availability zone, 0 for none.
@@ -107,6 +114,8 @@
     retry_share: float = DEFAULT_RETRY_SHARE
     retry_reserve: float = DEFAULT_RETRY_RESERVE
     pipelined_calls: int = DEFAULT_MAX_PIPELINED_CALLS
+    memory_mb: float = DEFAULT_MEMORY_MB
+    max_fds: int = DEFAULT_MAX_FDS
     quota_bounds: QuotaBounds = DEFAULT_QUOTA_BOUNDS
     zone_cost: float = 0.0
     evacuation_s: float = 0.0
@@ -170,6 +179,10 @@
         pipelined_calls=reader.integer(
             "limits", "pipelined_calls", DEFAULT_MAX_PIPELINED_CALLS, 1, 1000
         ),
+        memory_mb=reader.number(
+            "limits", "memory_mb", DEFAULT_MEMORY_MB, 1, 100_000_000
+        ),
+        max_fds=reader.integer("limits", "max_fds", DEFAULT_MAX_FDS, 32, 100_000_000),
         quota_bounds=_read_quota_bounds(reader),
         zone_cost=reader.number("limits", "zone_cost", 0.0, 0, 3600),
         evacuation_s=reader.positive_duration_s("limits", "evacuation"),
--- a/burdockdock/platform/configuration.py
+++ b/burdockdock/platform/configuration.py
@@ -46,11 +46,26 @@
         sections[f"service {service['name']}"] = _decode_service(service)
     for route in parse_table(spec["routes"]):
         sections[f"route {route['name']}"] = _decode_route(route)
+    if spec.get("limits"):
+        sections["limits"] = _decode_limits(spec["limits"])
     for tenant in parse_table(spec["tenants"]) if spec.get("tenants") else ():
         sections[f"workspace {tenant['name']}"] = _decode_workspace(tenant)
     return sections
 
 
+def _decode_limits(limits: dict[str, Any]) -> dict[str, str]:
+    """Decode the limits for callers; what is missing isn't limited."""
+    section = {}
+    for name in ("max-header-bytes", "max-body-bytes"):
+        if limits.get(name) is not None:
+            section[name.replace("-", "_")] = str(max(0, int(limits[name])))
+    for name in ("header-timeout", "idle-timeout"):
+        if limits.get(name) is not None:
+            key = name.replace("-", "_") + "_ms"
+            section[key] = str(parse_duration_ms(limits[name]))
+    return section
+
+
 def _decode_service(row: dict[str, Any]) -> dict[str, str]:
     section = {}
     if "cold-per-s" in row:
--- a/burdockdock/proxy/answers.py
+++ b/burdockdock/proxy/answers.py
@@ -11,6 +11,7 @@
 from burdockdock.protocol.calls import AnswerHead
 from burdockdock.proxy.authentication import UNKNOWN_KEY
 from burdockdock.proxy.call_factory import hop_by_hop_names
+from burdockdock.proxy.caller_bounds import BODY_TOO_LARGE, HEAD_TOO_LARGE
 from burdockdock.proxy.quota_client import OVER_QUOTA
 
 VERDICT_HEADER = "X-Burdockdock-Verdict"
@@ -26,12 +27,20 @@
 }
 # Refusals that stay the same however often the request is sent, and those that tell a
 # caller to send less. The others get 503.
-_REFUSAL_STATUSES = {"no_route": 404, UNKNOWN_KEY: 401, OVER_QUOTA: 429}
+_REFUSAL_STATUSES = {
+    "no_route": 404,
+    UNKNOWN_KEY: 401,
+    BODY_TOO_LARGE: 413,
+    HEAD_TOO_LARGE: 431,
+    OVER_QUOTA: 429,
+}
 _REASON_PHRASES = {
     401: "Unauthorized",
     404: "Not Found",
     409: "Conflict",
+    413: "Content Too Large",
     429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
     502: "Bad Gateway",
     503: "Service Unavailable",
 }
@@ -75,8 +84,8 @@
 def _status_for(failure: Failure) -> int:
     """Return an HTTP status that promises no more than the verdict.
 
-    A call that did not run gets 503, unless its route or its key is unknown or its
-    workspace is over its quota.
+    A call that did not run gets 503, unless its route or its key is unknown, it is too
+    large, or its workspace is over its quota.
     """
     if failure.verdict is Verdict.NOT_RUN:
         return _REFUSAL_STATUSES.get(failure.reason, 503)
--- a/burdockdock/proxy/context.py
+++ b/burdockdock/proxy/context.py
@@ -9,8 +9,14 @@
 from burdockdock.coordination.verdict import Failure
 from burdockdock.gate.headers import OWN_HEADERS, CallHeaders
 from burdockdock.metrics import Metrics
+from burdockdock.proxy.chunk_pace import TinyChunkTime
 from burdockdock.proxy.forwarder import Forwarder
+from burdockdock.proxy.memory_budget import MemoryBudget
 from burdockdock.proxy.quota_client import QuotaClient
+from burdockdock.proxy.shed_log import ShedLog
+
+# Bound for tests and benchmarks that give none.
+_DEFAULT_MEMORY_BYTES = 1 << 30
 
 
 class CallContext:
@@ -19,7 +25,8 @@
     While ``draining``, the node asks callers by ``Connection: close`` to send their
     next calls to other nodes. While ``refusing``, it refuses every new call,
     because none could end before the node stops. ``shutdown`` bounds the deadlines of
-    calls and says which of them are refused before. If ``may_wait`` is false, calls
+    calls and says which of them are refused before. ``tiny_chunk_time`` and
+    ``shed_log`` are shared by all callers. If ``may_wait`` is false, calls
     don't queue: they get a free slot or are refused. ``open_calls`` counts the calls in
     progress.
 
@@ -30,6 +37,7 @@
     :param own_service: returns the service of the backend server beside this node.
     :param quota: admits calls within the quotas, None to admit all.
     :param headers: names of the headers of calls.
+    :param memory: bounds what is held for callers.
     """
 
     def __init__(
@@ -47,7 +55,13 @@
         own_service: Callable[[], str] = lambda: "",
         quota: QuotaClient | None = None,
         headers: CallHeaders = OWN_HEADERS,
+        memory: MemoryBudget | None = None,
     ) -> None:
+        self.memory = memory or MemoryBudget(
+            limit_bytes=_DEFAULT_MEMORY_BYTES, clock=clock
+        )
+        self.tiny_chunk_time = TinyChunkTime(clock)
+        self.shed_log = ShedLog(metrics=metrics, clock=clock)
         self.node_id = node_id
         self.rng = rng
         self.missing_version = missing_version
