--- a/tests/node/test_quota_service.py
+++ b/tests/node/test_quota_service.py
@@ -21,15 +21,16 @@
     requests_per_s: float,
     duration_s: float = 12.0,
     nodes: int = 12,
+    seed: int = 1,
     faults: Callable[[SimulatedFleet], None] = lambda fleet: None,
 ) -> SimulatedFleet:
     """Run a fleet under a load spread over all nodes, and return it afterwards."""
     fleets: list[SimulatedFleet] = []
 
     async def run() -> None:
-        fleet = SimulatedFleet(nodes=nodes, limits={_WORKSPACE: limit}, seed=1)
+        fleet = SimulatedFleet(nodes=nodes, limits={_WORKSPACE: limit}, seed=seed)
         fleets.append(fleet)
-        rng = random.Random(1)
+        rng = random.Random(seed)
         loop = asyncio.get_running_loop()
         now_s = 0.0
         while now_s < duration_s:
@@ -153,6 +154,22 @@
 
         run_virtually(ask_later())
 
+    def test_a_small_part_with_the_grantor_is_cut_off(self) -> None:
+        """Guards against a part that suspects others slowly and grants the whole rate.
+
+        Also guards against floors that grow as the other part takes members for dead.
+        """
+        for others in (1, 5):
+
+            def cut(fleet: SimulatedFleet, others: int = others) -> None:
+                grantor = fleet.grantor_of(_WORKSPACE)
+                rest = sorted(set(fleet.nodes) - {grantor})
+                _at(4.0, fleet.cut, [grantor, *rest[:others]])
+
+            limit = QuotaLimit(100.0, 0.0)
+            fleet = _run(limit, requests_per_s=400, duration_s=18.0, faults=cut, seed=5)
+            self._assert_within_bound(fleet)
+
     def test_parts_that_meet_again_share_one_bucket(self) -> None:
         """Guards against two grantors after a partition has healed."""
 
