--- a/burdockdock/proxy/caller_answer.py
+++ b/burdockdock/proxy/caller_answer.py
@@ -108,7 +108,7 @@
             )
         self.started = True
         self.status = head.status
-        await self._wait_written(written)
+        await self._wait_written(written, len(body) if fits else 0)
         if fits:
             self._body_bytes_left -= len(body)
         elif body:
