--- a/burdockdock/configuration/lookup.py
+++ b/burdockdock/configuration/lookup.py
@@ -1,6 +1,7 @@
 """Finds the route, the service and the policy of a call in a snapshot."""
 
 import random
+from collections.abc import Iterable
 from datetime import datetime
 
 from burdockdock.configuration.model import (
@@ -81,6 +82,15 @@
     return snapshot.defaults._replace(**settings)
 
 
+def group_by_scope(overrides: Iterable[Override]) -> dict[Scope, list[Override]]:
+    """Return the overrides of each scope, sorted by name."""
+    grouped: dict[Scope, list[Override]] = {}
+    for override in sorted(overrides, key=lambda o: o.name):
+        scope = Scope(override.scope_kind, override.scope_name)
+        grouped.setdefault(scope, []).append(override)
+    return grouped
+
+
 def _matching_prefixes(path: str) -> list[str]:
     """Return the route paths that match a path, longest first."""
     prefixes = [path]
--- a/burdockdock/configuration/model.py
+++ b/burdockdock/configuration/model.py
@@ -47,11 +47,17 @@
     :param policy_settings: policy settings of its calls, by name.
     :param initial_version: version of the backend servers that gets the calls before
         the first rollout, empty to send calls to all versions.
+    :param cold_per_s: requests per second that a cold backend server takes, 0 for no
+        limit.
+    :param cold_start_ms: how long a backend server is cold after its start, 0 if
+        unknown.
     """
 
     name: str
     policy_settings: dict[str, int]
     initial_version: str = ""
+    cold_per_s: float = 0.0
+    cold_start_ms: int = 0
 
 
 class SplitPart(NamedTuple):
@@ -77,6 +83,8 @@
         large answer); empty to decide by the HTTP method whether a call is idempotent.
     :param split: weighted services that the calls are divided among.
     :param target_latency_ms: time after which an answer loses value, 0 for none.
+    :param allowed_regions: regions whose backend servers may get the route's calls,
+        empty for all.
     :param public: whether it needs no API key where workspaces are configured.
     """
 
@@ -90,6 +98,7 @@
     kind: str = ""
     split: tuple[SplitPart, ...] = ()
     target_latency_ms: int = 0
+    allowed_regions: tuple[str, ...] = ()
     public: bool = False
 
     @property
@@ -119,6 +128,21 @@
     expires: datetime | None = None
 
 
+class CallerLimits(NamedTuple):
+    """What callers may send; 0 for no limit.
+
+    :param max_header_bytes: size of a request's head.
+    :param max_body_bytes: size of a request's body.
+    :param header_timeout_ms: time for a request's head, from its first byte.
+    :param idle_timeout_ms: time that a connection may wait for its next request.
+    """
+
+    max_header_bytes: int = 0
+    max_body_bytes: int = 0
+    header_timeout_ms: int = 0
+    idle_timeout_ms: int = 0
+
+
 class Workspace(NamedTuple):
     """A group of callers that share API keys, a priority and a quota.
 
@@ -169,7 +193,7 @@
 
     pairs: dict[str, str]
     digest: int
-    value: "Service | Route | Override | Workspace | dict[str, int]"
+    value: "Service | Route | Override | CallerLimits | Workspace | dict[str, int]"
 
 
 class RouteMatch(NamedTuple):
@@ -195,6 +219,7 @@
     :param sections: the sections as written in the configuration.
     :param checked_sections: the checked sections by name.
     :param overrides_by_scope: the overrides of each scope, sorted by name.
+    :param limits: what callers may send.
     :param workspaces: the workspaces and their API keys.
     """
 
@@ -207,6 +232,7 @@
     sections: Sections
     checked_sections: dict[str, CheckedSection]
     overrides_by_scope: dict[Scope, list[Override]]
+    limits: CallerLimits = CallerLimits()
     workspaces: WorkspaceTable = NO_WORKSPACES
 
 
--- a/burdockdock/configuration/values.py
+++ b/burdockdock/configuration/values.py
@@ -24,6 +24,20 @@
     return tuple(dict.fromkeys(item for item in items if item))
 
 
+def parse_number(
+    key: str, text: str, minimum: float, maximum: float
+) -> tuple[float, list[KeyProblem]]:
+    """Parse a number, which may have a fraction."""
+    try:
+        value = float(text)
+    except ValueError:
+        value = float("nan")
+    if minimum <= value <= maximum:
+        return value, []
+    message = f"give a number from {minimum:g} to {maximum:g}, not {text!r}"
+    return minimum, [KeyProblem(key, message)]
+
+
 def parse_flag(key: str, text: str) -> tuple[bool, list[KeyProblem]]:
     """Parse ``true`` or ``false``."""
     flag = _FLAGS.get(text.strip().lower())
--- a/burdockdock/coordination/limiter.py
+++ b/burdockdock/coordination/limiter.py
@@ -148,15 +148,22 @@
             self._workspace_in_use.pop(workspace, None)
         self._grant_slots()
 
+    def refuse_waiting(self, refusal: Failure) -> None:
+        """Refuse all queued requests."""
+        for waiter in list(self._waiters):
+            self._refuse(waiter, refusal)
+
     def recheck_queue(self) -> None:
         """Refuse the queued requests that must not start any more."""
         for waiter in list(self._waiters):
             refusal = waiter.recheck()
-            if refusal is None:
-                continue
-            self._remove_waiter(waiter)
-            if not waiter.future.done():
-                waiter.future.set_result(refusal)
+            if refusal is not None:
+                self._refuse(waiter, refusal)
+
+    def _refuse(self, waiter: _Waiter, refusal: Failure) -> None:
+        self._remove_waiter(waiter)
+        if not waiter.future.done():
+            waiter.future.set_result(refusal)
 
     def _make_queue_room(self, workspace: str, queue_length: int) -> Failure | None:
         """Make room for one more request in the queue.
--- a/burdockdock/gate/model.py
+++ b/burdockdock/gate/model.py
@@ -1,5 +1,6 @@
 """Data types and interfaces between a gate and its users."""
 
+from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
 from burdockdock.coordination.verdict import Failure
@@ -11,6 +12,11 @@
 # sends the request on a connection of its own if it arrives there again.
 KEPT_CONNECTION_ENDED = "kept_connection_ended"
 
+# Reason of a refusal: the backend server is cold and has got what it takes for now.
+BACKEND_COLD = "backend_cold"
+# Reason of a refusal: the availability zone is evacuated.
+ZONE_EVACUATED = "zone_evacuated"
+
 
 class BackendServer(NamedTuple):
     """A backend server as it announced itself.
@@ -36,6 +42,7 @@
     :param failed: whether the call failed by a fault of the backend server. Errors of
         the caller and shed calls don't count.
     :param shed: whether the backend server refused the call because of overload.
+    :param answered: whether there was any answer.
     """
 
     route: str
@@ -44,6 +51,7 @@
     duration_s: float
     failed: bool
     shed: bool
+    answered: bool = True
 
 
 class CallStream(Protocol):
@@ -64,3 +72,34 @@
     def fail(self, failure: Failure) -> None:
         """Report that the call failed before its answer was complete."""
         ...
+
+
+class BufferAccount(Protocol):
+    """Accounts for the memory that is held for one call.
+
+    ``whole`` tells whether all of the call's request has arrived.
+    """
+
+    whole: bool
+
+    def hold(self, held_bytes: int) -> None:
+        """Set the memory that is held; this may end the call."""
+        ...
+
+    def move(self, size_bytes: int) -> None:
+        """Note that bytes arrived or were passed on."""
+        ...
+
+    def close(self) -> None:
+        """Release everything."""
+        ...
+
+
+class OpenAccount(Protocol):
+    """Opens accounts of calls under the bound of the process."""
+
+    def __call__(
+        self, shed: Callable[[], None], *, held_bytes: int = 0
+    ) -> BufferAccount:
+        """Open an account; ``shed`` ends the call to free its memory."""
+        ...
--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -15,9 +15,11 @@
 from burdockdock.metrics import Metrics
 from burdockdock.node.announcements import Announcement, BackendState
 from burdockdock.node.backend_parts import build_backend_parts
+from burdockdock.node.cold_servers import cold_limits_callback, doubt_with_zone
 from burdockdock.node.config_freshness import ConfigFreshness
 from burdockdock.node.config_state import CONFIG_KEY, ConfigState
 from burdockdock.node.draining import drain, drain_timing
+from burdockdock.node.evacuations import EvacuationParts
 from burdockdock.node.interface import (
     OWN_INTERFACE,
     BackendActions,
@@ -32,9 +34,12 @@
 from burdockdock.node.proxy_setup import (
     build_context,
     build_endpoints,
+    build_memory_budget,
     key_check,
+    max_caller_connections,
     retire_links_to_lost_nodes,
 )
+from burdockdock.node.quota_setup import build_quota_service
 from burdockdock.node.rollouts import RolloutParticipant
 from burdockdock.node.settings import NodeSettings
 from burdockdock.node.status import StatusReport, report_status
@@ -128,35 +133,67 @@
         self.datagrams, self.spreader, self.sync, self.detector, self.applied = parts
 
     def _build_call_path(self) -> None:
+        self.memory = build_memory_budget(
+            self._settings, clock=self._clock, metrics=self.metrics
+        )
+        cold_limits = cold_limits_callback(
+            self._settings, snapshot=lambda: self.config.snapshot
+        )
         self.gate = Gate(
             clock=self._clock,
             metrics=self.metrics,
             observe=self._on_call_result,
             headers=self._interface.headers,
             is_stopped=lambda b: self.rollouts.is_stopped(b.service, b.version),
+            cold_limits=cold_limits,
             key_refusal=key_check(lambda: self.config.snapshot),
         )
+        doubt_with_zone(self.membership, self.gate.cold)
         self._endpoints = build_endpoints(
             self.membership,
             snapshot=lambda: self.config.snapshot,
             rollouts=lambda: self.rollouts,
             rng=self._rng,
         )
+        self.quota = build_quota_service(
+            self._settings.quota_bounds,
+            membership=self.membership,
+            ranking=self.ranking,
+            datagrams=self.datagrams,
+            snapshot=lambda: self.config.snapshot,
+            probe_answers=lambda: self.detector.recent_answers,
+            clock=self._clock,
+            rng=self._rng,
+            metrics=self.metrics,
+        )
+        self.evacuations = EvacuationParts(
+            self._settings.availability_zone,
+            records=self.records,
+            endpoints=self._endpoints,
+            gate=self.gate,
+            clock=self._clock,
+            metrics=self.metrics,
+        )
         self.links = PeerLinks(self._identity, count=self.metrics.count)
         self.context = build_context(
             self._settings,
             links=self.links,
-            local_link=LocalLink(self.gate, self._identity),
+            local_link=LocalLink(
+                self.gate, self._identity, open_account=self.memory.open
+            ),
             endpoints=self._endpoints,
             membership=self.membership,
             snapshot=lambda: self.config.snapshot,
             missing_version=lambda: self.records.missing_version(CONFIG_KEY),
             config_refusal=self.freshness.refusal,
             own_service=self._own_service,
+            quota=self.quota.client,
+            cold_limits=cold_limits,
             headers=self._interface.headers,
             clock=self._clock,
             rng=self._rng,
             metrics=self.metrics,
+            memory=self.memory,
         )
         self.membership.subscribe(retire_links_to_lost_nodes(self.links))
 
@@ -182,6 +219,7 @@
             clock=self._clock,
             rng=self._rng,
             change_own=self._change_own,
+            watches_evacuations=settings.evacuation_s > 0,
         )
         self.rollouts = RolloutParticipant(
             records=self.records,
@@ -236,6 +274,7 @@
             ),
             clock=self._clock,
             metrics=self.metrics,
+            open_account=self.memory.open,
         )
         host, port = settings.peers
         await self.datagrams.open(host, port)
@@ -272,6 +311,7 @@
             host=settings.callers[0],
             port=settings.callers[1],
             max_pipelined_calls=settings.pipelined_calls,
+            max_connections=max_caller_connections(settings),
         )
         log_event(
             "node.serving",
@@ -296,6 +336,7 @@
             "rollouts": self.rollouts.run,
             "backend_watch": self._backend_watch.run,
             "config_freshness": self.freshness.run,
+            "quota": self.quota.run,
         }
         for name, loop in loops.items():
             self._run_in_background(name, loop)
@@ -330,6 +371,7 @@
         self.rollouts.close()
         self._store_returns.close()
         self._notifier.close()
+        self.evacuations.close()
         self.platform.close()
         self.sync.close()
         self.links.close()
@@ -377,7 +419,8 @@
     def _on_call_result(self, result: CallResult) -> None:
         backend = self.gate.backend
         if backend is not None:
-            self.rollouts.observe(result, backend)
+            cold = self.gate.cold.is_warming_up
+            self.rollouts.observe(result, backend, cold=cold)
 
     async def _status(self) -> StatusReport:
         return await report_status(
@@ -387,6 +430,7 @@
             platform=self.platform,
             applied=self.applied,
             rollouts=self.rollouts.view,
+            evacuated_zones=self.evacuations.zones,
             datagrams=self.datagrams,
             sync=self.sync,
             server=self._peer_server,
--- a/burdockdock/proxy/balancer.py
+++ b/burdockdock/proxy/balancer.py
@@ -8,6 +8,7 @@
 from burdockdock.clock import Clock
 from burdockdock.coordination.membership import Member
 from burdockdock.protocol.calls import GateResults
+from burdockdock.proxy.cold_share import ColdShares
 from burdockdock.proxy.member_health import MemberHealth
 from burdockdock.proxy.placement import (
     JITTER_SHARE,
@@ -76,6 +77,7 @@
     :param node_id: id of this node, empty if it has no backend server.
     :param availability_zone: availability zone of this node.
     :param region: region of this node.
+    :param cold_shares: what this node may send to cold members, None for no limit.
     """
 
     def __init__(
@@ -86,6 +88,7 @@
         clock: Clock,
         rng: random.Random,
         node_id: str = "",
+        cold_shares: ColdShares | None = None,
     ) -> None:
         self._locality = Locality(node_id, availability_zone, region)
         self._clock = clock
@@ -94,6 +97,7 @@
         self._gate_reports: dict[str, _GateReport] = {}
         self._health = MemberHealth()
         self._departed: set[str] = set()
+        self._cold_shares = cold_shares or ColdShares(clock=clock, rng=rng)
         self._places: dict[str, tuple[Place, int]] = {}
         self._zone_loads = ZoneLoads()
 
@@ -121,14 +125,17 @@
         candidates = self._health.without_ejected(sample, now_s)
         if len(candidates) == len(sample) < len(pool) - len(excluded):
             candidates = self._health.healthy_in_sample(sample, pool, now_s)
+        candidates = self._cold_shares.within_share(candidates)
         mean_service_s = self._mean_service_s(candidates)
-        return min(
+        chosen = min(
             candidates,
             key=lambda m: self._expected_duration_s(
                 m, mean_service_s, penalties, now_s
             ),
             default=None,
         )
+        self._cold_shares.sent(chosen)
+        return chosen
 
     def pick_by_zone(
         self,
@@ -146,12 +153,13 @@
         pool = members if isinstance(members, Pool) else Pool(self._locality, members)
         now_s = self._clock.monotonic()
         home, elsewhere = pool.sample_by_zone(self._rng, excluded=excluded)
+        sample = usable = home + elsewhere
         if self._health:
-            sample = home + elsewhere
-            healthy = self._health.healthy_in_sample(sample, pool, now_s)
-            if len(healthy) < len(sample):
-                home = [m for m in healthy if not self.crosses(m)]
-                elsewhere = [m for m in healthy if self.crosses(m)]
+            usable = self._health.healthy_in_sample(sample, pool, now_s)
+        usable = self._cold_shares.within_share(usable)
+        if len(usable) < len(sample):
+            home = [m for m in usable if not self.crosses(m)]
+            elsewhere = [m for m in usable if self.crosses(m)]
         mean_service_s = self._mean_service_s(home or elsewhere)
         choice = choose(
             self._candidates(home, mean_service_s, now_s),
@@ -161,6 +169,7 @@
         )
         if choice is not None:
             member = choice.candidate.member
+            self._cold_shares.sent(member)
             place = Place(member.service, member.availability_zone)
             self._places[member.node_id] = place, max(1, member.slots)
         return choice
@@ -210,6 +219,10 @@
             if node_id in self._departed:
                 self.forget(node_id)
 
+    def refused_as_cold(self, node_id: str) -> None:
+        """Record that a member's gate refused an attempt since it is cold."""
+        self._cold_shares.refused(node_id)
+
     def forget(self, node_id: str) -> None:
         """Drop the state of a member that left.
 
@@ -221,6 +234,7 @@
         self._departed.discard(node_id)
         self._gate_reports.pop(node_id, None)
         self._health.forget(node_id)
+        self._cold_shares.forget(node_id)
         place, _ = self._places.pop(node_id, (None, 0))
         if place is not None and all(p != place for p, _ in self._places.values()):
             self._zone_loads.forget(place)
@@ -309,7 +323,7 @@
             candidates.append(Candidate(member, service_s, wait_s, penalty_s))
         return candidates
 
-    def _mean_service_s(self, members: list[Member]) -> float:
+    def _mean_service_s(self, members: Sequence[Member]) -> float:
         """Return the mean reported service time, used for members without a report."""
         reports = self._gate_reports
         total_s, count = 0.0, 0
--- a/burdockdock/proxy/call_factory.py
+++ b/burdockdock/proxy/call_factory.py
@@ -13,6 +13,7 @@
 from burdockdock.proxy.authentication import PUBLIC_WORKSPACE, Identity, identify
 from burdockdock.proxy.call import Call
 from burdockdock.proxy.context import CallContext
+from burdockdock.proxy.regions import allowed_regions
 
 DEFAULT_WORKSPACE = "default"
 _IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS", "TRACE"})
@@ -122,10 +123,17 @@
         target_s=target_s if route.target_latency_ms else 0.0,
         large_answer=route.kind == _DOWNLOAD_KIND,
         may_wait=context.may_wait,
+        allowed_regions=_allowed_regions(route, identity),
         identity=identity,
     )
 
 
+def _allowed_regions(route: Route, identity: Identity) -> frozenset[str] | None:
+    workspace = identity.workspace
+    workspace_regions = () if workspace is None else workspace.allowed_regions
+    return allowed_regions(route.allowed_regions, workspace_regions)
+
+
 def _missing_route_failure(
     snapshot: Snapshot, path: str, missing_version: int
 ) -> Failure:
--- a/burdockdock/proxy/local_link.py
+++ b/burdockdock/proxy/local_link.py
@@ -6,11 +6,13 @@
 
 import asyncio
 
-from burdockdock.coordination.verdict import Failure
-from burdockdock.gate.call_server import run_call
+from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.gate.call_server import SHED_REASON, run_call
 from burdockdock.gate.gate import Gate
+from burdockdock.gate.model import BufferAccount, OpenAccount
 from burdockdock.protocol import SendWindow
 from burdockdock.protocol.calls import AnswerHead, CallRequest
+from burdockdock.protocol.chunk_buffer import ChunkBuffer
 from burdockdock.protocol.handshake import PeerIdentity
 from burdockdock.proxy.remote_call import GateState, RemoteCall
 
@@ -23,16 +25,24 @@
     ``waiting_since_s`` is always None, because the gate can't be silent.
 
     :param own: this node's identity.
+    :param open_account: accounts for the memory of bodies, None for no bound.
     """
 
-    def __init__(self, gate: Gate, own: PeerIdentity) -> None:
+    def __init__(
+        self,
+        gate: Gate,
+        own: PeerIdentity,
+        *,
+        open_account: OpenAccount | None = None,
+    ) -> None:
+        self._open_account = open_account
         self.peer = own
         self.waiting_since_s: float | None = None
         self._gate = gate
 
     def start(self, request: CallRequest) -> "LocalCall":
         """Start a call at the gate."""
-        return LocalCall(self._gate, request)
+        return LocalCall(self._gate, request, open_account=self._open_account)
 
     def note_call_sent(self, now_s: float) -> None:
         """Do nothing, because every call is received."""
@@ -41,7 +51,15 @@
 class LocalCall(RemoteCall):
     """One attempt of a call at this node's own gate."""
 
-    def __init__(self, gate: Gate, request: CallRequest) -> None:
+    def __init__(
+        self,
+        gate: Gate,
+        request: CallRequest,
+        *,
+        open_account: OpenAccount | None = None,
+    ) -> None:
+        self._open_account = open_account
+        self._account: BufferAccount | None = None
         super().__init__(_CALL_ID, self)
         self._stream = _GateStream(gate, self, route=request.route)
         self._task = asyncio.create_task(run_call(gate, request, self._stream))
@@ -54,6 +72,24 @@
 
     def _pass_body_on(self, data: bytes, *, end: bool) -> None:
         self._stream.receive_body(data, end)
+        if self._account is None and self._open_account is not None:
+            self._account = self._open_account(self._shed)
+            self._task.add_done_callback(lambda _: self._account.close())
+        if self._account is not None:
+            self._account.whole = end
+            self._account.move(len(data))
+            self._account.hold(self._stream.held_bytes)
+
+    def grant(self, size_bytes: int) -> None:
+        """Handle that the gate has read a part of the request's body."""
+        super().grant(size_bytes)
+        if self._account is not None:
+            self._account.hold(self._stream.held_bytes)
+
+    def _shed(self) -> None:
+        """End the call to free its memory."""
+        self.receive_failure(Failure(Verdict.MAY_HAVE_RUN, SHED_REASON))
+        self._task.cancel()
 
     def _grant_credit(self, size_bytes: int) -> None:
         self._stream.window.grant(size_bytes)
@@ -71,15 +107,28 @@
         self._gate = gate
         self._call = call
         self._route = route
-        self._chunks: asyncio.Queue[tuple[bytes, bool]] = asyncio.Queue()
+        self._chunks = ChunkBuffer()
+        self._ended = False
+        self._changed = asyncio.Event()
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory of the part of the request's body that the gate has not read."""
+        return self._chunks.occupied_bytes
 
     def receive_body(self, data: bytes, end: bool) -> None:
-        """Queue a chunk of the request's body; the call's window bounds the queue."""
-        self._chunks.put_nowait((data, end))
+        """Buffer a chunk of the request's body; the call's window bounds the buffer."""
+        self._chunks.append(data)
+        self._ended |= end
+        self._changed.set()
 
     async def read_body(self) -> tuple[bytes, bool]:
         """Return the next chunk of the request's body and whether it is the last."""
-        data, end = await self._chunks.get()
+        while not self._chunks and not self._ended:
+            self._changed.clear()
+            await self._changed.wait()
+        data = self._chunks.take()
+        end = self._ended and not self._chunks
         if data and not end:
             self._call.grant(len(data))
         return data, end
--- a/tests/proxy/test_call_completion.py
+++ b/tests/proxy/test_call_completion.py
@@ -204,7 +204,7 @@
             await asyncio.Event().wait()
         return b"", True
 
-    async def send_head(self, head: AnswerHead) -> None:
+    async def send_head(self, head: AnswerHead, body: bytes = b"") -> None:
         """Discard the head."""
 
     async def send_body(self, data: bytes) -> None:
@@ -275,7 +275,9 @@
         clock = SystemClock()
         forwarder = Forwarder(
             links=links,
-            endpoints=SimpleNamespace(for_call=lambda *_, **__: [member]),
+            endpoints=SimpleNamespace(
+                for_call=lambda *_, **__: [member], has_members=lambda *_: True
+            ),
             balancer=SimpleNamespace(
                 pick=lambda *_, **__: member,
                 started=lambda _: None,
