--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -271,14 +271,15 @@
             return Failure(
                 Verdict.NOT_RUN, "too_little_time", f"expected wait {wait_s:.3f} s"
             )
+        target_s = self._latest_start_for_target_s(request, now_s)
         refusal = await self._limiter.acquire(
             workspace=request.workspace,
             deadline_s=latest_start_s,
             priority=request.priority,
             queue_length=request.queue_length,
-            target_s=self._latest_start_for_target_s(request, now_s),
+            target_s=target_s,
             yields_until_s=yields_until_s(
-                work, now_s=now_s, latest_start_s=latest_start_s
+                work, now_s=now_s, latest_start_s=latest_start_s, target_s=target_s
             ),
             recheck=functools.partial(self._key_refusal, request),
         )
--- a/burdockdock/gate/work_tracker.py
+++ b/burdockdock/gate/work_tracker.py
@@ -66,15 +66,22 @@
         return self._remaining.total_s()
 
 
-def yields_until_s(work: ExpectedWork, *, now_s: float, latest_start_s: float) -> float:
+def yields_until_s(
+    work: ExpectedWork, *, now_s: float, latest_start_s: float, target_s: float
+) -> float:
     """Return until when a queued request lets shorter ones of its priority go first.
 
     Load pattern: one request of 25 costs seven times as much as the others, at 0.7 to
     0.95 of the capacity, and holds up the short ones that queue behind it. The bound
-    keeps it from waiting for as long as there are short ones.
+    keeps it from waiting for as long as there are short ones. It lies before the latest
+    start that meets the target, since a request past that is served last.
+
+    :param target_s: latest start that meets the target, infinite without one.
     """
     if not work.is_long:
         return now_s
+    if target_s > now_s:
+        latest_start_s = min(latest_start_s, target_s)
     return now_s + _YIELDING_SHARE * (latest_start_s - now_s)
 
 
