--- a/burdockdock/proxy/placement.py
+++ b/burdockdock/proxy/placement.py
@@ -13,9 +13,9 @@
 # Randomizes expected durations by up to this share, so that small differences don't
 # send all calls to one member.
 JITTER_SHARE = 0.05
-# A call that is late at home crosses unless the crossing costs more than this. At the
-# 0.1 s per KB of deploy/node.ini that is 6 MB. Its bytes cost an operator that pays 120
-# units per GB 0.72 units, where an answer in time is worth 1.
+# A call that would be late at home crosses unless the crossing costs more than this,
+# which is 6 MB at 0.1 s per KB: the bytes of an ordinary answer cost less than its
+# lateness, those of a very large one don't.
 _MAX_COST_OF_LATE_CALL_S = 600.0
 # Share of the time left that a call may be expected to take at home. Expected times are
 # means: with all of it, about half of the calls would be late.
