--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -188,12 +188,13 @@
             )
             if not may_wait and not crossed:
                 self._free_slots.record_result(call.request.service, result)
+            if isinstance(result, Failure) and result.reason == BACKEND_COLD:
+                # The end of the attempt drops the state of a member that has left.
+                self._balancer.refused_as_cold(node_id)
             failed = is_backend_fault(result) and not member.cold
         finally:
             self._balancer.finished(node_id, failed=failed)
         if isinstance(result, Failure):
-            if result.reason == BACKEND_COLD:
-                self._balancer.refused_as_cold(node_id)
             return AttemptFailure(node_id, result, crossed, member.availability_zone)
         return None
 
--- a/tests/proxy/test_attempt_results.py
+++ b/tests/proxy/test_attempt_results.py
@@ -62,7 +62,7 @@
         broken = Failure(Verdict.MAY_HAVE_RUN, "backend_connection_broken")
         for cold in (False, True):
             fixture = _HealthRecorder({name: FakeLink(name, broken) for name in "ab"})
-            fixture._members = [m._replace(cold=cold) for m in fixture._members]
+            fixture.members = [m._replace(cold=cold) for m in fixture.members]
             await fixture.call(idempotent=True)
             self.assertEqual({not cold}, set(fixture.faults))
 
--- a/tests/proxy/test_forwarder.py
+++ b/tests/proxy/test_forwarder.py
@@ -1,6 +1,7 @@
 """Tests of failures that the forwarder returns for calls without an answer."""
 
 import asyncio
+import random
 from collections.abc import Callable
 
 import testtools
@@ -16,7 +17,9 @@
 from burdockdock.protocol.handshake import PeerIdentity
 from burdockdock.proxy import usable_link
 from burdockdock.proxy.authentication import Identity
+from burdockdock.proxy.balancer import Balancer
 from burdockdock.proxy.call import Call
+from burdockdock.proxy.cold_share import ColdShares
 from burdockdock.proxy.forwarder import Forwarder
 from burdockdock.proxy.peer_link import PeerLink
 from burdockdock.proxy.remote_call import GateState
@@ -71,6 +74,8 @@
     """A forwarder whose members have fake links.
 
     :param links: by node id; None for a link that never opens.
+    :param balancer: chooses among the members; by default the first untried one is
+        chosen.
     """
 
     def __init__(
@@ -80,10 +85,11 @@
         *,
         reserve: float = 9.0,
         identity_refusal: Callable[[Identity], Failure | None] = lambda _: None,
+        balancer: Balancer | None = None,
     ) -> None:
         self.clock = clock or SystemClock()
         self._links = links
-        self._members = [
+        self.members = [
             Member(name, name, 1, "r", "z", 1, ready=True, service="work", slots=1)
             for name in links
         ]
@@ -91,7 +97,7 @@
         self.forwarder = Forwarder(
             links=self,
             endpoints=self,
-            balancer=self,
+            balancer=balancer or self,
             clock=self.clock,
             metrics=Metrics(),
             retry_budget=self.budget,
@@ -118,7 +124,7 @@
 
     def for_call(self, service: str, **_: object) -> list[Member]:
         """Return all members."""
-        return self._members
+        return self.members
 
     def pick(self, members: list[Member], *, excluded: frozenset[str]) -> Member | None:
         """Return the first member that was not tried, or else the first one."""
@@ -290,6 +296,36 @@
         self.assertEqual(lost, failure)
 
 
+class MemberStateTest(testtools.TestCase):
+    """Tests of what the balancer learns from failed attempts."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.clock = ManualClock()
+        rng = random.Random(1)
+        self.shares = ColdShares(clock=self.clock, rng=rng)
+        self.balancer = Balancer(
+            availability_zone="z",
+            region="r",
+            clock=self.clock,
+            rng=rng,
+            cold_shares=self.shares,
+        )
+
+    def _fixture(self, **links: FakeLink) -> ForwarderFixture:
+        return ForwarderFixture(links, self.clock, balancer=self.balancer)
+
+    @async_test
+    async def test_cold_refusal_of_a_member_that_departed_leaves_no_state(self) -> None:
+        # Guards against state of departed members that is never dropped.
+        link = FakeLink("a", Failure(Verdict.NOT_RUN, "backend_cold"))
+        link.before_result = lambda: self.balancer.forget("a")
+        await self._fixture(a=link).call()
+        self.assertTrue(link.sent)
+        others = [Member("b", "b", 1, "r", "z", 1)]
+        self.assertIs(others, self.shares.within_share(others))
+
+
 class DeadConnectionTest(testtools.TestCase):
     """Tests of calls that met a dead connection to a backend server."""
 
