--- a/burdockdock/proxy/balancer.py
+++ b/burdockdock/proxy/balancer.py
@@ -207,13 +207,15 @@
             place, slots = placed
             self._zone_loads.record(place, calls / slots, now_s=now_s)
 
-    def finished(self, node_id: str, *, failed: bool) -> None:
+    def finished(self, node_id: str, *, failed: bool | None) -> None:
         """Record the end of an attempt.
 
-        :param failed: whether the backend server or its node was at fault.
+        :param failed: whether the backend server or its node was at fault, None if
+            the attempt says nothing about the member's health.
         """
         self._in_flight[node_id] -= 1
-        self._health.record(node_id, failed=failed, now_s=self._clock.monotonic())
+        if failed is not None:
+            self._health.record(node_id, failed=failed, now_s=self._clock.monotonic())
         if not self._in_flight[node_id]:
             del self._in_flight[node_id]
             if node_id in self._departed:
--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -171,7 +171,8 @@
         node_id = member.node_id
         crossed = self._choice.crosses(member)
         self._balancer.started(node_id)
-        failed = True
+        # A fault of a cold member says nothing about its health.
+        failed = fault = None if member.cold else True
         try:
             may_wait = (
                 call.key != ""
@@ -191,7 +192,7 @@
             if isinstance(result, Failure) and result.reason == BACKEND_COLD:
                 # The end of the attempt drops the state of a member that has left.
                 self._balancer.refused_as_cold(node_id)
-            failed = is_backend_fault(result) and not member.cold
+            failed = fault if is_backend_fault(result) else False
         finally:
             self._balancer.finished(node_id, failed=failed)
         if isinstance(result, Failure):
