--- a/burdockdock/node/cold_servers.py
+++ b/burdockdock/node/cold_servers.py
@@ -16,10 +16,10 @@
 
     def limits_of(service: str) -> ColdLimits:
         found = snapshot().services.get(service)
-        if found is None or not found.cold_per_s:
+        if found is None:
             return ColdLimits()
         bound = 0.0
-        if settings.cold_overage:
+        if found.cold_per_s and settings.cold_overage:
             bound = found.cold_per_s * settings.cold_overage + settings.cold_slack
         return ColdLimits(found.cold_per_s, found.cold_start_ms / 1000, bound)
 
--- a/tests/node/test_cold_servers.py
+++ b/tests/node/test_cold_servers.py
@@ -15,6 +15,8 @@
 [service work]
 cold_per_s = 8
 cold_start_ms = 2500
+[service warming]
+cold_start_ms = 4000
 [service other]
 """
 _SETTINGS = """
@@ -52,9 +54,26 @@
         ):
             limits_of = cold_limits_callback(_settings(limits), lambda: snapshot)
             self.assertEqual(ColdLimits(8.0, 2.5, bound), limits_of("work"))
+            self.assertEqual(ColdLimits(0.0, 4.0, 0.0), limits_of("warming"))
             self.assertEqual(ColdLimits(), limits_of("other"))
             self.assertEqual(ColdLimits(), limits_of("unknown"))
 
+    def test_service_with_a_cold_start_and_no_rate(self) -> None:
+        # Guards against evidence from a server that is cold after its start without
+        # saying so.
+        snapshot = build_snapshot(read_sections(_CONFIG), version=1)
+        clock = ManualClock()
+        admission = ColdAdmission(
+            clock=clock,
+            metrics=Metrics(),
+            limits_of=cold_limits_callback(_settings(""), lambda: snapshot),
+        )
+        admission.announced("warming", None, new_start=True)
+        self.assertTrue(admission.is_warming_up)
+        self.assertFalse(admission.is_limiting("warming"))
+        clock.advance(4.1)
+        self.assertFalse(admission.is_warming_up)
+
 
 class DoubtTest(testtools.TestCase):
     """Tests of the doubt that a member which turns cold raises in its zone."""
