--- a/burdockdock/proxy/balancer.py
+++ b/burdockdock/proxy/balancer.py
@@ -170,8 +170,7 @@
         if choice is not None:
             member = choice.candidate.member
             self._cold_shares.sent(member)
-            place = Place(member.service, member.availability_zone)
-            self._places[member.node_id] = place, max(1, member.slots)
+            self._note_place(member)
         return choice
 
     def started(self, node_id: str) -> None:
@@ -238,6 +237,18 @@
         self._health.forget(node_id)
         self._cold_shares.forget(node_id)
         place, _ = self._places.pop(node_id, (None, 0))
+        self._forget_if_left(place)
+
+    def _note_place(self, member: Member) -> None:
+        """Note where a member is, which may change while it stays a member."""
+        place = Place(member.service, member.availability_zone)
+        previous, _ = self._places.get(member.node_id, (place, 0))
+        self._places[member.node_id] = place, max(1, member.slots)
+        if previous != place:
+            self._forget_if_left(previous)
+
+    def _forget_if_left(self, place: Place | None) -> None:
+        """Drop the mean of a place that no member is in any more."""
         if place is not None and all(p != place for p, _ in self._places.values()):
             self._zone_loads.forget(place)
 
--- a/tests/proxy/test_zone_placement.py
+++ b/tests/proxy/test_zone_placement.py
@@ -133,6 +133,20 @@
         for _ in range(50):
             self.assertEqual("good", self._picked(members).node_id)
 
+    def test_places_that_members_left_are_forgotten(self) -> None:
+        # Guards against an entry for each zone and service that a member ever had.
+        for member in (
+            _member("a"),
+            _member("a", "z1"),
+            _member("a", "z1")._replace(service="other"),
+            _member("b", "z1")._replace(service="other"),
+            _member("b", "z2"),
+        ):
+            self._picked([member])
+            self.balancer.record_gate_state(member.node_id, 3, GateResults(0.2))
+        known = {("other", "z1"), ("work", "z2")}
+        self.assertEqual(known, set(self.balancer._zone_loads._loads))
+
 
 class ZoneFirstAttemptsTest(testtools.TestCase):
     """Tests of the attempts of a call whose zone crossing has a cost."""
