--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -121,10 +121,7 @@
                 return None
             failure = outcome.failure
             charges.record_failure(failure)
-            if (
-                strongest_failure is None
-                or failure.verdict >= strongest_failure.verdict
-            ):
+            if strongest_failure is None or _outweighs(outcome, strongest_failure):
                 strongest_failure = failure
             log_failed_attempt(
                 call.request,
@@ -345,3 +342,15 @@
 
     def _time_left_ms(self, call: Call) -> int:
         return call.time_left_ms(self._clock.monotonic())
+
+
+def _outweighs(outcome: AttemptFailure, earlier: Failure) -> bool:
+    """Return whether a later failure is reported to the caller rather than an earlier.
+
+    With the same verdict it is, unless it only says that no member was left to try:
+    the earlier one says why.
+    """
+    verdict = outcome.failure.verdict
+    if verdict == earlier.verdict:
+        return outcome.node_id != ""
+    return verdict > earlier.verdict
--- a/tests/proxy/test_forwarder.py
+++ b/tests/proxy/test_forwarder.py
@@ -122,6 +122,10 @@
         """Wait forever, as for a link that never opens."""
         await asyncio.Event().wait()
 
+    def has_members(self, service: str) -> bool:
+        """Return whether there are members."""
+        return bool(self.members)
+
     def for_call(self, service: str, **_: object) -> list[Member]:
         """Return all members."""
         return self.members
@@ -355,6 +359,24 @@
         return {self.balancer.pick(members).node_id for _ in range(50)}
 
 
+class NoMemberLeftTest(testtools.TestCase):
+    """Tests of calls that find no further member after a failed attempt."""
+
+    async def _call(self, failure: Failure) -> Failure:
+        clock = ManualClock()
+        balancer = Balancer(
+            availability_zone="z", region="r", clock=clock, rng=random.Random(1)
+        )
+        links = {name: FakeLink(name, failure) for name in "ab"}
+        return await ForwarderFixture(links, clock, balancer=balancer).call()
+
+    @async_test
+    async def test_reason_is_that_of_the_gate(self) -> None:
+        # Guards against no_backend_server, which hides the evacuation from operators.
+        evacuated = Failure(Verdict.NOT_RUN, "zone_evacuated", "z")
+        self.assertEqual(evacuated, await self._call(evacuated))
+
+
 class DeadConnectionTest(testtools.TestCase):
     """Tests of calls that met a dead connection to a backend server."""
 
