--- a/burdockdock/node/evacuations.py
+++ b/burdockdock/node/evacuations.py
@@ -66,10 +66,14 @@
         """Broadcast the end, unless it is known.
 
         Several nodes read the deletion. If each of them raised the version, it could
-        pass that of the zone's next evacuation.
+        pass that of the zone's next evacuation. A deletion that is read before any
+        record of the zone has no version to follow and ends nothing; if the record
+        comes later, the next complete list ends it.
         """
-        record = _active(self._records).get(zone)
-        if record is not None:
+        record = self._records.get(EVACUATION_RECORDS + zone)
+        if record is None:
+            log_event("evacuation.end_ignored", zone=zone)
+        elif record.value != _ENDED:
             self._spread(Record(record.key, record.version + 1, _ENDED))
 
     def _note_kept(self, zone: str, era: int) -> None:
--- a/tests/node/test_evacuations.py
+++ b/tests/node/test_evacuations.py
@@ -10,6 +10,7 @@
 
 from burdockdock.coordination.records import Record, RecordStore
 from burdockdock.metrics import Metrics
+from burdockdock.node import evacuations
 from burdockdock.node.evacuations import EvacuationReader, Evacuations
 from burdockdock.node.operator_client import call_node
 from burdockdock.platform_api import PlatformObject, WatchResult
@@ -33,6 +34,12 @@
     def setUp(self) -> None:
         super().setUp()
         self.records = RecordStore()
+        self.events: list[tuple[str, dict[str, object]]] = []
+        self.patch(
+            evacuations,
+            "log_event",
+            lambda event, **fields: self.events.append((event, fields)),
+        )
         self.changes: list[frozenset[str]] = []
         self.metrics = Metrics()
         self.evacuations = Evacuations(
@@ -71,6 +78,18 @@
         self.reader.ingest(_object("z1", 12))
         self.assertEqual({"z1"}, self._zones())
 
+    def test_deletion_before_the_record(self) -> None:
+        # Guards against a deletion that is dropped without a trace.
+        self.reader.ingest(_object("z1", 0))
+        self.assertEqual([("evacuation.end_ignored", {"zone": "z1"})], self.events)
+
+    def test_repeated_deletion_is_not_reported(self) -> None:
+        self.reader.ingest(_object("z1", 10))
+        self.reader.ingest(_object("z1", 0))
+        self.events.clear()
+        self.reader.ingest(_object("z1", 0))
+        self.assertEqual([], self.events)
+
     def test_late_reading_of_a_deleted_object(self) -> None:
         self.reader.ingest(_object("z1", 10))
         self.reader.ingest(_object("z1", 0))
