--- a/burdockdock/coordination/cold_limiter.py
+++ b/burdockdock/coordination/cold_limiter.py
@@ -8,9 +8,9 @@
 # Requests that may be sent without a pause between them. With one, a request that comes
 # a moment before its time would find no room, and half of the rate would go unused.
 _MAX_BURST = 2.0
-# A server that may be cold is taken for cold until it says otherwise, but for no longer
-# than this: announcements come about every 1.5 s, and may be some seconds late.
-_MAX_DOUBT_S = 6.0
+# A server that may be cold is treated as cold until it says otherwise, for this time at
+# most: announcements come about every 1.5 s, and may be some seconds late.
+_MAX_SUSPICION_S = 6.0
 
 
 class ColdLimiter:
@@ -24,8 +24,8 @@
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
         self._cold_until_s = float("-inf")
-        self._in_doubt_until_s = float("-inf")
-        self._held_until_s = float("-inf")
+        self._suspected_until_s = float("-inf")
+        self._assumed_cold_until_s = float("-inf")
         self._sent_at_s: deque[float] = deque()
         self._tokens = 0.0
         self._filled_at_s = float("-inf")
@@ -33,36 +33,37 @@
     @property
     def is_cold(self) -> bool:
         """Whether the server is cold as far as is known."""
-        return self._clock.monotonic() < max(self._cold_until_s, self._held_until_s)
+        cold_until_s = max(self._cold_until_s, self._assumed_cold_until_s)
+        return self._clock.monotonic() < cold_until_s
 
     @property
     def is_limiting(self) -> bool:
         """Whether the server is cold, or may have turned cold since it last said."""
-        return self.is_cold or self._clock.monotonic() < self._in_doubt_until_s
+        return self.is_cold or self._clock.monotonic() < self._suspected_until_s
 
-    def announced(self, cold_s: float) -> None:
-        """Note what the server says, which ends any doubt.
+    def record_announcement(self, cold_s: float) -> None:
+        """Record what the server says, which ends any suspicion.
 
         :param cold_s: remaining seconds for which it is cold, 0 if it is warm.
         """
         self._cold_until_s = self._clock.monotonic() + cold_s
-        self._held_until_s = float("-inf")
-        self.end_doubt()
+        self._assumed_cold_until_s = float("-inf")
+        self.end_suspicion()
 
-    def hold(self, duration_s: float) -> None:
-        """Take the server for cold until it says otherwise.
+    def assume_cold(self, duration_s: float) -> None:
+        """Treat the server as cold until it says otherwise.
 
         :param duration_s: seconds for which a server is cold at most.
         """
-        self._held_until_s = self._clock.monotonic() + duration_s
+        self._assumed_cold_until_s = self._clock.monotonic() + duration_s
 
-    def doubt(self) -> None:
+    def suspect_cold(self) -> None:
         """Limit the requests until the server says whether it is cold."""
-        self._in_doubt_until_s = self._clock.monotonic() + _MAX_DOUBT_S
+        self._suspected_until_s = self._clock.monotonic() + _MAX_SUSPICION_S
 
-    def end_doubt(self) -> None:
-        """End what :meth:`doubt` began."""
-        self._in_doubt_until_s = float("-inf")
+    def end_suspicion(self) -> None:
+        """End what :meth:`suspect_cold` began."""
+        self._suspected_until_s = float("-inf")
 
     def has_room(self, rate_per_s: float) -> bool:
         """Return whether a request may be sent now.
--- a/burdockdock/gate/cold_admission.py
+++ b/burdockdock/gate/cold_admission.py
@@ -61,45 +61,48 @@
         """Return whether calls are limited, since the server is or may be cold."""
         return self.is_limited(service) and self._limiter.is_limiting
 
-    def announced(self, service: str, cold_s: float | None, *, new_start: bool) -> None:
-        """Note an announcement of the server.
+    def record_announcement(
+        self, service: str, cold_s: float | None, *, new_start: bool
+    ) -> None:
+        """Record an announcement of the server.
 
         :param cold_s: remaining seconds for which it is cold, None if it doesn't say.
         """
         limits = self._limits_of(service)
         if cold_s is None:
-            self._limiter.end_doubt()
+            self._limiter.end_suspicion()
             if new_start and limits.start_s:
-                self._limiter.announced(limits.start_s)
+                self._limiter.record_announcement(limits.start_s)
             return
         was_limiting = self._limiter.is_limiting
-        self._limiter.announced(cold_s)
+        self._limiter.record_announcement(cold_s)
         if cold_s and not was_limiting and not new_start:
-            self._report_late_notice(limits)
+            self._report_late_notice(service, limits)
 
     def evacuation_ended(self, service: str) -> None:
-        """Take the server for cold until it says otherwise."""
-        self._limiter.hold(self._limits_of(service).start_s or _DEFAULT_COLD_START_S)
+        """Treat the server as cold until it says otherwise."""
+        start_s = self._limits_of(service).start_s
+        self._limiter.assume_cold(start_s or _DEFAULT_COLD_START_S)
 
-    def doubt(self) -> None:
+    def suspect_cold(self) -> None:
         """Limit the calls until the server says whether it is cold."""
-        self._limiter.doubt()
+        self._limiter.suspect_cold()
 
     def refusal(self, service: str) -> Failure | None:
         """Return why a call can't be sent now, None if it can."""
         limits = self._limits_of(service)
         if not limits.rate_per_s or self._limiter.has_room(limits.rate_per_s):
             return None
-        return _refusal(limits)
+        return _refusal(service, limits)
 
     def take(self, service: str) -> Failure | None:
         """Count a call that is sent now; return why if it can't be."""
         limits = self._limits_of(service)
         if not limits.rate_per_s or self._limiter.take(limits.rate_per_s):
             return None
-        return _refusal(limits)
+        return _refusal(service, limits)
 
-    def _report_late_notice(self, limits: ColdLimits) -> None:
+    def _report_late_notice(self, service: str, limits: ColdLimits) -> None:
         """Report that the server may have got more than it withstands.
 
         It may have been cold for as long as its announcements are apart.
@@ -108,9 +111,12 @@
         if not limits.bound or sent <= limits.bound:
             return
         self._metrics.count("cold_noticed_late")
-        log_event("backend.cold_noticed_late", sent=sent, bound=limits.bound)
+        log_event(
+            "backend.cold_noticed_late", service=service, sent=sent, bound=limits.bound
+        )
 
 
-def _refusal(limits: ColdLimits) -> Failure:
-    detail = f"takes {limits.rate_per_s:g} requests per second while cold"
+def _refusal(service: str, limits: ColdLimits) -> Failure:
+    rate = f"{limits.rate_per_s:g} requests per second"
+    detail = f"the backend server of {service} takes {rate} while cold"
     return Failure(Verdict.NOT_RUN, BACKEND_COLD, detail)
--- a/burdockdock/gate/gate.py
+++ b/burdockdock/gate/gate.py
@@ -150,7 +150,7 @@
         :param new_start: whether this is the first message of a start.
         """
         service = self._backend.service
-        self.cold.announced(service, cold_s, new_start=new_start)
+        self.cold.record_announcement(service, cold_s, new_start=new_start)
         if self.cold.is_limiting(service):
             # They wait for slots, but few of them would get a start.
             self._limiter.refuse_waiting(Failure(Verdict.NOT_RUN, BACKEND_COLD))
--- a/burdockdock/node/cold_servers.py
+++ b/burdockdock/node/cold_servers.py
@@ -26,8 +26,10 @@
     return limits_of
 
 
-def doubt_with_zone(membership: MembershipTable, admission: ColdAdmission) -> None:
-    """Doubt the own server's warmth when another one of the zone turns cold.
+def suspect_cold_with_zone(
+    membership: MembershipTable, admission: ColdAdmission
+) -> None:
+    """Suspect that the own server is cold when another one of the zone turns cold.
 
     Servers of a zone turn cold together, but announce it up to an interval later, each
     at its own time. The first one to say so warns the others. A server that has just
@@ -40,7 +42,7 @@
             return
         if _has_turned_cold(member, previous):
             log_event("backend.cold_suspected", told_by=member.node_id)
-            admission.doubt()
+            admission.suspect_cold()
 
     membership.subscribe(on_member_change)
 
--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -15,7 +15,7 @@
 from burdockdock.metrics import Metrics
 from burdockdock.node.announcements import Announcement, BackendState
 from burdockdock.node.backend_parts import build_backend_parts
-from burdockdock.node.cold_servers import cold_limits_callback, doubt_with_zone
+from burdockdock.node.cold_servers import cold_limits_callback, suspect_cold_with_zone
 from burdockdock.node.config_freshness import ConfigFreshness
 from burdockdock.node.config_state import CONFIG_KEY, ConfigState
 from burdockdock.node.draining import drain, drain_timing
@@ -148,7 +148,7 @@
             cold_limits=cold_limits,
             key_refusal=key_check(lambda: self.config.snapshot),
         )
-        doubt_with_zone(self.membership, self.gate.cold)
+        suspect_cold_with_zone(self.membership, self.gate.cold)
         self._endpoints = build_endpoints(
             self.membership,
             snapshot=lambda: self.config.snapshot,
--- a/tests/coordination/test_cold_limiter.py
+++ b/tests/coordination/test_cold_limiter.py
@@ -14,7 +14,7 @@
 _STEP_S = 0.01
 _STEPS = st.lists(
     st.tuples(
-        st.sampled_from(("try", "try", "try", "cold", "warm", "hold", "doubt")),
+        st.sampled_from(("try", "try", "try", "cold", "warm", "assume", "suspect")),
         st.floats(0.0, 0.4),
     ),
     min_size=20,
@@ -41,12 +41,12 @@
 
     def test_warm_server_has_no_limit(self) -> None:
         self.assertEqual(100, len(self._send(1.0)))
-        self.limiter.announced(0.0)
+        self.limiter.record_announcement(0.0)
         self.assertEqual(100, len(self._send(1.0)))
         self.assertFalse(self.limiter.is_limiting)
 
     def test_cold_server_gets_its_rate_evenly(self) -> None:
-        self.limiter.announced(60.0)
+        self.limiter.record_announcement(60.0)
         sent_at_s = self._send(20.0)
         self.assertAlmostEqual(20.0 * _RATE_PER_S, len(sent_at_s), delta=3)
         self.assertLessEqual(_most_in_a_second(sent_at_s), math.ceil(_RATE_PER_S))
@@ -57,46 +57,46 @@
     def test_notice_after_a_second_of_full_load(self) -> None:
         # Guards against a server that gets its cold rate on top of what it just got.
         self._send(1.0)
-        self.limiter.announced(60.0)
+        self.limiter.record_announcement(60.0)
         self.assertEqual([], self._send(0.9))
         self.assertGreater(len(self._send(1.0)), 4)
 
     def test_coldness_ends_by_time_and_by_an_announcement(self) -> None:
-        self.limiter.announced(2.0)
+        self.limiter.record_announcement(2.0)
         self.clock.advance(1.9)
         self.assertTrue(self.limiter.is_cold)
         self.clock.advance(0.2)
         self.assertFalse(self.limiter.is_limiting)
-        self.limiter.announced(2.0)
-        self.limiter.announced(0.0)
+        self.limiter.record_announcement(2.0)
+        self.limiter.record_announcement(0.0)
         self.assertFalse(self.limiter.is_limiting)
 
-    def test_held_server_is_cold_until_it_says_otherwise(self) -> None:
-        self.limiter.announced(0.0)
-        self.limiter.hold(3.0)
+    def test_server_assumed_cold_is_cold_until_it_says_otherwise(self) -> None:
+        self.limiter.record_announcement(0.0)
+        self.limiter.assume_cold(3.0)
         self.assertTrue(self.limiter.is_cold)
-        self.limiter.announced(0.0)
+        self.limiter.record_announcement(0.0)
         self.assertFalse(self.limiter.is_cold)
-        self.limiter.hold(3.0)
+        self.limiter.assume_cold(3.0)
         self.clock.advance(3.1)
         self.assertFalse(self.limiter.is_cold)
 
-    def test_doubt_limits_until_the_next_announcement(self) -> None:
-        self.limiter.doubt()
+    def test_suspicion_limits_until_the_next_announcement(self) -> None:
+        self.limiter.suspect_cold()
         self.assertEqual(
             (True, False), (self.limiter.is_limiting, self.limiter.is_cold)
         )
         self.assertLessEqual(len(self._send(1.0)), 9)
-        self.limiter.announced(0.0)
+        self.limiter.record_announcement(0.0)
         self.assertEqual(100, len(self._send(1.0)))
 
-    def test_doubt_ends_if_the_server_says_nothing(self) -> None:
-        self.limiter.doubt()
+    def test_suspicion_ends_if_the_server_says_nothing(self) -> None:
+        self.limiter.suspect_cold()
         self.clock.advance(6.1)
         self.assertFalse(self.limiter.is_limiting)
 
     def test_rate_below_one(self) -> None:
-        self.limiter.announced(99.0)
+        self.limiter.record_announcement(99.0)
         sent = [self.limiter.take(0.5)]
         for _ in range(40):
             self.clock.advance(0.5)
@@ -118,11 +118,11 @@
                 if limiter.take(_RATE_PER_S):
                     sent.append((clock.monotonic(), limiting))
             elif action in ("cold", "warm"):
-                limiter.announced(wait_s * 10 if action == "cold" else 0.0)
-            elif action == "hold":
-                limiter.hold(wait_s * 10)
+                limiter.record_announcement(wait_s * 10 if action == "cold" else 0.0)
+            elif action == "assume":
+                limiter.assume_cold(wait_s * 10)
             else:
-                limiter.doubt()
+                limiter.suspect_cold()
         for at_s, limited in sent:
             if limited:
                 count = sum(at_s - 1.0 < t <= at_s for t, _ in sent)
--- a/tests/gate/test_cold_admission.py
+++ b/tests/gate/test_cold_admission.py
@@ -6,6 +6,7 @@
 
 from burdockdock.clock import ManualClock
 from burdockdock.coordination.verdict import Verdict
+from burdockdock.gate import cold_admission
 from burdockdock.gate.cold_admission import ColdAdmission, ColdLimits
 from burdockdock.gate.gate import Gate
 from burdockdock.gate.model import BackendServer
@@ -35,33 +36,39 @@
 
     def test_service_without_a_limit(self) -> None:
         self.limits = ColdLimits()
-        self.admission.announced("work", 5.0, new_start=True)
+        self.admission.record_announcement("work", 5.0, new_start=True)
         self.assertEqual(50, self._sent(50))
         self.assertFalse(self.admission.is_cold("work"))
         self.assertTrue(self.admission.is_warming_up)
 
     def test_start_that_does_not_say_how_cold_it_is(self) -> None:
-        self.admission.announced("work", None, new_start=True)
+        self.admission.record_announcement("work", None, new_start=True)
         self.assertTrue(self.admission.is_cold("work"))
-        self.admission.announced("work", None, new_start=False)
+        self.admission.record_announcement("work", None, new_start=False)
         self.assertTrue(self.admission.is_cold("work"))
         self.clock.advance(5.1)
         self.assertFalse(self.admission.is_cold("work"))
 
     def test_refusal_says_the_rate(self) -> None:
-        self.admission.announced("work", 5.0, new_start=True)
+        self.admission.record_announcement("work", 5.0, new_start=True)
         self._sent(10)
         refusal = self.admission.refusal("work")
         self.assertEqual((Verdict.NOT_RUN, "backend_cold"), refusal[:2])
-        self.assertIn("8 requests per second", refusal.detail)
+        detail = "the backend server of work takes 8 requests per second while cold"
+        self.assertEqual(detail, refusal.detail)
 
     def test_late_notice_is_reported_if_the_server_got_too_much(self) -> None:
+        events = []
+        self.patch(
+            cold_admission, "log_event", lambda *_, **fields: events.append(fields)
+        )
         for count, reported in ((20, 0), (21, 1)):
             self.clock.advance(10.0)
-            self.admission.announced("work", 0.0, new_start=False)
+            self.admission.record_announcement("work", 0.0, new_start=False)
             self.assertEqual(count, self._sent(count))
-            self.admission.announced("work", 5.0, new_start=False)
+            self.admission.record_announcement("work", 5.0, new_start=False)
             self.assertEqual(reported, self.metrics.counter("cold_noticed_late"))
+        self.assertEqual([{"service": "work", "sent": 21, "bound": 20.0}], events)
 
 
 class ColdGateTest(testtools.TestCase):
--- a/tests/node/test_cold_servers.py
+++ b/tests/node/test_cold_servers.py
@@ -8,7 +8,7 @@
 from burdockdock.coordination.membership import Member, MembershipTable
 from burdockdock.gate.cold_admission import ColdAdmission, ColdLimits
 from burdockdock.metrics import Metrics
-from burdockdock.node.cold_servers import cold_limits_callback, doubt_with_zone
+from burdockdock.node.cold_servers import cold_limits_callback, suspect_cold_with_zone
 from burdockdock.node.settings import NodeSettings, parse_settings
 
 _CONFIG = """
@@ -68,15 +68,15 @@
             metrics=Metrics(),
             limits_of=cold_limits_callback(_settings(""), lambda: snapshot),
         )
-        admission.announced("warming", None, new_start=True)
+        admission.record_announcement("warming", None, new_start=True)
         self.assertTrue(admission.is_warming_up)
         self.assertFalse(admission.is_limiting("warming"))
         clock.advance(4.1)
         self.assertFalse(admission.is_warming_up)
 
 
-class DoubtTest(testtools.TestCase):
-    """Tests of the doubt that a member which turns cold raises in its zone."""
+class SuspicionTest(testtools.TestCase):
+    """Tests of the suspicion that a member which turns cold raises in its zone."""
 
     def setUp(self) -> None:
         super().setUp()
@@ -85,7 +85,7 @@
         self.admission = ColdAdmission(
             clock=clock, metrics=Metrics(), limits_of=lambda _: ColdLimits(8.0)
         )
-        doubt_with_zone(self.membership, self.admission)
+        suspect_cold_with_zone(self.membership, self.admission)
 
     def _limits_after(self, *updates: Member) -> bool:
         for update in updates:
--- a/tests/proxy/test_cold_fleet.py
+++ b/tests/proxy/test_cold_fleet.py
@@ -159,20 +159,20 @@
         await asyncio.sleep(self.rng.uniform(0, _ANNOUNCE_INTERVAL_S))
         while True:
             left_s = max(0.0, server.cold_until_s - server.clock.monotonic())
-            server.limiter.announced(left_s)
+            server.limiter.record_announcement(left_s)
             if server.announced_cold != (left_s > 0):
                 turned_cold = not server.announced_cold
                 server.announced_cold = left_s > 0
                 self.publish()
                 if turned_cold:
-                    self.doubt(server)
+                    self.suspect_cold(server)
             await asyncio.sleep(_ANNOUNCE_INTERVAL_S)
 
-    def doubt(self, told_by: _Server) -> None:
+    def suspect_cold(self, told_by: _Server) -> None:
         """Warn the servers of a zone, as the membership does."""
         for server in self.servers:
             if server.zone == told_by.zone and server is not told_by:
-                asyncio.get_running_loop().call_later(0.1, server.limiter.doubt)
+                asyncio.get_running_loop().call_later(0.1, server.limiter.suspect_cold)
 
     def warm_calls(self) -> float:
         """Return how many calls the warm servers could take while calls are made."""
@@ -197,7 +197,7 @@
             for server in fleet.servers[:_COLD]:
                 server.cold_until_s = 1e9
                 server.announced_cold = True
-                server.limiter.announced(1e9)
+                server.limiter.record_announcement(1e9)
             fleet.publish()
             await fleet.make_calls(_DURATION_S)
             self._check(fleet)
