--- a/burdockdock/node/evacuations.py
+++ b/burdockdock/node/evacuations.py
@@ -79,7 +79,8 @@
     def _note_kept(self, zone: str, era: int) -> None:
         if (zone, era) not in self._kept:
             self._kept.add((zone, era))
-            log_event("evacuation.kept", zone=zone, reason="store_returned", era=era)
+            reason = "store_restored_from_older_copy"
+            log_event("evacuation.kept", zone=zone, reason=reason, era=era)
 
 
 class Evacuations:
--- a/tests/node/test_evacuations.py
+++ b/tests/node/test_evacuations.py
@@ -115,6 +115,9 @@
         self.reader.ingest(_object("z1", 10, era=1))
         self.reader.end_missing(_listed(revision=15, era=2))
         self.assertEqual({"z1"}, self._zones())
+        event, fields = self.events[-1]
+        self.assertEqual("evacuation.kept", event)
+        self.assertEqual("store_restored_from_older_copy", fields["reason"])
         self.reader.ingest(_object("z1", 9, era=2))
         self.reader.end_missing(_listed(revision=15, era=2))
         self.assertEqual(set(), self._zones())
