--- a/burdockdock/proxy/cold_share.py
+++ b/burdockdock/proxy/cold_share.py
@@ -79,18 +79,23 @@
             if self._clock.monotonic() < refused_until_s:
                 return False
             del self._refused_until_s[member.node_id]
-        return not member.cold or self._has_share(member)
-
-    def _has_share(self, member: Member) -> bool:
+        if not member.cold:
+            return True
         rate_per_s = self._rate_of(member.service)
         if not rate_per_s:
             return True
-        now_s = self._clock.monotonic()
         interval_s = share_interval_s(rate_per_s, self._nodes())
+        return self._clock.monotonic() >= self._schedule_call(member, interval_s)
+
+    def _schedule_call(self, member: Member, interval_s: float) -> float:
+        """Return when a cold member may get its next call.
+
+        The first one after a pause is scheduled at a random time within the interval.
+        All nodes learn at once that a member is cold, and would all call it at once.
+        """
+        now_s = self._clock.monotonic()
         next_at_s = self._next_at_s.get(member.node_id, float("-inf"))
         if now_s - next_at_s > interval_s:
-            # All nodes learn at once that a member is cold; without a random delay they
-            # would all call it at once.
             next_at_s = now_s + self._rng.random() * interval_s
             self._next_at_s[member.node_id] = next_at_s
-        return now_s >= next_at_s
+        return next_at_s
