--- a/burdockdock/coordination/cost_estimator.py
+++ b/burdockdock/coordination/cost_estimator.py
@@ -13,7 +13,7 @@
 # A more specific mean with this weight counts as much as the more general one.
 _PRIOR_WEIGHT = 5.0
 _HALF_LIFE_S = 300.0
-# Spares the power for kinds with many requests.
+# Skips the exponentiation for means updated within this time.
 _NEGLIGIBLE_AGE_S = 1.0
 _MAX_KINDS = 8192
 _MIN_SIZE_BITS = 10
@@ -32,7 +32,7 @@
 
 
 class _Mean(NamedTuple):
-    seconds_s: float
+    mean_s: float
     weight: float
     updated_at_s: float
 
@@ -54,15 +54,15 @@
     def __len__(self) -> int:
         return len(self._means)
 
-    def record(self, kind: RequestKind, seconds_s: float) -> None:
+    def record(self, kind: RequestKind, cost_s: float) -> None:
         """Record the cost of a request that ended."""
         now_s = self._clock.monotonic()
         for key in _keys(kind):
             mean = self._means.pop(key, None)
             weight = 0.0 if mean is None else _faded_weight(mean, now_s)
             weight = min(_MAX_WEIGHT, weight + 1.0)
-            previous_s = seconds_s if mean is None else mean.seconds_s
-            mean_s = previous_s + (seconds_s - previous_s) / weight
+            previous_s = cost_s if mean is None else mean.mean_s
+            mean_s = previous_s + (cost_s - previous_s) / weight
             self._means[key] = _Mean(mean_s, weight, now_s)
         while len(self._means) > _MAX_KINDS:
             del self._means[next(iter(self._means))]
@@ -74,24 +74,25 @@
         mean = self._means.get(route_key)
         if mean is None:
             return 0.0
-        estimate_s = mean.seconds_s
+        estimate_s = mean.mean_s
         for key in specific_keys:
             mean = self._means.get(key)
             if mean is None:
                 break
             weight = _faded_weight(mean, now_s)
             share = weight / (weight + _PRIOR_WEIGHT)
-            estimate_s += share * (mean.seconds_s - estimate_s)
+            estimate_s += share * (mean.mean_s - estimate_s)
         return estimate_s
 
 
 def size_class(body_bytes: int) -> int:
     """Return the class of a body's size: 0 for none, -1 for an unknown size.
 
-    Bodies of a class differ in size by a factor of four at most, beyond 1 KB.
+    Class 1 spans 1 to 2047 bytes. Bodies of each later class differ in size by less
+    than a factor of four.
     """
     if body_bytes <= 0:
-        return body_bytes and -1
+        return 0 if body_bytes == 0 else -1
     return 1 + max(0, body_bytes.bit_length() - _MIN_SIZE_BITS) // 2
 
 
--- a/burdockdock/gate/work_tracker.py
+++ b/burdockdock/gate/work_tracker.py
@@ -71,10 +71,10 @@
 ) -> float:
     """Return until when a queued request lets shorter ones of its priority go first.
 
-    Load pattern: one request of 25 costs seven times as much as the others, at 0.7 to
-    0.95 of the capacity, and holds up the short ones that queue behind it. The bound
-    keeps it from waiting for as long as there are short ones. It lies before the latest
-    start that meets the target, since a request past that is served last.
+    Load pattern: a few requests cost several times as much as the others, and hold up
+    the short ones that queue behind them. The bound keeps a long one from waiting for
+    as long as there are short ones. It lies before the latest start that meets the
+    target, since a request past that is served last.
 
     :param target_s: latest start that meets the target, infinite without one.
     """
--- a/burdockdock/node/settings.py
+++ b/burdockdock/node/settings.py
@@ -88,8 +88,8 @@
     :param memory_mb: memory of the VM.
     :param max_fds: file descriptors that this process may open.
     :param quota_bounds: how far a workspace may exceed its quota over the whole fleet.
-    :param zone_cost: seconds of expected time that a call must gain for each KB that
-        crosses an availability zone, 0 for none.
+    :param zone_cost: cost of a zone crossing in seconds per KB: the expected time that
+        a call must gain for each KB that crosses, 0 for none.
     """
 
     name: str
--- a/burdockdock/proxy/attempts.py
+++ b/burdockdock/proxy/attempts.py
@@ -126,7 +126,7 @@
     def choose_from(self, members: Sequence[Member]) -> Sequence[Member]:
         """Return the members that the next attempt may choose from.
 
-        One node's word that its zone is evacuated spares the call the others there. A
+        If one node reports its zone as evacuated, the zone's other nodes are skipped. A
         node without a free slot is asked again rather than one that refused the call.
         """
         if self.closed_zones:
--- a/burdockdock/proxy/balancer.py
+++ b/burdockdock/proxy/balancer.py
@@ -20,6 +20,8 @@
 from burdockdock.proxy.pool import DEFAULT_QUOTAS, Locality, Pool, SampleQuotas
 from burdockdock.proxy.zone_loads import Place, ZoneLoads
 
+# A report is used for this time. Without a zone cost it counts in full until then; with
+# one it loses weight linearly.
 _REPORTED_LOAD_MAX_AGE_S = 2.0
 # Assumed while no gate has reported how long its calls run.
 _DEFAULT_SERVICE_TIME_S = 0.1
@@ -146,6 +148,9 @@
     ) -> Choice | None:
         """Return the choice of a member where a zone crossing has a cost.
 
+        A gate's report loses weight with its age, in favour of the mean of its zone,
+        while :meth:`pick` counts it in full until it expires.
+
         :param members: members that may take the call.
         :param excluded: node ids that failed.
         :param terms: the cost, and the time in which the call has to end.
@@ -271,7 +276,10 @@
         penalties: DistancePenalties,
         now_s: float,
     ) -> float:
-        """Return the expected duration of an attempt at a member, with jitter."""
+        """Return the expected duration of an attempt at a member, with jitter.
+
+        A recent report counts in full, whatever its age, unlike in :meth:`_candidates`.
+        """
         report = self._gate_reports.get(member.node_id)
         results = report.results if report is not None else _NO_RESULTS
         slots = max(1, member.slots)
--- a/burdockdock/proxy/member_health.py
+++ b/burdockdock/proxy/member_health.py
@@ -5,9 +5,13 @@
 from burdockdock.coordination.membership import Member
 from burdockdock.proxy.pool import Pool
 
+# Doubles with each ejection: a short fault costs little, a lasting one few calls.
 _EJECTION_BASE_S = 2.0
+# Bounds how long a member that works again stays unused.
 _EJECTION_CAP_S = 30.0
+# Single failures are common, so only a run of them ejects.
 _FAILURES_TO_EJECT = 5
+# If more members fail, the cause is likely shared, and the rest couldn't take the load.
 _MAX_EJECTED_SHARE = 0.5
 
 
--- a/burdockdock/proxy/placement.py
+++ b/burdockdock/proxy/placement.py
@@ -94,9 +94,9 @@
 ) -> Choice | None:
     """Choose between the own availability zone and the others.
 
-    Load pattern: three zones whose demand is uneven (280, 219 and 199 calls a second
-    for 233 each), at 0.7 to 1.3 of the capacity. Few calls should cross while each zone
-    serves its own in time, and only the surplus of the busiest zone at a load of 1.0.
+    Crossings cost traffic, so a call leaves its zone only if it gains more than the
+    cost, or would be late at home while another zone has spare capacity. This answers
+    uneven demand: one zone has more calls than it can serve while others have room.
 
     :param home: candidates in the own zone.
     :param elsewhere: a few random candidates in other zones; since each choice compares
@@ -128,8 +128,8 @@
 def _crossing_reason(home_s: float, elsewhere_s: float, terms: CrossingTerms) -> Reason:
     """Return whether a call crosses, and why.
 
-    Load pattern: a zone at its peak, where calls would miss their target by queueing
-    although the queue alone isn't long enough to pay for the crossing.
+    A call that would miss its target at home crosses even if the shorter queue alone
+    doesn't pay for it.
     """
     if elsewhere_s + terms.cost_s < home_s:
         return Reason.CROSSING_GAINS
--- a/burdockdock/proxy/zone_loads.py
+++ b/burdockdock/proxy/zone_loads.py
@@ -1,7 +1,7 @@
 """Moving means of the load that the gates of each availability zone reported.
 
-A node hears of each single gate rarely: with 87 nodes and 36 backend servers of a
-service about every two seconds. The mean of its zone is known much better.
+In a large fleet a node hears from each single gate only every few seconds; the mean of
+its zone is more reliable.
 """
 
 from typing import NamedTuple
