--- a/burdockdock/proxy/call_factory.py
+++ b/burdockdock/proxy/call_factory.py
@@ -104,7 +104,7 @@
         method=start_line.method,
         target=start_line.path,
         headers=_request_headers(context, headers, depth, identity),
-        body_length=_body_length(headers),
+        body_length=body_length(headers),
         priority=_priority(route, identity),
         queue_length=policy.queue_length,
         key_id=identity.key_id,
@@ -196,7 +196,8 @@
     return given or uuid.uuid4().hex
 
 
-def _body_length(headers: HTTPHeaders) -> int:
+def body_length(headers: HTTPHeaders) -> int:
+    """Return the announced length of a request's body, -1 if it is chunked."""
     if "chunked" in headers.get("Transfer-Encoding", "").lower():
         return -1
     return parse_whole_number(headers.get("Content-Length"), 0)
--- a/burdockdock/proxy/request_guard.py
+++ b/burdockdock/proxy/request_guard.py
@@ -6,6 +6,7 @@
 
 from burdockdock.configuration.model import CallerLimits
 from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.proxy.call_factory import body_length
 from burdockdock.proxy.caller_answer import CallerAnswer
 from burdockdock.proxy.caller_bounds import (
     NO_MEMORY,
@@ -59,8 +60,9 @@
         if self.refusal is not None:
             self._answer.closes = True
             self._context.shed_log.note(self.refusal.reason)
-        is_chunked = "Transfer-Encoding" in headers
-        self._has_body = is_chunked or headers.get("Content-Length", "0") != "0"
+        # As in the call: the forwarder reads a body that it expects before it sends
+        # anything, and sends at once if it expects none.
+        self._has_body = body_length(headers) != 0
 
     def start(self, cancel: Callable[[], object]) -> None:
         """Account for the request's memory from now on.
--- a/tests/proxy/test_caller_limits.py
+++ b/tests/proxy/test_caller_limits.py
@@ -10,7 +10,7 @@
 from burdockdock.proxy.call import Caller
 from tests import streams
 from tests.proxy.caller_server import HOST, start_caller_server
-from tests.support import PATIENCE_S, async_test
+from tests.support import PATIENCE_S, async_test, eventually
 
 _LIMITS = CallerLimits(
     max_header_bytes=2000,
@@ -109,6 +109,25 @@
         self.assertEqual(b"", received)
         self.assertEqual((1, 1), (forwarder.started, forwarder.ended))
 
+    @async_test
+    async def test_shed_request_without_a_body_may_have_run(self) -> None:
+        """Guards against "not run" for an empty body with a length of "00"."""
+        forwarder = _Forwarder(reads=False)
+        server = start_caller_server(self, forwarder)
+        reader, writer = await streams.open_connection(HOST, server.port)
+        head = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 00\r\n\r\n"
+        writer.write(head)
+        await eventually(lambda: forwarder.started)
+        (account,) = server.context.memory._accounts
+        account.shed()
+        async with asyncio.timeout(PATIENCE_S):
+            try:
+                received = await reader.read()
+            except ConnectionError:
+                received = b""
+        writer.close()
+        self.assertEqual(b"", received)
+
     @async_test
     async def test_head_over_the_limit(self) -> None:
         head = b"GET /x HTTP/1.1\r\nHost: a\r\nX-Long: " + b"x" * 2000 + b"\r\n\r\n"
