--- a/burdockdock/proxy/local_link.py
+++ b/burdockdock/proxy/local_link.py
@@ -87,10 +87,14 @@
             self._account.hold(self._stream.held_bytes)
 
     def _shed(self) -> None:
-        """End the call to free its memory."""
-        self.receive_failure(Failure(Verdict.MAY_HAVE_RUN, SHED_REASON))
+        """End the call to free its memory; the gate reports whether it may have run."""
+        self._task.add_done_callback(lambda _: self._fail_if_unreported())
         self._task.cancel()
 
+    def _fail_if_unreported(self) -> None:
+        if self._failure is None and not self._ended:
+            self.receive_failure(Failure(Verdict.MAY_HAVE_RUN, SHED_REASON))
+
     def _grant_credit(self, size_bytes: int) -> None:
         self._stream.window.grant(size_bytes)
 
--- a/tests/proxy/test_local_link.py
+++ b/tests/proxy/test_local_link.py
@@ -5,6 +5,7 @@
 
 import testtools
 
+from burdockdock.clock import ManualClock
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.gate.model import CallStream
 from burdockdock.protocol import ReceiverGone
@@ -12,8 +13,9 @@
 from burdockdock.protocol.flow import WINDOW_BYTES
 from burdockdock.protocol.handshake import PeerIdentity
 from burdockdock.proxy.local_link import LocalCall, LocalLink
+from burdockdock.proxy.memory_budget import MemoryBudget
 from burdockdock.proxy.remote_call import GateState
-from tests.support import async_test, eventually
+from tests.support import PATIENCE_S, async_test, eventually
 
 _REQUEST = CallRequest("id-1", "t", "c", "r", "work", 1000, True, "POST", "/", ())
 _OWN = PeerIdentity("mesh", "n1", 1)
@@ -115,6 +117,34 @@
         call.cancel()
         await gate.withdrawn.wait()
 
+    @async_test
+    async def test_shed_call_has_the_gates_failure(self) -> None:
+        # Guards against "may have run" for a call that only waited for a slot.
+        async def wait_for_slot(stream: CallStream) -> None:
+            try:
+                await asyncio.Event().wait()
+            except asyncio.CancelledError:
+                stream.fail(Failure(Verdict.NOT_RUN, "withdrawn"))
+                raise
+
+        async def run(stream: CallStream) -> None:
+            await asyncio.Event().wait()
+
+        expected = {
+            wait_for_slot: Failure(Verdict.NOT_RUN, "withdrawn"),
+            run: Failure(Verdict.MAY_HAVE_RUN, "gate_memory"),
+        }
+        for behave, failure in expected.items():
+            budget = MemoryBudget(limit_bytes=1 << 20, clock=ManualClock())
+            link = LocalLink(_Gate(behave), _OWN, open_account=budget.open)
+            call = link.start(_REQUEST)
+            await call.send_body(b"x", end=False)
+            await asyncio.sleep(0)
+            (account,) = budget._accounts
+            account.shed()
+            async with asyncio.timeout(PATIENCE_S):
+                self.assertEqual(failure, await call.head())
+
     @async_test
     async def test_call_that_ended_is_not_withdrawn(self) -> None:
         # Guards against losing the record of a call that ended at the same moment.
