--- a/burdockdock/gate/call_server.py
+++ b/burdockdock/gate/call_server.py
@@ -94,24 +94,40 @@
             stream.fail(Failure(Verdict.NOT_RUN, "too_many_calls"))
             return
         self._streams[call_id] = stream
+        # Before the task: a call that is shed here has not reached the gate.
+        if self._open_account is not None and not self._open_call_account(
+            call_id, stream, request
+        ):
+            del self._streams[call_id]
+            stream.fail(Failure(Verdict.NOT_RUN, SHED_REASON))
+            return
         task = asyncio.create_task(run_call(self._gate, request, stream))
         self._tasks[call_id] = task
         # Cleanup needs a callback: a task cancelled before its first step runs no code.
         task.add_done_callback(lambda _: self._forget(call_id))
-        if self._open_account is not None:
-            stream.account = self._open_account(
-                functools.partial(self._shed, call_id),
-                held_bytes=_CALL_BYTES + len(request.body),
-            )
-            stream.account.whole = request.end
+
+    def _open_call_account(
+        self, call_id: int, stream: "_ServerCallStream", request: CallRequest
+    ) -> bool:
+        """Account for a call's memory; return whether it may run with it."""
+        stream.account = self._open_account(
+            functools.partial(self._shed, call_id),
+            held_bytes=_CALL_BYTES + len(request.body),
+        )
+        stream.account.whole = request.end
+        return not stream.was_shed
 
     def _shed(self, call_id: int) -> None:
-        """End a call to free its memory; it is refused only if it waits for a slot."""
+        """End a call to free its memory.
+
+        A call that still waits for a slot is reported as not run, any other as possibly
+        run.
+        """
         stream = self._streams.get(call_id)
         if stream is not None:
             log_event("gate.shed", route=stream.route, reason=SHED_REASON)
             stream.shed()
-            self._tasks[call_id].cancel()
+            self._cancel(call_id)
 
     def _forget(self, call_id: int) -> None:
         stream = self._streams.pop(call_id)
@@ -182,7 +198,7 @@
         self.has_whole_body = has_whole_body
         self.account: BufferAccount | None = None
         self.route = route
-        self._shed = False
+        self.was_shed = False
         self._failed = False
         self._call_id = call_id
         self._connection = connection
@@ -192,7 +208,7 @@
 
     def receive_body(self, data: bytes, end: bool) -> None:
         """Buffer a chunk of the body; the sender's window bounds the buffer."""
-        if self._shed:
+        if self.was_shed:
             return
         self.has_whole_body |= end
         self._request_body.append(data)
@@ -215,14 +231,14 @@
 
     def shed(self) -> None:
         """Drop what is buffered, and report the call as failed once it has ended."""
-        self._shed = True
+        self.was_shed = True
         self._request_body.clear()
 
     def release(self) -> None:
         """Release the memory of a call that has ended."""
         if self.account is not None:
             self.account.close()
-        if self._shed and not self._failed:
+        if self.was_shed and not self._failed:
             self.fail(Failure(Verdict.MAY_HAVE_RUN, SHED_REASON))
 
     def _update_account(self, moved_bytes: int, *, in_hand_bytes: int) -> None:
--- a/tests/gate/test_call_server.py
+++ b/tests/gate/test_call_server.py
@@ -4,11 +4,13 @@
 
 import testtools
 
+from burdockdock.clock import ManualClock
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.gate.call_server import CallServer
 from burdockdock.protocol import Message, decode, frame
 from burdockdock.protocol.calls import CallRequest, GateResults, frame_call_start
 from burdockdock.protocol.codec import HEADER_BYTES
+from burdockdock.proxy.memory_budget import MemoryBudget
 from tests.support import async_test
 
 _REQUEST = CallRequest("id-1", "t", "c", "r", "work", 1000, True, "GET", "/", ())
@@ -80,6 +82,27 @@
         failed = connection.sent[0].callFailed
         self.assertEqual(Verdict.MAY_HAVE_RUN, Verdict(failed.verdict))
 
+    @async_test
+    async def test_call_that_exceeds_the_budget_by_itself_is_not_run(self) -> None:
+        # Guards against "may have run" for a call that never reached the gate.
+        connection, gate = _RecordingConnection(), _BusyGate()
+        budget = MemoryBudget(
+            limit_bytes=100_000,
+            clock=ManualClock(),
+            policy=lambda holdings: [h for h in holdings if h.account is not other],
+        )
+        other = budget.open(lambda: None, held_bytes=95_000)
+        server = CallServer(connection, gate, open_account=budget.open)
+        server.handle(_message(frame_call_start(1, _REQUEST)))
+        for _ in range(5):
+            await asyncio.sleep(0)
+        (failed,) = [m.callFailed for m in connection.sent]
+        self.assertEqual(
+            (Verdict.NOT_RUN, "gate_memory"), (Verdict(failed.verdict), failed.reason)
+        )
+        self.assertEqual((0, 0), (len(server._streams), len(server._tasks)))
+        self.assertEqual((95_000, []), (budget.held_bytes, gate.ended))
+
     @async_test
     async def test_calls_that_end_with_their_connection(self) -> None:
         # Guards against a slot that is held until the deadline for a lost body.
