--- a/burdockdock/gate/call_server.py
+++ b/burdockdock/gate/call_server.py
@@ -89,6 +89,7 @@
             route=request.route,
             idempotent=request.idempotent,
             has_whole_body=request.end,
+            prefix_bytes=len(request.body),
         )
         if len(self._streams) >= _MAX_CONCURRENT_CALLS:
             stream.fail(Failure(Verdict.NOT_RUN, "too_many_calls"))
@@ -112,7 +113,7 @@
         """Account for a call's memory; return whether it may run with it."""
         stream.account = self._open_account(
             functools.partial(self._shed, call_id),
-            held_bytes=_CALL_BYTES + len(request.body),
+            held_bytes=stream.own_bytes,
         )
         stream.account.whole = request.end
         return not stream.was_shed
@@ -180,7 +181,11 @@
 class _ServerCallStream:
     """The gate's end of one call's stream over a connection.
 
+    ``own_bytes`` is the memory that the call occupies until it ends.
+
     :param has_whole_body: whether all of the request's body has arrived.
+    :param prefix_bytes: size of the part of the body that came with the request, which
+        is kept until the call ends.
     """
 
     def __init__(
@@ -192,7 +197,9 @@
         route: str,
         idempotent: bool,
         has_whole_body: bool = True,
+        prefix_bytes: int = 0,
     ) -> None:
+        self.own_bytes = _CALL_BYTES + prefix_bytes
         self.window = SendWindow()
         self.idempotent = idempotent
         self.has_whole_body = has_whole_body
@@ -247,7 +254,7 @@
         self.account.whole = self.has_whole_body
         self.account.move(moved_bytes)
         held_bytes = self._request_body.occupied_bytes + in_hand_bytes
-        self.account.hold(_CALL_BYTES + held_bytes)
+        self.account.hold(self.own_bytes + held_bytes)
 
     def send_head(self, head: AnswerHead) -> None:
         """Send the head of the answer and size the window for its body."""
--- a/tests/gate/test_call_server.py
+++ b/tests/gate/test_call_server.py
@@ -103,6 +103,25 @@
         self.assertEqual((0, 0), (len(server._streams), len(server._tasks)))
         self.assertEqual((95_000, []), (budget.held_bytes, gate.ended))
 
+    @async_test
+    async def test_beginning_of_a_body_is_accounted_for_until_the_call_ends(
+        self,
+    ) -> None:
+        # Guards against bodies that are held but not counted once more of them arrives.
+        budget = MemoryBudget(limit_bytes=1 << 20, clock=ManualClock())
+        server = CallServer(
+            _RecordingConnection(), _BusyGate(), open_account=budget.open
+        )
+        request = _REQUEST._replace(body_length=-1, body=bytes(50_000), end=False)
+        server.handle(_message(frame_call_start(1, request)))
+        held_bytes = budget.held_bytes
+        server.handle(_message(frame("callBody", callId=1, data=b"x", end=True)))
+        self.assertGreater(budget.held_bytes, held_bytes)
+        server.handle(_message(frame("callCancel", callId=1)))
+        for _ in range(5):
+            await asyncio.sleep(0)
+        self.assertEqual(0, budget.held_bytes)
+
     @async_test
     async def test_calls_that_end_with_their_connection(self) -> None:
         # Guards against a slot that is held until the deadline for a lost body.
