--- a/burdockdock/proxy/caller_connection.py
+++ b/burdockdock/proxy/caller_connection.py
@@ -111,11 +111,11 @@
             waited_s, timeout_ms = now_s - self._idle_since_s, limits.idle_timeout_ms
             reason = "idle_timeout"
         is_late = timeout_ms and waited_s * 1000 > timeout_ms * TIMEOUT_MARGIN
-        if not is_late or (reason == "idle_timeout" and self._has_input()):
+        if not is_late or (reason == "idle_timeout" and self.has_input()):
             return ""
         return reason
 
-    def _has_input(self) -> bool:
+    def has_input(self) -> bool:
         """Return whether a request has arrived that was not read yet."""
         poller = select.poll()
         poller.register(self.stream.socket, select.POLLIN)
--- a/burdockdock/proxy/listener.py
+++ b/burdockdock/proxy/listener.py
@@ -1,6 +1,7 @@
 """HTTP server for callers."""
 
 import asyncio
+import heapq
 from collections.abc import Awaitable
 
 from tornado.http1connection import HTTP1ConnectionParameters
@@ -23,16 +24,20 @@
 # connections, and for the platform.
 _CALLERS_FD_SHARE = 0.5
 _TIMEOUT_CHECK_INTERVAL_S = 0.5
+# Idle connections that are checked for unread input when room is needed. Each check is
+# a system call, and many connections may be accepted in one turn.
+_CLOSE_CANDIDATES = 32
 
 
 class CallerServer(TCPServer):
     """Accepts callers' connections.
 
-    ``connections`` holds those that are open.
+    ``connections`` holds those that have not ended.
 
     :param max_pipelined_calls: how many requests of one connection may be in progress.
     :param max_connections: how many connections may be open. One more closes the one
-        that has been idle for longest; if none is idle, it is closed itself.
+        that has been idle for longest, and one without unread input rather than one
+        whose next request has arrived; if none is idle, it is closed itself.
     """
 
     def __init__(
@@ -91,17 +96,22 @@
         """Return whether one more connection may be open, and close an idle one."""
         if len(self.connections) < self.max_connections:
             return True
+        # Closed connections stay in the set until their requests have ended.
+        still_open = [c for c in self.connections if not c.stream.closed()]
+        if len(still_open) < self.max_connections:
+            return True
         self._context.shed_log.note("connection_limit")
-        idle = [connection for connection in self.connections if connection.idle]
+        idle = heapq.nsmallest(
+            _CLOSE_CANDIDATES,
+            (connection for connection in still_open if connection.idle),
+            key=lambda connection: connection.idle_rank,
+        )
         if not idle:
             return False
-        self._close(min(idle, key=lambda connection: connection.idle_rank))
+        without_input = (c for c in idle if not c.has_input())
+        next(without_input, idle[0]).stream.close()
         return True
 
-    def _close(self, connection: CallerConnection) -> None:
-        self.connections.discard(connection)
-        connection.stream.close()
-
     def check_timeouts_later(self) -> None:
         """Close connections that exceed a time-out, from now on."""
         loop = asyncio.get_running_loop()
@@ -113,10 +123,12 @@
         if not (limits.header_timeout_ms or limits.idle_timeout_ms):
             return
         for connection in list(self.connections):
+            if connection.stream.closed():
+                continue
             reason = connection.overdue(limits)
             if reason:
                 self._context.shed_log.note(reason)
-                self._close(connection)
+                connection.stream.close()
 
     async def close_all_connections(self) -> None:
         """Close every connection and wait until its requests have ended."""
--- a/tests/proxy/test_listener.py
+++ b/tests/proxy/test_listener.py
@@ -7,6 +7,7 @@
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.protocol.calls import AnswerHead
 from burdockdock.proxy.call import Caller
+from burdockdock.proxy.listener import CallerServer
 from burdockdock.proxy.request_body import MAX_BUFFERED_BODY_BYTES
 from tests import streams
 from tests.proxy.caller_server import HOST, start_caller_server
@@ -51,6 +52,67 @@
         return Failure(Verdict.NOT_RUN, "queue_full")
 
 
+class _IdleConnection:
+    """An idle connection, as far as the listener closes it to make room.
+
+    :param idle_since_s: monotonic seconds.
+    :param has_input: whether a request has arrived that was not read yet.
+    """
+
+    idle = True
+
+    def __init__(self, idle_since_s: float, *, has_input: bool = False) -> None:
+        self.idle_rank = (False, idle_since_s)
+        self.has_input = lambda: has_input
+        self.is_closed = False
+        self.stream = self
+
+    def closed(self) -> bool:
+        """Return whether the connection was closed."""
+        return self.is_closed
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.is_closed = True
+
+
+class MakeRoomTest(testtools.TestCase):
+    """Tests of which connection is closed for a new one."""
+
+    def _server_with(self, *connections: _IdleConnection) -> CallerServer:
+        server = start_caller_server(self, _RefusingForwarder()).server
+        server.connections.update(connections)
+        self.addCleanup(server.connections.clear)
+        server.max_connections = len(connections)
+        return server
+
+    @async_test
+    async def test_connection_with_unread_input_is_kept(self) -> None:
+        # Guards against closing a connection whose next request has just arrived.
+        sending = _IdleConnection(1.0, has_input=True)
+        silent = _IdleConnection(2.0)
+        server = self._server_with(sending, silent)
+        self.assertTrue(server._make_room())
+        self.assertEqual((False, True), (sending.is_closed, silent.is_closed))
+
+    @async_test
+    async def test_room_is_made_if_all_connections_have_input(self) -> None:
+        connections = [_IdleConnection(float(i), has_input=True) for i in range(2)]
+        self.assertTrue(self._server_with(*connections)._make_room())
+        self.assertEqual([True, False], [c.is_closed for c in connections])
+
+    @async_test
+    async def test_closed_connection_is_awaited_and_makes_room_once(self) -> None:
+        # Guards against a stop of the server that doesn't wait for its requests.
+        connections = [_IdleConnection(float(i)) for i in range(3)]
+        server = self._server_with(*connections)
+        self.assertTrue(server._make_room())
+        self.assertEqual(set(connections), server.connections)
+        server.connections.add(_IdleConnection(3.0))
+        self.assertTrue(server._make_room())
+        self.assertEqual([True, True, False], [c.is_closed for c in connections])
+
+
 class ListenerTest(testtools.TestCase):
     """Tests of how callers' connections end."""
 
