--- a/burdockdock/proxy/caller_request.py
+++ b/burdockdock/proxy/caller_request.py
@@ -32,6 +32,8 @@
 
 _BAD_REQUEST_STATUS = 400
 _MALFORMED_BODY = "malformed_body"
+# For the quota, if forwarding ended by an exception before anything was sent.
+_NOT_SENT = Failure(Verdict.NOT_RUN, "not_sent")
 _CALL_NOT_BUILT = Failure(Verdict.NOT_RUN, "no_call")
 
 
@@ -256,12 +258,19 @@
         caller = _CallerAdapter(self._body, self._answer)
         if context.quota is None:
             return await context.forwarder.forward(call, caller)
-        token = QuotaUse(context.quota, call.request.workspace)
-        refusal = await token.take()
+        quota_use = QuotaUse(context.quota, call.request.workspace)
+        refusal = await quota_use.take()
         if refusal is not None:
             return refusal
-        failure = await context.forwarder.forward(call, caller, check_ready=token.renew)
-        token.end(failure)
+        try:
+            failure = await context.forwarder.forward(
+                call, caller, check_ready=quota_use.renew
+            )
+        except BaseException:
+            if self._guard.is_proved_not_run():
+                quota_use.end(_NOT_SENT)
+            raise
+        quota_use.end(failure)
         return failure
 
     def _on_call_done(self, _task: asyncio.Task[None]) -> None:
