--- a/burdockdock/proxy/caller_request.py
+++ b/burdockdock/proxy/caller_request.py
@@ -11,6 +11,7 @@
 )
 
 from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.logs import log_event
 from burdockdock.proxy.answers import build_refusal
 from burdockdock.proxy.call import Call
 from burdockdock.proxy.call_end import (
@@ -91,6 +92,7 @@
         self._guard.attach(self._body, self._answer)
         self._closed = False
         self._task: asyncio.Task[None] | None = None
+        self._abort_task: asyncio.Task[None] | None = None
         self._body_malformed = False
         self._version = ""
         self._request_headers = HTTPHeaders()
@@ -141,6 +143,8 @@
 
     def on_connection_close(self) -> None:
         """Cancel the call, because its caller is gone."""
+        if self._abort_task is not None:
+            self._abort_task.cancel()
         if self._closed:
             return
         if self._task is not None and not self._answer.ended:
@@ -278,10 +282,19 @@
         # buffer would never end.
         self._answer.end()
         self._guard.end()
-        if self._guard.rejection is not None and not self._answer.complete:
-            asyncio.ensure_future(self._abort_in_turn())
+        is_cut = self._guard.rejection is not None and not self._answer.complete
+        if is_cut and not self.stream.closed():
+            self._abort_task = asyncio.create_task(self._abort_in_turn())
+            self._abort_task.add_done_callback(self._on_abort_done)
         self._context.open_calls -= 1
 
+    def _on_abort_done(self, task: asyncio.Task[None]) -> None:
+        """Close the connection in any case, or its caller would wait for an answer."""
+        if task.cancelled() or task.exception() is None:
+            return
+        log_event("caller.abort_fault", error=repr(task.exception()))
+        self.stream.abort()
+
     async def _report_internal_failure(self, failure: Failure) -> None:
         """Report an exception in this node to the caller, unless the answer began."""
         self._context.metrics.count("calls_faulted")
--- a/tests/proxy/test_caller_limits.py
+++ b/tests/proxy/test_caller_limits.py
@@ -2,12 +2,14 @@
 
 import asyncio
 
+import eliot
 import testtools
 
 from burdockdock.configuration.model import CallerLimits
 from burdockdock.coordination.verdict import Failure
 from burdockdock.protocol.calls import AnswerHead
 from burdockdock.proxy.call import Caller
+from burdockdock.proxy.caller_answer import CallerAnswer
 from tests import streams
 from tests.proxy.caller_server import HOST, start_caller_server
 from tests.support import PATIENCE_S, async_test, eventually
@@ -22,11 +24,15 @@
 
 
 class _Forwarder:
-    """Reads the whole body if ``reads``, and answers; ``ended`` counts its calls."""
+    """Reads the whole body if ``reads``, and answers; ``ended`` counts its calls.
+
+    ``read`` counts the parts of bodies that it got.
+    """
 
     def __init__(self, *, reads: bool = True) -> None:
         self._reads = reads
         self.started = 0
+        self.read = 0
         self.ended = 0
 
     async def forward(self, call: object, caller: Caller) -> Failure | None:
@@ -38,6 +44,7 @@
             end = False
             while not end:
                 _, end = await caller.read_body()
+                self.read += 1
             await caller.send_head(AnswerHead(200, "OK", (("Content-Length", "0"),)))
             caller.finish()
         finally:
@@ -128,6 +135,34 @@
         writer.close()
         self.assertEqual(b"", received)
 
+    @async_test
+    async def test_connection_is_closed_if_aborting_the_answer_fails(self) -> None:
+        """Guards against an error that nobody sees, and a caller that waits on."""
+
+        def raise_error(answer: CallerAnswer) -> None:
+            raise RuntimeError("unexpected error")
+
+        self.patch(CallerAnswer, "abort", raise_error)
+        events: list[dict] = []
+        eliot.add_destinations(events.append)
+        self.addCleanup(eliot.remove_destination, events.append)
+        forwarder = _Forwarder()
+        server = start_caller_server(self, forwarder)
+        reader, writer = await streams.open_connection(HOST, server.port)
+        writer.write(_CHUNKED + b"1\r\nx\r\n")
+        await eventually(lambda: forwarder.read)
+        (account,) = server.context.memory._accounts
+        account.shed()
+        async with asyncio.timeout(PATIENCE_S):
+            try:
+                received = await reader.read()
+            except ConnectionError:
+                received = b""
+        writer.close()
+        self.assertEqual(b"", received)
+        names = [event.get("message_type") for event in events]
+        self.assertIn("caller.abort_fault", names)
+
     @async_test
     async def test_head_over_the_limit(self) -> None:
         head = b"GET /x HTTP/1.1\r\nHost: a\r\nX-Long: " + b"x" * 2000 + b"\r\n\r\n"
