--- a/burdockdock/configuration/caller_limits.py
+++ b/burdockdock/configuration/caller_limits.py
@@ -3,6 +3,8 @@
 from burdockdock.configuration.model import CallerLimits, Problem
 from burdockdock.coordination.whole_numbers import parse_whole_number
 
+# Least and largest value of each, in the unit of its name. 0 is no limit, and the
+# largest values are far above any use.
 _BOUNDS = {
     "max_header_bytes": (0, 1 << 30),
     "max_body_bytes": (0, 1 << 60),
--- a/burdockdock/proxy/chunk_pace.py
+++ b/burdockdock/proxy/chunk_pace.py
@@ -2,15 +2,17 @@
 
 from burdockdock.clock import Clock
 
-# Each chunk costs the parser several turns, about this long on a whole core.
+# Seconds of processor time for each chunk, whatever its size: the parser takes several
+# turns of the event loop.
 _CHUNK_COST_S = 50e-6
 # Part of the processor's time for the tiny chunks of all connections together.
 _TIME_SHARE = 0.2
-# Chunks that a connection may send before their size matters.
+# Chunks that a connection may send before their size matters, since a short body in a
+# few small chunks is ordinary.
 _FREE_CHUNKS = 256
 # Chunks that are smaller than this on average are tiny.
 _TINY_CHUNK_BYTES = 256
-# How many chunks pass between two pauses.
+# How many chunks pass between two pauses, so that few chunks need a timer.
 _BATCH_CHUNKS = 64
 # Bytes that the parser may hold before it delivers them.
 _UNDELIVERED_BYTES = 64 * 1024
--- a/burdockdock/proxy/context.py
+++ b/burdockdock/proxy/context.py
@@ -15,7 +15,7 @@
 from burdockdock.proxy.quota_client import QuotaClient
 from burdockdock.proxy.shed_log import ShedLog
 
-# Bound for tests and benchmarks that give none.
+# Bound where no budget is given.
 _DEFAULT_MEMORY_BYTES = 1 << 30
 
 
@@ -86,7 +86,7 @@
 def _identity_headers(names: CallHeaders) -> frozenset[str]:
     """Return the headers by which a request's workspace is known, in lower case.
 
-    No header of these is passed on that a caller sent.
+    Values that a caller sent in these headers are never passed on.
     """
     return frozenset({names.workspace.lower(), names.credential.lower()})
 
--- a/burdockdock/proxy/listener.py
+++ b/burdockdock/proxy/listener.py
@@ -13,8 +13,11 @@
 
 DEFAULT_MAX_PIPELINED_CALLS = 16
 DEFAULT_MAX_CONNECTIONS = 30_000
+# Bounds of tornado's parser, which closes the connection without an answer. They are
+# wide, since the configuration's limits are refused by an answer.
 MAX_HEADER_BYTES = 64 * 1024
 MAX_BODY_BYTES = 1 << 40
+# Connections that wait in the kernel to be accepted, so that a burst isn't refused.
 _ACCEPT_QUEUE_LENGTH = 1024
 # Each connection that waits for its body to be taken keeps this much unread.
 _READ_CHUNK_BYTES = 32 * 1024
@@ -23,6 +26,7 @@
 # Part of the descriptors for callers. The rest is for the node's links, for backend
 # connections, and for the platform.
 _CALLERS_FD_SHARE = 0.5
+# Short beside the time-outs, and each check looks at every connection.
 _TIMEOUT_CHECK_INTERVAL_S = 0.5
 # Idle connections that are checked for unread input when room is needed. Each check is
 # a system call, and many connections may be accepted in one turn.
--- a/burdockdock/proxy/memory_budget.py
+++ b/burdockdock/proxy/memory_budget.py
@@ -25,7 +25,7 @@
     :param whole: whether all of its request has arrived.
     """
 
-    account: "Account"
+    account: "MemoryAccount"
     held_bytes: int
     progressed_at_s: float
     whole: bool
@@ -48,7 +48,7 @@
     return sorted(large, key=lambda h: (h.whole, h.progressed_at_s, -h.held_bytes))
 
 
-class Account:
+class MemoryAccount:
     """What is held for one request, or for one call at a gate.
 
     :param shed: ends the request or call; its bytes must be released at once.
@@ -99,17 +99,17 @@
         self.clock = clock
         self._policy = policy
         self._note_shed = note_shed
-        self._accounts: set[Account] = set()
+        self._accounts: set[MemoryAccount] = set()
         self._shedding = False
 
-    def open(self, shed: Callable[[], None], *, held_bytes: int = 0) -> Account:
+    def open(self, shed: Callable[[], None], *, held_bytes: int = 0) -> MemoryAccount:
         """Open an account that holds some memory from the start."""
-        account = Account(self, shed)
+        account = MemoryAccount(self, shed)
         self._accounts.add(account)
         self.change(account, held_bytes)
         return account
 
-    def change(self, account: Account, held_bytes: int) -> None:
+    def change(self, account: MemoryAccount, held_bytes: int) -> None:
         """Set what an account holds, and shed while the sum is above the bound."""
         if account not in self._accounts:
             return
@@ -119,7 +119,7 @@
         if grows and self.held_bytes > self.limit_bytes and not self._shedding:
             self._shed()
 
-    def forget(self, account: Account) -> None:
+    def forget(self, account: MemoryAccount) -> None:
         """Close an account."""
         if account in self._accounts:
             self._accounts.discard(account)
--- a/burdockdock/proxy/request_guard.py
+++ b/burdockdock/proxy/request_guard.py
@@ -15,7 +15,7 @@
 )
 from burdockdock.proxy.caller_stream import CallerStream
 from burdockdock.proxy.context import CallContext
-from burdockdock.proxy.memory_budget import Account
+from burdockdock.proxy.memory_budget import MemoryAccount
 from burdockdock.proxy.request_body import RequestBody
 
 # What the objects of a request occupy, without a body, and with the buffers of the
@@ -41,7 +41,7 @@
         self._limits = CallerLimits()
         self._has_body = False
         self._received_bytes = 0
-        self._account: Account | None = None
+        self._account: MemoryAccount | None = None
         self._body: RequestBody | None = None
         self._answer: CallerAnswer | None = None
         self._cancel: Callable[[], object] | None = None
--- a/tests/proxy/test_memory_budget.py
+++ b/tests/proxy/test_memory_budget.py
@@ -3,7 +3,7 @@
 import testtools
 
 from burdockdock.clock import ManualClock
-from burdockdock.proxy.memory_budget import Account, MemoryBudget
+from burdockdock.proxy.memory_budget import MemoryAccount, MemoryBudget
 
 
 class MemoryBudgetTest(testtools.TestCase):
@@ -15,7 +15,7 @@
         self.budget = MemoryBudget(limit_bytes=1000, clock=self.clock)
         self.shed: list[str] = []
 
-    def _open(self, name: str, held_bytes: int) -> Account:
+    def _open(self, name: str, held_bytes: int) -> MemoryAccount:
         return self.budget.open(lambda: self.shed.append(name), held_bytes=held_bytes)
 
     def test_one_request_alone_is_never_shed(self) -> None:
