--- a/burdockdock/coordination/quota.py
+++ b/burdockdock/coordination/quota.py
@@ -26,7 +26,7 @@
 _MIN_HOLD_S = 0.02
 # A repeated request is answered with the grant that it got for this time.
 _REPEAT_MEMORY_S = 2.0
-# Buckets nobody asked for this long are full again, and aren't kept.
+# Buckets nobody asked for this long aren't kept, if they are full again by then.
 _IDLE_BUCKET_S = 60.0
 
 
@@ -134,7 +134,8 @@
 class QuotaBucket:
     """Tokens of one workspace, and when those that were denied may ask again.
 
-    ``used_at_s`` is when it was last asked.
+    ``used_at_s`` is when it was last asked, ``fill_time_s`` how long an empty one takes
+    to fill at the rate and depth of that request.
 
     :param filled_at_s: when it starts to fill, which may be in the future.
     :param tokens: tokens that it holds then.
@@ -143,6 +144,7 @@
     def __init__(self, filled_at_s: float, *, tokens: float = 0.0) -> None:
         self.tokens = tokens
         self.used_at_s = filled_at_s
+        self.fill_time_s = 0.0
         self._next_turn_s = filled_at_s
         self._refilled_at_s = filled_at_s
         self._replies: dict[str, tuple[QuotaGrant, float]] = {}
@@ -160,6 +162,7 @@
             return known[0]
         self._refill(rate_per_s, depth, now_s)
         self.used_at_s = now_s
+        self.fill_time_s = depth / rate_per_s
         count = min(ask.count, int(self.tokens + 1e-9))
         self.tokens = max(0.0, self.tokens - count)
         retry_after_s = 0.0
@@ -242,7 +245,8 @@
     def prune(self, now_s: float) -> None:
         """Drop what isn't needed any more."""
         for workspace, bucket in list(self._buckets.items()):
-            if now_s - bucket.used_at_s > _IDLE_BUCKET_S:
+            idle_s = now_s - bucket.used_at_s
+            if idle_s > max(_IDLE_BUCKET_S, bucket.fill_time_s):
                 # It starts full when it is needed again, if no member died meanwhile.
                 del self._buckets[workspace]
             else:
--- a/burdockdock/coordination/quota_deputy.py
+++ b/burdockdock/coordination/quota_deputy.py
@@ -26,6 +26,7 @@
 _ANSWER_MEMORY_S = 0.5
 # A deputy may grant its part of the tolerance once in this number of windows.
 _WINDOWS_PER_ALLOWANCE = 2
+# States nobody asked for this long aren't kept, if the allowance is whole by then.
 _IDLE_S = 60.0
 
 
@@ -58,6 +59,7 @@
         self._bounds = bounds
         self._states: dict[str, _State] = {}
         self._number = 0
+        self._allowance_period_s = _WINDOWS_PER_ALLOWANCE * bounds.window_s
 
     def next_probe(self, workspace: str, now_s: float) -> Probe | None:
         """Return the probe to send to the grantor now, None if none is due."""
@@ -105,8 +107,9 @@
 
     def prune(self, now_s: float) -> None:
         """Drop what isn't needed any more."""
+        max_idle_s = max(_IDLE_S, self._allowance_period_s)
         for workspace, state in list(self._states.items()):
-            if now_s - state.used_at_s > _IDLE_S:
+            if now_s - state.used_at_s > max_idle_s:
                 del self._states[workspace]
             elif state.bucket is not None:
                 state.bucket.prune(now_s)
@@ -117,6 +120,5 @@
         """Return a full bucket, less what was used of the earlier one recently."""
         if earlier is None:
             return QuotaBucket(now_s, tokens=depth)
-        period_s = _WINDOWS_PER_ALLOWANCE * self._bounds.window_s
-        gained = depth * (now_s - earlier.used_at_s) / period_s
+        gained = depth * (now_s - earlier.used_at_s) / self._allowance_period_s
         return QuotaBucket(now_s, tokens=min(depth, earlier.tokens + gained))
--- a/tests/coordination/test_quota.py
+++ b/tests/coordination/test_quota.py
@@ -91,6 +91,19 @@
         grantor.reset(100.0)
         self.assertEqual(0, self._grant(grantor, _ask(2), 100.0).count)
 
+    def test_a_bucket_is_kept_until_it_is_full(self) -> None:
+        """Guards against a whole burst, again, for a bucket that fills slowly."""
+        limit = QuotaLimit(2.0, 600.0)
+        grantor = Grantor(_BOUNDS, empty_since_s=0.0)
+        first = grantor.grant(_ask(1, 1000), limit, share=1.0, now_s=1000.0)
+        self.assertEqual(600, first.count)
+        grantor.prune(1061.0)
+        again = grantor.grant(_ask(2, 1000), limit, share=1.0, now_s=1061.0)
+        filled = 61 * _BOUNDS.granted_rate_per_s(limit)
+        self.assertEqual(int(filled), again.count)
+        grantor.prune(1061.0 + 600 / _BOUNDS.granted_rate_per_s(limit) + 1)
+        self.assertEqual([], grantor.workspaces)
+
     @given(
         rate_per_s=st.floats(0.5, 300),
         burst=st.floats(0, 500),
@@ -143,6 +156,20 @@
         second = self._grant(deputy, 3, 1.2).count
         self.assertLessEqual(second, first * 0.2 + 1)
 
+    def test_its_allowance_is_kept_for_two_windows(self) -> None:
+        """Guards against a second allowance after a minute where windows are longer."""
+        deputy = Deputy(_BOUNDS._replace(window_s=100.0))
+        self._grant(deputy, 1, 0.0)
+        first = self._grant(deputy, 2, 0.1).count
+        probe = deputy.next_probe("w", 0.3)
+        deputy.note_answer("w", probe.number, 0.31)
+        deputy.prune(61.0)
+        self._grant(deputy, 3, 61.0)
+        second = self._grant(deputy, 4, 61.1).count
+        self.assertLess(second, first / 2)
+        deputy.prune(262.0)
+        self.assertEqual({}, deputy._states)
+
     def test_its_part_of_the_rate_rises_slowly(self) -> None:
         """Guards against two whole rates until a partition is noticed."""
         self.assertEqual(0.15, unsure_part(2.9))
