--- a/burdockdock/coordination/quota_share.py
+++ b/burdockdock/coordination/quota_share.py
@@ -54,13 +54,14 @@
         :param members: the members that aren't dead, with this node.
         :param answers: whether this node's latest probes of members were answered.
         """
+        self._forget_askers(now_s)
         alive = known = 0
         for member in members:
             known += 1
             alive += member.state is MemberState.ALIVE
         answered = sum(answers) / len(answers) if answers else 1.0
         if known > 1 and answered < _MOST_UNANSWERED:
-            alive = min(alive, max(1 + self._askers(now_s), int(known * answered)))
+            alive = min(alive, max(1 + len(self._asked_at_s), int(known * answered)))
         known = self.known_count(known, now_s)
         return self._delay_rise(max(alive, 1) / max(known, 1), now_s)
 
@@ -72,12 +73,11 @@
             self._share = share
         return self._share
 
-    def _askers(self, now_s: float) -> int:
+    def _forget_askers(self, now_s: float) -> None:
         oldest_s = now_s - _ASKED_WITHIN_S
         self._asked_at_s = {
             key: at_s for key, at_s in self._asked_at_s.items() if at_s > oldest_s
         }
-        return len(self._asked_at_s)
 
     def _recently_died(self, now_s: float) -> int:
         oldest_s = now_s - _KNOWN_FOR_S
--- a/tests/coordination/test_quota.py
+++ b/tests/coordination/test_quota.py
@@ -245,6 +245,14 @@
             share = fleet.share(_members(10), answers=answers, now_s=10.0)
             self.assertAlmostEqual(expected, share)
 
+    def test_nodes_that_asked_are_forgotten_in_a_healthy_fleet(self) -> None:
+        """Guards against memory for each node id that was ever seen."""
+        fleet = FleetShare()
+        fleet.note_asked("gone", 9.0)
+        fleet.note_asked("n1", 11.5)
+        self._share(fleet, _members(10), 12.0)
+        self.assertEqual(["n1"], list(fleet._asked_at_s))
+
 
 class StockTest(testtools.TestCase):
     """Tests of a node's tokens."""
