--- a/burdockdock/node/settings.py
+++ b/burdockdock/node/settings.py
@@ -196,7 +196,9 @@
     """Read how far quotas may be exceeded; an empty value is as good as none."""
     default = DEFAULT_QUOTA_BOUNDS
     return QuotaBounds(
-        window_s=reader.duration_s("limits", "quota_window") or default.window_s,
+        window_s=(
+            reader.positive_duration_s("limits", "quota_window") or default.window_s
+        ),
         overage=reader.number("limits", "quota_overage", default.overage, 0, 1),
         slack=reader.number("limits", "quota_slack", default.slack, 0, 1_000_000),
     )
--- a/tests/node/test_settings.py
+++ b/tests/node/test_settings.py
@@ -28,6 +28,7 @@
             (("pipelined_calls = 16", "pipelined_calls = 1.5"), ("limits", "pipel")),
             (("pipelined_calls = 16", "pipelined_calls = 0"), ("limits", "pipel")),
             (("quota_window = 5s", "quota_window = 5"), ("limits", "quota_window")),
+            (("quota_window = 5s", "quota_window = 0s"), ("limits", "quota_window")),
             (("quota_overage = 0.1", "quota_overage = 2"), ("limits", "quota_over")),
             (("quota_slack = 20", "quota_slack = -1"), ("limits", "quota_slack")),
             (("zone_cost = 0", "zone_cost = -0.1"), ("limits", "zone_cost")),
