--- a/burdockdock/node/quota_service.py
+++ b/burdockdock/node/quota_service.py
@@ -116,6 +116,7 @@
             self._check_stall(now_s)
             self._ticked_s = now_s
             self._fleet_share(now_s)
+            self._forget_unlimited()
             self._grantor.prune(now_s)
             self._deputy.prune(now_s)
             self.client.prune()
@@ -176,15 +177,16 @@
 
     def _decide(self, ask: QuotaAsk, now_s: float) -> QuotaGrant:
         """Grant or deny tokens as the grantor, as its deputy, or as neither."""
-        limit = self._limit_of(ask.workspace)
-        grantor, deputy = self._grantors_of(ask.workspace)
         grant = QuotaGrant(ask.number, 0, is_grantor=False)
-        if limit is not None and grantor.node_id == self._own_id:
-            self._check_stall(now_s)
-            share = self._fleet_share(now_s)
-            grant = self._grantor.grant(ask, limit, share=share, now_s=now_s)
-        elif limit is not None and deputy.node_id == self._own_id:
-            grant = self._decide_as_deputy(ask, limit, grantor, now_s)
+        limit = self._limit_of(ask.workspace)
+        if limit is not None:
+            grantor, deputy = self._grantors_of(ask.workspace)
+            if grantor.node_id == self._own_id:
+                self._check_stall(now_s)
+                share = self._fleet_share(now_s)
+                grant = self._grantor.grant(ask, limit, share=share, now_s=now_s)
+            elif deputy.node_id == self._own_id:
+                grant = self._decide_as_deputy(ask, limit, grantor, now_s)
         label = "denied" if grant.retry_after_s else "whole"
         self._count("quota_grants", label=label if grant.is_grantor else "not_grantor")
         return grant
@@ -213,6 +215,15 @@
             self._grantors[workspace] = found
         return found
 
+    def _forget_unlimited(self) -> None:
+        """Drop workspaces that have no limit any more."""
+        for workspace in list(self._grantors):
+            if self._limit_of(workspace) is None:
+                del self._grantors[workspace]
+        for workspace in self._grantor.workspaces:
+            if self._limit_of(workspace) is None:
+                self._grantor.forget(workspace)
+
     def _known_count(self) -> int:
         """Return the number of nodes that share the quotas.
 
--- a/tests/node/test_quota_service.py
+++ b/tests/node/test_quota_service.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Iterable
+from types import SimpleNamespace
 
 import testtools
 
@@ -154,6 +155,31 @@
 
         run_virtually(ask_later())
 
+    def test_workspaces_without_a_limit_are_not_kept(self) -> None:
+        """Guards against memory for each name that a datagram has, or a limit had."""
+        kept: list[tuple[set[str], set[str]]] = []
+
+        def note(fleet: SimulatedFleet) -> None:
+            service = fleet.nodes[fleet.grantor_of(_WORKSPACE)].service
+            kept.append((set(service._grantors), set(service._grantor.workspaces)))
+
+        def ask(fleet: SimulatedFleet) -> None:
+            node = fleet.nodes[fleet.grantor_of(_WORKSPACE)]
+            for number in range(20):
+                message = SimpleNamespace(
+                    workspace=f"x{number}", nodeId="a0", number=number, count=1
+                )
+                node.handlers["quotaRequest"](message, ("a0", 7000))
+            note(fleet)
+
+        def fault(fleet: SimulatedFleet) -> None:
+            _at(2.0, ask, fleet)
+            _at(3.0, fleet.limits.clear)
+            _at(3.9, note, fleet)
+
+        _run(QuotaLimit(60.0, 30.0), requests_per_s=60, duration_s=4.0, faults=fault)
+        self.assertEqual([({"w"}, {"w"}), (set(), set())], kept)
+
     def test_a_small_part_with_the_grantor_is_cut_off(self) -> None:
         """Guards against a part that suspects others slowly and grants the whole rate.
 
