--- a/burdockdock/metrics.py
+++ b/burdockdock/metrics.py
@@ -10,7 +10,9 @@
 _SIGNIFICANT_DIGITS = 2
 _QUANTILES = (0.5, 0.9, 0.99, 0.999)
 _MAX_HISTOGRAMS = 512
-_OVERFLOW_WORKSPACE = "other"
+# Of each counter. Labels may be names of workspaces, which come and go.
+_MAX_LABELS = 512
+_OVERFLOW_LABEL = "other"
 
 
 class LatencyKey(NamedTuple):
@@ -38,17 +40,22 @@
 class Metrics:
     """All counters and histograms of one process.
 
-    The number of histograms is limited, so that callers can't exhaust the memory.
-    Latencies with labels beyond the limit are recorded for the workspace ``other``.
+    The numbers of histograms, and of labels of each counter, are limited, so that
+    callers can't exhaust the memory. What is beyond the limits is recorded for the
+    workspace, or the label, ``other``.
     """
 
     def __init__(self) -> None:
-        self._counters: dict[tuple[str, str], int] = defaultdict(int)
+        self._counters: dict[tuple[str, str], int] = {}
+        self._label_counts: dict[str, int] = defaultdict(int)
         self._histograms: dict[LatencyKey, HdrHistogram] = {}
 
     def count(self, name: str, *, label: str = "", by: int = 1) -> None:
         """Add to a counter."""
-        self._counters[name, label] += by
+        key = name, label
+        if key not in self._counters:
+            key = self._add_counter(name, label)
+        self._counters[key] += by
 
     def counter(self, name: str, *, label: str = "") -> int:
         """Return the value of a counter; 0 if it was never incremented."""
@@ -95,10 +102,19 @@
             lines += _summary_lines(row)
         return "\n".join(lines) + "\n"
 
+    def _add_counter(self, name: str, label: str) -> tuple[str, str]:
+        """Add a counter for a new label, or the overflow counter at the limit."""
+        if self._label_counts[name] >= _MAX_LABELS:
+            label = _OVERFLOW_LABEL
+        if (name, label) not in self._counters:
+            self._label_counts[name] += 1
+            self._counters[name, label] = 0
+        return name, label
+
     def _add_histogram(self, key: LatencyKey) -> HdrHistogram:
         """Return a histogram for new labels, or the overflow histogram at the limit."""
         if len(self._histograms) >= _MAX_HISTOGRAMS:
-            key = key._replace(workspace=_OVERFLOW_WORKSPACE)
+            key = key._replace(workspace=_OVERFLOW_LABEL)
         if key not in self._histograms:
             self._histograms[key] = HdrHistogram(
                 _MIN_LATENCY_US, _MAX_LATENCY_US, _SIGNIFICANT_DIGITS
