--- a/burdockdock/proxy/quota_client.py
+++ b/burdockdock/proxy/quota_client.py
@@ -21,6 +21,10 @@
 # A grant takes a few milliseconds. A datagram that was lost is sent once more.
 _REPEAT_AFTER_S = 0.02
 _WAIT_S = 0.05
+# Grantor and deputy are waited for in turn, and a grant may bring too few tokens, or
+# arrive after its life; the next request for tokens must not prolong a call's wait
+# beyond this.
+_MAX_CALL_WAIT_S = 0.15
 # A call that spent longer than this between its admission and its first attempt, such
 # as on reading its body, takes a new token: many of them could run at the same moment.
 _MAX_UNUSED_S = 0.25
@@ -87,9 +91,14 @@
         self._rng = rng
 
     async def admit(self, workspace: str) -> Token | Failure:
-        """Take a token for a call; wait for a grant for a few milliseconds at most.
+        """Take a token for a call.
 
-        :returns: a failure if the workspace is over its quota.
+        It waits for a grant where the node has no token and wasn't denied one: for a
+        few milliseconds, for 0.1 s if neither grantor nor deputy responds, and for
+        0.15 s at most.
+
+        :returns: a failure if the workspace is over its quota, or if no token came
+            within that time.
         """
         limit = self._limit_of(workspace)
         if limit is None:
@@ -181,11 +190,13 @@
         return account
 
     async def _wait_for_token(self, account: _Account, now_s: float) -> Token | Failure:
-        future = asyncio.get_running_loop().create_future()
+        loop = asyncio.get_running_loop()
+        future = loop.create_future()
         account.waiting.append(future)
-        if account.pending is None:
-            self._ask(account, now_s)
+        deadline = loop.call_later(_MAX_CALL_WAIT_S, self._end_wait, account, future)
         try:
+            if account.pending is None:
+                self._ask(account, now_s)
             return await future
         except asyncio.CancelledError:
             if future.done() and not future.cancelled():
@@ -193,6 +204,16 @@
                 if isinstance(result, Token):
                     self.give_back(result)
             raise
+        finally:
+            deadline.cancel()
+
+    def _end_wait(
+        self, account: _Account, future: asyncio.Future[Token | Failure]
+    ) -> None:
+        """End the wait of a call at its deadline."""
+        if not future.done():
+            account.waiting.remove(future)
+            future.set_result(self._take_floor(account, self._clock.monotonic()))
 
     def _ask(self, account: _Account, now_s: float) -> None:
         """Ask the grantor for tokens, and again if there is no response."""
--- a/tests/proxy/test_quota_client.py
+++ b/tests/proxy/test_quota_client.py
@@ -179,6 +179,30 @@
         self.assertGreater(grantors.counts["quota_floor_admitted"], 0)
         self.assertLess(grantors.counts["quota_floor_admitted"], 10)
 
+    @_virtual_test
+    async def test_calls_wait_a_bounded_time_for_grants_of_too_few_tokens(self) -> None:
+        """Guards against calls that wait for one grant after the other without end.
+
+        Grants come without a token here, as those do whose life is over on arrival.
+        """
+
+        def grant_nothing(ask: QuotaAsk) -> QuotaGrant:
+            return QuotaGrant(ask.number, 0)
+
+        grantors = _Grantors(grant_nothing)
+        loop = asyncio.get_running_loop()
+        tasks = [asyncio.create_task(grantors.client.admit("w")) for _ in range(3)]
+        done, waiting = await asyncio.wait(tasks, timeout=1.0)
+        for task in waiting:
+            task.cancel()
+        self.assertEqual((3, 0), (len(done), len(waiting)))
+        self.assertEqual({OVER_QUOTA}, {task.result().reason for task in done})
+        await asyncio.sleep(0.1)
+        asked = len(grantors.asks)
+        await asyncio.sleep(0.1)
+        self.assertEqual(asked, len(grantors.asks))
+        self.assertLessEqual(loop.time(), 0.4)
+
     @_virtual_test
     async def test_nodes_that_point_at_each_other_dont_hold_a_call(self) -> None:
         """Guards against a call that is sent to and fro between two nodes."""
