--- a/burdockdock/coordination/quota.py
+++ b/burdockdock/coordination/quota.py
@@ -28,34 +28,20 @@
 _REPEAT_MEMORY_S = 2.0
 # Buckets nobody asked for this long aren't kept, if they are full again by then.
 _IDLE_BUCKET_S = 60.0
-
-
 # While a grantor doesn't respond, it may be dead, or cut off with a part of the fleet
 # that goes on using the whole rate until the failure detector tells it. What others use
-# meanwhile starts with this part of the rate, and rises to all of it.
-_UNSURE_START = 0.15
-_UNSURE_RISE_AFTER_S = 3.0
-_UNSURE_FULL_AFTER_S = 8.0
+# meanwhile starts with this part of the rate, and rises to all of it. The detector
+# takes some 6 s, of which a suspect has 4 s to refute the suspicion, and longer in
+# small parts of a fleet.
+_FALLBACK_START = 0.15
+_FALLBACK_RISE_AFTER_S = 3.0
+_FALLBACK_FULL_AFTER_S = 8.0
 # A node that sees nearly all others alive after this time is in the larger part by far.
 # The grantor is dead, or cut off with few nodes, and knows that nobody answers it.
-_UNSURE_FULL_AFTER_MOST_ALIVE_S = 4.0
+_FALLBACK_FULL_AFTER_MOST_ALIVE_S = 4.0
 _MOST_ALIVE = 0.9
 
 
-def unsure_part(silent_s: float, *, alive_share: float = 0.0) -> float:
-    """Return the part of a rate that may be used while its grantor doesn't respond.
-
-    :param silent_s: seconds since it last responded.
-    :param alive_share: part of the fleet that this node sees alive, 0 if unknown.
-    """
-    full_after_s = _UNSURE_FULL_AFTER_S
-    if alive_share >= _MOST_ALIVE:
-        full_after_s = _UNSURE_FULL_AFTER_MOST_ALIVE_S
-    rising_s = full_after_s - _UNSURE_RISE_AFTER_S
-    risen = min(max((silent_s - _UNSURE_RISE_AFTER_S) / rising_s, 0.0), 1.0)
-    return _UNSURE_START + (1 - _UNSURE_START) * risen
-
-
 class QuotaLimit(NamedTuple):
     """Limit of one workspace.
 
@@ -72,7 +58,8 @@
 
     :param window_s: length of the window in seconds.
     :param overage: tolerated excess, as a share of the limit's requests.
-    :param slack: tolerated excess in requests, beside the overage.
+    :param slack: tolerated excess in requests, beside the overage; the setting
+        ``quota_slack``.
     """
 
     window_s: float = 5.0
@@ -102,6 +89,20 @@
         return max(limit.burst, least, 1.0)
 
 
+def fallback_rate_share(silent_s: float, *, alive_share: float = 0.0) -> float:
+    """Return the share of a rate that may be used while its grantor doesn't respond.
+
+    :param silent_s: seconds since it last responded.
+    :param alive_share: part of the fleet that this node sees alive, 0 if unknown.
+    """
+    full_after_s = _FALLBACK_FULL_AFTER_S
+    if alive_share >= _MOST_ALIVE:
+        full_after_s = _FALLBACK_FULL_AFTER_MOST_ALIVE_S
+    rising_s = full_after_s - _FALLBACK_RISE_AFTER_S
+    risen = min(max((silent_s - _FALLBACK_RISE_AFTER_S) / rising_s, 0.0), 1.0)
+    return _FALLBACK_START + (1 - _FALLBACK_START) * risen
+
+
 class QuotaAsk(NamedTuple):
     """A node's request for tokens.
 
--- a/burdockdock/coordination/quota_deputy.py
+++ b/burdockdock/coordination/quota_deputy.py
@@ -14,7 +14,7 @@
     QuotaBucket,
     QuotaGrant,
     QuotaLimit,
-    unsure_part,
+    fallback_rate_share,
 )
 
 # Part of the tolerance that a deputy grants at once. The rest is left for the tokens
@@ -101,8 +101,8 @@
         if state.bucket is None or not state.is_granting:
             state.is_granting = True
             state.bucket = self._filled_bucket(state.bucket, depth, now_s)
-        part = unsure_part(silent_s, alive_share=share)
-        rate_per_s = limit.rate_per_s * share * part
+        rate_share = fallback_rate_share(silent_s, alive_share=share)
+        rate_per_s = limit.rate_per_s * share * rate_share
         return state.bucket.grant(ask, rate_per_s=rate_per_s, depth=depth, now_s=now_s)
 
     def prune(self, now_s: float) -> None:
--- a/burdockdock/coordination/quota_stock.py
+++ b/burdockdock/coordination/quota_stock.py
@@ -1,5 +1,10 @@
 """A node's tokens of one workspace, and what the node does without any.
 
+While neither the grantor nor its deputy responds, a node admits requests at its
+*floor*, its equal share of the workspace's rate among the nodes, of which it uses a
+part at first. Without denials before, it keeps the rate that it was granted, if that is
+higher.
+
 No I/O; all times are monotonic seconds that are passed in. The clock must count time in
 which the machine is suspended, so that tokens expire then too.
 """
@@ -12,12 +17,13 @@
     QuotaBounds,
     QuotaGrant,
     QuotaLimit,
-    unsure_part,
+    fallback_rate_share,
 )
 
 # Tokens are asked for that are expected to be used within this time.
 _HORIZON_S = 0.25
-# A small grant, which fits the message, and leaves tokens for other nodes.
+# Twice what the whole fleet is granted in that time at 180 requests per second: a node
+# that asks for more only takes tokens from others.
 _MAX_ASK = 100
 # Time constants of the moving means of requests and of granted tokens.
 _DEMAND_MEMORY_S = 1.0
@@ -26,8 +32,9 @@
 _SILENT_ASK_INTERVAL_S = 0.25
 # Nodes without a denial for this long saw a workspace within its quota.
 _DENIAL_MEMORY_S = 5.0
-# The failure detector has found a dead grantor by then.
-_GOES_ON_S = 10.0
+# How long they keep the rate they were granted. The failure detector has found a dead
+# grantor by then.
+_KEEP_PREVIOUS_RATE_S = 10.0
 
 
 class Token(NamedTuple):
@@ -65,7 +72,7 @@
         self._demand = _MovingRate(_DEMAND_MEMORY_S)
         self._granted = _MovingRate(_GRANTED_MEMORY_S)
         self._denied_at_s = -math.inf
-        self._promised_s = -math.inf
+        self._next_retry_at_s = -math.inf
         self._silent_since_s = math.inf
         self._floor_tokens = 0.0
         self._floor_at_s = now_s
@@ -181,8 +188,8 @@
         else:
             rate_per_s = max(self._granted.per_s(now_s), self._equal_share_per_s)
             ready_s = max(now_s, self.hold_until_s)
-        turn_s = min(max(ready_s, self._promised_s), now_s + self._bounds.window_s)
-        self._promised_s = turn_s + 1 / rate_per_s
+        turn_s = min(max(ready_s, self._next_retry_at_s), now_s + self._bounds.window_s)
+        self._next_retry_at_s = turn_s + 1 / rate_per_s
         return max(turn_s - now_s, 0.001)
 
     def _goes_on(self, now_s: float) -> bool:
@@ -191,7 +198,7 @@
         Without denials, what all nodes were granted was less than the rate.
         """
         return (
-            self.silent_s(now_s) < _GOES_ON_S
+            self.silent_s(now_s) < _KEEP_PREVIOUS_RATE_S
             and self._silent_since_s - self._denied_at_s > _DENIAL_MEMORY_S
         )
 
@@ -200,7 +207,9 @@
 
         It is this node's equal share, which rises while the rest of the fleet notices.
         """
-        floor_per_s = self._equal_share_per_s * unsure_part(self.silent_s(now_s))
+        floor_per_s = self._equal_share_per_s * fallback_rate_share(
+            self.silent_s(now_s)
+        )
         if self._goes_on(now_s):
             return max(self._granted.per_s(self._silent_since_s), floor_per_s)
         return floor_per_s
--- a/burdockdock/node/quota_service.py
+++ b/burdockdock/node/quota_service.py
@@ -27,13 +27,15 @@
 
 _TICK_INTERVAL_S = 0.5
 # Without a tick for longer than this, the process was stopped or starved, and other
-# nodes may have granted tokens meanwhile.
+# nodes may have granted tokens meanwhile. A suspect has 4 s before another takes over;
+# a few ticks late are usual on a busy machine.
 _STALL_S = 2.0
 # Time until all nodes have heard of a change of the membership. A grantor that follows
 # one taken for dead grants nothing before it.
 _HANDOVER_S = 0.5
 _SHARE_INTERVAL_S = 0.1
 _LOGGED_SHARE_CHANGE = 0.05
+# Ten times what a node asks for at once; a message may have up to 65,535.
 _MAX_COUNT = 1000
 
 
--- a/burdockdock/node/settings.py
+++ b/burdockdock/node/settings.py
@@ -87,7 +87,8 @@
     :param pipelined_calls: calls of one caller's connection that run concurrently.
     :param memory_mb: memory of the VM.
     :param max_fds: file descriptors that this process may open.
-    :param quota_bounds: how far a workspace may exceed its quota over the whole fleet.
+    :param quota_bounds: how far a workspace may exceed its quota over the whole fleet;
+        ``quota_slack`` is a number of requests.
     :param zone_cost: seconds of expected time that a call must gain for each KB that
         crosses an availability zone, 0 for none.
     """
--- a/burdockdock/proxy/quota_client.py
+++ b/burdockdock/proxy/quota_client.py
@@ -43,7 +43,7 @@
     sent_at_s: float
 
 
-class _Account:
+class _WorkspaceState:
     """A workspace's stock, the calls that wait for a token, and the open request."""
 
     def __init__(self, stock: Stock) -> None:
@@ -88,7 +88,7 @@
         self._bounds = bounds
         self._clock = clock
         self._count = count
-        self._accounts: dict[str, _Account] = {}
+        self._states: dict[str, _WorkspaceState] = {}
         # A node that starts again must not repeat the numbers of its earlier life.
         self._number = rng.getrandbits(48)
         self._rng = rng
@@ -107,26 +107,26 @@
         if limit is None:
             return _UNLIMITED
         now_s = self._clock.monotonic()
-        account = self._account(workspace, limit, now_s)
-        stock = account.stock
+        state = self._state_of(workspace, limit, now_s)
+        stock = state.stock
         stock.note_request(now_s)
         token = stock.take(now_s)
         if token is not None:
-            if account.pending is None and stock.runs_low(now_s):
-                self._ask(account, now_s)
+            if state.pending is None and stock.runs_low(now_s):
+                self._ask(state, now_s)
             return token
         if stock.is_silent:
-            return self._admit_by_floor(account, now_s)
+            return self._admit_by_floor(state, now_s)
         if now_s < stock.hold_until_s:
-            return self._refuse(account, now_s)
-        return await self._wait_for_token(account, now_s)
+            return self._refuse(state, now_s)
+        return await self._wait_for_token(state, now_s)
 
     def give_back(self, token: Token) -> None:
         """Take back the token of a call that hasn't run, once."""
-        account = self._accounts.get(token.workspace)
-        if account is None:
+        state = self._states.get(token.workspace)
+        if state is None:
             return
-        fresh = account.stock.give_back(token, self._clock.monotonic())
+        fresh = state.stock.give_back(token, self._clock.monotonic())
         self._count("quota_returned" if fresh else "quota_returned_late")
 
     def is_too_late(self, token: Token) -> bool:
@@ -137,17 +137,17 @@
 
     def take_grant(self, workspace: str, grant: QuotaGrant) -> None:
         """Take in a response of a grantor; one that isn't waited for is ignored."""
-        account = self._accounts.get(workspace)
-        pending = None if account is None else account.pending
+        state = self._states.get(workspace)
+        pending = None if state is None else state.pending
         if pending is None or grant.number != pending.ask.number:
             return
         now_s = self._clock.monotonic()
-        self._stop_waiting(account)
+        self._stop_waiting(state)
         if not grant.is_grantor:
-            self._on_failed_ask(account, pending, now_s)
+            self._on_failed_ask(state, pending, now_s)
             return
-        account.failed_asks = 0
-        stock = account.stock
+        state.failed_asks = 0
+        stock = state.stock
         if stock.is_silent:
             log_event(
                 "quota.grantor_reached",
@@ -155,31 +155,33 @@
                 silent_s=stock.silent_s(now_s),
             )
         stock.add_grant(grant, asked_at_s=pending.sent_at_s, now_s=now_s)
-        self._serve_waiting(account, now_s)
+        self._serve_waiting(state, now_s)
 
     def note_new_grantors(self) -> None:
         """Ask the grantors again instead of their deputies."""
-        for account in self._accounts.values():
-            account.asks_deputy = False
+        for state in self._states.values():
+            state.asks_deputy = False
 
     def prune(self) -> None:
-        """Drop the accounts of workspaces without requests, and those without a limit.
+        """Drop the states of workspaces without requests, and those without a limit.
 
-        Accounts in use follow the number of nodes.
+        States in use follow the number of nodes.
         """
         now_s = self._clock.monotonic()
-        for workspace, account in list(self._accounts.items()):
-            idle = now_s - account.stock.used_at_s > _IDLE_STOCK_S
+        for workspace, state in list(self._states.items()):
+            idle = now_s - state.stock.used_at_s > _IDLE_STOCK_S
             limit = self._limit_of(workspace)
-            if not account.waiting and (idle or limit is None):
-                self._stop_waiting(account)
-                del self._accounts[workspace]
+            if not state.waiting and (idle or limit is None):
+                self._stop_waiting(state)
+                del self._states[workspace]
             elif limit is not None:
-                account.stock.set_limit(limit, nodes=self._node_count())
+                state.stock.set_limit(limit, nodes=self._node_count())
 
-    def _account(self, workspace: str, limit: QuotaLimit, now_s: float) -> _Account:
-        account = self._accounts.get(workspace)
-        if account is None:
+    def _state_of(
+        self, workspace: str, limit: QuotaLimit, now_s: float
+    ) -> _WorkspaceState:
+        state = self._states.get(workspace)
+        if state is None:
             stock = Stock(
                 workspace,
                 limit,
@@ -187,19 +189,21 @@
                 nodes=self._node_count(),
                 now_s=now_s,
             )
-            account = self._accounts[workspace] = _Account(stock)
-        elif account.stock.limit != limit:
-            account.stock.set_limit(limit, nodes=self._node_count())
-        return account
-
-    async def _wait_for_token(self, account: _Account, now_s: float) -> Token | Failure:
+            state = self._states[workspace] = _WorkspaceState(stock)
+        elif state.stock.limit != limit:
+            state.stock.set_limit(limit, nodes=self._node_count())
+        return state
+
+    async def _wait_for_token(
+        self, state: _WorkspaceState, now_s: float
+    ) -> Token | Failure:
         loop = asyncio.get_running_loop()
         future = loop.create_future()
-        account.waiting.append(future)
-        deadline = loop.call_later(_MAX_CALL_WAIT_S, self._end_wait, account, future)
+        state.waiting.append(future)
+        deadline = loop.call_later(_MAX_CALL_WAIT_S, self._end_wait, state, future)
         try:
-            if account.pending is None:
-                self._ask(account, now_s)
+            if state.pending is None:
+                self._ask(state, now_s)
             return await future
         except asyncio.CancelledError:
             if future.done() and not future.cancelled():
@@ -211,127 +215,127 @@
             deadline.cancel()
 
     def _end_wait(
-        self, account: _Account, future: asyncio.Future[Token | Failure]
+        self, state: _WorkspaceState, future: asyncio.Future[Token | Failure]
     ) -> None:
         """End the wait of a call at its deadline."""
         if not future.done():
-            account.waiting.remove(future)
-            future.set_result(self._take_floor(account, self._clock.monotonic()))
+            state.waiting.remove(future)
+            future.set_result(self._take_floor(state, self._clock.monotonic()))
 
-    def _ask(self, account: _Account, now_s: float) -> None:
+    def _ask(self, state: _WorkspaceState, now_s: float) -> None:
         """Ask the grantor for tokens, and again if there is no response."""
-        stock = account.stock
+        stock = state.stock
         self._number += 1
-        count = stock.wanted(len(account.waiting), now_s)
+        count = stock.wanted(len(state.waiting), now_s)
         ask = QuotaAsk(stock.workspace, self._node_id, self._number, max(count, 1))
-        account.pending = _PendingAsk(ask, now_s)
+        state.pending = _PendingAsk(ask, now_s)
         self._count("quota_asks")
-        grant = self._send(ask, account.asks_deputy)
+        grant = self._send(ask, state.asks_deputy)
         if grant is not None:
             self.take_grant(stock.workspace, grant)
             return
         loop = asyncio.get_running_loop()
-        account.timer = loop.call_later(_REPEAT_AFTER_S, self._repeat, account)
+        state.timer = loop.call_later(_REPEAT_AFTER_S, self._repeat, state)
 
-    def _repeat(self, account: _Account) -> None:
-        if account.pending is None:
+    def _repeat(self, state: _WorkspaceState) -> None:
+        if state.pending is None:
             return
         delay_s = _WAIT_S - _REPEAT_AFTER_S
-        if not account.stock.is_silent:
+        if not state.stock.is_silent:
             self._count("quota_asks_repeated")
-            grant = self._send(account.pending.ask, account.asks_deputy)
+            grant = self._send(state.pending.ask, state.asks_deputy)
             if grant is not None:
-                self.take_grant(account.stock.workspace, grant)
+                self.take_grant(state.stock.workspace, grant)
                 return
         loop = asyncio.get_running_loop()
-        account.timer = loop.call_later(delay_s, self._give_up, account)
+        state.timer = loop.call_later(delay_s, self._give_up, state)
 
-    def _give_up(self, account: _Account) -> None:
+    def _give_up(self, state: _WorkspaceState) -> None:
         """Stop waiting; a late response still counts until the next request."""
-        account.timer = None
-        if account.pending is not None:
-            self._on_failed_ask(account, account.pending, self._clock.monotonic())
+        state.timer = None
+        if state.pending is not None:
+            self._on_failed_ask(state, state.pending, self._clock.monotonic())
 
     def _on_failed_ask(
-        self, account: _Account, pending: _PendingAsk, now_s: float
+        self, state: _WorkspaceState, pending: _PendingAsk, now_s: float
     ) -> None:
         """Ask the deputy after the grantor, and the other way round, once each."""
-        account.failed_asks += 1
-        account.asks_deputy = not account.asks_deputy
-        if account.failed_asks < 2:
-            self._ask(account, now_s)
+        state.failed_asks += 1
+        state.asks_deputy = not state.asks_deputy
+        if state.failed_asks < 2:
+            self._ask(state, now_s)
             return
-        account.failed_asks = 0
-        self._on_silence(account, pending, now_s)
+        state.failed_asks = 0
+        self._on_silence(state, pending, now_s)
 
     def _on_silence(
-        self, account: _Account, pending: _PendingAsk, now_s: float
+        self, state: _WorkspaceState, pending: _PendingAsk, now_s: float
     ) -> None:
-        stock = account.stock
+        stock = state.stock
         if not stock.is_silent:
             log_event(
                 "quota.grantor_silent",
                 workspace=stock.workspace,
-                waiting=len(account.waiting),
+                waiting=len(state.waiting),
             )
         stock.note_silence(since_s=pending.sent_at_s, now_s=now_s)
-        while account.waiting:
-            future = account.waiting.popleft()
+        while state.waiting:
+            future = state.waiting.popleft()
             if not future.done():
-                future.set_result(self._take_floor(account, now_s))
+                future.set_result(self._take_floor(state, now_s))
 
-    def _admit_by_floor(self, account: _Account, now_s: float) -> Token | Failure:
+    def _admit_by_floor(self, state: _WorkspaceState, now_s: float) -> Token | Failure:
         """Use the floor at once, and see whether the grantor responds again."""
-        if account.timer is None and now_s >= account.stock.hold_until_s:
-            self._ask(account, now_s)
-            token = account.stock.take(now_s)
+        if state.timer is None and now_s >= state.stock.hold_until_s:
+            self._ask(state, now_s)
+            token = state.stock.take(now_s)
             if token is not None:
                 return token
-        return self._take_floor(account, now_s)
+        return self._take_floor(state, now_s)
 
-    def _take_floor(self, account: _Account, now_s: float) -> Token | Failure:
-        token = account.stock.take_floor(now_s, self._rng.random())
+    def _take_floor(self, state: _WorkspaceState, now_s: float) -> Token | Failure:
+        token = state.stock.take_floor(now_s, self._rng.random())
         if token is None:
-            return self._refuse(account, now_s)
+            return self._refuse(state, now_s)
         self._count("quota_floor_admitted")
         return token
 
-    def _serve_waiting(self, account: _Account, now_s: float) -> None:
+    def _serve_waiting(self, state: _WorkspaceState, now_s: float) -> None:
         """Give tokens to the calls that wait; ask for more, or refuse the rest."""
-        stock = account.stock
-        while account.waiting:
-            if account.waiting[0].done():
-                account.waiting.popleft()
+        stock = state.stock
+        while state.waiting:
+            if state.waiting[0].done():
+                state.waiting.popleft()
                 continue
             token = stock.take(now_s)
             if token is None:
                 break
-            account.waiting.popleft().set_result(token)
-        if account.waiting and now_s >= stock.hold_until_s:
-            self._ask(account, now_s)
+            state.waiting.popleft().set_result(token)
+        if state.waiting and now_s >= stock.hold_until_s:
+            self._ask(state, now_s)
             return
-        while account.waiting:
-            future = account.waiting.popleft()
+        while state.waiting:
+            future = state.waiting.popleft()
             if not future.done():
-                future.set_result(self._refuse(account, now_s))
+                future.set_result(self._refuse(state, now_s))
 
-    def _refuse(self, account: _Account, now_s: float) -> Failure:
+    def _refuse(self, state: _WorkspaceState, now_s: float) -> Failure:
         """Return the failure of a call over the quota; log some of them."""
-        stock = account.stock
+        stock = state.stock
         after_s = stock.retry_after_s(now_s)
         self._count("quota_refused", label=stock.workspace)
-        account.refused += 1
-        if now_s - account.logged_at_s >= _LOG_INTERVAL_S:
+        state.refused += 1
+        if now_s - state.logged_at_s >= _LOG_INTERVAL_S:
             log_event(
                 "quota.exceeded",
                 workspace=stock.workspace,
                 rate_per_s=stock.limit.rate_per_s,
                 burst=stock.limit.burst,
-                refused=account.refused,
+                refused=state.refused,
                 grantor_silent=stock.is_silent,
             )
-            account.logged_at_s = now_s
-            account.refused = 0
+            state.logged_at_s = now_s
+            state.refused = 0
         detail = (
             f"workspace {stock.workspace} may send {stock.limit.rate_per_s:g} requests "
             f"per second"
@@ -340,8 +344,8 @@
             detail += ", and the node that grants them doesn't respond"
         return Failure(Verdict.NOT_RUN, OVER_QUOTA, detail, after_s)
 
-    def _stop_waiting(self, account: _Account) -> None:
-        account.pending = None
-        if account.timer is not None:
-            account.timer.cancel()
-            account.timer = None
+    def _stop_waiting(self, state: _WorkspaceState) -> None:
+        state.pending = None
+        if state.timer is not None:
+            state.timer.cancel()
+            state.timer = None
--- a/tests/coordination/test_quota.py
+++ b/tests/coordination/test_quota.py
@@ -11,7 +11,7 @@
     QuotaBounds,
     QuotaGrant,
     QuotaLimit,
-    unsure_part,
+    fallback_rate_share,
 )
 from burdockdock.coordination.quota_deputy import Deputy
 from burdockdock.coordination.quota_share import FleetShare
@@ -172,11 +172,11 @@
 
     def test_its_part_of_the_rate_rises_slowly(self) -> None:
         """Guards against two whole rates until a partition is noticed."""
-        self.assertEqual(0.15, unsure_part(2.9))
-        self.assertAlmostEqual(0.575, unsure_part(5.5))
-        self.assertEqual(1.0, unsure_part(60.0))
-        self.assertEqual(0.15, unsure_part(2.9, alive_share=0.95))
-        self.assertEqual(1.0, unsure_part(4.0, alive_share=0.95))
+        self.assertEqual(0.15, fallback_rate_share(2.9))
+        self.assertAlmostEqual(0.575, fallback_rate_share(5.5))
+        self.assertEqual(1.0, fallback_rate_share(60.0))
+        self.assertEqual(0.15, fallback_rate_share(2.9, alive_share=0.95))
+        self.assertEqual(1.0, fallback_rate_share(4.0, alive_share=0.95))
 
 
 def _members(alive: int, suspect: int = 0) -> list[Member]:
--- a/tests/proxy/test_quota_client.py
+++ b/tests/proxy/test_quota_client.py
@@ -228,12 +228,12 @@
 
     @_virtual_test
     async def test_a_limit_that_is_removed_frees_its_memory(self) -> None:
-        """Guards against accounts of workspaces that are gone."""
+        """Guards against states of workspaces that are gone."""
         grantors = _Grantors(_grant_all)
         await grantors.client.admit("w")
         grantors.limits.clear()
         grantors.client.prune()
-        self.assertEqual({}, grantors.client._accounts)
+        self.assertEqual({}, grantors.client._states)
 
 
 class QuotaUseTest(testtools.TestCase):
