--- a/burdockdock/configuration/workspaces.py
+++ b/burdockdock/configuration/workspaces.py
@@ -5,11 +5,10 @@
 """
 
 import hashlib
-import math
 import re
 
 from burdockdock.configuration.model import Workspace, WorkspaceTable
-from burdockdock.configuration.values import KeyProblem, parse_list
+from burdockdock.configuration.values import KeyProblem, parse_list, parse_number
 from burdockdock.coordination.verdict import KEY_REVOKED, Failure, Verdict
 from burdockdock.coordination.whole_numbers import parse_whole_number
 
@@ -19,7 +18,7 @@
 _CONTROL_CHARS = re.compile(r"[\x00-\x1f\x7f]")
 _MAX_NAME_BYTES = 200
 _LOWEST_PRIORITY = 9
-_MAX_RATE = 1e9
+_MAX_RATE_PER_S = 1e9
 # Longer keys are unknown without being hashed. The limit is well below that of a
 # request's header section.
 MAX_KEY_BYTES = 4096
@@ -146,13 +145,6 @@
 
 
 def _parse_rate(key: str, pairs: dict[str, str], problems: list[KeyProblem]) -> float:
-    text = pairs.get(key) or "0"
-    try:
-        number = float(text)
-    except ValueError:
-        number = math.nan
-    if not 0 <= number <= _MAX_RATE:
-        message = f"give a number from 0 to {_MAX_RATE:.0f}, not {text!r}"
-        problems.append(KeyProblem(key, message))
-        return 0.0
+    number, found = parse_number(key, pairs.get(key) or "0", 0.0, _MAX_RATE_PER_S)
+    problems += found
     return number
