--- a/burdockdock/node/cold_servers.py
+++ b/burdockdock/node/cold_servers.py
@@ -16,18 +16,20 @@
 
     def limits_of(service: str) -> ColdLimits:
         found = snapshot().services.get(service)
-        if found is None or not found.cold_per_s:
+        if found is None:
             return ColdLimits()
         bound = 0.0
-        if settings.cold_overage:
+        if found.cold_per_s and settings.cold_overage:
             bound = found.cold_per_s * settings.cold_overage + settings.cold_slack
         return ColdLimits(found.cold_per_s, found.cold_start_ms / 1000, bound)
 
     return limits_of
 
 
-def doubt_with_zone(membership: MembershipTable, admission: ColdAdmission) -> None:
-    """Doubt the own server's warmth when another one of the zone turns cold.
+def suspect_cold_with_zone(
+    membership: MembershipTable, admission: ColdAdmission
+) -> None:
+    """Suspect that the own server is cold when another one of the zone turns cold.
 
     Servers of a zone turn cold together, but announce it up to an interval later, each
     at its own time. The first one to say so warns the others. A server that has just
@@ -40,7 +42,7 @@
             return
         if _has_turned_cold(member, previous):
             log_event("backend.cold_suspected", told_by=member.node_id)
-            admission.doubt()
+            admission.suspect_cold()
 
     membership.subscribe(on_member_change)
 
--- a/burdockdock/proxy/forwarder.py
+++ b/burdockdock/proxy/forwarder.py
@@ -121,10 +121,7 @@
                 return None
             failure = outcome.failure
             charges.record_failure(failure)
-            if (
-                strongest_failure is None
-                or failure.verdict >= strongest_failure.verdict
-            ):
+            if strongest_failure is None or _outweighs(outcome, strongest_failure):
                 strongest_failure = failure
             log_failed_attempt(
                 call.request,
@@ -171,7 +168,8 @@
         node_id = member.node_id
         crossed = self._choice.crosses(member)
         self._balancer.started(node_id)
-        failed = True
+        # A fault of a cold member says nothing about its health.
+        failed = fault = None if member.cold else True
         try:
             may_wait = (
                 call.key != ""
@@ -188,12 +186,13 @@
             )
             if not may_wait and not crossed:
                 self._free_slots.record_result(call.request.service, result)
-            failed = is_backend_fault(result) and not member.cold
+            if isinstance(result, Failure) and result.reason == BACKEND_COLD:
+                # The end of the attempt drops the state of a member that has left.
+                self._balancer.refused_as_cold(node_id)
+            failed = fault if is_backend_fault(result) else False
         finally:
             self._balancer.finished(node_id, failed=failed)
         if isinstance(result, Failure):
-            if result.reason == BACKEND_COLD:
-                self._balancer.refused_as_cold(node_id)
             return AttemptFailure(node_id, result, crossed, member.availability_zone)
         return None
 
@@ -343,3 +342,15 @@
 
     def _time_left_ms(self, call: Call) -> int:
         return call.time_left_ms(self._clock.monotonic())
+
+
+def _outweighs(outcome: AttemptFailure, earlier: Failure) -> bool:
+    """Return whether a later failure is reported to the caller rather than an earlier.
+
+    With the same verdict it is, unless it only says that no member was left to try:
+    the earlier one says why.
+    """
+    verdict = outcome.failure.verdict
+    if verdict == earlier.verdict:
+        return outcome.node_id != ""
+    return verdict > earlier.verdict
