--- a/burdockdock/proxy/balancer.py
+++ b/burdockdock/proxy/balancer.py
@@ -20,6 +20,8 @@
 from burdockdock.proxy.pool import DEFAULT_QUOTAS, Locality, Pool, SampleQuotas
 from burdockdock.proxy.zone_loads import Place, ZoneLoads
 
+# A report is used for this time. Without a zone cost it counts in full until then; with
+# one it loses weight linearly.
 _REPORTED_LOAD_MAX_AGE_S = 2.0
 # Assumed while no gate has reported how long its calls run.
 _DEFAULT_SERVICE_TIME_S = 0.1
@@ -146,6 +148,9 @@
     ) -> Choice | None:
         """Return the choice of a member where a zone crossing has a cost.
 
+        A gate's report loses weight with its age, in favour of the mean of its zone,
+        while :meth:`pick` counts it in full until it expires.
+
         :param members: members that may take the call.
         :param excluded: node ids that failed.
         :param terms: the cost, and the time in which the call has to end.
@@ -170,8 +175,7 @@
         if choice is not None:
             member = choice.candidate.member
             self._cold_shares.sent(member)
-            place = Place(member.service, member.availability_zone)
-            self._places[member.node_id] = place, max(1, member.slots)
+            self._note_place(member)
         return choice
 
     def started(self, node_id: str) -> None:
@@ -207,13 +211,15 @@
             place, slots = placed
             self._zone_loads.record(place, calls / slots, now_s=now_s)
 
-    def finished(self, node_id: str, *, failed: bool) -> None:
+    def finished(self, node_id: str, *, failed: bool | None) -> None:
         """Record the end of an attempt.
 
-        :param failed: whether the backend server or its node was at fault.
+        :param failed: whether the backend server or its node was at fault, None if
+            the attempt says nothing about the member's health.
         """
         self._in_flight[node_id] -= 1
-        self._health.record(node_id, failed=failed, now_s=self._clock.monotonic())
+        if failed is not None:
+            self._health.record(node_id, failed=failed, now_s=self._clock.monotonic())
         if not self._in_flight[node_id]:
             del self._in_flight[node_id]
             if node_id in self._departed:
@@ -236,6 +242,18 @@
         self._health.forget(node_id)
         self._cold_shares.forget(node_id)
         place, _ = self._places.pop(node_id, (None, 0))
+        self._forget_if_left(place)
+
+    def _note_place(self, member: Member) -> None:
+        """Note where a member is, which may change while it stays a member."""
+        place = Place(member.service, member.availability_zone)
+        previous, _ = self._places.get(member.node_id, (place, 0))
+        self._places[member.node_id] = place, max(1, member.slots)
+        if previous != place:
+            self._forget_if_left(previous)
+
+    def _forget_if_left(self, place: Place | None) -> None:
+        """Drop the mean of a place that no member is in any more."""
         if place is not None and all(p != place for p, _ in self._places.values()):
             self._zone_loads.forget(place)
 
@@ -258,7 +276,10 @@
         penalties: DistancePenalties,
         now_s: float,
     ) -> float:
-        """Return the expected duration of an attempt at a member, with jitter."""
+        """Return the expected duration of an attempt at a member, with jitter.
+
+        A recent report counts in full, whatever its age, unlike in :meth:`_candidates`.
+        """
         report = self._gate_reports.get(member.node_id)
         results = report.results if report is not None else _NO_RESULTS
         slots = max(1, member.slots)
--- a/tests/node/test_cold_servers.py
+++ b/tests/node/test_cold_servers.py
@@ -8,13 +8,15 @@
 from burdockdock.coordination.membership import Member, MembershipTable
 from burdockdock.gate.cold_admission import ColdAdmission, ColdLimits
 from burdockdock.metrics import Metrics
-from burdockdock.node.cold_servers import cold_limits_callback, doubt_with_zone
+from burdockdock.node.cold_servers import cold_limits_callback, suspect_cold_with_zone
 from burdockdock.node.settings import NodeSettings, parse_settings
 
 _CONFIG = """
 [service work]
 cold_per_s = 8
 cold_start_ms = 2500
+[service warming]
+cold_start_ms = 4000
 [service other]
 """
 _SETTINGS = """
@@ -52,12 +54,29 @@
         ):
             limits_of = cold_limits_callback(_settings(limits), lambda: snapshot)
             self.assertEqual(ColdLimits(8.0, 2.5, bound), limits_of("work"))
+            self.assertEqual(ColdLimits(0.0, 4.0, 0.0), limits_of("warming"))
             self.assertEqual(ColdLimits(), limits_of("other"))
             self.assertEqual(ColdLimits(), limits_of("unknown"))
 
+    def test_service_with_a_cold_start_and_no_rate(self) -> None:
+        # Guards against evidence from a server that is cold after its start without
+        # saying so.
+        snapshot = build_snapshot(read_sections(_CONFIG), version=1)
+        clock = ManualClock()
+        admission = ColdAdmission(
+            clock=clock,
+            metrics=Metrics(),
+            limits_of=cold_limits_callback(_settings(""), lambda: snapshot),
+        )
+        admission.record_announcement("warming", None, new_start=True)
+        self.assertTrue(admission.is_warming_up)
+        self.assertFalse(admission.is_limiting("warming"))
+        clock.advance(4.1)
+        self.assertFalse(admission.is_warming_up)
+
 
-class DoubtTest(testtools.TestCase):
-    """Tests of the doubt that a member which turns cold raises in its zone."""
+class SuspicionTest(testtools.TestCase):
+    """Tests of the suspicion that a member which turns cold raises in its zone."""
 
     def setUp(self) -> None:
         super().setUp()
@@ -66,7 +85,7 @@
         self.admission = ColdAdmission(
             clock=clock, metrics=Metrics(), limits_of=lambda _: ColdLimits(8.0)
         )
-        doubt_with_zone(self.membership, self.admission)
+        suspect_cold_with_zone(self.membership, self.admission)
 
     def _limits_after(self, *updates: Member) -> bool:
         for update in updates:
--- a/tests/proxy/test_forwarder.py
+++ b/tests/proxy/test_forwarder.py
@@ -1,6 +1,7 @@
 """Tests of failures that the forwarder returns for calls without an answer."""
 
 import asyncio
+import random
 from collections.abc import Callable
 
 import testtools
@@ -16,7 +17,9 @@
 from burdockdock.protocol.handshake import PeerIdentity
 from burdockdock.proxy import usable_link
 from burdockdock.proxy.authentication import Identity
+from burdockdock.proxy.balancer import Balancer
 from burdockdock.proxy.call import Call
+from burdockdock.proxy.cold_share import ColdShares
 from burdockdock.proxy.forwarder import Forwarder
 from burdockdock.proxy.peer_link import PeerLink
 from burdockdock.proxy.remote_call import GateState
@@ -71,6 +74,8 @@
     """A forwarder whose members have fake links.
 
     :param links: by node id; None for a link that never opens.
+    :param balancer: chooses among the members; by default the first untried one is
+        chosen.
     """
 
     def __init__(
@@ -80,10 +85,11 @@
         *,
         reserve: float = 9.0,
         identity_refusal: Callable[[Identity], Failure | None] = lambda _: None,
+        balancer: Balancer | None = None,
     ) -> None:
         self.clock = clock or SystemClock()
         self._links = links
-        self._members = [
+        self.members = [
             Member(name, name, 1, "r", "z", 1, ready=True, service="work", slots=1)
             for name in links
         ]
@@ -91,7 +97,7 @@
         self.forwarder = Forwarder(
             links=self,
             endpoints=self,
-            balancer=self,
+            balancer=balancer or self,
             clock=self.clock,
             metrics=Metrics(),
             retry_budget=self.budget,
@@ -116,9 +122,13 @@
         """Wait forever, as for a link that never opens."""
         await asyncio.Event().wait()
 
+    def has_members(self, service: str) -> bool:
+        """Return whether there are members."""
+        return bool(self.members)
+
     def for_call(self, service: str, **_: object) -> list[Member]:
         """Return all members."""
-        return self._members
+        return self.members
 
     def pick(self, members: list[Member], *, excluded: frozenset[str]) -> Member | None:
         """Return the first member that was not tried, or else the first one."""
@@ -127,7 +137,7 @@
     def started(self, node_id: str) -> None:
         """Do nothing."""
 
-    def finished(self, node_id: str, *, failed: bool) -> None:
+    def finished(self, node_id: str, *, failed: bool | None) -> None:
         """Do nothing."""
 
     def refused_as_cold(self, node_id: str) -> None:
@@ -290,6 +300,83 @@
         self.assertEqual(lost, failure)
 
 
+class MemberStateTest(testtools.TestCase):
+    """Tests of what the balancer learns from failed attempts."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.clock = ManualClock()
+        rng = random.Random(1)
+        self.shares = ColdShares(clock=self.clock, rng=rng)
+        self.balancer = Balancer(
+            availability_zone="z",
+            region="r",
+            clock=self.clock,
+            rng=rng,
+            cold_shares=self.shares,
+        )
+
+    def _fixture(self, **links: FakeLink) -> ForwarderFixture:
+        return ForwarderFixture(links, self.clock, balancer=self.balancer)
+
+    @async_test
+    async def test_cold_refusal_of_a_member_that_departed_leaves_no_state(self) -> None:
+        # Guards against state of departed members that is never dropped.
+        link = FakeLink("a", Failure(Verdict.NOT_RUN, "backend_cold"))
+        link.before_result = lambda: self.balancer.forget("a")
+        await self._fixture(a=link).call()
+        self.assertTrue(link.sent)
+        others = [Member("b", "b", 1, "r", "z", 1)]
+        self.assertIs(others, self.shares.within_share(others))
+
+    @async_test
+    async def test_fault_of_a_cold_member_does_not_end_its_ejection(self) -> None:
+        # Guards against a member that restarts cold, fails every call, and is never
+        # ejected again, because each fault counted as a success.
+        broken = Failure(Verdict.MAY_HAVE_RUN, "backend_connection_broken")
+        fixture = self._fixture(a=FakeLink("a", broken))
+        for _ in range(5):
+            await fixture.call()
+        member = fixture.members[0]
+        other = member._replace(node_id="b", host="b")
+        self.assertEqual({"b"}, self._picked(member, other))
+        fixture.members = [member._replace(cold=True)]
+        await fixture.call()
+        self.assertEqual({"b"}, self._picked(member, other))
+
+    @async_test
+    async def test_faults_of_a_cold_member_do_not_eject_it(self) -> None:
+        broken = Failure(Verdict.MAY_HAVE_RUN, "backend_connection_broken")
+        fixture = self._fixture(a=FakeLink("a", broken))
+        member = fixture.members[0]
+        fixture.members = [member._replace(cold=True)]
+        for _ in range(9):
+            await fixture.call()
+        other = member._replace(node_id="b", host="b")
+        self.assertEqual({"a", "b"}, self._picked(member, other))
+
+    def _picked(self, *members: Member) -> set[str]:
+        return {self.balancer.pick(members).node_id for _ in range(50)}
+
+
+class NoMemberLeftTest(testtools.TestCase):
+    """Tests of calls that find no further member after a failed attempt."""
+
+    async def _call(self, failure: Failure) -> Failure:
+        clock = ManualClock()
+        balancer = Balancer(
+            availability_zone="z", region="r", clock=clock, rng=random.Random(1)
+        )
+        links = {name: FakeLink(name, failure) for name in "ab"}
+        return await ForwarderFixture(links, clock, balancer=balancer).call()
+
+    @async_test
+    async def test_reason_is_that_of_the_gate(self) -> None:
+        # Guards against no_backend_server, which hides the evacuation from operators.
+        evacuated = Failure(Verdict.NOT_RUN, "zone_evacuated", "z")
+        self.assertEqual(evacuated, await self._call(evacuated))
+
+
 class DeadConnectionTest(testtools.TestCase):
     """Tests of calls that met a dead connection to a backend server."""
 
