--- a/burdockdock/coordination/quota.py
+++ b/burdockdock/coordination/quota.py
@@ -26,36 +26,22 @@
 _MIN_HOLD_S = 0.02
 # A repeated request is answered with the grant that it got for this time.
 _REPEAT_MEMORY_S = 2.0
-# Buckets nobody asked for this long are full again, and aren't kept.
+# Buckets nobody asked for this long aren't kept, if they are full again by then.
 _IDLE_BUCKET_S = 60.0
-
-
 # While a grantor doesn't respond, it may be dead, or cut off with a part of the fleet
 # that goes on using the whole rate until the failure detector tells it. What others use
-# meanwhile starts with this part of the rate, and rises to all of it.
-_UNSURE_START = 0.15
-_UNSURE_RISE_AFTER_S = 3.0
-_UNSURE_FULL_AFTER_S = 8.0
+# meanwhile starts with this part of the rate, and rises to all of it. The detector
+# takes some 6 s, of which a suspect has 4 s to refute the suspicion, and longer in
+# small parts of a fleet.
+_FALLBACK_START = 0.15
+_FALLBACK_RISE_AFTER_S = 3.0
+_FALLBACK_FULL_AFTER_S = 8.0
 # A node that sees nearly all others alive after this time is in the larger part by far.
 # The grantor is dead, or cut off with few nodes, and knows that nobody answers it.
-_UNSURE_FULL_AFTER_MOST_ALIVE_S = 4.0
+_FALLBACK_FULL_AFTER_MOST_ALIVE_S = 4.0
 _MOST_ALIVE = 0.9
 
 
-def unsure_part(silent_s: float, *, alive_share: float = 0.0) -> float:
-    """Return the part of a rate that may be used while its grantor doesn't respond.
-
-    :param silent_s: seconds since it last responded.
-    :param alive_share: part of the fleet that this node sees alive, 0 if unknown.
-    """
-    full_after_s = _UNSURE_FULL_AFTER_S
-    if alive_share >= _MOST_ALIVE:
-        full_after_s = _UNSURE_FULL_AFTER_MOST_ALIVE_S
-    rising_s = full_after_s - _UNSURE_RISE_AFTER_S
-    risen = min(max((silent_s - _UNSURE_RISE_AFTER_S) / rising_s, 0.0), 1.0)
-    return _UNSURE_START + (1 - _UNSURE_START) * risen
-
-
 class QuotaLimit(NamedTuple):
     """Limit of one workspace.
 
@@ -72,7 +58,8 @@
 
     :param window_s: length of the window in seconds.
     :param overage: tolerated excess, as a share of the limit's requests.
-    :param slack: tolerated excess in requests, beside the overage.
+    :param slack: tolerated excess in requests, beside the overage; the setting
+        ``quota_slack``.
     """
 
     window_s: float = 5.0
@@ -102,6 +89,20 @@
         return max(limit.burst, least, 1.0)
 
 
+def fallback_rate_share(silent_s: float, *, alive_share: float = 0.0) -> float:
+    """Return the share of a rate that may be used while its grantor doesn't respond.
+
+    :param silent_s: seconds since it last responded.
+    :param alive_share: part of the fleet that this node sees alive, 0 if unknown.
+    """
+    full_after_s = _FALLBACK_FULL_AFTER_S
+    if alive_share >= _MOST_ALIVE:
+        full_after_s = _FALLBACK_FULL_AFTER_MOST_ALIVE_S
+    rising_s = full_after_s - _FALLBACK_RISE_AFTER_S
+    risen = min(max((silent_s - _FALLBACK_RISE_AFTER_S) / rising_s, 0.0), 1.0)
+    return _FALLBACK_START + (1 - _FALLBACK_START) * risen
+
+
 class QuotaAsk(NamedTuple):
     """A node's request for tokens.
 
@@ -134,7 +135,8 @@
 class QuotaBucket:
     """Tokens of one workspace, and when those that were denied may ask again.
 
-    ``used_at_s`` is when it was last asked.
+    ``used_at_s`` is when it was last asked, ``fill_time_s`` how long an empty one takes
+    to fill at the rate and depth of that request.
 
     :param filled_at_s: when it starts to fill, which may be in the future.
     :param tokens: tokens that it holds then.
@@ -143,6 +145,7 @@
     def __init__(self, filled_at_s: float, *, tokens: float = 0.0) -> None:
         self.tokens = tokens
         self.used_at_s = filled_at_s
+        self.fill_time_s = 0.0
         self._next_turn_s = filled_at_s
         self._refilled_at_s = filled_at_s
         self._replies: dict[str, tuple[QuotaGrant, float]] = {}
@@ -160,6 +163,7 @@
             return known[0]
         self._refill(rate_per_s, depth, now_s)
         self.used_at_s = now_s
+        self.fill_time_s = depth / rate_per_s
         count = min(ask.count, int(self.tokens + 1e-9))
         self.tokens = max(0.0, self.tokens - count)
         retry_after_s = 0.0
@@ -242,7 +246,8 @@
     def prune(self, now_s: float) -> None:
         """Drop what isn't needed any more."""
         for workspace, bucket in list(self._buckets.items()):
-            if now_s - bucket.used_at_s > _IDLE_BUCKET_S:
+            idle_s = now_s - bucket.used_at_s
+            if idle_s > max(_IDLE_BUCKET_S, bucket.fill_time_s):
                 # It starts full when it is needed again, if no member died meanwhile.
                 del self._buckets[workspace]
             else:
--- a/burdockdock/node/settings.py
+++ b/burdockdock/node/settings.py
@@ -87,7 +87,8 @@
     :param pipelined_calls: calls of one caller's connection that run concurrently.
     :param memory_mb: memory of the VM.
     :param max_fds: file descriptors that this process may open.
-    :param quota_bounds: how far a workspace may exceed its quota over the whole fleet.
+    :param quota_bounds: how far a workspace may exceed its quota over the whole fleet;
+        ``quota_slack`` is a number of requests.
     :param zone_cost: cost of a zone crossing in seconds per KB: the expected time that
         a call must gain for each KB that crosses, 0 for none.
     """
@@ -196,7 +197,9 @@
     """Read how far quotas may be exceeded; an empty value is as good as none."""
     default = DEFAULT_QUOTA_BOUNDS
     return QuotaBounds(
-        window_s=reader.duration_s("limits", "quota_window") or default.window_s,
+        window_s=(
+            reader.positive_duration_s("limits", "quota_window") or default.window_s
+        ),
         overage=reader.number("limits", "quota_overage", default.overage, 0, 1),
         slack=reader.number("limits", "quota_slack", default.slack, 0, 1_000_000),
     )
--- a/burdockdock/proxy/request_guard.py
+++ b/burdockdock/proxy/request_guard.py
@@ -6,6 +6,7 @@
 
 from burdockdock.configuration.model import CallerLimits
 from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.proxy.call_factory import body_length
 from burdockdock.proxy.caller_answer import CallerAnswer
 from burdockdock.proxy.caller_bounds import (
     NO_MEMORY,
@@ -14,7 +15,7 @@
 )
 from burdockdock.proxy.caller_stream import CallerStream
 from burdockdock.proxy.context import CallContext
-from burdockdock.proxy.memory_budget import Account
+from burdockdock.proxy.memory_budget import MemoryAccount
 from burdockdock.proxy.request_body import RequestBody
 
 # What the objects of a request occupy, without a body, and with the buffers of the
@@ -40,7 +41,7 @@
         self._limits = CallerLimits()
         self._has_body = False
         self._received_bytes = 0
-        self._account: Account | None = None
+        self._account: MemoryAccount | None = None
         self._body: RequestBody | None = None
         self._answer: CallerAnswer | None = None
         self._cancel: Callable[[], object] | None = None
@@ -59,8 +60,9 @@
         if self.refusal is not None:
             self._answer.closes = True
             self._context.shed_log.note(self.refusal.reason)
-        is_chunked = "Transfer-Encoding" in headers
-        self._has_body = is_chunked or headers.get("Content-Length", "0") != "0"
+        # As in the call: the forwarder reads a body that it expects before it sends
+        # anything, and sends at once if it expects none.
+        self._has_body = body_length(headers) != 0
 
     def start(self, cancel: Callable[[], object]) -> None:
         """Account for the request's memory from now on.
--- a/tests/coordination/test_quota.py
+++ b/tests/coordination/test_quota.py
@@ -11,7 +11,7 @@
     QuotaBounds,
     QuotaGrant,
     QuotaLimit,
-    unsure_part,
+    fallback_rate_share,
 )
 from burdockdock.coordination.quota_deputy import Deputy
 from burdockdock.coordination.quota_share import FleetShare
@@ -91,6 +91,19 @@
         grantor.reset(100.0)
         self.assertEqual(0, self._grant(grantor, _ask(2), 100.0).count)
 
+    def test_a_bucket_is_kept_until_it_is_full(self) -> None:
+        """Guards against a whole burst, again, for a bucket that fills slowly."""
+        limit = QuotaLimit(2.0, 600.0)
+        grantor = Grantor(_BOUNDS, empty_since_s=0.0)
+        first = grantor.grant(_ask(1, 1000), limit, share=1.0, now_s=1000.0)
+        self.assertEqual(600, first.count)
+        grantor.prune(1061.0)
+        again = grantor.grant(_ask(2, 1000), limit, share=1.0, now_s=1061.0)
+        filled = 61 * _BOUNDS.granted_rate_per_s(limit)
+        self.assertEqual(int(filled), again.count)
+        grantor.prune(1061.0 + 600 / _BOUNDS.granted_rate_per_s(limit) + 1)
+        self.assertEqual([], grantor.workspaces)
+
     @given(
         rate_per_s=st.floats(0.5, 300),
         burst=st.floats(0, 500),
@@ -143,13 +156,27 @@
         second = self._grant(deputy, 3, 1.2).count
         self.assertLessEqual(second, first * 0.2 + 1)
 
+    def test_its_allowance_is_kept_for_two_windows(self) -> None:
+        """Guards against a second allowance after a minute where windows are longer."""
+        deputy = Deputy(_BOUNDS._replace(window_s=100.0))
+        self._grant(deputy, 1, 0.0)
+        first = self._grant(deputy, 2, 0.1).count
+        probe = deputy.next_probe("w", 0.3)
+        deputy.note_answer("w", probe.number, 0.31)
+        deputy.prune(61.0)
+        self._grant(deputy, 3, 61.0)
+        second = self._grant(deputy, 4, 61.1).count
+        self.assertLess(second, first / 2)
+        deputy.prune(262.0)
+        self.assertEqual({}, deputy._states)
+
     def test_its_part_of_the_rate_rises_slowly(self) -> None:
         """Guards against two whole rates until a partition is noticed."""
-        self.assertEqual(0.15, unsure_part(2.9))
-        self.assertAlmostEqual(0.575, unsure_part(5.5))
-        self.assertEqual(1.0, unsure_part(60.0))
-        self.assertEqual(0.15, unsure_part(2.9, alive_share=0.95))
-        self.assertEqual(1.0, unsure_part(4.0, alive_share=0.95))
+        self.assertEqual(0.15, fallback_rate_share(2.9))
+        self.assertAlmostEqual(0.575, fallback_rate_share(5.5))
+        self.assertEqual(1.0, fallback_rate_share(60.0))
+        self.assertEqual(0.15, fallback_rate_share(2.9, alive_share=0.95))
+        self.assertEqual(1.0, fallback_rate_share(4.0, alive_share=0.95))
 
 
 def _members(alive: int, suspect: int = 0) -> list[Member]:
@@ -218,6 +245,14 @@
             share = fleet.share(_members(10), answers=answers, now_s=10.0)
             self.assertAlmostEqual(expected, share)
 
+    def test_nodes_that_asked_are_forgotten_in_a_healthy_fleet(self) -> None:
+        """Guards against memory for each node id that was ever seen."""
+        fleet = FleetShare()
+        fleet.note_asked("gone", 9.0)
+        fleet.note_asked("n1", 11.5)
+        self._share(fleet, _members(10), 12.0)
+        self.assertEqual(["n1"], list(fleet._asked_at_s))
+
 
 class StockTest(testtools.TestCase):
     """Tests of a node's tokens."""
--- a/tests/proxy/test_quota_client.py
+++ b/tests/proxy/test_quota_client.py
@@ -179,6 +179,30 @@
         self.assertGreater(grantors.counts["quota_floor_admitted"], 0)
         self.assertLess(grantors.counts["quota_floor_admitted"], 10)
 
+    @_virtual_test
+    async def test_calls_wait_a_bounded_time_for_grants_of_too_few_tokens(self) -> None:
+        """Guards against calls that wait for one grant after the other without end.
+
+        Grants come without a token here, as those do whose life is over on arrival.
+        """
+
+        def grant_nothing(ask: QuotaAsk) -> QuotaGrant:
+            return QuotaGrant(ask.number, 0)
+
+        grantors = _Grantors(grant_nothing)
+        loop = asyncio.get_running_loop()
+        tasks = [asyncio.create_task(grantors.client.admit("w")) for _ in range(3)]
+        done, waiting = await asyncio.wait(tasks, timeout=1.0)
+        for task in waiting:
+            task.cancel()
+        self.assertEqual((3, 0), (len(done), len(waiting)))
+        self.assertEqual({OVER_QUOTA}, {task.result().reason for task in done})
+        await asyncio.sleep(0.1)
+        asked = len(grantors.asks)
+        await asyncio.sleep(0.1)
+        self.assertEqual(asked, len(grantors.asks))
+        self.assertLessEqual(loop.time(), 0.4)
+
     @_virtual_test
     async def test_nodes_that_point_at_each_other_dont_hold_a_call(self) -> None:
         """Guards against a call that is sent to and fro between two nodes."""
@@ -204,12 +228,12 @@
 
     @_virtual_test
     async def test_a_limit_that_is_removed_frees_its_memory(self) -> None:
-        """Guards against accounts of workspaces that are gone."""
+        """Guards against states of workspaces that are gone."""
         grantors = _Grantors(_grant_all)
         await grantors.client.admit("w")
         grantors.limits.clear()
         grantors.client.prune()
-        self.assertEqual({}, grantors.client._accounts)
+        self.assertEqual({}, grantors.client._states)
 
 
 class QuotaUseTest(testtools.TestCase):
@@ -246,6 +270,10 @@
         await use.take()
         self.assertIsNone(await use.renew())
         self.assertEqual(1, len(grantors.asks))
-        await asyncio.sleep(2.0)
+        # The token lasts 0.3 s from the request for it, and may be used 0.25 s longer.
+        await asyncio.sleep(0.54)
+        self.assertIsNone(await use.renew())
+        self.assertEqual(1, len(grantors.asks))
+        await asyncio.sleep(0.02)
         self.assertIsNone(await use.renew())
         self.assertEqual(2, len(grantors.asks))
