--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,110 +1,114 @@
-"""Heartbeats of another writer stop machines from following the configuration.
+"""One request inside the limits ends a process: its path has many slashes.
 
-Each has a version that no text can hold: a lone surrogate. The machines that took it
-send nothing about themselves any more, so that the others hold them for dead.
+The head of the request is shorter than ``max-header-bytes``.
 """
 
 import asyncio
-import json
+import signal
 import sys
-import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins-2"))
 
-from http_parts import encode_request, exchange  # noqa: E402
-from mesh import Mesh, Node, NotRun, route, run_case  # noqa: E402
-
-CONFIG_APPLY_S = 2.0
-ODD_VERSION = "v1\ud800"
-SETTLE_S = 6.0
-# Within this time the others hold three silent machines for dead, one after the other.
-SILENCE_S = 25.0
-OBSERVED_S = 10.0
-INTERVAL_S = 0.1
-# A watch lasts 2.4 s; a machine without one for longer doesn't watch the store.
-WATCH_AGE_S = 3.0
-LATE_S = 20.0
-
-
-async def send_odd_heartbeat(mesh: Mesh, node: Node) -> None:
-    """Send one heartbeat in the name of an instance that doesn't exist."""
-    fields = node.instance.beat_fields()
-    fields |= {"version": ODD_VERSION, "seq": 1, "born": fields["born"] + 5000}
-    body = json.dumps(fields).encode()
-    target = "/api/rpc?call=instances.heartbeat&of=i-another"
-    headers = {"Host": "control", "Content-Type": "application/json"}
-    answer = await exchange(
-        node.control, encode_request("POST", target, headers, body), timeout_s=1.0
-    )
-    mesh.record.note(
-        "odd_heartbeat", node=node.name, body=body.decode(), status=answer.status
-    )
+from mesh import Mesh, Node, route, run_case  # noqa: E402
+
+# The smallest machines of the sheets have this much memory.
+MEMORY_MB = 200
+# Leaves room for the other lines of the head.
+PATH_BYTES = 15_900
+ROUNDS = 3
+RESTART_DELAY_S = 0.3
+CHECK_INTERVAL_S = 0.005
+# Time for the limit to be noticed after the answer.
+AFTER_S = 1.0
+
 
+class MemoryLimit:
+    """Ends a process that exceeds its machine's memory, as the platform does.
 
-def machines_without_watch(mesh: Mesh) -> list[Node]:
-    """Return the machines that don't wait for changes at the store."""
-    oldest_s = time.monotonic() - WATCH_AGE_S
-    watched_at_s = mesh.store.watched_at_s
-    return [n for n in mesh.nodes.values() if watched_at_s.get(n.name, 0) < oldest_s]
-
-
-async def observe(mesh: Mesh, node: Node, acknowledged_s: float) -> list[str]:
-    """Send requests to a machine, and return which ones only the old version allows."""
-    broken = []
-    while (after_s := time.monotonic() - acknowledged_s) < OBSERVED_S:
-        old_id, old = await mesh.send(node, "GET", "/old/x")
-        if after_s > CONFIG_APPLY_S and old.status == 200:
-            broken.append(
-                f"{node.name} ran {old_id} on the dropped route, "
-                f"sent {after_s:.2f} s after the acknowledgement"
-            )
-        sent_s = time.monotonic() - acknowledged_s
-        new_id, new = await mesh.send(node, "GET", "/fresh/x")
-        if sent_s > CONFIG_APPLY_S and new.status == 404:
-            broken.append(
-                f"{node.name} refused {new_id} on the new route with 404, "
-                f"sent {sent_s:.2f} s after the acknowledgement"
-            )
-        await asyncio.sleep(INTERVAL_S)
-    return broken
+    :ivar ends: how often each node's process was ended.
+    """
+
+    def __init__(self, mesh: Mesh, nodes: list[Node]) -> None:
+        self.ends = dict.fromkeys((node.name for node in nodes), 0)
+        self.peaks_mb = dict.fromkeys(self.ends, 0.0)
+        self._mesh = mesh
+        self._nodes = nodes
+
+    async def run(self) -> None:
+        """Look at the processes until cancelled."""
+        while True:
+            for node in self._nodes:
+                resident_mb = node.resident_mb
+                peak_mb = max(self.peaks_mb[node.name], resident_mb)
+                self.peaks_mb[node.name] = peak_mb
+                if resident_mb > MEMORY_MB:
+                    await self._end(node, resident_mb)
+            await asyncio.sleep(CHECK_INTERVAL_S)
+
+    async def _end(self, node: Node, resident_mb: float) -> None:
+        self.ends[node.name] += 1
+        self._mesh.record.note(
+            "over_memory", node=node.name, resident_mb=round(resident_mb)
+        )
+        node.signal(signal.SIGKILL)
+        node.process.wait()
+        await asyncio.sleep(RESTART_DELAY_S)
+        node.start()
+
+
+def path(trouble: bool) -> str:
+    """Return a path on an ordinary route, of many segments or of one."""
+    prefix = "/browse/"
+    letter = "/" if trouble else "a"
+    return prefix + letter * (PATH_BYTES - len(prefix))
+
+
+async def send_long_path(mesh: Mesh, node: Node, trouble: bool) -> None:
+    """Send one request with a long path."""
+    request_id, answer = await mesh.send(node, "GET", path(trouble), quiet=True)
+    await asyncio.sleep(AFTER_S)
+    mesh.record.note(
+        "long_path",
+        node=node.name,
+        id=request_id,
+        path_bytes=PATH_BYTES,
+        slashes=path(trouble).count("/"),
+        status=answer.status,
+        problem=answer.problem,
+    )
 
 
 async def case(mesh: Mesh, trouble: bool) -> list[str]:
-    """Change the configuration after three machines got odd heartbeats."""
-    for index, name in enumerate(("a", "b", "c", "d", "e", "f")):
-        await mesh.add_node(name, service="desk", zone=f"zone-{index % 3}")
-    first = route("browse", "/browse/", "desk")
-    await mesh.put_config(3, [first, route("old", "/old/", "desk")])
+    """Send the request to two of four machines, three times each."""
+    mesh.settings["limits.memory-mb"] = str(MEMORY_MB)
+    for index, name in enumerate(("a", "b", "c", "d")):
+        await mesh.add_node(name, service="desk", zone=f"zone-{index % 2}")
+    await mesh.put_config(3, [route("browse", "/browse/", "desk")])
     await mesh.wait_ready()
-    for node in mesh.nodes.values():
-        await mesh.wait_served(node, "/old/before")
-    await asyncio.sleep(SETTLE_S)
-    chosen = machines_without_watch(mesh)[:3]
-    if len(chosen) < 3:
-        raise NotRun("too many machines watch the store")
-    if trouble:
-        for node in chosen:
-            await send_odd_heartbeat(mesh, node)
-    await asyncio.sleep(SILENCE_S)
-    await mesh.put_config(5, [first, route("fresh", "/fresh/", "desk")])
-    acknowledged_s = time.monotonic()
-    found = await asyncio.gather(
-        *(observe(mesh, node, acknowledged_s) for node in chosen)
-    )
-    await asyncio.sleep(LATE_S)
-    for node in chosen:
-        _, answer = await mesh.send(node, "GET", "/fresh/late")
-        mesh.record.note(
-            "late",
-            node=node.name,
-            runs=node.alive,
-            ready=await node.is_ready(),
-            status=answer.status,
-            own_heartbeat=await node.instance.beat(),
-        )
-    return [line for lines in found for line in lines]
+    asked = [mesh.nodes["a"], mesh.nodes["b"]]
+    limit = MemoryLimit(mesh, asked)
+    watcher = asyncio.create_task(limit.run())
+    try:
+        for _ in range(ROUNDS):
+            for node in asked:
+                await mesh.wait_served(node, "/browse/before")
+                await send_long_path(mesh, node, trouble)
+        for node in asked:
+            await mesh.wait_served(node, "/browse/after")
+            await mesh.send(node, "GET", "/browse/after")
+    finally:
+        watcher.cancel()
+    peaks = {name: round(peak_mb) for name, peak_mb in limit.peaks_mb.items()}
+    mesh.record.note("ends", **limit.ends, peaks_mb=peaks)
+    print(f"ends: {limit.ends}, peaks in MB: {peaks}")
+    if any(count < ROUNDS for count in limit.ends.values()):
+        return []
+    return [
+        f"{name}'s process exceeded {MEMORY_MB} MB {count} times"
+        for name, count in limit.ends.items()
+    ]
 
 
 if __name__ == "__main__":
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,5 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 for folder in standins-2 6 7 8 9 10; do
-    if [ -d "$folder" ]; then
-        python3 -m compileall -q -f "$folder"
-    fi
+    python3 -m compileall -q -f "$folder"
 done
