End the call on a head with a malformed field line

Callers got answers of which a field line was none. A name with a blank, a tab, a control byte or a byte over 0x7f, or no name: 200, without that line. A blank before the colon: 200, and the line passed on. "Transfer-Encoding : chunked": 200, with the chunks' framing as the body. "Content-Length : 1" beside "Content-Length: 2": 200 and an empty body. "Not-Executed : 1" in a head counted as proof that the request hadn't run.

Cause: one head was read twice. Libcurl finds the body by its own reading of the lines; gate.backend_head stripped names, dropped the lines that it didn't like and kept the others. Where the two disagreed, the body, the id or the refusal was somebody else's.

Change: a line that is no valid field (RFC 9110, sections 5.1 and 5.5) ends the call as malformed_head, may have run, as soon as it arrives, in interim heads as in the final one. Nothing is read from such a head, so that no two readings have to agree, and its connection is closed, so that nothing behind it is taken for another answer. A control character in a value is judged by the same rule; its line was dropped before. A value that goes on in the next line is passed on as before: libcurl joins the lines. Values keep their bytes over 0x7f; only blanks and tabs are stripped.

Two tests expected the opposite and are replaced by stricter ones. test_malformed_header_lines_are_dropped said that such lines are dropped and the answer passed on, which is what callers reported; test_malformed_header_lines_are_no_answer sends the same lines. test_line_of_blanks_belongs_to_the_head guarded against such a line as the end of a head; now it is refused, which is stricter.

is_final_status moved to protocol.answer_heads, next to the new rule.

--- a/burdockdock/gate/backend_head.py
+++ b/burdockdock/gate/backend_head.py
@@ -1,15 +1,13 @@
-"""Parses the head of a backend server's answer and drops malformed headers."""
+"""Parses the head of a backend server's answer, whose lines were found valid."""
 
-import re
 from typing import NamedTuple
 
 from burdockdock.coordination.whole_numbers import parse_whole_number
 
 _CONTENT_LENGTH = "content-length"
 _TRANSFER_ENCODING = "transfer-encoding"
-# A valid header name (a token of RFC 9110), and characters that no value may contain.
-_HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
-_FORBIDDEN_VALUE_CHARS = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
+# Around a value, and at the end of a line.
+_WHITESPACE = " \t\r\n"
 
 
 class BackendHead(NamedTuple):
@@ -21,7 +19,7 @@
 
 
 def parse_head(lines: list[bytes]) -> BackendHead:
-    """Parse a status line, which must be valid, and header lines."""
+    """Parse a status line and header lines, all of which must be valid."""
     _, status, *reason = lines[0].decode("latin-1").split(None, 2)
     reason_text = reason[0].strip() if reason else ""
     return BackendHead(int(status), reason_text, _parse_headers(lines[1:]))
@@ -34,20 +32,16 @@
 
 
 def _parse_headers(lines: list[bytes]) -> tuple[tuple[str, str], ...]:
-    """Return the valid headers, with ``Content-Length`` at most once."""
+    """Return the headers, with ``Content-Length`` at most once."""
     headers: list[tuple[str, str]] = []
     names: set[str] = set()
     for line in lines:
-        name, _, value = (
-            part.strip() for part in line.decode("latin-1").partition(":")
-        )
+        name, _, value = line.decode("latin-1").partition(":")
         is_content_length = name.lower() == _CONTENT_LENGTH
-        if not _HEADER_NAME.fullmatch(name) or _FORBIDDEN_VALUE_CHARS.search(value):
-            continue
         if is_content_length and _CONTENT_LENGTH in names:
             continue
         names.add(name.lower())
-        headers.append((name, value))
+        headers.append((name, value.strip(_WHITESPACE)))
     if _TRANSFER_ENCODING in names:
         # Libcurl decodes the body, so the stated length does not apply to it.
         headers = [header for header in headers if header[0].lower() != _CONTENT_LENGTH]
--- a/burdockdock/gate/head_lines.py
+++ b/burdockdock/gate/head_lines.py
@@ -3,13 +3,21 @@
 A late copy of an earlier answer may break off anywhere, with the request's own answer
 right behind it. Read as one head, the two would have the status of the first and the id
 and signature of the second.
+
+Libcurl reads the same lines, and finds the body by them. A line that is no valid field
+ends the head at once, since the two might disagree on what it says.
 """
 
 import re
 
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.gate.backend_head import BackendHead, parse_head
-from burdockdock.protocol.calls import INVALID_STATUS, is_final_status
+from burdockdock.protocol.answer_heads import (
+    INVALID_STATUS,
+    MALFORMED_HEAD,
+    is_field_line,
+    is_final_status,
+)
 
 # Heads must start so. No other form is accepted, so that each one behind the part of
 # another head is found.
@@ -40,17 +48,16 @@
             return _failure("backend_connection_broken", line)
         if line in _HEAD_ENDS:
             return self._take_head()
-        if line.startswith(b"\r"):
-            # libcurl takes it for the end of the head.
-            return _failure("malformed_head", line)
         return self._add_to_head(line)
 
     def _add_to_head(self, line: bytes) -> Failure | None:
         is_first = not self.lines
         if is_first and not _STATUS_LINE_START.match(line):
-            return _failure("malformed_head", line)
+            return _failure(MALFORMED_HEAD, line)
         if _STATUS_LINE_START.search(line, 1 if is_first else 0):
             return _failure("two_answers", line)
+        if not is_first and not is_field_line(line):
+            return _failure(MALFORMED_HEAD, line)
         self.lines.append(line)
         return None
 
--- /dev/null
+++ b/burdockdock/protocol/answer_heads.py
@@ -0,0 +1,35 @@
+"""What the head of an answer may hold, wherever one is read or written.
+
+Two readers of a malformed head may take it for different answers: one drops a line by
+which the other finds the end of the body. So a malformed head is no answer, and nothing
+in it is believed.
+"""
+
+import re
+
+# Reasons of failures: what came in place of an answer has a status that no final answer
+# can have, or a line that no head can have.
+INVALID_STATUS = "invalid_status"
+MALFORMED_HEAD = "malformed_head"
+
+# A token of RFC 9110, section 5.6.2.
+_FIELD_NAME = r"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
+# Section 5.5: a value holds no control characters but for tabs.
+_FIELD_VALUE = r"[^\x00-\x08\x0a-\x1f\x7f]*"
+_FIELD_LINE = re.compile(f"{_FIELD_NAME}:{_FIELD_VALUE}\\r?\\n".encode())
+
+
+def is_final_status(status: int) -> bool:
+    """Return whether an HTTP status is that of a final answer.
+
+    Any other one is no answer, and tells nothing of whether the request ran.
+    """
+    return 200 <= status <= 599
+
+
+def is_field_line(line: bytes) -> bool:
+    """Return whether a line of a head or a trailer is a valid field.
+
+    :param line: with its line end.
+    """
+    return _FIELD_LINE.fullmatch(line) is not None
--- a/burdockdock/protocol/calls.py
+++ b/burdockdock/protocol/calls.py
@@ -5,9 +5,6 @@
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.protocol.codec import Message, frame
 
-# Reason of a failure: what came in place of an answer has a status that no final answer
-# can have.
-INVALID_STATUS = "invalid_status"
 # Largest value of the message's field.
 _MAX_REMAINING_US = 2**32 - 1
 Headers = tuple[tuple[str, str], ...]
@@ -86,14 +83,6 @@
     results: GateResults = GateResults()
 
 
-def is_final_status(status: int) -> bool:
-    """Return whether an HTTP status is that of a final answer.
-
-    Any other one is no answer, and tells nothing of whether the request ran.
-    """
-    return 200 <= status <= 599
-
-
 def frame_call_start(call_id: int, request: CallRequest) -> bytes:
     """Return the frame that starts a call."""
     return frame(
--- a/burdockdock/proxy/answer_relay.py
+++ b/burdockdock/proxy/answer_relay.py
@@ -5,7 +5,8 @@
 from burdockdock.clock import Clock
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.metrics import Metrics
-from burdockdock.protocol.calls import INVALID_STATUS, AnswerHead, is_final_status
+from burdockdock.protocol.answer_heads import INVALID_STATUS, is_final_status
+from burdockdock.protocol.calls import AnswerHead
 from burdockdock.proxy.attempt_results import DEADLINE_PASSED, log_aborted_answer
 from burdockdock.proxy.attempts import Attempt
 from burdockdock.proxy.call import Call, Caller
--- a/burdockdock/proxy/caller_answer.py
+++ b/burdockdock/proxy/caller_answer.py
@@ -7,7 +7,8 @@
 from tornado.iostream import StreamClosedError
 
 from burdockdock.logs import log_event
-from burdockdock.protocol.calls import AnswerHead, is_final_status
+from burdockdock.protocol.answer_heads import is_final_status
+from burdockdock.protocol.calls import AnswerHead
 from burdockdock.proxy.answers import answer_body_bytes, answer_headers
 from burdockdock.proxy.caller_stream import CallerStream
 from burdockdock.proxy.context import CallContext
--- a/burdockdock/standin/faulty_answers.py
+++ b/burdockdock/standin/faulty_answers.py
@@ -3,7 +3,7 @@
 import hashlib
 from typing import NamedTuple
 
-from burdockdock.standin.faulty_behaviour import Framing
+from burdockdock.standin.faulty_behaviour import FieldPlace, Framing, MalformedField
 from burdockdock.standin.ledger import Answer, Arrival
 
 _REASONS = {200: "OK", 404: "Not Found", 421: "Misdirected", 429: "Too Many"}
@@ -70,29 +70,49 @@
     framing: Framing = Framing.LENGTH,
     extra: tuple[tuple[str, str], ...] = (),
     has_body: bool = True,
+    malformed_field: MalformedField | None = None,
 ) -> WireAnswer:
     """Return the bytes of an answer.
 
     :param request_id: that it bears, empty for none.
     :param extra: further headers.
     :param has_body: whether the body is sent, which it isn't after HEAD.
+    :param malformed_field: a line for the head or the trailers.
     """
     headers = [("Date", "Sun, 06 Dec 2026 07:31:56 GMT")]
     headers += [(names.request_id, request_id)] if request_id else []
     headers += [(names.signature, answer.signature)] if answer.signature else []
     headers += _framing_headers(framing, len(answer.body)) + list(extra)
     reason = _REASONS.get(answer.status, "Other")
-    lines = [f"HTTP/1.1 {answer.status} {reason}"]
-    lines += [f"{name}: {value}" for name, value in headers]
-    line_end = "\n" if framing is Framing.LINE_FEEDS else "\r\n"
-    head = (line_end.join(lines) + line_end * 2).encode("latin-1")
-    return WireAnswer(head, _framed(framing, answer.body) if has_body else b"")
+    lines = [
+        f"HTTP/1.1 {answer.status} {reason}".encode(),
+        *_lines_at(FieldPlace.HEAD_START, malformed_field),
+        *(f"{name}: {value}".encode("latin-1") for name, value in headers),
+        *_lines_at(FieldPlace.HEAD_END, malformed_field),
+    ]
+    line_end = b"\n" if framing is Framing.LINE_FEEDS else b"\r\n"
+    head = line_end.join(lines) + line_end * 2
+    trailers = _lines_at(FieldPlace.TRAILER, malformed_field)
+    body = _framed(framing, answer.body, trailers) if has_body else b""
+    return WireAnswer(head, body)
+
+
+def interim_answer(
+    status: int, *, malformed_field: MalformedField | None = None
+) -> bytes:
+    """Return the bytes of an interim answer.
+
+    :param malformed_field: a line for its head.
+    """
+    lines = [f"HTTP/1.1 {status} Interim".encode()]
+    if status == 101:
+        lines += [b"Upgrade: other", b"Connection: Upgrade"]
+    lines += _lines_at(FieldPlace.INTERIM, malformed_field)
+    return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
-def interim_answer(status: int) -> bytes:
-    """Return the bytes of an interim answer."""
-    upgrade = "Upgrade: other\r\nConnection: Upgrade\r\n" if status == 101 else ""
-    return f"HTTP/1.1 {status} Interim\r\n{upgrade}\r\n".encode()
+def _lines_at(place: FieldPlace, field: MalformedField | None) -> list[bytes]:
+    return [field.line] if field is not None and field.place is place else []
 
 
 def _body(arrival: Arrival, size_bytes: int) -> bytes:
@@ -115,7 +135,7 @@
     return length
 
 
-def _framed(framing: Framing, body: bytes) -> bytes:
+def _framed(framing: Framing, body: bytes, further_trailers: list[bytes]) -> bytes:
     if framing is Framing.BAD_CHUNK:
         return b"%x\r\n%s\r\nno-size\r\n" % (len(body), body) if body else b"zz\r\n"
     if framing not in (Framing.CHUNKED, Framing.TRAILERS):
@@ -123,5 +143,7 @@
     half = len(body) // 2
     parts = [part for part in (body[:half], body[half:]) if part]
     chunks = b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in parts)
-    trailers = b"X-Sum: 1\r\n" if framing is Framing.TRAILERS else b""
-    return chunks + b"0\r\n" + trailers + b"\r\n"
+    trailers = []
+    if framing is Framing.TRAILERS:
+        trailers = [b"X-Sum: 1", *further_trailers]
+    return chunks + b"\r\n".join([b"0", *trailers]) + b"\r\n\r\n"
--- a/burdockdock/standin/faulty_behaviour.py
+++ b/burdockdock/standin/faulty_behaviour.py
@@ -19,6 +19,15 @@
     LONG_HEAD = "long_head"
 
 
+class FieldPlace(Enum):
+    """Where a malformed field line stands in an answer."""
+
+    HEAD_START = "head_start"
+    HEAD_END = "head_end"
+    INTERIM = "interim"
+    TRAILER = "trailer"
+
+
 class Ending(Enum):
     """What happens to the connection after an answer."""
 
@@ -93,6 +102,17 @@
     has_id: bool = True
 
 
+class MalformedField(NamedTuple):
+    """A field line that no valid answer has.
+
+    :param line: without its line end.
+    :param place: ``INTERIM`` and ``TRAILER`` need an answer that has these.
+    """
+
+    line: bytes
+    place: FieldPlace = FieldPlace.HEAD_START
+
+
 class Junk(NamedTuple):
     """Bytes that are no answer, around an answer."""
 
@@ -126,6 +146,7 @@
     body_reading: BodyReading = BodyReading.BEFORE_ANSWER
     ending: Ending = Ending.KEEP
     restart: Restart | None = None
+    malformed_field: MalformedField | None = None
 
     @property
     def is_faultless(self) -> bool:
--- a/burdockdock/standin/faulty_connection.py
+++ b/burdockdock/standin/faulty_connection.py
@@ -194,7 +194,8 @@
         junk = behaviour.junk
         self._send(0, "junk", junk.before)
         for status in behaviour.interim:
-            self._send(entry.arrival.number, "interim", interim_answer(status))
+            interim = interim_answer(status, malformed_field=behaviour.malformed_field)
+            self._send(entry.arrival.number, "interim", interim)
         wire = wire_answer(
             self._server.names,
             entry.answer,
@@ -202,6 +203,7 @@
             framing=behaviour.framing,
             extra=self._extra_headers(admitted),
             has_body=entry.arrival.method != "HEAD",
+            malformed_field=behaviour.malformed_field,
         )
         parts = ((wire.head, junk.between), (wire.body, junk.after))
         left = len(wire.data) if behaviour.cut_at == WHOLE else behaviour.cut_at
--- a/burdockdock/standin/faulty_script.py
+++ b/burdockdock/standin/faulty_script.py
@@ -12,8 +12,10 @@
     CopyId,
     CopyTime,
     Ending,
+    FieldPlace,
     Framing,
     Junk,
+    MalformedField,
     Refusal,
     ResetTime,
     Restart,
@@ -27,6 +29,23 @@
 _SECOND_KIND_SHARE = 0.25
 _JUNK = (b"\r\n", b"\0\xff\0", b"not an answer\r\n\r\n", b"HTTP/1.1 ", b"0\r\n\r\n")
 
+# Names with characters that none may have, or no name; values with control characters.
+_MALFORMED_LINES = (
+    b"X Note: a",
+    b"X-Note : a",
+    b"X-Note\t: a",
+    b"X-\x01Note: a",
+    b"X-Note\x7f: a",
+    b"X-N\xf6te: a",
+    b": a",
+    b"Transfer-Encoding : chunked",
+    b"Content-Length : 1",
+    b"Content-\x0bLength: 1",
+    b"Not-Executed : 1",
+    b"X-Note: a\x01b",
+    b"X-Note: a\x7f",
+)
+
 
 class Kind(Enum):
     """A kind of fault."""
@@ -43,6 +62,7 @@
     REFUSE = "refuse"
     DEADLINE = "deadline"
     RESTART = "restart"
+    FIELD = "field"
 
 
 Mix = Mapping[Kind, float]
@@ -59,6 +79,7 @@
     Kind.REFUSE: 1.0,
     Kind.DEADLINE: 0.2,
     Kind.RESTART: 0.2,
+    Kind.FIELD: 1.0,
 }
 
 
@@ -163,6 +184,14 @@
     return behaviour._replace(restart=rng.choice(tuple(Restart)))
 
 
+def _field(behaviour: Behaviour, rng: random.Random) -> Behaviour:
+    place = rng.choice((FieldPlace.HEAD_START, FieldPlace.HEAD_END, FieldPlace.INTERIM))
+    field = MalformedField(rng.choice(_MALFORMED_LINES), place)
+    if place is FieldPlace.INTERIM:
+        behaviour = behaviour._replace(interim=(103,))
+    return behaviour._replace(malformed_field=field)
+
+
 _CHANGES: Mapping[Kind, _Change] = {
     Kind.NONE: lambda behaviour, rng: behaviour,
     Kind.COPY: _copy,
@@ -176,4 +205,5 @@
     Kind.REFUSE: _refuse,
     Kind.DEADLINE: _to_deadline,
     Kind.RESTART: _restart,
+    Kind.FIELD: _field,
 }
--- a/tests/fuzz/garbled.py
+++ b/tests/fuzz/garbled.py
@@ -6,7 +6,7 @@
 
 import re
 
-from burdockdock.standin.faulty_behaviour import Behaviour, Framing
+from burdockdock.standin.faulty_behaviour import Behaviour, FieldPlace, Framing
 from burdockdock.standin.ledger import LedgerEntry, SentBytes
 
 _HEAD_END = re.compile(rb"\r?\n\r?\n")
@@ -41,6 +41,27 @@
     return bool(behaviour.junk.between) or (is_cut and bool(others))
 
 
+def has_malformed_head(behaviour: Behaviour, entry: LedgerEntry) -> bool:
+    """Return whether a malformed field line was sent in a head of this arrival."""
+    return _has_malformed_field(behaviour, entry, in_trailer=False)
+
+
+def has_malformed_trailer(behaviour: Behaviour, entry: LedgerEntry) -> bool:
+    """Return whether a malformed field line was sent behind this arrival's body."""
+    return _has_malformed_field(behaviour, entry, in_trailer=True)
+
+
+def _has_malformed_field(
+    behaviour: Behaviour, entry: LedgerEntry, *, in_trailer: bool
+) -> bool:
+    field = behaviour.malformed_field
+    if field is None or in_trailer is not (field.place is FieldPlace.TRAILER):
+        return False
+    sent = [s.data for s in entry.sent if s.owner == entry.arrival.number]
+    lines = [line for data in sent for line in data.splitlines(keepends=True)]
+    return any(line in (field.line + b"\r\n", field.line + b"\n") for line in lines)
+
+
 def _split(entry: LedgerEntry) -> tuple[bytes, list[SentBytes]]:
     """Return an arrival's own answer as sent, and what was sent behind its start."""
     kinds = [sent.kind for sent in entry.sent]
--- a/tests/fuzz/judge.py
+++ b/tests/fuzz/judge.py
@@ -9,7 +9,12 @@
 from burdockdock.standin.faulty_answers import signed_arrival
 from burdockdock.standin.faulty_behaviour import Ending
 from burdockdock.standin.ledger import Answer, LedgerEntry
-from tests.fuzz.garbled import is_body_garbled, is_head_garbled
+from tests.fuzz.garbled import (
+    has_malformed_head,
+    has_malformed_trailer,
+    is_body_garbled,
+    is_head_garbled,
+)
 from tests.fuzz.outcomes import Outcome, Run
 from tests.fuzz.sequences import LONG_TIME_LEFT_MS
 from tests.header_names import HEADER_NAMES
@@ -38,6 +43,7 @@
     EXTRA_ARRIVAL = "sent again past the gate"
     TOO_MANY_SERVERS = "sent to more backend servers than its route allows"
     USED_AGAIN = "a connection used behind the answer that ended it"
+    MALFORMED_FIELD = "an answer with a malformed field"
     LOST_ANSWER = "a faultless answer on a faultless connection was lost"
 
 
@@ -86,6 +92,7 @@
     if outcome.failure is not None and outcome.failure.verdict is Verdict.NOT_RUN:
         if any(entry.ran for entry in entries):
             yield Violation(Rule.RAN_THOUGH_NOT_RUN, outcome.attempt)
+    yield from _check_fields(run, outcome, entries)
     if not outcome.status:
         return
     signature = outcome.header(_NAMES.signature)
@@ -104,6 +111,23 @@
         yield Violation(Rule.OTHER_BODY, f"{outcome.attempt} got {outcome.body[:80]}")
 
 
+def _check_fields(
+    run: Run, outcome: Outcome, entries: list[LedgerEntry]
+) -> Iterator[Violation]:
+    """Check that nothing is believed of an answer with a malformed field."""
+    signed_entry = run.entry(signed_arrival(outcome.header(_NAMES.signature)))
+    if outcome.status:
+        own = [e for e in entries if signed_entry is None or e == signed_entry]
+        if own and all(has_malformed_head(run.behaviour_of(e), e) for e in own):
+            yield Violation(Rule.MALFORMED_FIELD, f"{outcome.attempt}: taken")
+    if outcome.status and outcome.failure is None and signed_entry is not None:
+        if has_malformed_trailer(run.behaviour_of(signed_entry), signed_entry):
+            yield Violation(Rule.MALFORMED_FIELD, f"{outcome.attempt}: whole")
+    if outcome.failure is not None and outcome.failure.reason in _OWN_REFUSALS:
+        if any(has_malformed_head(run.behaviour_of(e), e) for e in entries):
+            yield Violation(Rule.MALFORMED_FIELD, f"{outcome.attempt}: not run")
+
+
 def _check_unsigned(
     outcome: Outcome, entries: list[LedgerEntry]
 ) -> Iterator[Violation]:
--- a/tests/gate/test_head_lines.py
+++ b/tests/gate/test_head_lines.py
@@ -5,6 +5,7 @@
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.gate.backend_head import BackendHead
 from burdockdock.gate.head_lines import HeadLines
+from tests.header_names import CONTROL_BYTES
 
 
 def _read(*lines: bytes) -> BackendHead | Failure | None:
@@ -96,9 +97,47 @@
         # libcurl ends the head there and keeps the connection.
         self._assert_failure("malformed_head", b"HTTP/1.1 200 OK\r\n", b"\rA: b\r\n")
 
-    def test_line_of_blanks_belongs_to_the_head(self) -> None:
-        head = _read(b"HTTP/1.1 200 OK\r\n", b"  \r\n", b"A: b\r\n", b"\r\n")
-        self.assertEqual((("A", "b"),), head.headers)
+    def test_line_of_blanks_is_not_the_end_of_the_head(self) -> None:
+        lines = (b"HTTP/1.1 200 OK\r\n", b"  \r\n", b"A: b\r\n", b"\r\n")
+        self._assert_failure("malformed_head", *lines)
+
+    def test_malformed_names(self) -> None:
+        for name in (
+            b"",
+            b"X Note",
+            b"X-Note ",
+            b"X-Note\t",
+            b" X-Note",
+            b"\tX-Note",
+            b"X-N\xf6te",
+            b"X(Note)",
+            *(b"X-" + byte + b"Note" for byte in CONTROL_BYTES),
+        ):
+            line = name + b": a\r\n"
+            for before in ((), (b"HTTP/1.1 103 Early\r\n", b"\r\n")):
+                lines = (*before, b"HTTP/1.1 200 OK\r\n", line)
+                self._assert_failure("malformed_head", *lines)
+            self._assert_failure("malformed_head", b"HTTP/1.1 103 Early\r\n", line)
+
+    def test_line_without_a_colon(self) -> None:
+        self._assert_failure("malformed_head", b"HTTP/1.1 200 OK\r\n", b"X-Note\r\n")
+
+    def test_control_characters_in_values(self) -> None:
+        for byte in CONTROL_BYTES:
+            for value in (byte, byte + b"a", b"a" + byte, b"a" + byte + b"b"):
+                line = b"X-Note: " + value + b"\r\n"
+                self._assert_failure("malformed_head", b"HTTP/1.1 200 OK\r\n", line)
+
+    def test_valid_fields(self) -> None:
+        for line, field in (
+            (b"!#$%&'*+-.^_`|~09AZaz: a", ("!#$%&'*+-.^_`|~09AZaz", "a")),
+            (b"X-Note:", ("X-Note", "")),
+            (b"X-Note: \t", ("X-Note", "")),
+            (b"X-Note:a\tb: c \t", ("X-Note", "a\tb: c")),
+            (b"X-Note: \x80\xa0\xff", ("X-Note", "\x80\xa0\xff")),
+        ):
+            head = _read(b"HTTP/1.1 200 OK\r\n", line + b"\r\n", b"\r\n")
+            self.assertEqual(BackendHead(200, "OK", (field,)), head)
 
     def test_switch_to_another_protocol(self) -> None:
         lines = (b"HTTP/1.1 101 Switching\r\n", b"Upgrade: other\r\n", b"\r\n")
--- a/tests/gate/test_misbehaving_backends.py
+++ b/tests/gate/test_misbehaving_backends.py
@@ -7,7 +7,9 @@
 
 from burdockdock.coordination.verdict import Verdict
 from burdockdock.gate.curl_client import CurlClient
+from burdockdock.gate.headers import OWN_HEADERS, CallHeaders
 from burdockdock.gate.transfer import BackendRequest, Transfer
+from burdockdock.platform.headers import HEADERS as PLATFORM_HEADERS
 from burdockdock.protocol import ReceiverGone
 from burdockdock.protocol.calls import CallRequest
 from tests import streams
@@ -147,9 +149,14 @@
     """Tests that a call always ends with an answer or a failure."""
 
     async def _call(
-        self, serve: streams.ConnectionHandler, request: CallRequest, **options: bytes
+        self,
+        serve: streams.ConnectionHandler,
+        request: CallRequest,
+        *,
+        headers: CallHeaders = OWN_HEADERS,
+        **options: bytes,
     ):
-        gate = await start_gate(serve)
+        gate = await start_gate(serve, headers=headers)
         stream = RecordingStream(**options)
         run = asyncio.create_task(gate.run(request, stream))
         try:
@@ -267,10 +274,87 @@
         head += b"2\r\nok\r\n0\r\n\r\n"
         self.assertEqual((b"ok", []), await self._body_and_content_lengths(head))
 
+    async def _assert_malformed(
+        self, answer: bytes, *, headers: CallHeaders = OWN_HEADERS
+    ) -> None:
+        """Assert that nothing of an answer is passed on, and that it proves nothing."""
+        serve = _send_answer(answer)
+        stream = await self._call(serve, _REQUEST, headers=headers)
+        self.assertEqual((None, b""), (stream.head, stream.body), answer)
+        failure = (Verdict.MAY_HAVE_RUN, "malformed_head")
+        self.assertEqual(failure, stream.failure[:2], answer)
+
     @async_test
-    async def test_malformed_header_lines_are_dropped(self) -> None:
-        head = b"A b: c\r\nX-A: a\x01b\r\nX-B: b\r\nContent-Length: 2\r\n\r\nok"
-        answer = b"HTTP/1.1 200 OK\r\n" + head
+    async def test_malformed_header_lines_are_no_answer(self) -> None:
+        sized = b"Content-Length: 2\r\n\r\nok"
+        for line in (b"A b: c", b"X-A: a\x01b", b"X-A : a", b"X-\x7fA: a", b": a"):
+            for head in (line + b"\r\nX-B: b\r\n", b"X-B: b\r\n" + line + b"\r\n"):
+                await self._assert_malformed(b"HTTP/1.1 200 OK\r\n" + head + sized)
+
+    @async_test
+    async def test_malformed_lines_do_not_frame_the_body(self) -> None:
+        # Guards against a body of which the framing is a part, or that is cut.
+        chunked = b"2\r\nok\r\n0\r\n\r\n"
+        for head, body in (
+            (b"Transfer-Encoding : chunked\r\n", chunked),
+            (b"Transfer-Encoding\t: chunked\r\n", chunked),
+            (b"Transfer-Encoding: chunked\x01\r\n", chunked),
+            (b"Content-Length : 1\r\nContent-Length: 2\r\n", b"ok"),
+            (b"Content-Length: 2\r\nContent-Length : 1\r\n", b"ok"),
+            (b"Content-Length : 2\r\n", b"ok"),
+            (b"Content-\x01Length: 2\r\n", b"ok"),
+        ):
+            await self._assert_malformed(b"HTTP/1.1 200 OK\r\n" + head + b"\r\n" + body)
+
+    @async_test
+    async def test_malformed_interim_head_is_no_answer(self) -> None:
+        interim = b"HTTP/1.1 103 Early\r\nX-A : a\r\n\r\n"
+        await self._assert_malformed(interim + _OK_ANSWER)
+
+    @async_test
+    async def test_malformed_refusal_proves_nothing(self) -> None:
+        refusal = b"Not-Executed: 1\r\nRequest-Id: id-1\r\nContent-Length: 0\r\n"
+        for lines in (
+            refusal + b"X-A : a\r\n",
+            b"X-A : a\r\n" + refusal,
+            refusal.replace(b"Id:", b"Id :"),
+            refusal.replace(b"Executed:", b"Executed :"),
+        ):
+            answer = b"HTTP/1.1 503 Busy\r\n" + lines + b"\r\n"
+            await self._assert_malformed(answer, headers=PLATFORM_HEADERS)
+
+    @async_test
+    async def test_connection_of_a_malformed_head_is_closed(self) -> None:
+        # Guards against bytes behind the head as the answer to the next request.
+        closed = asyncio.Event()
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await _read_head(reader)
+            writer.write(b"HTTP/1.1 200 OK\r\nX-A : a\r\nContent-Length: 0\r\n\r\n")
+            try:
+                await reader.read()
+            except ConnectionError:
+                pass
+            closed.set()
+
+        stream = await self._call(serve, _REQUEST)
+        self.assertEqual("malformed_head", stream.failure.reason)
+        async with asyncio.timeout(1.0):
+            await closed.wait()
+
+    @async_test
+    async def test_valid_header_lines_are_passed_on(self) -> None:
+        head = b"!#$%&'*+-.^_`|~09AZaz: a\r\nX-A:\r\nX-B: a\tb \xff\r\nX-C: a\r\n b\r\n"
+        answer = b"HTTP/1.1 200 OK\r\n" + head + b"Content-Length: 2\r\n\r\nok"
         stream = await self._call(_send_answer(answer), _REQUEST)
-        names = [name for name, _ in stream.head.headers]
-        self.assertEqual(["X-B", "Content-Length"], names)
+        expected = (
+            ("!#$%&'*+-.^_`|~09AZaz", "a"),
+            ("X-A", ""),
+            ("X-B", "a\tb \xff"),
+            # A value that goes on in the next line.
+            ("X-C", "a b"),
+            ("Content-Length", "2"),
+        )
+        self.assertEqual((expected, b"ok"), (stream.head.headers, stream.body))
--- a/tests/header_names.py
+++ b/tests/header_names.py
@@ -1,4 +1,4 @@
-"""Names of the users' platform's headers, for faulty backend servers in tests."""
+"""Names of the users' platform's headers, and bytes that no header may hold."""
 
 from burdockdock.standin.faulty_answers import HeaderNames
 
@@ -10,3 +10,7 @@
     timeout="Deadline-Ms",
     instance_id="Instance-Id",
 )
+# All but tabs, which values may hold, and line feeds, which end lines.
+CONTROL_BYTES = tuple(
+    bytes([code]) for code in (*range(32), 127) if code not in (0x09, 0x0A)
+)
--- a/tests/standin/test_faulty_answers.py
+++ b/tests/standin/test_faulty_answers.py
@@ -3,12 +3,13 @@
 import testtools
 
 from burdockdock.standin.faulty_answers import (
+    interim_answer,
     run_answer,
     sign,
     signed_arrival,
     wire_answer,
 )
-from burdockdock.standin.faulty_behaviour import Framing
+from burdockdock.standin.faulty_behaviour import FieldPlace, Framing, MalformedField
 from burdockdock.standin.ledger import Arrival
 from tests.header_names import HEADER_NAMES
 
@@ -59,3 +60,24 @@
             head_part, body = expected[framing]
             self.assertIn(head_part, wire.head)
             self.assertEqual(body, wire.body)
+
+    def test_places_of_a_malformed_field(self) -> None:
+        answer = run_answer(_ARRIVAL, status=200, body_bytes=4)
+        field = MalformedField(b"X : a")
+        for place, part in (
+            (FieldPlace.HEAD_START, b" OK\r\nX : a\r\nDate"),
+            (FieldPlace.HEAD_END, b"Trailer: X-Sum\r\nX : a\r\n\r\n2\r\nar"),
+            (FieldPlace.TRAILER, b"0\r\nX-Sum: 1\r\nX : a\r\n\r\n"),
+        ):
+            wire = wire_answer(
+                HEADER_NAMES,
+                answer,
+                request_id="id-1",
+                framing=Framing.TRAILERS,
+                malformed_field=field._replace(place=place),
+            )
+            self.assertIn(part, wire.data)
+            self.assertEqual(1, wire.data.count(field.line))
+        interim = field._replace(place=FieldPlace.INTERIM)
+        expected = b"HTTP/1.1 103 Interim\r\nX : a\r\n\r\n"
+        self.assertEqual(expected, interim_answer(103, malformed_field=interim))
