Break an answer off whose trailer has a malformed field line

A caller got a chunked answer as whole though a name or a value among its trailers held a blank or a control byte, and the connection to the backend server stayed in use.

Cause: transfers looked at the trailers' line ends only. Libcurl refuses trailers with a NUL byte or without a colon, and took all other lines.

Change: the rule for lines of heads holds for trailers. Such an answer ends as malformed_trailer, ran, and libcurl closes the connection: an answer is whole when all of it was read, and bytes behind a malformed line may be anybody's. Trailers are passed on to nobody, as before.

--- a/burdockdock/gate/head_lines.py
+++ b/burdockdock/gate/head_lines.py
@@ -22,7 +22,8 @@
 # Heads must start so. No other form is accepted, so that each one behind the part of
 # another head is found.
 _STATUS_LINE_START = re.compile(rb"HTTP/1\.[01] \d{3}(?=[ \r\n])")
-_HEAD_ENDS = (b"\r\n", b"\n")
+# Lines that end a head or the trailers.
+HEAD_ENDS = (b"\r\n", b"\n")
 _MIN_STATUS = 100
 _MIN_FINAL_STATUS = 200
 # Nodes ask for no other protocol, so that an answer can't follow this status.
@@ -46,7 +47,7 @@
         if not line.endswith(b"\n"):
             # libcurl takes a lone carriage return for the end of a cut head.
             return _failure("backend_connection_broken", line)
-        if line in _HEAD_ENDS:
+        if line in HEAD_ENDS:
             return self._take_head()
         return self._add_to_head(line)
 
@@ -74,6 +75,10 @@
         return head if head.status >= _MIN_FINAL_STATUS else None
 
 
+def line_detail(line: bytes) -> str:
+    """Return the part of a line that a failure's detail shows."""
+    return line[:_MAX_DETAIL_BYTES].decode("latin-1").strip()
+
+
 def _failure(reason: str, line: bytes) -> Failure:
-    detail = line[:_MAX_DETAIL_BYTES].decode("latin-1").strip()
-    return Failure(Verdict.MAY_HAVE_RUN, reason, detail)
+    return Failure(Verdict.MAY_HAVE_RUN, reason, line_detail(line))
--- a/burdockdock/gate/transfer.py
+++ b/burdockdock/gate/transfer.py
@@ -11,8 +11,9 @@
 
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.gate.backend_head import BackendHead, body_length
-from burdockdock.gate.head_lines import HeadLines
+from burdockdock.gate.head_lines import HEAD_ENDS, HeadLines, line_detail
 from burdockdock.gate.model import KEPT_CONNECTION_ENDED
+from burdockdock.protocol.answer_heads import is_field_line
 
 # Reading an answer pauses while this much of its body is buffered.
 _BODY_BUFFER_LIMIT_BYTES = 256 * 1024
@@ -29,6 +30,8 @@
 _DEAD_CONNECTION_S = 0.02
 # Returned by the header callback to make libcurl abort the transfer.
 _ABORT_TRANSFER = -1
+# Reason of a failure: a line behind the body is no valid field.
+_MALFORMED_TRAILER = "malformed_trailer"
 # libcurl errors that occur before any byte of the request is sent, and their reasons.
 _NOT_SENT_ERRORS = {
     pycurl.E_COULDNT_CONNECT: "connection_refused",
@@ -194,7 +197,7 @@
         :param message: libcurl's error message.
         """
         self._done = True
-        if code:
+        if code and self._failure is None:
             self._failure = self._classify_error(code, message)
         if not self._head.done():
             # A Failure is falsy, so ``self._failure or no_answer`` would be wrong.
@@ -292,8 +295,7 @@
 
     def _on_header(self, line: bytes) -> int | None:
         if self._head.done():
-            # A trailer, or its end.
-            return None if line.endswith(b"\n") else _ABORT_TRANSFER
+            return self._check_trailer(line)
         head = self._head_lines.add(line)
         if head is None:
             return None
@@ -305,6 +307,14 @@
         self._head.set_result(head)
         return None
 
+    def _check_trailer(self, line: bytes) -> int | None:
+        """Abort the transfer if a line behind the body can't be there."""
+        if line in HEAD_ENDS or is_field_line(line):
+            return None
+        if line.endswith(b"\n"):
+            self._failure = Failure(Verdict.RAN, _MALFORMED_TRAILER, line_detail(line))
+        return _ABORT_TRANSFER
+
     def _rejection(self, head: BackendHead | Failure) -> Failure | None:
         if isinstance(head, Failure):
             return head
--- a/burdockdock/standin/faulty_script.py
+++ b/burdockdock/standin/faulty_script.py
@@ -185,8 +185,10 @@
 
 
 def _field(behaviour: Behaviour, rng: random.Random) -> Behaviour:
-    place = rng.choice((FieldPlace.HEAD_START, FieldPlace.HEAD_END, FieldPlace.INTERIM))
+    place = rng.choice(tuple(FieldPlace))
     field = MalformedField(rng.choice(_MALFORMED_LINES), place)
+    if place is FieldPlace.TRAILER:
+        behaviour = behaviour._replace(framing=Framing.TRAILERS)
     if place is FieldPlace.INTERIM:
         behaviour = behaviour._replace(interim=(103,))
     return behaviour._replace(malformed_field=field)
--- a/tests/fuzz/test_malformed_fields.py
+++ b/tests/fuzz/test_malformed_fields.py
@@ -6,6 +6,7 @@
 from burdockdock.standin.faulty_behaviour import (
     Behaviour,
     FieldPlace,
+    Framing,
     MalformedField,
     Refusal,
 )
@@ -83,3 +84,10 @@
         sequence = (Step(Call(1), Behaviour(malformed_field=field)),)
         (outcome,) = await _outcomes(sequence)
         self.assertEqual((200, None), (outcome.status, outcome.failure))
+
+    @async_test
+    async def test_malformed_trailer_breaks_the_answer_off(self) -> None:
+        field = MalformedField(b"X-Note : a", FieldPlace.TRAILER)
+        behaviour = Behaviour(framing=Framing.TRAILERS, malformed_field=field)
+        (outcome,) = await _outcomes((Step(_POST, behaviour),))
+        self.assertIsNotNone(outcome.failure)
--- a/tests/gate/test_misbehaving_backends.py
+++ b/tests/gate/test_misbehaving_backends.py
@@ -344,6 +344,25 @@
         async with asyncio.timeout(1.0):
             await closed.wait()
 
+    async def _call_with_trailer(self, line: bytes) -> RecordingStream:
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        body = b"2\r\nok\r\n0\r\nX-A: a\r\n" + line + b"\r\n\r\n"
+        return await self._call(_send_answer(head + body), _REQUEST)
+
+    @async_test
+    async def test_malformed_trailer_breaks_the_answer_off(self) -> None:
+        for line in (b"X A: a", b"X-A : a", b"X-\x01A: a", b": a", b"X-A: \x01"):
+            stream = await self._call_with_trailer(line)
+            self.assertFalse(stream.complete, line)
+            failure = (Verdict.RAN, "malformed_trailer")
+            self.assertEqual(failure, stream.failure[:2], line)
+
+    @async_test
+    async def test_valid_trailer_ends_the_answer(self) -> None:
+        for line in (b"X-B:", b"X-B: a\tb \xff", b"!#$%&'*+-.^_`|~09AZaz: a"):
+            stream = await self._call_with_trailer(line)
+            self.assertEqual((b"ok", True), (stream.body, stream.complete), line)
+
     @async_test
     async def test_valid_header_lines_are_passed_on(self) -> None:
         head = b"!#$%&'*+-.^_`|~09AZaz: a\r\nX-A:\r\nX-B: a\tb \xff\r\nX-C: a\r\n b\r\n"
