Check the fields of heads that other nodes send

A head with a malformed field that came from another node was taken for an answer and got as far as the caller's connection. There the HTTP library raised an exception, and the caller got 502, node_fault: no other backend server was tried, and nothing was noted against the node that sent it.

Cause: proxy.answer_relay and proxy.caller_answer looked at the status only; names and values were left to the gate, which may be of an earlier release or faulty.

Change: protocol.answer_heads.check_answer_head says whether a head can be that of a final answer, by its status and its fields, with the gate's rule. The caller's node ends such an attempt as malformed_head, may have run, which its usual rules for another attempt take up, and writes no such head to a caller.

Evidence: test_malformed_field_from_another_node_is_no_answer failed before, since the call ended as answered. test_caller_gets_no_malformed_field passed before: the library refuses such fields, and the test keeps it so. Valid fields reach the caller byte for byte.

--- a/burdockdock/protocol/answer_heads.py
+++ b/burdockdock/protocol/answer_heads.py
@@ -7,6 +7,9 @@
 
 import re
 
+from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.protocol.calls import AnswerHead
+
 # Reasons of failures: what came in place of an answer has a status that no final answer
 # can have, or a line that no head can have.
 INVALID_STATUS = "invalid_status"
@@ -17,6 +20,9 @@
 # Section 5.5: a value holds no control characters but for tabs.
 _FIELD_VALUE = r"[^\x00-\x08\x0a-\x1f\x7f]*"
 _FIELD_LINE = re.compile(f"{_FIELD_NAME}:{_FIELD_VALUE}\\r?\\n".encode())
+_FIELD_NAME_PATTERN = re.compile(_FIELD_NAME)
+_FIELD_VALUE_PATTERN = re.compile(_FIELD_VALUE)
+_MAX_DETAIL_CHARS = 200
 
 
 def is_final_status(status: int) -> bool:
@@ -33,3 +39,22 @@
     :param line: with its line end.
     """
     return _FIELD_LINE.fullmatch(line) is not None
+
+
+def check_answer_head(head: AnswerHead) -> Failure | None:
+    """Return why a head is none of a final answer, None for a valid one."""
+    if not is_final_status(head.status):
+        return _in_doubt(INVALID_STATUS, f"status {head.status}")
+    for name, value in head.headers:
+        if not _is_field(name, value):
+            return _in_doubt(MALFORMED_HEAD, f"{name}: {value}")
+    return None
+
+
+def _is_field(name: str, value: str) -> bool:
+    has_name = _FIELD_NAME_PATTERN.fullmatch(name) is not None
+    return has_name and _FIELD_VALUE_PATTERN.fullmatch(value) is not None
+
+
+def _in_doubt(reason: str, detail: str) -> Failure:
+    return Failure(Verdict.MAY_HAVE_RUN, reason, detail[:_MAX_DETAIL_CHARS])
--- a/burdockdock/proxy/answer_relay.py
+++ b/burdockdock/proxy/answer_relay.py
@@ -5,7 +5,7 @@
 from burdockdock.clock import Clock
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.metrics import Metrics
-from burdockdock.protocol.answer_heads import INVALID_STATUS, is_final_status
+from burdockdock.protocol.answer_heads import check_answer_head
 from burdockdock.protocol.calls import AnswerHead
 from burdockdock.proxy.attempt_results import DEADLINE_PASSED, log_aborted_answer
 from burdockdock.proxy.attempts import Attempt
@@ -22,7 +22,7 @@
 ) -> AnswerHead | Failure:
     """Wait for the head of an answer until the call's deadline.
 
-    A gate checks the status, but one of an earlier release doesn't.
+    A gate checks it, but one of an earlier release passes on malformed heads.
     """
     left_s = call.deadline_s - clock.monotonic()
     try:
@@ -30,9 +30,10 @@
             head = await remote.head()
     except TimeoutError:
         return Failure(Verdict.MAY_HAVE_RUN, DEADLINE_PASSED)
-    if isinstance(head, Failure) or is_final_status(head.status):
+    if isinstance(head, Failure):
         return head
-    return Failure(Verdict.MAY_HAVE_RUN, INVALID_STATUS, f"status {head.status}")
+    malformed = check_answer_head(head)
+    return head if malformed is None else malformed
 
 
 async def relay_answer(
--- a/burdockdock/proxy/caller_answer.py
+++ b/burdockdock/proxy/caller_answer.py
@@ -7,7 +7,7 @@
 from tornado.iostream import StreamClosedError
 
 from burdockdock.logs import log_event
-from burdockdock.protocol.answer_heads import is_final_status
+from burdockdock.protocol.answer_heads import check_answer_head
 from burdockdock.protocol.calls import AnswerHead
 from burdockdock.proxy.answers import answer_body_bytes, answer_headers
 from burdockdock.proxy.caller_stream import CallerStream
@@ -87,10 +87,11 @@
 
         :param body: the whole body, if it has arrived; it is sent in the same system
             call unless its length contradicts the head.
-        :raises ValueError: if its status is not that of a final answer.
+        :raises ValueError: if it is none of a final answer.
         """
-        if not is_final_status(head.status):
-            raise ValueError(f"status {head.status} is not that of a final answer")
+        malformed = check_answer_head(head)
+        if malformed is not None:
+            raise ValueError(f"{malformed.reason}: {malformed.detail}")
         await self._stream.wait_turn()
         headers = answer_headers(head, self._method)
         self._body_bytes_left = answer_body_bytes(headers, self._method, head.status)
--- /dev/null
+++ b/tests/protocol/test_answer_heads.py
@@ -0,0 +1,50 @@
+"""Tests of what the head of an answer may hold."""
+
+import testtools
+
+from burdockdock.coordination.verdict import Verdict
+from burdockdock.protocol.answer_heads import check_answer_head, is_field_line
+from burdockdock.protocol.calls import AnswerHead
+from tests.header_names import CONTROL_BYTES
+
+_MAX_DETAIL_CHARS = 200
+
+
+class FieldLinesTest(testtools.TestCase):
+    """Tests of lines as they are received."""
+
+    def test_characters_of_names(self) -> None:
+        symbols = b"!#$%&'*+-.^_`|~"
+        for code in range(256):
+            character = bytes([code])
+            valid = character in symbols or (code < 128 and character.isalnum())
+            # A colon ends the name.
+            valid = valid or character == b":"
+            line = b"X" + character + b"Y: a\r\n"
+            self.assertEqual(valid, is_field_line(line), line)
+
+    def test_characters_of_values(self) -> None:
+        for code in range(256):
+            valid = bytes([code]) not in (*CONTROL_BYTES, b"\n")
+            line = b"X:" + bytes([code]) + b"\r\n"
+            self.assertEqual(valid, is_field_line(line), line)
+
+    def test_ends_of_lines(self) -> None:
+        for line in (b"X:\r\n", b"X:\n", b"X: a\n"):
+            self.assertTrue(is_field_line(line), line)
+        for line in (b"X:", b"X:\r", b"X\r\n", b"\r\n", b"X:\r\r\n", b"X:\n\n"):
+            self.assertFalse(is_field_line(line), line)
+
+
+class AnswerHeadsTest(testtools.TestCase):
+    """Tests of heads as nodes exchange them."""
+
+    def test_valid_head(self) -> None:
+        fields = (("X-A", ""), ("X-B", "a\tb \xff"))
+        self.assertIsNone(check_answer_head(AnswerHead(200, "OK", fields)))
+
+    def test_detail_is_bounded(self) -> None:
+        head = AnswerHead(200, "OK", (("A b", "c" * 5000),))
+        failure = check_answer_head(head)
+        self.assertEqual((Verdict.MAY_HAVE_RUN, "malformed_head"), failure[:2])
+        self.assertEqual(_MAX_DETAIL_CHARS, len(failure.detail))
--- a/tests/proxy/test_call_completion.py
+++ b/tests/proxy/test_call_completion.py
@@ -26,6 +26,18 @@
 from tests.support import async_test, eventually
 
 _HANG_TIMEOUT_S = 3.0
+_MALFORMED_FIELDS = (
+    ("A b", "c"),
+    ("A ", "b"),
+    ("A\t", "b"),
+    (" A", "b"),
+    ("", "b"),
+    ("A\x01", "b"),
+    ("\xc4", "b"),
+    ("A", "b\x01c"),
+    ("A", "b\rC: d"),
+    ("A", "b\x7f"),
+)
 
 
 class _AnsweringForwarder:
@@ -92,6 +104,36 @@
                 data = await reader.read()
             self.assertTrue(data.startswith(b"HTTP/1.1 502 "), (status, data))
 
+    @async_test
+    async def test_caller_gets_no_malformed_field(self) -> None:
+        for field in _MALFORMED_FIELDS:
+            head = AnswerHead(200, "OK", (field, ("Content-Length", "2")))
+            request = b"GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+            _, _, reader, _ = await self._send_request(head, request)
+            async with asyncio.timeout(_HANG_TIMEOUT_S):
+                data = await reader.read()
+            self.assertTrue(data.startswith(b"HTTP/1.1 502 "), (field, data))
+
+    @async_test
+    async def test_caller_gets_valid_fields(self) -> None:
+        fields = (
+            ("!#$%&'*+-.^_`|~09AZaz", "a"),
+            ("X-A", ""),
+            ("X-B", "a\tb \xff"),
+            ("X-C", "\xa0a\x85"),
+            ("Content-Length", "2"),
+        )
+        request = b"GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+        head = AnswerHead(200, "OK", fields)
+        _, _, reader, _ = await self._send_request(head, request)
+        async with asyncio.timeout(_HANG_TIMEOUT_S):
+            data = await reader.read()
+        self.assertTrue(data.startswith(b"HTTP/1.1 200 OK\r\n"), data)
+        lines = data.lower().split(b"\r\n")
+        for name, value in fields:
+            line = f"{name}: {value}".lower().encode("latin-1")
+            self.assertIn(line, lines)
+
     @async_test
     async def test_answer_with_an_invalid_header_name(self) -> None:
         await self._assert_answer_ends(AnswerHead(200, "OK", (("A b", "c"),)))
@@ -316,6 +358,18 @@
             self.assertEqual((Verdict.MAY_HAVE_RUN, "invalid_status"), end[:2])
             self.assertFalse(caller.aborted)
 
+    @async_test
+    async def test_malformed_field_from_another_node_is_no_answer(self) -> None:
+        # Guards against nodes of an earlier release, and against a fault of a node.
+        for field in _MALFORMED_FIELDS:
+            answer = AnswerHead(200, "OK", (("A", "b"), field), b"ok", True)
+            frames = (frame_answer_head(1, answer),)
+            end, caller, _ = await self._forward(_SilentPeer(frames=frames))
+            self.assertIsInstance(end, Failure, field)
+            failure = (Verdict.MAY_HAVE_RUN, "malformed_head")
+            self.assertEqual(failure, end[:2], field)
+            self.assertFalse(caller.aborted)
+
     @async_test
     async def test_missing_handshake_ends_the_call_at_the_deadline(self) -> None:
         end, _, took_s = await self._forward(_SilentPeer(completes_handshake=False))
