Refuse answers with a control character in the reason phrase

A caller got a status line such as "HTTP/1.1 200 O\x01K", passed on as the backend server had sent it.

Cause: of a status line, gate.head_lines checked the start up to the status; the rest was passed on unread, by the gate, by the caller's node and to the caller. The HTTP library refuses only line feeds and carriage returns there.

Change: the rule for values holds for reason phrases: bytes, and of the control characters only tabs. Such an answer ends as malformed_head, may have run, at the gate, and at the caller's node if another node sent it.

Evidence: four new tests failed before, in test_head_lines, test_misbehaving_backends and test_call_completion (from another node, and to the caller). They pass now; an empty reason, a tab and bytes over 0x7f in one are passed on as before.

--- a/burdockdock/gate/head_lines.py
+++ b/burdockdock/gate/head_lines.py
@@ -17,6 +17,7 @@
     MALFORMED_HEAD,
     is_field_line,
     is_final_status,
+    is_status_line,
 )
 
 # Heads must start so. No other form is accepted, so that each one behind the part of
@@ -57,7 +58,8 @@
             return _failure(MALFORMED_HEAD, line)
         if _STATUS_LINE_START.search(line, 1 if is_first else 0):
             return _failure("two_answers", line)
-        if not is_first and not is_field_line(line):
+        is_valid = is_status_line if is_first else is_field_line
+        if not is_valid(line):
             return _failure(MALFORMED_HEAD, line)
         self.lines.append(line)
         return None
--- a/burdockdock/protocol/answer_heads.py
+++ b/burdockdock/protocol/answer_heads.py
@@ -17,11 +17,13 @@
 
 # A token of RFC 9110, section 5.6.2.
 _FIELD_NAME = r"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
-# Section 5.5: a value holds no control characters but for tabs.
-_FIELD_VALUE = r"[^\x00-\x08\x0a-\x1f\x7f]*"
-_FIELD_LINE = re.compile(f"{_FIELD_NAME}:{_FIELD_VALUE}\\r?\\n".encode())
+# Values of fields and reason phrases: bytes, and of the control characters only tabs;
+# see RFC 9110, section 5.5, and RFC 9112, section 4.
+_TEXT = r"[\t\x20-\x7e\x80-\xff]*"
+_STATUS_LINE = re.compile(rf"HTTP/1\.[01] \d{{3}}(?: {_TEXT})?\r?\n".encode())
+_FIELD_LINE = re.compile(rf"{_FIELD_NAME}:{_TEXT}\r?\n".encode())
 _FIELD_NAME_PATTERN = re.compile(_FIELD_NAME)
-_FIELD_VALUE_PATTERN = re.compile(_FIELD_VALUE)
+_TEXT_PATTERN = re.compile(_TEXT)
 _MAX_DETAIL_CHARS = 200
 
 
@@ -33,6 +35,14 @@
     return 200 <= status <= 599
 
 
+def is_status_line(line: bytes) -> bool:
+    """Return whether the first line of a head is valid, whatever its status.
+
+    :param line: with its line end.
+    """
+    return _STATUS_LINE.fullmatch(line) is not None
+
+
 def is_field_line(line: bytes) -> bool:
     """Return whether a line of a head or a trailer is a valid field.
 
@@ -45,6 +55,8 @@
     """Return why a head is none of a final answer, None for a valid one."""
     if not is_final_status(head.status):
         return _in_doubt(INVALID_STATUS, f"status {head.status}")
+    if not _TEXT_PATTERN.fullmatch(head.reason):
+        return _in_doubt(MALFORMED_HEAD, f"reason {head.reason}")
     for name, value in head.headers:
         if not _is_field(name, value):
             return _in_doubt(MALFORMED_HEAD, f"{name}: {value}")
@@ -53,7 +65,7 @@
 
 def _is_field(name: str, value: str) -> bool:
     has_name = _FIELD_NAME_PATTERN.fullmatch(name) is not None
-    return has_name and _FIELD_VALUE_PATTERN.fullmatch(value) is not None
+    return has_name and _TEXT_PATTERN.fullmatch(value) is not None
 
 
 def _in_doubt(reason: str, detail: str) -> Failure:
--- a/tests/gate/test_head_lines.py
+++ b/tests/gate/test_head_lines.py
@@ -119,6 +119,22 @@
                 self._assert_failure("malformed_head", *lines)
             self._assert_failure("malformed_head", b"HTTP/1.1 103 Early\r\n", line)
 
+    def test_control_characters_in_reasons(self) -> None:
+        for byte in CONTROL_BYTES:
+            for reason in (byte, byte + b"K", b"O" + byte, b"O" + byte + b"K"):
+                for line in (b"HTTP/1.1 200 " + reason, b"HTTP/1.1 103 " + reason):
+                    self._assert_failure("malformed_head", line + b"\r\n")
+
+    def test_valid_reasons(self) -> None:
+        for reason, text in (
+            (b"", ""),
+            (b" ", ""),
+            (b" O\tK \xff", "O\tK \xff"),
+            (b" (200): OK", "(200): OK"),
+        ):
+            head = _read(b"HTTP/1.1 200" + reason + b"\r\n", b"\r\n")
+            self.assertEqual(BackendHead(200, text, ()), head)
+
     def test_line_without_a_colon(self) -> None:
         self._assert_failure("malformed_head", b"HTTP/1.1 200 OK\r\n", b"X-Note\r\n")
 
--- a/tests/gate/test_misbehaving_backends.py
+++ b/tests/gate/test_misbehaving_backends.py
@@ -291,6 +291,12 @@
             for head in (line + b"\r\nX-B: b\r\n", b"X-B: b\r\n" + line + b"\r\n"):
                 await self._assert_malformed(b"HTTP/1.1 200 OK\r\n" + head + sized)
 
+    @async_test
+    async def test_control_character_in_the_reason_is_no_answer(self) -> None:
+        for reason in (b"O\x01K", b"\x7f", b"OK\x1b[2J"):
+            head = b"HTTP/1.1 200 " + reason + b"\r\nContent-Length: 2\r\n\r\n"
+            await self._assert_malformed(head + b"ok")
+
     @async_test
     async def test_malformed_lines_do_not_frame_the_body(self) -> None:
         # Guards against a body of which the framing is a part, or that is cut.
--- a/tests/protocol/test_answer_heads.py
+++ b/tests/protocol/test_answer_heads.py
@@ -3,7 +3,11 @@
 import testtools
 
 from burdockdock.coordination.verdict import Verdict
-from burdockdock.protocol.answer_heads import check_answer_head, is_field_line
+from burdockdock.protocol.answer_heads import (
+    check_answer_head,
+    is_field_line,
+    is_status_line,
+)
 from burdockdock.protocol.calls import AnswerHead
 from tests.header_names import CONTROL_BYTES
 
@@ -29,6 +33,19 @@
             line = b"X:" + bytes([code]) + b"\r\n"
             self.assertEqual(valid, is_field_line(line), line)
 
+    def test_status_lines(self) -> None:
+        for line in (b"HTTP/1.0 000\n", b"HTTP/1.1 999 \xff\t: a\r\n"):
+            self.assertTrue(is_status_line(line), line)
+        for line in (
+            b"HTTP/1.2 200\r\n",
+            b"HTTP/1.1 20 O\r\n",
+            b"HTTP/1.1 2000\r\n",
+            b"HTTP/1.1 200OK\r\n",
+            b"HTTP/1.1 200 O\x01K\r\n",
+            b"HTTP/1.1 200 OK",
+        ):
+            self.assertFalse(is_status_line(line), line)
+
     def test_ends_of_lines(self) -> None:
         for line in (b"X:\r\n", b"X:\n", b"X: a\n"):
             self.assertTrue(is_field_line(line), line)
--- a/tests/proxy/test_call_completion.py
+++ b/tests/proxy/test_call_completion.py
@@ -37,6 +37,7 @@
     ("A", "b\x01c"),
     ("A", "b\rC: d"),
     ("A", "b\x7f"),
+    ("A", "\u0100"),
 )
 
 
@@ -114,6 +115,16 @@
                 data = await reader.read()
             self.assertTrue(data.startswith(b"HTTP/1.1 502 "), (field, data))
 
+    @async_test
+    async def test_caller_gets_no_control_character_in_the_reason(self) -> None:
+        for reason in ("O\x01K", "\x7f", "OK\r\nX-A: a", "OK\nX-A: a"):
+            head = AnswerHead(200, reason, (("Content-Length", "2"),))
+            request = b"GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+            _, _, reader, _ = await self._send_request(head, request)
+            async with asyncio.timeout(_HANG_TIMEOUT_S):
+                data = await reader.read()
+            self.assertTrue(data.startswith(b"HTTP/1.1 502 "), (reason, data))
+
     @async_test
     async def test_caller_gets_valid_fields(self) -> None:
         fields = (
@@ -370,6 +381,13 @@
             self.assertEqual(failure, end[:2], field)
             self.assertFalse(caller.aborted)
 
+    @async_test
+    async def test_malformed_reason_from_another_node_is_no_answer(self) -> None:
+        head = frame_answer_head(1, AnswerHead(200, "O\x01K", (), b"ok", True))
+        end, _, _ = await self._forward(_SilentPeer(frames=(head,)))
+        self.assertIsInstance(end, Failure)
+        self.assertEqual((Verdict.MAY_HAVE_RUN, "malformed_head"), end[:2])
+
     @async_test
     async def test_missing_handshake_ends_the_call_at_the_deadline(self) -> None:
         end, _, took_s = await self._forward(_SilentPeer(completes_handshake=False))
