Believe nothing of a response of the platform with a malformed line

A response of the platform's store counted though a control character stood in its reason phrase or at the end of a value: "503 Busy\x01" as proof that a write had not run, "Transfer-Encoding: chunked\x1f" as the framing of its body, an era with such a byte behind it as that era. Malformed names, interim heads and trailers were refused already, by an exception inside of libcurl, whose traceback went to the node's log.

Cause: the HTTP library strips control characters from the ends of lines before it checks them, and reads past a reason phrase that is none.

Change: platform_api.response_head reads the lines in the library's place, by the rule that holds for backend servers' answers, and ends the transfer at a line that is none: the call may have run. Fields of trailers no longer count as the head's. The rule moved to burdockdock.http_syntax, a module without imports that all packages may import, as clock and logs are, since platform_api is used without the messages of nodes; the page and its test say so.

--- a/burdockdock/gate/head_lines.py
+++ b/burdockdock/gate/head_lines.py
@@ -12,19 +12,16 @@
 
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.gate.backend_head import BackendHead, parse_head
+from burdockdock.http_syntax import HEAD_ENDS, is_field_line, is_status_line
 from burdockdock.protocol.answer_heads import (
     INVALID_STATUS,
     MALFORMED_HEAD,
-    is_field_line,
     is_final_status,
-    is_status_line,
 )
 
 # Heads must start so. No other form is accepted, so that each one behind the part of
 # another head is found.
 _STATUS_LINE_START = re.compile(rb"HTTP/1\.[01] \d{3}(?=[ \r\n])")
-# Lines that end a head or the trailers.
-HEAD_ENDS = (b"\r\n", b"\n")
 _MIN_STATUS = 100
 _MIN_FINAL_STATUS = 200
 # Nodes ask for no other protocol, so that an answer can't follow this status.
--- a/burdockdock/gate/transfer.py
+++ b/burdockdock/gate/transfer.py
@@ -11,9 +11,9 @@
 
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.gate.backend_head import BackendHead, body_length
-from burdockdock.gate.head_lines import HEAD_ENDS, HeadLines, line_detail
+from burdockdock.gate.head_lines import HeadLines, line_detail
 from burdockdock.gate.model import KEPT_CONNECTION_ENDED
-from burdockdock.protocol.answer_heads import is_field_line
+from burdockdock.http_syntax import HEAD_ENDS, is_field_line
 
 # Reading an answer pauses while this much of its body is buffered.
 _BODY_BUFFER_LIMIT_BYTES = 256 * 1024
--- a/burdockdock/platform_api/transport.py
+++ b/burdockdock/platform_api/transport.py
@@ -1,6 +1,7 @@
 """HTTP calls to the platform, their failures and its outages."""
 
 import asyncio
+import functools
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -14,9 +15,12 @@
 from burdockdock.platform_api.dialect import ApiCall
 from burdockdock.platform_api.era import StoreEra
 from burdockdock.platform_api.json_text import parse_json
+from burdockdock.platform_api.response_head import ResponseHead
 
 _CONNECT_TIMEOUT_S = 1.0
 _MAX_CONCURRENT_CALLS = 16
+# Longest part of a line that is shown.
+_MAX_LINE_BYTES = 200
 # Statuses with which the platform rejects a call without running it.
 _REFUSAL_STATUSES = frozenset({429, 503})
 # Statuses of calls that the platform processed.
@@ -83,6 +87,7 @@
                 Verdict.NOT_RUN, "platform_unavailable", "the client is closed"
             )
         self._count("platform_calls", label=label)
+        head = ResponseHead()
         request = HTTPRequest(
             self._url + call.path,
             method=call.method,
@@ -90,7 +95,9 @@
             headers={"X-Client": self._name, "Content-Type": "application/json"},
             connect_timeout=_CONNECT_TIMEOUT_S,
             request_timeout=timeout_s or self._timeout_s,
-            prepare_curl_callback=_force_reconnect if self.failures_in_row else None,
+            prepare_curl_callback=functools.partial(
+                _prepare, head, reconnects=self.failures_in_row > 0
+            ),
         )
         try:
             # If the fetch were cancelled together with its caller, tornado would log
@@ -98,10 +105,10 @@
             fetch = self._http_client().fetch(request, raise_error=False)
             http_response = await asyncio.shield(fetch)
         except (HTTPError, OSError) as error:
-            return self.record_failure(Verdict.MAY_HAVE_RUN, str(error))
+            return self.record_failure(Verdict.MAY_HAVE_RUN, _detail_of(error, head))
         if http_response.code == 599:
             return self.record_failure(Verdict.MAY_HAVE_RUN, str(http_response.error))
-        if not self.era.accept(http_response.headers.get(self._era_header)):
+        if not self.era.accept(head.get(self._era_header)):
             return self.record_failure(
                 Verdict.MAY_HAVE_RUN, "the response is of an era that is over"
             )
@@ -175,6 +182,18 @@
     log_event("platform.odd_values", reason=reason)
 
 
-def _force_reconnect(curl: pycurl.Curl) -> None:
-    """Open a new connection: after a failure, all pooled ones may be dead."""
-    curl.setopt(pycurl.FRESH_CONNECT, 1)
+def _detail_of(error: Exception, head: ResponseHead) -> str:
+    if head.malformed_line is None:
+        return str(error)
+    return f"the response has a malformed line: {head.malformed_line[:_MAX_LINE_BYTES]}"
+
+
+def _prepare(head: ResponseHead, curl: pycurl.Curl, *, reconnects: bool) -> None:
+    """Set options of a transfer that tornado doesn't set.
+
+    :param reconnects: open a new connection: after a failure, all pooled ones may be
+        dead.
+    """
+    head.listen(curl)
+    if reconnects:
+        curl.setopt(pycurl.FRESH_CONNECT, 1)
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -7,7 +7,7 @@
 
 _ROOT = Path(__file__).parent.parent
 _PACKAGE = _ROOT / "burdockdock"
-_IMPORTABLE_BY_ALL = {"clock", "logs", "metrics", "__init__"}
+_IMPORTABLE_BY_ALL = {"clock", "http_syntax", "logs", "metrics", "__init__"}
 
 
 def _read_rules() -> dict[str, set[str]]:
