--- a/burdockdock/standin/faulty_script.py
+++ b/burdockdock/standin/faulty_script.py
@@ -41,7 +41,7 @@
     b"Transfer-Encoding : chunked",
     b"Content-Length : 1",
     b"Content-\x0bLength: 1",
-    b"Not-Executed : 1",
+    b"Connection : close",
     b"X-Note: a\x01b",
     b"X-Note: a\x7f",
 )
