Take no era from a response whose status is none

A response of the store with a status such as 600 or 999 moved the store's era: a node took it for the return of the store from a copy, and believed none of its earlier revisions.

Cause: platform_api.transport looked at the era before it looked at the status. Statuses below 200 never got that far: libcurl refuses them or reads them as interim heads.

Change: a status that no final answer can have ends the call, may have run, before anything else of the response is read. is_final_status moved to http_syntax for that.

Evidence: test_status_of_no_answer_states_no_era failed before, with era 7 after a 600. The era of a 500 counts as before.

--- a/burdockdock/gate/answer_rules.py
+++ b/burdockdock/gate/answer_rules.py
@@ -8,7 +8,8 @@
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.gate.backend_head import BackendHead
 from burdockdock.gate.headers import CallHeaders
-from burdockdock.protocol.answer_heads import INVALID_STATUS, is_final_status
+from burdockdock.http_syntax import is_final_status
+from burdockdock.protocol.answer_heads import INVALID_STATUS
 from burdockdock.protocol.calls import CallRequest
 
 _MISDIRECTED_REQUEST_STATUS = 421
--- a/burdockdock/gate/head_lines.py
+++ b/burdockdock/gate/head_lines.py
@@ -12,12 +12,13 @@
 
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.gate.backend_head import BackendHead, parse_head
-from burdockdock.http_syntax import HEAD_ENDS, is_field_line, is_status_line
-from burdockdock.protocol.answer_heads import (
-    INVALID_STATUS,
-    MALFORMED_HEAD,
+from burdockdock.http_syntax import (
+    HEAD_ENDS,
+    is_field_line,
     is_final_status,
+    is_status_line,
 )
+from burdockdock.protocol.answer_heads import INVALID_STATUS, MALFORMED_HEAD
 
 # Heads must start so. No other form is accepted, so that each one behind the part of
 # another head is found.
--- a/burdockdock/http_syntax.py
+++ b/burdockdock/http_syntax.py
@@ -1,4 +1,4 @@
-"""Which lines the head of an HTTP/1.1 message may have.
+"""Which lines and statuses the head of an HTTP/1.1 answer may have.
 
 Two readers of a malformed line may take it for different things: one drops a line by
 which the other finds the end of the body.
@@ -19,6 +19,14 @@
 HEAD_ENDS = (b"\r\n", b"\n")
 
 
+def is_final_status(status: int) -> bool:
+    """Return whether an HTTP status is that of a final answer.
+
+    Any other one is no answer, and tells nothing of whether the request ran.
+    """
+    return 200 <= status <= 599
+
+
 def is_status_line(line: bytes) -> bool:
     """Return whether the first line of a head is valid, whatever its status.
 
--- a/burdockdock/platform_api/transport.py
+++ b/burdockdock/platform_api/transport.py
@@ -11,6 +11,7 @@
 
 from burdockdock.clock import Clock
 from burdockdock.coordination.verdict import Failure, Verdict
+from burdockdock.http_syntax import is_final_status
 from burdockdock.logs import log_event
 from burdockdock.platform_api.dialect import ApiCall
 from burdockdock.platform_api.era import StoreEra
@@ -108,6 +109,11 @@
             return self.record_failure(Verdict.MAY_HAVE_RUN, _detail_of(error, head))
         if http_response.code == 599:
             return self.record_failure(Verdict.MAY_HAVE_RUN, str(http_response.error))
+        if not is_final_status(http_response.code):
+            # Its era is none either.
+            return self.record_failure(
+                Verdict.MAY_HAVE_RUN, f"invalid status {http_response.code}"
+            )
         if not self.era.accept(head.get(self._era_header)):
             return self.record_failure(
                 Verdict.MAY_HAVE_RUN, "the response is of an era that is over"
--- a/burdockdock/protocol/answer_heads.py
+++ b/burdockdock/protocol/answer_heads.py
@@ -4,7 +4,7 @@
 """
 
 from burdockdock.coordination.verdict import Failure, Verdict
-from burdockdock.http_syntax import is_field, is_text
+from burdockdock.http_syntax import is_field, is_final_status, is_text
 from burdockdock.protocol.calls import AnswerHead
 
 # Reasons of failures: what came in place of an answer has a status that no final answer
@@ -14,14 +14,6 @@
 _MAX_DETAIL_CHARS = 200
 
 
-def is_final_status(status: int) -> bool:
-    """Return whether an HTTP status is that of a final answer.
-
-    Any other one is no answer, and tells nothing of whether the request ran.
-    """
-    return 200 <= status <= 599
-
-
 def check_answer_head(head: AnswerHead) -> Failure | None:
     """Return why a head is none of a final answer, None for a valid one."""
     if not is_final_status(head.status):
--- a/tests/platform_api/test_malformed_responses.py
+++ b/tests/platform_api/test_malformed_responses.py
@@ -103,6 +103,16 @@
         for status in (b"000", b"099", b"600", b"999"):
             await self._assert_in_doubt(_whole(b"", status=status + b" Odd"))
 
+    @async_test
+    async def test_status_of_no_answer_states_no_era(self) -> None:
+        store = _Store()
+        client = await store.start()
+        for status, era in ((b"600 Odd", 0), (b"999 Odd", 0), (b"500 Failed", 7)):
+            store.response = _whole(b"X-Store-Era: 7\r\n", status=status)
+            self.assertIsInstance(await client.read("k"), Failure)
+            self.assertEqual(era, client.era.newest, status)
+        client.close()
+
     @async_test
     async def test_valid_responses(self) -> None:
         chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + _CHUNKS
