--- a/burdockdock/platform_api/transport.py
+++ b/burdockdock/platform_api/transport.py
@@ -7,7 +7,7 @@
 
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient
-from tornado.httpclient import HTTPError, HTTPRequest
+from tornado.httpclient import HTTPError, HTTPRequest, HTTPResponse
 
 from burdockdock.clock import Clock
 from burdockdock.coordination.verdict import Failure, Verdict
@@ -27,6 +27,9 @@
 # Statuses of calls that the platform processed.
 _PROCESSED_STATUSES = frozenset({200, 201, 204, 404, 409})
 _HISTORY_GONE_STATUS = 410
+_TOO_LARGE_STATUS = 413
+# Stands for a call without a response.
+_NO_RESPONSE_STATUS = 599
 
 
 class Response(NamedTuple):
@@ -89,50 +92,60 @@
             )
         self._count("platform_calls", label=label)
         head = ResponseHead()
-        request = HTTPRequest(
+        try:
+            # If the fetch were cancelled together with its caller, tornado would log
+            # the response that arrives later.
+            fetch = self._http_client().fetch(
+                self._request(call, head, timeout_s=timeout_s or self._timeout_s),
+                raise_error=False,
+            )
+            http_response = await asyncio.shield(fetch)
+        except (HTTPError, OSError) as error:
+            return self.record_failure(Verdict.MAY_HAVE_RUN, _detail_of(error, head))
+        return self._read_response(http_response, head)
+
+    def _request(
+        self, call: ApiCall, head: ResponseHead, *, timeout_s: float
+    ) -> HTTPRequest:
+        return HTTPRequest(
             self._url + call.path,
             method=call.method,
             body=call.body,
             headers={"X-Client": self._name, "Content-Type": "application/json"},
             connect_timeout=_CONNECT_TIMEOUT_S,
-            request_timeout=timeout_s or self._timeout_s,
+            request_timeout=timeout_s,
             prepare_curl_callback=functools.partial(
                 _prepare, head, reconnects=self.failures_in_row > 0
             ),
         )
-        try:
-            # If the fetch were cancelled together with its caller, tornado would log
-            # the response that arrives later.
-            fetch = self._http_client().fetch(request, raise_error=False)
-            http_response = await asyncio.shield(fetch)
-        except (HTTPError, OSError) as error:
-            return self.record_failure(Verdict.MAY_HAVE_RUN, _detail_of(error, head))
-        if http_response.code == 599:
-            return self.record_failure(Verdict.MAY_HAVE_RUN, str(http_response.error))
-        if not is_final_status(http_response.code):
+
+    def _read_response(
+        self, response: HTTPResponse, head: ResponseHead
+    ) -> Response | Failure:
+        status = response.code
+        if status == _NO_RESPONSE_STATUS:
+            return self.record_failure(Verdict.MAY_HAVE_RUN, str(response.error))
+        if not is_final_status(status):
             # Its era is none either.
-            return self.record_failure(
-                Verdict.MAY_HAVE_RUN, f"invalid status {http_response.code}"
-            )
+            return self.record_failure(Verdict.MAY_HAVE_RUN, f"invalid status {status}")
         if not self.era.accept(head.get(self._era_header)):
             return self.record_failure(
                 Verdict.MAY_HAVE_RUN, "the response is of an era that is over"
             )
-        if http_response.code in _REFUSAL_STATUSES:
+        if status in _REFUSAL_STATUSES:
             return self.record_failure(
-                Verdict.NOT_RUN,
-                f"the platform refused the call: status {http_response.code}",
+                Verdict.NOT_RUN, f"the platform refused the call: status {status}"
             )
-        if http_response.code == 413:
+        if status == _TOO_LARGE_STATUS:
             return Failure(
                 Verdict.NOT_RUN, "too_large", "the platform refused the size"
             )
-        if http_response.code == _HISTORY_GONE_STATUS:
+        if status == _HISTORY_GONE_STATUS:
             self._record_success()
             return Failure(
                 Verdict.NOT_RUN, "history_gone", "the revision is too old; list again"
             )
-        return self._parse_response(http_response.code, http_response.body)
+        return self._parse_response(status, response.body)
 
     def close(self) -> None:
         """Close all connections; who still waits for a response gets none."""
