Judge no trailer behind junk that may have ended the body

The faulty backend server had sent "0\r\n\r\n" between head and body: by its framing the answer ended there, and the trailer stood behind it, on a connection that was closed. The judge leaves out trailers behind such junk, as it does with bodies; the judge's new rule has tests for heads, trailers and this case.

--- a/tests/fuzz/garbled.py
+++ b/tests/fuzz/garbled.py
@@ -47,7 +47,12 @@
 
 
 def has_malformed_trailer(behaviour: Behaviour, entry: LedgerEntry) -> bool:
-    """Return whether a malformed field line was sent behind this arrival's body."""
+    """Return whether a malformed field line was sent behind this arrival's body.
+
+    Junk between head and body may be a last chunk, behind which nothing is a trailer.
+    """
+    if behaviour.junk.between:
+        return False
     return _has_malformed_field(behaviour, entry, in_trailer=True)
 
 
--- a/tests/fuzz/judge.py
+++ b/tests/fuzz/judge.py
@@ -115,16 +115,17 @@
     run: Run, outcome: Outcome, entries: list[LedgerEntry]
 ) -> Iterator[Violation]:
     """Check that nothing is believed of an answer with a malformed field."""
-    signed_entry = run.entry(signed_arrival(outcome.header(_NAMES.signature)))
-    if outcome.status:
-        own = [e for e in entries if signed_entry is None or e == signed_entry]
-        if own and all(has_malformed_head(run.behaviour_of(e), e) for e in own):
-            yield Violation(Rule.MALFORMED_FIELD, f"{outcome.attempt}: taken")
-    if outcome.status and outcome.failure is None and signed_entry is not None:
-        if has_malformed_trailer(run.behaviour_of(signed_entry), signed_entry):
+    malformed = [e for e in entries if has_malformed_head(run.behaviour_of(e), e)]
+    signed = run.entry(signed_arrival(outcome.header(_NAMES.signature)))
+    # An answer without a signature may be that of any arrival.
+    sources = entries if signed is None else [signed]
+    if outcome.status and sources and all(e in malformed for e in sources):
+        yield Violation(Rule.MALFORMED_FIELD, f"{outcome.attempt}: taken")
+    if outcome.failure is None and signed is not None:
+        if has_malformed_trailer(run.behaviour_of(signed), signed):
             yield Violation(Rule.MALFORMED_FIELD, f"{outcome.attempt}: whole")
     if outcome.failure is not None and outcome.failure.reason in _OWN_REFUSALS:
-        if any(has_malformed_head(run.behaviour_of(e), e) for e in entries):
+        if malformed:
             yield Violation(Rule.MALFORMED_FIELD, f"{outcome.attempt}: not run")
 
 
--- a/tests/fuzz/test_judge.py
+++ b/tests/fuzz/test_judge.py
@@ -6,7 +6,14 @@
 
 from burdockdock.coordination.verdict import Failure, Verdict
 from burdockdock.standin.faulty_answers import run_answer
-from burdockdock.standin.faulty_behaviour import Behaviour, Ending, Framing
+from burdockdock.standin.faulty_behaviour import (
+    Behaviour,
+    Ending,
+    FieldPlace,
+    Framing,
+    Junk,
+    MalformedField,
+)
 from burdockdock.standin.ledger import Answer, Arrival, LedgerEntry, SentBytes
 from tests.fuzz.judge import Rule, judge
 from tests.fuzz.outcomes import ATTEMPT_HEADER, Outcome, Run
@@ -63,6 +70,36 @@
         entries = [_entry(1), _entry(2)]
         self._assert_rules([], [_outcome(entry) for entry in entries], entries)
 
+    def test_malformed_field_in_a_head(self) -> None:
+        entry = _entry(1)
+        malformed = Behaviour(malformed_field=MalformedField(b"X : a"))
+        head = b"HTTP/1.1 200 OK\r\nX : a\r\n\r\n"
+        entry.sent = [SentBytes(1, "answer", head)]
+        expected = [Rule.MALFORMED_FIELD]
+        self._assert_rules(expected, [_outcome(entry)], [entry], n1=malformed)
+        broken_off = _outcome(entry, failure=_BROKEN)
+        self._assert_rules(expected, [broken_off], [entry], n1=malformed)
+        refused = _outcome(entry, status=0, headers=(), failure=_NOT_RUN)
+        entry.ran = False
+        self._assert_rules(expected, [refused], [entry], n1=malformed)
+        failed = _outcome(entry, status=0, headers=(), failure=_BROKEN)
+        self._assert_rules([], [failed], [entry], n1=malformed)
+        entry.sent = [SentBytes(1, "answer", head[:20])]
+        self._assert_rules([], [refused], [entry], n1=malformed)
+
+    def test_malformed_field_in_a_trailer(self) -> None:
+        entry = _entry(1)
+        field = MalformedField(b"X : a", FieldPlace.TRAILER)
+        malformed = Behaviour(malformed_field=field)
+        entry.sent = [SentBytes(1, "answer", b"0\r\nX : a\r\n\r\n")]
+        expected = [Rule.MALFORMED_FIELD]
+        self._assert_rules(expected, [_outcome(entry)], [entry], n1=malformed)
+        broken_off = _outcome(entry, failure=_BROKEN)
+        self._assert_rules([], [broken_off], [entry], n1=malformed)
+        # The answer ended before its own body.
+        ended = malformed._replace(junk=Junk(between=b"0\r\n\r\n"))
+        self._assert_rules([], [_outcome(entry)], [entry], n1=ended)
+
     def test_answer_of_another_arrival(self) -> None:
         first, second = _entry(1), _entry(2)
         taken = _outcome(second, headers=_outcome(first).headers)
