--- a/burdockdock/standin/faulty_answers.py
+++ b/burdockdock/standin/faulty_answers.py
@@ -85,7 +85,7 @@
     headers += _framing_headers(framing, len(answer.body)) + list(extra)
     reason = _REASONS.get(answer.status, "Other")
     lines = [
-        f"HTTP/1.1 {answer.status} {reason}".encode(),
+        f"HTTP/1.1 {answer.status:03} {reason}".encode(),
         *_lines_at(FieldPlace.HEAD_START, malformed_field),
         *(f"{name}: {value}".encode("latin-1") for name, value in headers),
         *_lines_at(FieldPlace.HEAD_END, malformed_field),
--- a/tests/fuzz/test_malformed_fields.py
+++ b/tests/fuzz/test_malformed_answers.py
@@ -1,10 +1,11 @@
-"""Tests of answers with malformed field lines, through nodes."""
+"""Tests of answers with malformed lines, through nodes."""
 
 import testtools
 
 from burdockdock.coordination.verdict import Verdict
 from burdockdock.standin.faulty_behaviour import (
     Behaviour,
+    Ending,
     FieldPlace,
     Framing,
     MalformedField,
@@ -38,8 +39,8 @@
         return run.outcomes
 
 
-class MalformedFieldsTest(testtools.TestCase):
-    """Tests that callers get no answer of which a field line is malformed."""
+class MalformedAnswersTest(testtools.TestCase):
+    """Tests that callers get no answer of which a line is malformed."""
 
     async def _assert_no_answer(self, behaviours: list[Behaviour]) -> None:
         """Assert that each answer leaves it open to its caller whether it ran."""
@@ -58,6 +59,16 @@
             [Behaviour(malformed_field=MalformedField(line)) for line in lines]
         )
 
+    @async_test
+    async def test_statuses_of_no_answer(self) -> None:
+        # Below 200 no answer follows, so that the backend server ends the connection.
+        await self._assert_no_answer(
+            [
+                Behaviour(status=status, ending=Ending.CLOSE)
+                for status in (0, 99, 199, 600, 999)
+            ]
+        )
+
     @async_test
     async def test_malformed_name_in_an_interim_head(self) -> None:
         field = MalformedField(b"X-Note : a", FieldPlace.INTERIM)
