Apply each version that the platform accepted

On the platform the store's answer is the acceptance, so that a node that refuses serves by a configuration that is out of force.

Evidence: the nodes' logs say config.refused with "timeout_ms: give a whole number from 1 to 600000"; with 90s the case holds.

Change: operators' bounds count at acceptance alone (configuration.bounds). The platform's boundary puts numbers into what a node can do. Where an accepted version is binding, a section that can't be used is left out alone (configuration.usable), the same ones on every node, and said in log, metric and status.

--- a/burdockdock/cli/status.py
+++ b/burdockdock/cli/status.py
@@ -17,7 +17,8 @@
     """Show the state of the fleet.
 
     Prints on how many nodes the newest configuration is in force, the members, the
-    state of the platform, the moves, and the evacuated availability zones.
+    state of the platform, the moves, the evacuated availability zones, and the sections
+    of the configuration that the node can't use.
     """
     if not node_url:
         raise click.UsageError("give --node URL, the operator address of any node")
@@ -40,6 +41,8 @@
     for move in node_status["moves"]:
         share = f"{move['share']:.0%}"
         lines.append(f"move of {move['service']}: {move['phase']}, share {share}")
-    # A node of an earlier release doesn't report them.
+    # A node of an earlier release doesn't report these.
     zones = node_status.get("evacuated_zones", [])
-    return lines + [f"evacuated: {zone}" for zone in zones]
+    unused = node_status.get("unused_sections", {})
+    lines += [f"evacuated: {zone}" for zone in zones]
+    return lines + [f"out of use: {problem}" for problem in unused.values()]
--- a/burdockdock/configuration/checks.py
+++ b/burdockdock/configuration/checks.py
@@ -3,6 +3,13 @@
 Runs when a configuration is accepted, and again on each node that applies it.
 """
 
+from burdockdock.configuration.bounds import (
+    LOWEST_PRIORITY,
+    MAX_COLD_PER_S,
+    MAX_COLD_START_MS,
+    OPERATOR_BOUNDS,
+    ConfigBounds,
+)
 from burdockdock.configuration.caller_limits import parse_caller_limits
 from burdockdock.configuration.delta import changed_sections
 from burdockdock.configuration.ini import section_digest
@@ -35,11 +42,6 @@
 )
 from burdockdock.coordination.whole_numbers import parse_whole_number
 
-_POLICY_BOUNDS = {
-    "timeout_ms": (1, 600_000),
-    "retries": (0, 5),
-    "queue_length": (0, 10_000),
-}
 _ROUTE_KEYS = {
     "path",
     "service",
@@ -53,17 +55,18 @@
     "public",
 }
 _ROUTE_KINDS = ("idempotent", "non_idempotent", "download")
-_MAX_TARGET_LATENCY_MS = 600_000
 _OVERRIDE_KEYS = {"scope", "setting", "value", "reason", "expires"}
 _SERVICE_KEYS = {"initial_version", "cold_per_s", "cold_start_ms"}
-_MAX_COLD_PER_S = 1_000_000
-_MAX_COLD_START_MS = 3_600_000
 _SCOPE_KINDS = ("zone", "service", "route", "node")
 _MIN_REASON_LENGTH = 5
 
 
 def build_snapshot(
-    sections: Sections, *, version: int, previous: Snapshot = EMPTY_SNAPSHOT
+    sections: Sections,
+    *,
+    version: int,
+    previous: Snapshot = EMPTY_SNAPSHOT,
+    bounds: ConfigBounds = OPERATOR_BOUNDS,
 ) -> Snapshot | list[Problem]:
     """Check sections and build the snapshot that nodes apply.
 
@@ -71,10 +74,10 @@
     that did not change are not parsed again.
 
     :param version: configuration version of the snapshot.
-    :param previous: snapshot of another version to build on.
+    :param previous: snapshot of another version to build on, by the same bounds.
     :returns: the snapshot, or all problems found in the sections.
     """
-    builder = _SnapshotBuilder(previous)
+    builder = _SnapshotBuilder(previous, bounds)
     builder.apply_sections(sections)
     builder.check_references()
     if builder.problems:
@@ -85,9 +88,10 @@
 class _SnapshotBuilder:
     """Builds a snapshot from a previous one and collects problems."""
 
-    def __init__(self, previous: Snapshot) -> None:
+    def __init__(self, previous: Snapshot, bounds: ConfigBounds) -> None:
         self.problems: list[Problem] = []
         self._previous = previous
+        self._bounds = bounds
         self._digest = previous.digest
         self._defaults = previous.defaults
         self._limits = previous.limits
@@ -237,7 +241,7 @@
     def _parse_service(self, section: str, name: str, pairs: dict[str, str]) -> Service:
         policy = {k: v for k, v in pairs.items() if k not in _SERVICE_KEYS}
         cold_per_s, problems = parse_number(
-            "cold_per_s", pairs.get("cold_per_s", "0"), 0, _MAX_COLD_PER_S
+            "cold_per_s", pairs.get("cold_per_s", "0"), 0, MAX_COLD_PER_S
         )
         self._note_problems(section, problems)
         cold_start = pairs.get("cold_start_ms", "0")
@@ -247,7 +251,7 @@
             pairs.get("initial_version", ""),
             cold_per_s,
             self._parse_integer(
-                section, "cold_start_ms", cold_start, 0, _MAX_COLD_START_MS
+                section, "cold_start_ms", cold_start, 0, MAX_COLD_START_MS
             ),
         )
 
@@ -272,7 +276,7 @@
             host=pairs.get("host", "").lower(),
             traffic_class=pairs.get("class", "default"),
             priority=self._parse_integer(
-                section, "priority", pairs.get("priority", "0"), 0, 9
+                section, "priority", pairs.get("priority", "0"), 0, LOWEST_PRIORITY
             ),
             policy_settings=self._parse_policy(section, policy),
             kind=kind,
@@ -281,8 +285,7 @@
                 section,
                 "target_latency_ms",
                 pairs.get("target_latency_ms", "0"),
-                0,
-                _MAX_TARGET_LATENCY_MS,
+                *self._bounds.target_latency_ms,
             ),
             allowed_regions=parse_list(pairs.get("allowed_regions", "")),
             public=public,
@@ -302,13 +305,13 @@
         if len(reason) < _MIN_REASON_LENGTH:
             self._add_problem(section, "reason", "give a written reason")
         setting = pairs.get("setting", "")
-        if setting not in _POLICY_BOUNDS:
+        if setting not in self._bounds.policy:
             self._add_problem(
-                section, "setting", f"give one of {', '.join(_POLICY_BOUNDS)}"
+                section, "setting", f"give one of {', '.join(self._bounds.policy)}"
             )
             return None
         value = self._parse_integer(
-            section, "value", pairs.get("value", ""), *_POLICY_BOUNDS[setting]
+            section, "value", pairs.get("value", ""), *self._bounds.policy[setting]
         )
         expires, problems = parse_time("expires", pairs.get("expires"))
         self._note_problems(section, problems)
@@ -317,11 +320,11 @@
     def _parse_policy(self, section: str, pairs: dict[str, str]) -> dict[str, int]:
         settings: dict[str, int] = {}
         for key, text in pairs.items():
-            if key not in _POLICY_BOUNDS:
+            if key not in self._bounds.policy:
                 self._add_problem(section, key, "unknown key")
                 continue
             settings[key] = self._parse_integer(
-                section, key, text, *_POLICY_BOUNDS[key]
+                section, key, text, *self._bounds.policy[key]
             )
         return settings
 
--- a/burdockdock/configuration/model.py
+++ b/burdockdock/configuration/model.py
@@ -169,15 +169,17 @@
     that an identity check tells whether anything changed.
 
     :param by_digest: the workspace of each API key, by the key's digest.
+    :param requires_key: whether requests need a key even without any workspace.
     """
 
     by_digest: Mapping[str, Workspace]
     by_name: Mapping[str, Workspace]
+    requires_key: bool = False
 
     @property
     def authenticates(self) -> bool:
         """Whether requests need an API key, except on public routes."""
-        return bool(self.by_name)
+        return self.requires_key or bool(self.by_name)
 
 
 NO_WORKSPACES = WorkspaceTable({}, {})
--- a/burdockdock/configuration/source.py
+++ b/burdockdock/configuration/source.py
@@ -19,6 +19,8 @@
     :param version_of: returns the configuration version that the object contains or
         points at, 0 for none.
     :param read: returns the whole document that the object contains or points at.
+    :param is_binding: whether a version is in force once it is stored. Nodes then leave
+        out the sections that they can't use; otherwise they refuse the whole version.
     """
 
     key: str
@@ -26,6 +28,7 @@
     read: Callable[
         [PlatformClient, PlatformObject], Awaitable[ConfigDocument | Failure]
     ]
+    is_binding: bool = False
 
 
 def _head_version(found: PlatformObject) -> int:
--- a/burdockdock/configuration/workspaces.py
+++ b/burdockdock/configuration/workspaces.py
@@ -7,6 +7,7 @@
 import hashlib
 import re
 
+from burdockdock.configuration.bounds import LOWEST_PRIORITY, MAX_RATE_PER_S
 from burdockdock.configuration.model import Workspace, WorkspaceTable
 from burdockdock.configuration.values import KeyProblem, parse_list, parse_number
 from burdockdock.coordination.verdict import KEY_REVOKED, Failure, Verdict
@@ -17,8 +18,6 @@
 # A name is sent as the value of a header, which can't contain control characters.
 _CONTROL_CHARS = re.compile(r"[\x00-\x1f\x7f]")
 _MAX_NAME_BYTES = 200
-_LOWEST_PRIORITY = 9
-_MAX_RATE_PER_S = 1e9
 # Longer keys are unknown without being hashed. The limit is well below that of a
 # request's header section.
 MAX_KEY_BYTES = 4096
@@ -137,14 +136,14 @@
     if not text:
         return None
     number = parse_whole_number(text, -1)
-    if not 0 <= number <= _LOWEST_PRIORITY:
-        message = f"give a whole number from 0 to {_LOWEST_PRIORITY}, not {text!r}"
+    if not 0 <= number <= LOWEST_PRIORITY:
+        message = f"give a whole number from 0 to {LOWEST_PRIORITY}, not {text!r}"
         problems.append(KeyProblem("priority", message))
         return None
     return number
 
 
 def _parse_rate(key: str, pairs: dict[str, str], problems: list[KeyProblem]) -> float:
-    number, found = parse_number(key, pairs.get(key) or "0", 0.0, _MAX_RATE_PER_S)
+    number, found = parse_number(key, pairs.get(key) or "0", 0.0, MAX_RATE_PER_S)
     problems += found
     return number
--- a/burdockdock/node/config_state.py
+++ b/burdockdock/node/config_state.py
@@ -9,7 +9,9 @@
     decode_document,
     encode_delta,
 )
-from burdockdock.configuration.model import EMPTY_SNAPSHOT, Snapshot
+from burdockdock.configuration.ini import configuration_digest
+from burdockdock.configuration.model import EMPTY_SNAPSHOT, Problem, Snapshot
+from burdockdock.configuration.usable import UsableSnapshot, build_usable_snapshot
 from burdockdock.coordination.records import Record
 from burdockdock.overlay.applied_status import AppliedState
 from burdockdock.overlay.spread import DeltaCodec
@@ -19,17 +21,26 @@
 
 
 class ConfigState:
-    """Applies configuration versions atomically, by replacing one reference."""
+    """Applies configuration versions atomically, by replacing one reference.
 
-    def __init__(self, node_id: str) -> None:
+    :param is_binding: whether a version that was stored is in force whether or not this
+        node can use all of it.
+    :ivar unused: why sections of the version applied were left out, by their names.
+    """
+
+    def __init__(self, node_id: str, *, is_binding: bool = False) -> None:
         self._node_id = node_id
+        self._is_binding = is_binding
         self._document = ConfigDocument(0, {})
         self._recent: OrderedDict[int, ConfigDocument] = OrderedDict()
         self._delta_document: ConfigDocument | None = None
         self._encoded_document: tuple[int, bytes] = (0, b"")
         self._refused_version = 0
         self._refusal = ""
+        self._base: Snapshot = EMPTY_SNAPSHOT
+        self._digest = EMPTY_SNAPSHOT.digest
         self.snapshot: Snapshot = EMPTY_SNAPSHOT
+        self.unused: dict[str, Problem] = {}
 
     @property
     def codec(self) -> DeltaCodec:
@@ -46,20 +57,35 @@
         except ValueError as error:
             self._record_refusal(record.version, str(error))
             return False
-        built = build_snapshot(
-            document.sections, version=record.version, previous=self.snapshot
-        )
+        built = self._build(document, record.version)
         if isinstance(built, list):
             self._record_refusal(record.version, str(built[0]))
             return False
-        document = document._replace(sections=built.sections)
+        # Sections that didn't change are shared with the version before.
+        sections = {**document.sections, **built.base.sections}
+        document = document._replace(sections=sections)
         self._document = document
         self._recent[record.version] = document
         if len(self._recent) > _MAX_RECENT_DOCUMENTS:
             self._recent.popitem(last=False)
-        self.snapshot = built
+        self._base = built.base
+        self._digest = (
+            configuration_digest(sections) if built.unused else built.base.digest
+        )
+        self.unused = built.unused
+        self.snapshot = built.snapshot
         return True
 
+    def _build(
+        self, document: ConfigDocument, version: int
+    ) -> UsableSnapshot | list[Problem]:
+        """Return what to apply of a version, or why it is refused."""
+        sections = document.sections
+        if self._is_binding:
+            return build_usable_snapshot(sections, version=version, previous=self._base)
+        built = build_snapshot(sections, version=version, previous=self._base)
+        return built if isinstance(built, list) else UsableSnapshot(built, built, {})
+
     def applied_state(self) -> AppliedState:
         """Return the applied and the refused version, for the reporter."""
         return AppliedState(
@@ -87,11 +113,11 @@
         base = self._recent.get(base_version)
         if base is None:
             return None
-        return encode_delta(base, self._document, digest=self.snapshot.digest)
+        return encode_delta(base, self._document, digest=self._digest)
 
     def _apply_delta(self, record: Record) -> Record | None:
         self._delta_document = apply_delta(
-            self._document, record.value, digest=self.snapshot.digest
+            self._document, record.value, digest=self._digest
         )
         if self._delta_document is None:
             return None
--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -26,6 +26,7 @@
     Interface,
     serve_backend_and_readiness,
 )
+from burdockdock.node.notices import report_unused
 from burdockdock.node.notifier import Notifier
 from burdockdock.node.operator_api import OperatorActions, serve_operators
 from burdockdock.node.overlay_parts import build_overlay
@@ -101,7 +102,9 @@
         )
         self.membership = MembershipTable(own, clock=self._clock)
         self.ranking = MemberRanking(self.membership)
-        self.config = ConfigState(settings.name)
+        self.config = ConfigState(
+            settings.name, is_binding=self._interface.source.is_binding
+        )
         self.records = RecordStore(accept=self._accept_record, clock=self._clock)
         self._deltas = {CONFIG_KEY: self.config.codec}
         self.freshness = ConfigFreshness(
@@ -411,7 +414,9 @@
                 waited_s=waited_s,
                 workspaces=len(self.config.snapshot.workspaces.by_name),
                 keys=len(self.config.snapshot.workspaces.by_digest),
+                unused=len(self.config.unused),
             )
+            report_unused(self.config.unused, count=self.metrics.count)
         else:
             log_event("config.refused", version=record.version, reason=state.reason)
         return accepted
@@ -426,6 +431,7 @@
         return await report_status(
             self.membership,
             config_version=self.config.snapshot.version,
+            unused_sections=self.config.unused,
             is_relay=self._relay.is_relay,
             platform=self.platform,
             applied=self.applied,
--- a/burdockdock/node/notices.py
+++ b/burdockdock/node/notices.py
@@ -1,7 +1,8 @@
-"""Logs and notifications about the distribution of a configuration version."""
+"""Logs and notifications about a configuration version and where it is in force."""
 
 from collections.abc import Callable
 
+from burdockdock.configuration.model import Problem
 from burdockdock.logs import log_event
 from burdockdock.node.notifier import Notifier
 from burdockdock.node.status import report_laggard
@@ -9,6 +10,8 @@
 
 # Takes the status of the fleet and the seconds since the version was first seen.
 StatusCallback = Callable[[FleetStatus, float], None]
+# The status of a node names all of them.
+_MAX_LOGGED_SECTIONS = 10
 
 
 def in_force_callback(notifier: Notifier) -> StatusCallback:
@@ -42,3 +45,13 @@
         notifier.post_later(f"config-{status.version}/late", "config.late", **fields)
 
     return notify
+
+
+def report_unused(unused: dict[str, Problem], *, count: Callable[..., None]) -> None:
+    """Log and count the sections that this node can't use.
+
+    :param count: adds to a counter, given its name and the number.
+    """
+    count("config_sections_unused", by=len(unused))
+    for problem in list(unused.values())[:_MAX_LOGGED_SECTIONS]:
+        log_event("config.section_unused", section=problem.section, reason=str(problem))
--- a/burdockdock/node/status.py
+++ b/burdockdock/node/status.py
@@ -2,6 +2,7 @@
 
 from typing import TypedDict
 
+from burdockdock.configuration.model import Problem
 from burdockdock.coordination.membership import MembershipTable
 from burdockdock.node.peer_server import PeerServer
 from burdockdock.overlay.applied import AppliedTracker
@@ -58,12 +59,15 @@
 class StatusReport(TypedDict):
     """Complete status of a node.
 
+    :param unused_sections: why sections of the configuration are out of use on the
+        node, by their names.
     :param fleet: None if the reporter of the node's availability zone did not answer.
     """
 
     node: str
     availability_zone: str
     config_version: int
+    unused_sections: dict[str, str]
     is_relay: bool
     members: int
     dead_members: int
@@ -78,6 +82,7 @@
     membership: MembershipTable,
     *,
     config_version: int,
+    unused_sections: dict[str, Problem],
     is_relay: bool,
     platform: PlatformClient,
     applied: AppliedTracker,
@@ -92,6 +97,7 @@
         node=membership.own.node_id,
         availability_zone=membership.own.availability_zone,
         config_version=config_version,
+        unused_sections={name: str(p) for name, p in unused_sections.items()},
         is_relay=is_relay,
         members=len(membership.live()),
         dead_members=len(membership.dead()),
--- a/burdockdock/platform/values.py
+++ b/burdockdock/platform/values.py
@@ -3,9 +3,11 @@
 import re
 from typing import Any
 
-# The number of digits is limited: a longer number could become infinite, which int()
-# rejects with an OverflowError, not with a ValueError.
-_DURATION_PATTERN = re.compile(r"(\d{1,12}(?:\.\d{1,9})?)(ms|s)")
+_DURATION_PATTERN = re.compile(r"(\d+(?:\.\d+)?)(ms|s)", re.ASCII)
+# Longer durations are far above any use, and could become infinite.
+_MAX_DURATION_MS = 1 << 40
+# Versions are 64-bit numbers in messages between nodes.
+_VERSION_PATTERN = re.compile(r"r(\d{1,18})", re.ASCII)
 _MS_PER_UNIT = {"ms": 1, "s": 1000}
 # Raised when a message of another writer doesn't have the expected form.
 MALFORMED = (
@@ -21,7 +23,7 @@
 def parse_duration_ms(text: Any) -> int:
     """Parse a duration such as ``1500ms`` or ``2.5s``.
 
-    :returns: the duration in milliseconds, rounded down.
+    :returns: the duration in milliseconds, rounded down, at most 35 years.
     :raises ValueError: if the value is not a duration.
     """
     if not isinstance(text, str):
@@ -29,7 +31,7 @@
     match = _DURATION_PATTERN.fullmatch(text)
     if match is None:
         raise ValueError(f"{text!r} is not a duration such as 1500ms or 2.5s")
-    return int(float(match[1]) * _MS_PER_UNIT[match[2]])
+    return int(min(_MAX_DURATION_MS, float(match[1]) * _MS_PER_UNIT[match[2]]))
 
 
 def parse_version(text: Any) -> int:
@@ -38,9 +40,28 @@
     :returns: the version's number, by which versions are ordered.
     :raises ValueError: if the value is not a version.
     """
-    if not isinstance(text, str) or not text.startswith("r"):
+    match = _VERSION_PATTERN.fullmatch(text) if isinstance(text, str) else None
+    if match is None:
         raise ValueError(f"{text!r} is not a version such as r12")
-    return int(text[1:])
+    return int(match[1])
+
+
+def clamp_number(value: Any, low: float, high: float) -> float:
+    """Return a number, or the bound that it lies beyond.
+
+    No error says the value, which may be a misplaced key.
+
+    :raises ValueError: if the value is not a number.
+    """
+    try:
+        number = float(value) if isinstance(value, str) else value
+        if low <= number <= high:
+            return number
+        if number < low or number > high:
+            return low if number < low else high
+    except (TypeError, ValueError):
+        pass
+    raise ValueError("a value of a row is not a number")
 
 
 def parse_table(table: Any) -> list[dict[str, Any]]:
--- a/tests/platform/test_values.py
+++ b/tests/platform/test_values.py
@@ -4,7 +4,7 @@
 
 from burdockdock.coordination.verdict import Failure
 from burdockdock.platform.orders import ORDER_FORMAT
-from burdockdock.platform.values import parse_duration_ms
+from burdockdock.platform.values import parse_duration_ms, parse_version
 from burdockdock.platform_api import PlatformObject
 
 
@@ -17,6 +17,8 @@
             ("2.5s", 2500),
             ("0ms", 0),
             ("0.25s", 250),
+            ("0.0000000000001s", 0),
+            ("9" * 400 + "s", 1 << 40),
         ):
             self.assertEqual(expected_ms, parse_duration_ms(text))
 
@@ -35,6 +37,13 @@
         ):
             self.assertRaises(ValueError, parse_duration_ms, invalid)
 
+    def test_versions_fit_into_64_bits(self) -> None:
+        self.assertEqual(
+            (0, 10**18 - 1), (parse_version("r0"), parse_version("r" + "9" * 18))
+        )
+        for invalid in ("r", "r-1", "r 1", "r1_0", "r1.5", "12", "r" + "9" * 19, 12):
+            self.assertRaises(ValueError, parse_version, invalid)
+
     def test_order_with_an_invalid_duration_is_refused(self) -> None:
         # Any error that the decoder does not catch would affect other orders too.
         for invalid in ("infs", "nanms", "1e400s", "-3s", "soon", 5, None):
