Let standbys watch the platform while the relays are silent

Cause: a relay that was killed keeps its role until the failure detector declares it dead, after 5 s and more. If all are killed at once, nobody asks the platform meanwhile.

Change: relays send a beat four times a second to 12 standbys, the next by rank. One that hears no relay for 0.8 s watches in their place, three at first, three more each 0.15 s until one had an answer; it stops when a relay is heard again. None does while 8 members can't reach the platform. The choice of roles moves into a module of its own.

Why it works: duplicate watches are harmless, so that a short silence is reason enough to watch; notice, further standbys, role check, read and spread add up to 1.9 s of 2.0 s at worst.

--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -210,7 +210,7 @@
             dialect=self._interface.dialect,
             count=self.metrics.count,
         )
-        self._reader, self._relay, self._bootstrap = build_platform_components(
+        components = build_platform_components(
             self.platform,
             interface=self._interface,
             sync=self.sync,
@@ -218,12 +218,15 @@
             spread=self.spreader.broadcast_record,
             membership=self.membership,
             ranking=self.ranking,
+            datagrams=self.datagrams,
             seeds=settings.seeds,
             clock=self._clock,
             rng=self._rng,
             change_own=self._change_own,
+            count=self.metrics.count,
             watches_evacuations=settings.evacuation_s > 0,
         )
+        self._reader, self._relay, self._relay_beats, self._bootstrap = components
         self.rollouts = RolloutParticipant(
             records=self.records,
             membership=self.membership,
@@ -335,6 +338,7 @@
             "failure_detector": self.detector.run,
             "applied_tracker": self.applied.run,
             "relay": self._relay.run,
+            "relay_beats": self._relay_beats.run,
             "rejoin": self._bootstrap.run,
             "rollouts": self.rollouts.run,
             "backend_watch": self._backend_watch.run,
--- a/burdockdock/node/platform_setup.py
+++ b/burdockdock/node/platform_setup.py
@@ -12,8 +12,9 @@
 from burdockdock.node.interface import Interface
 from burdockdock.node.platform_reader import PlatformReader
 from burdockdock.node.relay import Relay
+from burdockdock.node.relay_beats import RelayBeats
 from burdockdock.node.roster import Roster
-from burdockdock.overlay.datagrams import Address
+from burdockdock.overlay.datagrams import Address, Datagrams
 from burdockdock.overlay.sync import SyncClient
 from burdockdock.platform_api.client import PlatformClient
 
@@ -23,6 +24,7 @@
 
     reader: PlatformReader
     relay: Relay
+    beats: RelayBeats
     bootstrap: Bootstrap
 
 
@@ -35,16 +37,19 @@
     spread: Callable[[Record], None],
     membership: MembershipTable,
     ranking: MemberRanking,
+    datagrams: Datagrams,
     seeds: tuple[Address, ...],
     clock: Clock,
     rng: random.Random,
     change_own: Callable[..., None],
+    count: Callable[[str], None],
     watches_evacuations: bool = False,
 ) -> PlatformComponents:
     """Build the components and connect them.
 
     :param spread: stores a record and broadcasts it to every node.
     :param change_own: updates and broadcasts this node's own membership entry.
+    :param count: increments a counter, given its name.
     :param watches_evacuations: whether the deployment evacuates availability zones.
     """
     reader = PlatformReader(
@@ -58,6 +63,15 @@
         watches_evacuations=watches_evacuations,
     )
     roster = Roster(platform, own=membership.own, rng=rng)
+    beats = RelayBeats(
+        membership=membership,
+        ranking=ranking,
+        datagrams=datagrams,
+        clock=clock,
+        has_contact=lambda: relay.has_contact,
+        on_change=lambda: relay.check_role_soon(),
+        count=count,
+    )
     relay = Relay(
         platform=platform,
         reader=reader,
@@ -67,6 +81,7 @@
         clock=clock,
         rng=rng,
         change_own=change_own,
+        stands_in=lambda: beats.stands_in,
     )
     bootstrap = Bootstrap(
         roster=roster,
@@ -76,4 +91,4 @@
         seeds=seeds,
         rng=rng,
     )
-    return PlatformComponents(reader, relay, bootstrap)
+    return PlatformComponents(reader, relay, beats, bootstrap)
--- a/burdockdock/node/relay.py
+++ b/burdockdock/node/relay.py
@@ -5,14 +5,14 @@
 from collections.abc import Callable
 
 from burdockdock.clock import Clock
-from burdockdock.coordination.membership import Member, MembershipTable
+from burdockdock.coordination.membership import MembershipTable
 from burdockdock.coordination.ranking import MemberRanking
 from burdockdock.logs import log_event
 from burdockdock.node.platform_reader import PlatformReader
+from burdockdock.node.relay_roles import RELAY_SALT, eligible, select_relays
 from burdockdock.node.roster import Roster
 from burdockdock.platform_api.client import PlatformClient, WatchResult
 
-_MIN_RELAYS = 3
 _ROLE_CHECK_INTERVAL_S = 0.5
 # Minimum time between role checks, however often the membership changes.
 _MIN_ROLE_CHECK_INTERVAL_S = 0.1
@@ -23,11 +23,6 @@
 # How long to wait after a change before the next watch, so that versions written in the
 # meantime are read together.
 _WATCH_RESTART_DELAY_S = 0.2
-_RELAY_SALT = "relay"
-# Members that may take over the role, per zone and fleet-wide. During a platform outage
-# each of them in turn becomes a relay and keeps polling, so their number is limited.
-_MAX_CANDIDATES_PER_ZONE = 4
-_MAX_FLEET_WIDE_CANDIDATES = 8
 
 
 class Relay:
@@ -37,6 +32,7 @@
     from the ranking at once, whereas the lease of a dead holder has to expire first.
 
     :param change_own: updates and broadcasts this node's own membership entry.
+    :param stands_in: returns whether this node watches in place of silent relays.
     """
 
     def __init__(
@@ -50,6 +46,7 @@
         clock: Clock,
         rng: random.Random,
         change_own: Callable[..., None],
+        stands_in: Callable[[], bool] = lambda: False,
     ) -> None:
         self._platform = platform
         self._reader = reader
@@ -59,10 +56,12 @@
         self._clock = clock
         self._rng = rng
         self._change_own = change_own
+        self._stands_in = stands_in
         self._zone = membership.own.availability_zone
         self._roster_due_s = clock.monotonic() + _ROSTER_RENEWAL_INTERVAL_S
-        self._members_changed = asyncio.Event()
-        membership.subscribe(lambda _new, _known: self._members_changed.set())
+        self._has_contact = False
+        self._role_may_change = asyncio.Event()
+        membership.subscribe(lambda _new, _known: self.check_role_soon())
 
     @property
     def is_relay(self) -> bool:
@@ -70,14 +69,23 @@
         own_id = self._membership.own.node_id
         return own_id in select_relays(self._ranking)
 
+    @property
+    def has_contact(self) -> bool:
+        """Whether the platform has answered since this node watches it."""
+        return self._has_contact
+
     async def run(self) -> None:
         """Watch the platform whenever this node is a relay; runs until cancelled."""
         watch: asyncio.Task[None] | None = None
         try:
             while True:
-                self._members_changed.clear()
+                self._role_may_change.clear()
                 # A node that lost the platform keeps polling to detect its recovery.
-                should_watch = self.is_relay or self._membership.own.platform_lost
+                should_watch = (
+                    self.is_relay
+                    or self._stands_in()
+                    or self._membership.own.platform_lost
+                )
                 # A watch runs until cancelled, so one that is done has failed.
                 if should_watch and (watch is None or watch.done()):
                     log_event("relay.started", availability_zone=self._zone)
@@ -87,13 +95,13 @@
                     watch.cancel()
                     watch = None
                 await self._renew_roster()
-                await self._wait_for_membership_change()
+                await self._wait_for_role_change()
         finally:
             if watch is not None:
                 watch.cancel()
 
-    async def _wait_for_membership_change(self) -> None:
-        """Wait for a membership change or the next regular check.
+    async def _wait_for_role_change(self) -> None:
+        """Wait until the role may have changed, or for the next regular check.
 
         After a change, at least the minimum interval passes since the wait began.
         """
@@ -104,17 +112,21 @@
         )
         try:
             async with asyncio.timeout(interval_s):
-                await self._members_changed.wait()
+                await self._role_may_change.wait()
         except TimeoutError:
             return
         await asyncio.sleep(
             wait_started_s + _MIN_ROLE_CHECK_INTERVAL_S - self._clock.monotonic()
         )
 
+    def check_role_soon(self) -> None:
+        """Check the role before its next regular check."""
+        self._role_may_change.set()
+
     def renew_roster_soon(self) -> None:
         """Renew the roster at the next check of the role."""
         self._roster_due_s = self._clock.monotonic()
-        self._members_changed.set()
+        self.check_role_soon()
 
     def _update_platform_lost(self, *, lost: bool) -> None:
         """Publish a loss of the platform, so that another node becomes a relay."""
@@ -123,8 +135,10 @@
 
     async def _watch_platform(self) -> None:
         """Keep this node in sync with the platform; runs until cancelled."""
+        self._has_contact = False
         while True:
             complete = await self._reader.refresh()
+            self._has_contact = complete
             # The count also includes failures of calls by other parts of this node,
             # which may have happened during a complete refresh.
             self._update_platform_lost(
@@ -197,30 +211,5 @@
         await self._roster.renew(self._ranking.zones()[self._zone])
 
     def _is_first_in_zone(self) -> bool:
-        ranked = _eligible(self._ranking.in_zone(_RELAY_SALT, self._zone))
+        ranked = eligible(self._ranking.in_zone(RELAY_SALT, self._zone))
         return bool(ranked) and ranked[0].node_id == self._membership.own.node_id
-
-
-def select_relays(ranking: MemberRanking) -> set[str]:
-    """Return the ids of the relays: one per zone, and at least three if possible."""
-    relay_ids = {
-        ranked[0].node_id
-        for zone in ranking.zones()
-        if (
-            ranked := _eligible(
-                ranking.in_zone(_RELAY_SALT, zone)[:_MAX_CANDIDATES_PER_ZONE]
-            )
-        )
-    }
-    for member in _eligible(
-        ranking.in_all_zones(_RELAY_SALT)[:_MAX_FLEET_WIDE_CANDIDATES]
-    ):
-        if len(relay_ids) >= _MIN_RELAYS:
-            break
-        relay_ids.add(member.node_id)
-    return relay_ids
-
-
-def _eligible(ranked: list[Member]) -> list[Member]:
-    """Return the members that are not leaving and can reach the platform."""
-    return [m for m in ranked if not m.leaving and not m.platform_lost]
--- a/burdockdock/protocol/messages.capnp
+++ b/burdockdock/protocol/messages.capnp
@@ -25,6 +25,7 @@
     evidence @19 :Evidence;
     quotaRequest @20 :QuotaRequest;
     quotaGrant @21 :QuotaGrant;
+    relayBeat @22 :RelayBeat;
   }
 }
 
@@ -266,3 +267,9 @@
   notGrantor @5 :Bool;
   probe @6 :Bool;
 }
+
+# A node tells the standbys that it watches the platform.
+struct RelayBeat {
+  mesh @0 :Text;
+  nodeId @1 :Text;
+}
