Look up routes without a copy of the path for each slash

Cause: find_route listed two copies of the path for each slash before it looked up any of them, so that memory and work were quadratic in the path.

The refusal without a route shows 200 characters of the path in log and answer.

Why it works: one copy is held at a time, and the table, not the caller, bounds their number.

--- a/burdockdock/configuration/checks.py
+++ b/burdockdock/configuration/checks.py
@@ -13,7 +13,7 @@
 from burdockdock.configuration.caller_limits import parse_caller_limits
 from burdockdock.configuration.delta import changed_sections
 from burdockdock.configuration.ini import section_digest
-from burdockdock.configuration.lookup import group_by_scope
+from burdockdock.configuration.lookup import group_by_scope, path_lengths
 from burdockdock.configuration.model import (
     EMPTY_SNAPSHOT,
     CallerLimits,
@@ -153,6 +153,7 @@
             overrides_by_scope=group_by_scope(self._overrides.values()),
             limits=self._limits,
             workspaces=self._workspaces.build(),
+            path_lengths=path_lengths(self._routes),
         )
 
     def _remove_section(self, section: str) -> None:
--- a/burdockdock/configuration/lookup.py
+++ b/burdockdock/configuration/lookup.py
@@ -1,7 +1,7 @@
 """Finds the route, the service and the policy of a call in a snapshot."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from datetime import datetime
 
 from burdockdock.configuration.model import (
@@ -21,15 +21,19 @@
     """
     host_name = host.partition(":")[0].lower()
     hosts = (host_name, "") if host_name else ("",)
-    prefixes = _matching_prefixes(path)
     for route_host in hosts:
-        for prefix in prefixes:
+        for prefix in _matching_prefixes(path, snapshot.path_lengths):
             route = snapshot.routes.get(RouteMatch(route_host, prefix))
             if route is not None:
                 return route
     return None
 
 
+def path_lengths(matches: Iterable[RouteMatch]) -> tuple[int, ...]:
+    """Return the different lengths of routes' paths, longest first."""
+    return tuple(sorted({len(match.path) for match in matches}, reverse=True))
+
+
 def draw_service(route: Route, *, rng: random.Random) -> str:
     """Return the service for one call, drawn at random by weight if the route is split.
 
@@ -91,17 +95,24 @@
     return grouped
 
 
-def _matching_prefixes(path: str) -> list[str]:
-    """Return the route paths that match a path, longest first."""
-    prefixes = [path]
-    end = path.rfind("/")
-    while end >= 0:
-        if end + 1 < len(path) or len(prefixes) > 1:
-            prefixes.append(path[: end + 1])
-        if end > 0:
-            prefixes.append(path[:end])
-        end = path.rfind("/", 0, end)
-    return list(dict.fromkeys(prefixes))
+def _matching_prefixes(path: str, lengths: tuple[int, ...]) -> Iterator[str]:
+    """Return the beginnings of a path that a route may have, longest first.
+
+    Only those of a length that some route has, one at a time: the caller chooses how
+    many segments its path has.
+
+    :param lengths: different lengths of the routes' paths, longest first.
+    """
+    for length in lengths:
+        if _ends_segment(path, length):
+            yield path[:length]
+
+
+def _ends_segment(path: str, length: int) -> bool:
+    """Return whether a beginning of a path consists of whole segments."""
+    if length >= len(path):
+        return length == len(path)
+    return path[length] == "/" or path[length - 1 : length] == "/"
 
 
 def _is_active(override: Override, now: datetime) -> bool:
--- a/burdockdock/configuration/model.py
+++ b/burdockdock/configuration/model.py
@@ -223,6 +223,7 @@
     :param overrides_by_scope: the overrides of each scope, sorted by name.
     :param limits: what callers may send.
     :param workspaces: the workspaces and their API keys.
+    :param path_lengths: different lengths of the routes' paths, longest first.
     """
 
     version: int
@@ -236,6 +237,7 @@
     overrides_by_scope: dict[Scope, list[Override]]
     limits: CallerLimits = CallerLimits()
     workspaces: WorkspaceTable = NO_WORKSPACES
+    path_lengths: tuple[int, ...] = ()
 
 
 EMPTY_SNAPSHOT = Snapshot(0, 0, Policy(), {}, {}, {}, {}, {}, {})
--- a/burdockdock/proxy/call_factory.py
+++ b/burdockdock/proxy/call_factory.py
@@ -34,6 +34,7 @@
 _NON_IDEMPOTENT_KIND = "non_idempotent"
 _DOWNLOAD_KIND = "download"
 _MAX_CALL_DEPTH = 32
+_MAX_SHOWN_PATH_LENGTH = 200
 
 
 def make_call(
@@ -144,7 +145,9 @@
     if missing_version:
         detail = f"version {missing_version} is not here yet, only {snapshot.version}"
         return Failure(Verdict.NOT_RUN, "configuration_behind", detail)
-    return Failure(Verdict.NOT_RUN, "no_route", f"no route for {path}")
+    # The detail goes into the log and back to the caller.
+    shown = path[:_MAX_SHOWN_PATH_LENGTH]
+    return Failure(Verdict.NOT_RUN, "no_route", f"no route for {shown}")
 
 
 def _workspace_name(
--- a/tests/configuration/test_lookup.py
+++ b/tests/configuration/test_lookup.py
@@ -2,9 +2,12 @@
 
 import itertools
 import random
+import tracemalloc
 from datetime import UTC, datetime
 
 import testtools
+from hypothesis import given
+from hypothesis import strategies as st
 
 from burdockdock.configuration.checks import build_snapshot
 from burdockdock.configuration.ini import read_sections
@@ -72,6 +75,35 @@
             expected = _reference_route(snapshot, host, path)
             self.assertEqual(expected, find_route(snapshot, host=host, path=path), path)
 
+    def test_memory_of_a_lookup_is_linear_in_the_path(self) -> None:
+        # Guards against a path of slashes that takes a process over its memory.
+        rows = (
+            f"[route r{i}]\npath = /{'a/' * i}\nservice = desk\n" for i in range(99)
+        )
+        snapshot = _build_valid_snapshot("[service desk]\n" + "".join(rows))
+        for path in ("/" * 16_000, "/a" * 8_000, "/" + "a" * 16_000):
+            tracemalloc.start()
+            route = find_route(snapshot, host="trips.example", path=path)
+            peak_bytes = tracemalloc.get_traced_memory()[1]
+            tracemalloc.stop()
+            self.assertEqual(path.startswith("/a/a/"), route.path.startswith("/a/"))
+            self.assertLess(peak_bytes, 4 * len(path))
+
+    @given(
+        st.lists(st.text("/ab", max_size=6).map("/{}".format), max_size=8, unique=True),
+        st.text("/ab", max_size=9).map("/{}".format),
+    )
+    def test_any_route_lookup_agrees_with_linear_search(
+        self, route_paths: list[str], path: str
+    ) -> None:
+        rows = (
+            f"[route r{i}]\npath = {route_path}\nservice = desk\n"
+            for i, route_path in enumerate(route_paths)
+        )
+        snapshot = _build_valid_snapshot("[service desk]\n" + "".join(rows))
+        found = find_route(snapshot, host="", path=path)
+        self.assertEqual(_reference_route(snapshot, "", path), found)
+
     def test_exception_applies_until_it_expires(self) -> None:
         snapshot = _build_valid_snapshot(VALID_CONFIG)
         route = find_route(snapshot, host="", path="/trips/1")
--- a/tests/overload/test_crowds.py
+++ b/tests/overload/test_crowds.py
@@ -34,6 +34,20 @@
     "header_timeout_ms = 3000\nidle_timeout_ms = 15000\n"
 )
 _HALF_HEAD = b"GET /ordinary HTTP/1.1\r\nHost: a\r\nX-Half: "
+_LONGEST_HEAD_BYTES = 16_000
+_LONG_LINE = b"GET /ordinary%s HTTP/1.1\r\nHost: a\r\n%s\r\n"
+# Each as long as a head may be.
+_COSTLY_HEADS = (
+    _LONG_LINE % (b"/" * _LONGEST_HEAD_BYTES, b""),
+    _LONG_LINE % (b"/a" * (_LONGEST_HEAD_BYTES // 2), b""),
+    _LONG_LINE % (b"?" + b"a=1&" * (_LONGEST_HEAD_BYTES // 4), b""),
+    _LONG_LINE % (b"/" + b"%2F" * (_LONGEST_HEAD_BYTES // 3), b""),
+    _LONG_LINE % (b"", b"A:1\r\n" * (_LONGEST_HEAD_BYTES // 5)),
+    _LONG_LINE % (b"", b"Cookie: " + b"a=1;" * (_LONGEST_HEAD_BYTES // 4) + b"\r\n"),
+    _LONG_LINE % (b"", b"Connection: " + b"a," * (_LONGEST_HEAD_BYTES // 2) + b"\r\n"),
+    _LONG_LINE.replace(b"Host: a", b"Host: " + b"a:" * (_LONGEST_HEAD_BYTES // 2))
+    % (b"", b""),
+)
 _ANSWER_BYTES = 250_000
 _UNREAD = b"GET /bytes/%d HTTP/1.1\r\nHost: a\r\n\r\n" % _ANSWER_BYTES
 
@@ -137,6 +151,13 @@
     async def test_answers_that_are_not_read(self) -> None:
         await self._check_crowd(([_UNREAD * 8] for _ in range(_CROWD)), reads=False)
 
+    @async_test
+    async def test_heads_that_are_costly_to_handle(self) -> None:
+        # Guards against a process that one path of slashes takes over its memory.
+        await self._check_crowd(
+            [_COSTLY_HEADS[i % len(_COSTLY_HEADS)]] for i in range(_CROWD)
+        )
+
     @async_test
     async def test_one_body_of_legal_size_in_calm(self) -> None:
         """A bound on all callers' bytes refuses no single request of legal size."""
