Refuse answers with a line that begins with a blank

What callers saw: a 200 whose field before such a line had the line's bytes in its value, or a field less; the same in interim heads and with Content-Length, Transfer-Encoding and Connection behind the blank.

--- a/tests/fuzz/test_malformed_answers.py
+++ b/tests/fuzz/test_malformed_answers.py
@@ -74,6 +74,19 @@
         field = MalformedField(b"X-Note : a", FieldPlace.INTERIM)
         await self._assert_no_answer([Behaviour(interim=(103,), malformed_field=field)])
 
+    @async_test
+    async def test_lines_that_begin_with_a_blank(self) -> None:
+        behaviours = []
+        for line in (b" X-Note: a", b"\tX-Note: a", b" Content-Length: 1", b" a"):
+            head_end = MalformedField(line, FieldPlace.HEAD_END)
+            interim = MalformedField(b"X-A: a\r\n" + line, FieldPlace.INTERIM)
+            behaviours += [
+                Behaviour(malformed_field=head_end),
+                Behaviour(refusal=Refusal(503), malformed_field=head_end),
+                Behaviour(interim=(103,), malformed_field=interim),
+            ]
+        await self._assert_no_answer(behaviours)
+
     @async_test
     async def test_malformed_refusal_is_no_proof(self) -> None:
         field = MalformedField(b"X-Note : a", FieldPlace.HEAD_END)
