--- a/burdockdock/node/node.py
+++ b/burdockdock/node/node.py
@@ -26,7 +26,7 @@
     Interface,
     serve_backend_and_readiness,
 )
-from burdockdock.node.notices import report_unused
+from burdockdock.node.notices import report_outcome
 from burdockdock.node.notifier import Notifier
 from burdockdock.node.operator_api import OperatorActions, serve_operators
 from burdockdock.node.overlay_parts import build_overlay
@@ -408,21 +408,15 @@
         if self.config.snapshot.workspaces is not workspaces:
             self.gate.recheck_keys()
         self.applied.wake()
-        state = self.config.applied_state()
-        if accepted:
-            told_s = self.records.told_s(CONFIG_KEY, record.version)
-            waited_s = 0.0 if told_s is None else self._clock.monotonic() - told_s
-            log_event(
-                "config.applied",
-                version=record.version,
-                waited_s=waited_s,
-                workspaces=len(self.config.snapshot.workspaces.by_name),
-                keys=len(self.config.snapshot.workspaces.by_digest),
-                unused=len(self.config.unused),
-            )
-            report_unused(self.config.unused, count=self.metrics.count)
-        else:
-            log_event("config.refused", version=record.version, reason=state.reason)
+        told_s = self.records.told_s(CONFIG_KEY, record.version)
+        waited_s = 0.0 if told_s is None else self._clock.monotonic() - told_s
+        report_outcome(
+            self.config,
+            record.version,
+            accepted=accepted,
+            waited_s=waited_s,
+            count=self.metrics.count,
+        )
         return accepted
 
     def _on_call_result(self, result: CallResult) -> None:
--- a/burdockdock/node/notices.py
+++ b/burdockdock/node/notices.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Callable
 
-from burdockdock.configuration.model import Problem
 from burdockdock.logs import log_event
+from burdockdock.node.config_state import ConfigState
 from burdockdock.node.notifier import Notifier
 from burdockdock.node.status import report_laggard
 from burdockdock.overlay.applied_status import FleetStatus
@@ -47,11 +47,32 @@
     return notify
 
 
-def report_unused(unused: dict[str, Problem], *, count: Callable[..., None]) -> None:
-    """Log and count the sections that this node can't use.
+def report_outcome(
+    config: ConfigState,
+    version: int,
+    *,
+    accepted: bool,
+    waited_s: float,
+    count: Callable[..., None],
+) -> None:
+    """Log whether this node applied a version, and what it can't use of it.
 
+    :param waited_s: seconds since this node was first told of the version.
     :param count: adds to a counter, given its name and the number.
     """
-    count("config_sections_unused", by=len(unused))
-    for problem in list(unused.values())[:_MAX_LOGGED_SECTIONS]:
+    if not accepted:
+        reason = config.applied_state().reason
+        log_event("config.refused", version=version, reason=reason)
+        return
+    workspaces = config.snapshot.workspaces
+    log_event(
+        "config.applied",
+        version=version,
+        waited_s=waited_s,
+        workspaces=len(workspaces.by_name),
+        keys=len(workspaces.by_digest),
+        unused=len(config.unused),
+    )
+    count("config_sections_unused", by=len(config.unused))
+    for problem in list(config.unused.values())[:_MAX_LOGGED_SECTIONS]:
         log_event("config.section_unused", section=problem.section, reason=str(problem))
