Refuse heads that state two lengths

What callers would have seen: a whole answer with a body that isn't the backend server's, if its head states two lengths that differ.

The gate relied on libcurl for it.

Why it works: the two readers of a head can't find different bodies if it states one length.

--- a/burdockdock/gate/head_lines.py
+++ b/burdockdock/gate/head_lines.py
@@ -14,6 +14,7 @@
 from burdockdock.gate.backend_head import BackendHead, parse_head
 from burdockdock.http_syntax import (
     HEAD_ENDS,
+    StatedLength,
     is_field_line,
     is_final_status,
     is_status_line,
@@ -35,6 +36,7 @@
 
     def __init__(self) -> None:
         self.lines: list[bytes] = []
+        self._length = StatedLength()
 
     def add(self, line: bytes) -> BackendHead | Failure | None:
         """Add a line.
@@ -57,13 +59,14 @@
         if _STATUS_LINE_START.search(line, 1 if is_first else 0):
             return _failure("two_answers", line)
         is_valid = is_status_line if is_first else is_field_line
-        if not is_valid(line):
+        if not is_valid(line) or self._length.contradicts(line):
             return _failure(MALFORMED_HEAD, line)
         self.lines.append(line)
         return None
 
     def _take_head(self) -> BackendHead | Failure | None:
         lines, self.lines = self.lines, []
+        self._length = StatedLength()
         if not lines:
             return None
         head = parse_head(lines)
--- a/burdockdock/http_syntax.py
+++ b/burdockdock/http_syntax.py
@@ -15,6 +15,9 @@
 _FIELD_LINE = re.compile(rf"{_FIELD_NAME}:{_TEXT}\r?\n".encode())
 _FIELD_NAME_PATTERN = re.compile(_FIELD_NAME)
 _TEXT_PATTERN = re.compile(_TEXT)
+_CONTENT_LENGTH = re.compile(
+    rb"content-length:[ \t]*(.*?)[ \t]*\r?\n", re.IGNORECASE | re.DOTALL
+)
 # Lines that end a head or the trailers.
 HEAD_ENDS = (b"\r\n", b"\n")
 
@@ -51,3 +54,23 @@
 def is_text(text: str) -> bool:
     """Return whether a text may be a field's value or a reason phrase."""
     return _TEXT_PATTERN.fullmatch(text) is not None
+
+
+class StatedLength:
+    """The length of the body that a head states.
+
+    If it states two that differ, readers find different bodies behind it; see RFC 9112,
+    section 6.3.
+    """
+
+    def __init__(self) -> None:
+        self._value: bytes | None = None
+
+    def contradicts(self, line: bytes) -> bool:
+        """Take a line; return whether it states another length than one before."""
+        match = _CONTENT_LENGTH.fullmatch(line)
+        if match is None:
+            return False
+        if self._value is None:
+            self._value = match[1]
+        return match[1] != self._value
--- a/burdockdock/platform_api/response_head.py
+++ b/burdockdock/platform_api/response_head.py
@@ -2,7 +2,12 @@
 
 import pycurl
 
-from burdockdock.http_syntax import HEAD_ENDS, is_field_line, is_status_line
+from burdockdock.http_syntax import (
+    HEAD_ENDS,
+    StatedLength,
+    is_field_line,
+    is_status_line,
+)
 
 # Returned by a header callback to make libcurl abort the transfer.
 _ABORT_TRANSFER = -1
@@ -18,6 +23,7 @@
     def __init__(self) -> None:
         self.malformed_line: bytes | None = None
         self._fields: dict[str, str] = {}
+        self._length = StatedLength()
         self._in_head = True
 
     def listen(self, curl: pycurl.Curl) -> None:
@@ -41,7 +47,8 @@
             # An interim head may stand before the final one.
             self._in_head = True
             self._fields.clear()
-        elif is_field_line(line):
+            self._length = StatedLength()
+        elif is_field_line(line) and not self._length.contradicts(line):
             self._add_field(line)
         else:
             self.malformed_line = line
--- a/tests/gate/test_head_lines.py
+++ b/tests/gate/test_head_lines.py
@@ -155,6 +155,21 @@
             head = _read(b"HTTP/1.1 200 OK\r\n", line + b"\r\n", b"\r\n")
             self.assertEqual(BackendHead(200, "OK", (field,)), head)
 
+    def test_lengths_that_differ(self) -> None:
+        # Guards against two readers of one head that find different bodies.
+        first = b"Content-Length: 2\r\n"
+        for line in (
+            b"Content-Length: 3",
+            b"content-length:20",
+            b"Content-Length: 2, 2",
+        ):
+            for lines in ((first, line + b"\r\n"), (line + b"\r\n", first)):
+                self._assert_failure("malformed_head", b"HTTP/1.1 200 OK\r\n", *lines)
+        interim = (b"HTTP/1.1 103 Early\r\n", b"Content-Length: 9\r\n", b"\r\n")
+        same = (first, b"CONTENT-LENGTH:2 \t\r\n", b"\r\n")
+        head = _read(*interim, b"HTTP/1.1 200 OK\r\n", *same)
+        self.assertEqual((("Content-Length", "2"),), head.headers)
+
     def test_switch_to_another_protocol(self) -> None:
         lines = (b"HTTP/1.1 101 Switching\r\n", b"Upgrade: other\r\n", b"\r\n")
         self._assert_failure("other_protocol", *lines)
--- a/tests/platform_api/test_malformed_responses.py
+++ b/tests/platform_api/test_malformed_responses.py
@@ -93,6 +93,11 @@
             era = b"X-Store-Era: 7\r\n" + line + b"\r\n"
             await self._assert_in_doubt(_whole(era, status=b"503 Busy"))
 
+    @async_test
+    async def test_lengths_that_differ(self) -> None:
+        for line in (b"Content-Length: 1", b"content-length: 9999"):
+            await self._assert_in_doubt(_whole(line + b"\r\n"))
+
     @async_test
     async def test_malformed_refusal_proves_nothing(self) -> None:
         for status in (b"503 Busy", b"429 Busy", b"413 Large", b"410 Gone"):
