Clamp numbers of the platform in one step

clamp_number passed over an exception to raise another at its end. It now says in one place what a number is; a test covers numbers beyond a float's range, NaN and what is none. Nothing changes for callers.

--- a/burdockdock/node/relay_roles.py
+++ b/burdockdock/node/relay_roles.py
@@ -11,8 +11,7 @@
 # each of them in turn becomes a relay and keeps polling, so their number is limited.
 _MAX_CANDIDATES_PER_ZONE = 4
 _MAX_FLEET_WIDE_CANDIDATES = 8
-# Those who can stand in at once. All of them are lost with half of a fleet once in
-# thousands of times.
+# Nodes that can stand in; so many that with half of a fleet hardly ever all are lost.
 _MAX_STANDBYS = 12
 # If so many members can't reach the platform, it is taken to be away, and more nodes
 # that ask it would find out nothing.
--- a/burdockdock/platform/values.py
+++ b/burdockdock/platform/values.py
@@ -55,13 +55,14 @@
     """
     try:
         number = float(value) if isinstance(value, str) else value
-        if low <= number <= high:
-            return number
-        if number < low or number > high:
-            return low if number < low else high
+        clamped = max(low, min(high, number))
+        # Only NaN differs from itself. An integer may be too long for math.isnan.
+        is_number = number == number
     except (TypeError, ValueError):
-        pass
-    raise ValueError("a value of a row is not a number")
+        is_number = False
+    if not is_number:
+        raise ValueError("a value of a row is not a number")
+    return clamped
 
 
 def parse_table(table: Any) -> list[dict[str, Any]]:
--- a/tests/platform/test_values.py
+++ b/tests/platform/test_values.py
@@ -4,7 +4,7 @@
 
 from burdockdock.coordination.verdict import Failure
 from burdockdock.platform.orders import ORDER_FORMAT
-from burdockdock.platform.values import parse_duration_ms, parse_version
+from burdockdock.platform.values import clamp_number, parse_duration_ms, parse_version
 from burdockdock.platform_api import PlatformObject
 
 
@@ -44,6 +44,19 @@
         for invalid in ("r", "r-1", "r 1", "r1_0", "r1.5", "12", "r" + "9" * 19, 12):
             self.assertRaises(ValueError, parse_version, invalid)
 
+    def test_numbers_are_clamped(self) -> None:
+        for value, expected in (
+            (5, 5),
+            (10**400, 10),
+            (float("inf"), 10),
+            (-1, 0),
+            ("2.5", 2.5),
+        ):
+            self.assertEqual(expected, clamp_number(value, 0, 10))
+        for invalid in (float("nan"), "nan", "secret", None, [1], {}):
+            error = self.assertRaises(ValueError, clamp_number, invalid, 0, 10)
+            self.assertNotIn("secret", str(error))
+
     def test_order_with_an_invalid_duration_is_refused(self) -> None:
         # Any error that the decoder does not catch would affect other orders too.
         for invalid in ("infs", "nanms", "1e400s", "-3s", "soon", 5, None):
