--- a/tests/proxy/test_call_factory.py
+++ b/tests/proxy/test_call_factory.py
@@ -37,6 +37,7 @@
             version=1,
             services={"work": Service("work", {})},
             routes={RouteMatch("", "/"): route},
+            path_lengths=(1,),
         ),
         config_refusal=lambda: None,
         missing_version=lambda: 0,
--- a/tests/proxy/test_traffic_split.py
+++ b/tests/proxy/test_traffic_split.py
@@ -46,6 +46,7 @@
         version=1,
         services={name: Service(name, {}) for name in weights},
         routes={RouteMatch("", "/"): route},
+        path_lengths=(1,),
     )
 
 
